--- /dev/null
+++ b/core/configuration/doc.go
@@ -0,0 +1,2 @@
+// Package configuration holds the numbered configuration that operators patch.
+package configuration
--- /dev/null
+++ b/core/fault/error.go
@@ -0,0 +1,83 @@
+package fault
+
+import (
+	"errors"
+	"time"
+)
+
+// Error is a failure with a code that programs act on and a message for people.
+type Error struct {
+	Code    Code
+	Message string
+	// Param names the request field or setting at fault, or is empty.
+	Param string
+	// Fields gives a reason for each invalid field, by its path.
+	Fields map[string]string
+	// Version is the current number for StaleVersion and Conflict.
+	Version int64
+	// RetryAt is when a retry may succeed; zero if unknown.
+	RetryAt time.Time
+	cause   error
+}
+
+// New returns a failure with a code and a message.
+func New(code Code, message string) *Error {
+	return &Error{
+		Code:    code,
+		Message: message,
+	}
+}
+
+// Wrap returns a failure with a code and a message that unwraps to cause.
+func Wrap(cause error, code Code, message string) *Error {
+	return &Error{
+		Code:    code,
+		Message: message,
+		cause:   cause,
+	}
+}
+
+// Error returns the message followed by the cause.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return e.Message
+	}
+
+	return e.Message + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
+
+// Is reports whether target is a failure with the same code, so that errors.Is matches by code.
+func (e *Error) Is(target error) bool {
+	t, ok := target.(*Error) //nolint:errorlint // errors.Is unwraps; this compares one level.
+
+	return ok && t.Code == e.Code
+}
+
+// CodeOf returns the code of the outermost failure in err's chain, CodeInternal if there is none, or empty for nil.
+func CodeOf(err error) Code {
+	if err == nil {
+		return ""
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+
+	return CodeInternal
+}
+
+// NotRun reports whether err states that no part of the request ran.
+func NotRun(err error) bool {
+	switch CodeOf(err) {
+	case CodeInvalid, CodeUnauthorized, CodeForbidden, CodeNotFound, CodeConflict, CodeStaleVersion, CodeTooLarge,
+		CodeNotRun, CodeOverloaded, CodeBackendUnreachable, CodeBackendLeaving:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/core/job/doc.go
@@ -0,0 +1,2 @@
+// Package job defines batch files, jobs, claims and results.
+package job
--- /dev/null
+++ b/core/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership keeps the live and leaving instances.
+package membership
--- /dev/null
+++ b/io/objectstore/doc.go
@@ -0,0 +1,2 @@
+// Package objectstore is a client of the platform's object store.
+package objectstore
--- /dev/null
+++ b/io/openai/doc.go
@@ -0,0 +1,2 @@
+// Package openai defines the messages of the OpenAI-compatible API.
+package openai
--- /dev/null
+++ b/io/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries messages between entry instances.
+package peer
--- /dev/null
+++ b/io/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads an instance's TOML settings.
+package settings
