--- /dev/null
+++ b/io/peer/node.go
@@ -0,0 +1,219 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"net/rpc/jsonrpc"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tarragonwalk/core/fault"
+)
+
+// connectionAge bounds the life of a pooled connection, so that one that a middlebox has forgotten is not kept for long.
+const connectionAge = 60 * time.Second
+
+// handler answers the messages of other entry instances.
+type handler interface {
+	HandleExchange(m *Exchange) *Exchange
+	HandleConfiguration(m *ConfigurationRequest) (*ConfigurationReply, error)
+	HandleOnline(m *OnlineNotice)
+}
+
+// Node is both ends of the messages between entry instances. The lock guards the connection table only and is never held during a call.
+type Node struct {
+	name     string
+	secret   []byte
+	clock    func() time.Time
+	handler  handler
+	lock     sync.Mutex
+	outgoing map[netip.AddrPort]*outgoing
+	incoming map[net.Conn]struct{}
+	closed   bool
+	tasks    conc.WaitGroup
+}
+
+type outgoing struct {
+	client    *rpc.Client
+	expiresAt time.Time
+}
+
+// New returns a node that proves itself with secret and answers messages through h.
+func New(name string, secret []byte, clock func() time.Time, h handler) *Node {
+	return &Node{
+		name:     name,
+		secret:   secret,
+		clock:    clock,
+		handler:  h,
+		outgoing: map[netip.AddrPort]*outgoing{},
+		incoming: map[net.Conn]struct{}{},
+	}
+}
+
+// Serve answers peers on l until l is closed.
+func (n *Node) Serve(l net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Peer", &service{node: n}); err != nil {
+		return fault.Wrap(err, fault.CodeInternal, "cannot register the peer service")
+	}
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap(err, fault.CodeUnavailable, "cannot accept peers")
+		}
+		n.tasks.Go(func() { n.serveConnection(server, c) })
+	}
+}
+
+// Close closes all connections and waits for their goroutines; the listener is closed by its owner first.
+func (n *Node) Close() {
+	n.lock.Lock()
+	n.closed = true
+	for c := range n.incoming {
+		c.Close()
+	}
+	for _, o := range n.outgoing {
+		o.client.Close()
+	}
+	n.lock.Unlock()
+	n.tasks.Wait()
+}
+
+// Exchange sends the regular message and returns the peer's.
+func (n *Node) Exchange(ctx context.Context, a netip.AddrPort, m *Exchange) (*Exchange, error) {
+	reply := &Exchange{}
+
+	return reply, n.call(ctx, a, "Peer.Exchange", m, reply)
+}
+
+// Configuration asks a peer for a configuration of at least version.
+func (n *Node) Configuration(ctx context.Context, a netip.AddrPort, version int) (*ConfigurationReply, error) {
+	reply := &ConfigurationReply{}
+	request := &ConfigurationRequest{
+		Sender:  n.name,
+		Version: version,
+	}
+
+	return reply, n.call(ctx, a, "Peer.Configuration", request, reply)
+}
+
+// Online tells the feeder of backend servers about changed in-flight counts.
+func (n *Node) Online(ctx context.Context, a netip.AddrPort, counts []OnlineCount) error {
+	notice := &OnlineNotice{
+		Sender: n.name,
+		Online: counts,
+	}
+
+	return n.call(ctx, a, "Peer.Online", notice, &Ack{})
+}
+
+func (n *Node) serveConnection(server *rpc.Server, c net.Conn) {
+	defer c.Close()
+	n.lock.Lock()
+	if n.closed {
+		n.lock.Unlock()
+
+		return
+	}
+	n.incoming[c] = struct{}{}
+	n.lock.Unlock()
+	defer func() {
+		n.lock.Lock()
+		delete(n.incoming, c)
+		n.lock.Unlock()
+	}()
+	if err := acceptPeer(c, n.secret, n.clock()); err != nil {
+		return
+	}
+	server.ServeCodec(jsonrpc.NewServerCodec(c))
+}
+
+func (n *Node) call(ctx context.Context, a netip.AddrPort, method string, request, reply any) error {
+	client, err := n.client(ctx, a)
+	if err != nil {
+		return err
+	}
+	call := client.Go(method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		n.drop(a, client)
+
+		return fault.Wrap(ctx.Err(), fault.CodeUnavailable, "peer did not answer in time")
+	}
+	if call.Error == nil {
+		return nil
+	}
+	var refused rpc.ServerError
+	if !errors.As(call.Error, &refused) {
+		n.drop(a, client)
+	}
+
+	return fault.Wrap(call.Error, fault.CodeUnavailable, "peer call failed")
+}
+
+func (n *Node) client(ctx context.Context, a netip.AddrPort) (*rpc.Client, error) {
+	now := n.clock()
+	n.lock.Lock()
+	o := n.outgoing[a]
+	if o != nil && now.After(o.expiresAt) {
+		delete(n.outgoing, a)
+		o.client.Close()
+		o = nil
+	}
+	n.lock.Unlock()
+	if o != nil {
+		return o.client, nil
+	}
+	d := net.Dialer{}
+	c, err := d.DialContext(ctx, "tcp", a.String())
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeUnavailable, "peer cannot be reached")
+	}
+	if err := greetPeer(c, n.secret, now); err != nil {
+		c.Close()
+
+		return nil, err
+	}
+
+	return n.keep(a, jsonrpc.NewClient(c), now)
+}
+
+// keep adds a connection to the table, or closes it in favor of one that another call has added meanwhile.
+func (n *Node) keep(a netip.AddrPort, client *rpc.Client, now time.Time) (*rpc.Client, error) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if n.closed {
+		client.Close()
+
+		return nil, fault.New(fault.CodeUnavailable, "peer node is closed")
+	}
+	if o := n.outgoing[a]; o != nil {
+		client.Close()
+
+		return o.client, nil
+	}
+	n.outgoing[a] = &outgoing{
+		client:    client,
+		expiresAt: now.Add(connectionAge),
+	}
+
+	return client, nil
+}
+
+func (n *Node) drop(a netip.AddrPort, client *rpc.Client) {
+	n.lock.Lock()
+	if o := n.outgoing[a]; o != nil && o.client == client {
+		delete(n.outgoing, a)
+	}
+	n.lock.Unlock()
+	client.Close()
+}
--- /dev/null
+++ b/io/peer/node_test.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+)
+
+type fakeHandler struct {
+	online atomic.Int64
+	block  chan struct{}
+}
+
+func (f *fakeHandler) HandleExchange(m *Exchange) *Exchange {
+	if f.block != nil {
+		<-f.block
+	}
+
+	return &Exchange{
+		Sender:               "server",
+		ConfigurationVersion: m.ConfigurationVersion + 1,
+	}
+}
+
+func (f *fakeHandler) HandleConfiguration(*ConfigurationRequest) (*ConfigurationReply, error) {
+	return nil, fault.New(fault.CodeNotFound, "no configuration")
+}
+
+func (f *fakeHandler) HandleOnline(m *OnlineNotice) {
+	f.online.Add(int64(m.Online[0].InFlight))
+}
+
+func startNode(t *testing.T, secret string, h handler) (*Node, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New("server", []byte(secret), time.Now, h)
+	go n.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		n.Close()
+	})
+
+	return n, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func TestNodeCalls(t *testing.T) {
+	is := is.New(t)
+	h := &fakeHandler{}
+	_, a := startNode(t, "secret-of-the-fleet", h)
+	c := New("client", []byte("secret-of-the-fleet"), time.Now, h)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := c.Exchange(ctx, a, &Exchange{
+		Sender:               "client",
+		ConfigurationVersion: 7,
+	})
+	is.NoErr(err)
+	is.Equal(reply.ConfigurationVersion, 8)
+	is.NoErr(c.Online(ctx, a, []OnlineCount{
+		{
+			BackendServer: "w1",
+			InFlight:      3,
+		},
+	}))
+	is.Equal(h.online.Load(), int64(3))
+	_, err = c.Configuration(ctx, a, 1)
+	is.True(err != nil)          // the handler's error reaches the caller
+	is.Equal(len(c.outgoing), 1) // and the connection is kept
+}
+
+// Guards against a process without the secret that reads or changes the state of the fleet.
+func TestNodeRefusesWrongSecret(t *testing.T) {
+	is := is.New(t)
+	h := &fakeHandler{}
+	_, a := startNode(t, "secret-of-the-fleet", h)
+	c := New("client", []byte("another-secret-0000"), time.Now, h)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.True(c.Online(ctx, a, []OnlineCount{
+		{
+			BackendServer: "w1",
+			InFlight:      3,
+		},
+	}) != nil)
+	is.Equal(h.online.Load(), int64(0))
+}
+
+// Guards against a connection that has gone silent and is used for the next call.
+func TestNodeDropsSilentConnection(t *testing.T) {
+	is := is.New(t)
+	h := &fakeHandler{
+		block: make(chan struct{}),
+	}
+	_, a := startNode(t, "secret-of-the-fleet", h)
+	c := New("client", []byte("secret-of-the-fleet"), time.Now, h)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Exchange(ctx, a, &Exchange{
+		Sender: "client",
+	})
+	is.Equal(fault.CodeOf(err), fault.CodeUnavailable)
+	is.Equal(len(c.outgoing), 0)
+	close(h.block)
+}
--- /dev/null
+++ b/io/peer/service.go
@@ -0,0 +1,32 @@
+package peer
+
+// service has the method set that net/rpc requires.
+type service struct {
+	node *Node
+}
+
+// Exchange answers the regular message.
+func (s *service) Exchange(m *Exchange, reply *Exchange) error {
+	*reply = *s.node.handler.HandleExchange(m)
+
+	return nil
+}
+
+// Configuration answers with the configuration in force.
+func (s *service) Configuration(m *ConfigurationRequest, reply *ConfigurationReply) error {
+	r, err := s.node.handler.HandleConfiguration(m)
+	if err != nil {
+		return err
+	}
+	*reply = *r
+
+	return nil
+}
+
+// Online takes changed in-flight counts.
+func (s *service) Online(m *OnlineNotice, reply *Ack) error {
+	s.node.handler.HandleOnline(m)
+	reply.Sender = s.node.name
+
+	return nil
+}
--- a/io/settings/settings_schema.go
+++ b/io/settings/settings_schema.go
@@ -6,6 +6,7 @@
 import "fmt"
 import "net/netip"
 import "reflect"
+import "regexp"
 import "unicode/utf8"
 
 // DataSettings has the folder for bulk data.
@@ -99,6 +100,10 @@
 
 	// QueueRequests bounds waiting online requests.
 	QueueRequests int `json:"QueueRequests,omitempty,omitzero"`
+
+	// StopGraceMillis is how long a stopping instance goes on accepting requests, in
+	// milliseconds.
+	StopGraceMillis int `json:"StopGraceMillis,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -136,6 +141,12 @@
 	if 1 > plain.QueueRequests {
 		return fmt.Errorf("field %s: must be >= %v", "QueueRequests", 1)
 	}
+	if v, ok := raw["StopGraceMillis"]; !ok || v == nil {
+		plain.StopGraceMillis = 5000
+	}
+	if 0 > plain.StopGraceMillis {
+		return fmt.Errorf("field %s: must be >= %v", "StopGraceMillis", 0)
+	}
 	*j = LimitSettings(plain)
 	return nil
 }
@@ -234,6 +245,34 @@
 	return nil
 }
 
+// OperatorSettings guards the first configuration.
+type OperatorSettings struct {
+	// BootstrapKeyHash is the hex SHA-256 digest of the key that may create
+	// configuration version 1; empty forbids it.
+	BootstrapKeyHash string `json:"BootstrapKeyHash,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *OperatorSettings) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	type Plain OperatorSettings
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["BootstrapKeyHash"]; !ok || v == nil {
+		plain.BootstrapKeyHash = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9a-f]{64})?$`, string(plain.BootstrapKeyHash)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "BootstrapKeyHash", `^([0-9a-f]{64})?$`)
+	}
+	*j = OperatorSettings(plain)
+	return nil
+}
+
 // PeerSettings has what entry instances share.
 type PeerSettings struct {
 	// Secret authenticates entry instances to each other.
@@ -326,6 +365,9 @@
 	// Log sets the log level.
 	Log *LogSettings `json:"Log,omitempty,omitzero"`
 
+	// Operator guards the first configuration.
+	Operator *OperatorSettings `json:"Operator,omitempty,omitzero"`
+
 	// Peers has what entry instances share.
 	Peers PeerSettings `json:"Peers"`
 
