--- /dev/null
+++ b/cmd/tarragonwalk/output.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"tarragonwalk/core/fault"
+)
+
+// target says which entry instance to call, with which key.
+type target struct {
+	URL  string `long:"url" env:"TARRAGONWALK_URL" default:"http://127.0.0.1:8080" description:"Base URL of the instance's API"`
+	Key  string `long:"key" env:"TARRAGONWALK_KEY" description:"Bearer key"`
+	JSON bool   `long:"json" description:"Print JSON for scripts"`
+}
+
+func printJSON(v any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(v); err != nil {
+		return fault.Wrap(err, fault.CodeInternal, "cannot write the answer")
+	}
+
+	return nil
+}
+
+func printRaw(answer []byte) error {
+	var v any
+	if err := json.Unmarshal(answer, &v); err != nil {
+		return fault.Wrap(err, fault.CodeInternal, "the instance sent an answer that is not JSON")
+	}
+
+	return printJSON(v)
+}
+
+func printTable(header table.Row, rows []table.Row) {
+	w := table.NewWriter()
+	w.SetOutputMirror(os.Stdout)
+	w.SetStyle(table.StyleLight)
+	w.AppendHeader(header)
+	w.AppendRows(rows)
+	w.Render()
+}
+
+func writeOut(path string, content []byte) error {
+	if path == "" || path == "-" {
+		fmt.Print(string(content))
+
+		return nil
+	}
+	const ownerOnly = 0o600
+	if err := os.WriteFile(path, content, ownerOnly); err != nil {
+		return fault.Wrap(err, fault.CodeInvalid, "cannot write "+path)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/core/exchange/exchanger.go
@@ -0,0 +1,304 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/peer"
+)
+
+const (
+	interval     = time.Second
+	callTimeout  = time.Second
+	allPeers     = 16 // up to this many entry instances each talks to all others
+	sampledPeers = 3  // above that each talks to this many, chosen at random in each round
+	maxWorkers   = 16
+	// cancelledFor is how long a cancelled job is repeated; it covers several rounds and the open index's own watch.
+	cancelledFor = 30 * time.Second
+	// maxConfigurationBytes bounds a configuration from a peer; the store's value limit is 1 MB.
+	maxConfigurationBytes = 1 << 20
+)
+
+// peers is the transport to other entry instances.
+type peers interface {
+	Exchange(ctx context.Context, a netip.AddrPort, m *peer.Exchange) (*peer.Exchange, error)
+	Configuration(ctx context.Context, a netip.AddrPort, version int) (*peer.ConfigurationReply, error)
+}
+
+// members is the table of instances.
+type members interface {
+	Live(at time.Time) []membership.Instance
+	MarkLeaving(name string, at time.Time)
+}
+
+// configurations is the holder of the configuration in force.
+type configurations interface {
+	Current() *configuration.Configuration
+	Apply(c *configuration.Configuration) bool
+}
+
+// runner takes what peers know of open jobs.
+type runner interface {
+	ConfirmOpen(revision int64, at time.Time)
+	CancelJobs(ids []string)
+}
+
+// online takes and gives in-flight counts of online requests.
+type online interface {
+	ObserveOnline(sender string, counts []peer.OnlineCount, at time.Time)
+	OnlineCounts(receiver string) []peer.OnlineCount
+}
+
+// Exchanger sends and answers the regular message. Its lock guards its own tables and is never held while a dependency is called.
+type Exchanger struct {
+	name           string
+	clock          func() time.Time
+	peers          peers
+	members        members
+	configurations configurations
+	runner         runner
+	online         online
+	log            *slog.Logger
+
+	lock       sync.Mutex
+	leaving    map[string]time.Time // backend servers and instances to repeat until the time
+	ownLeaving bool
+	cancelled  map[string]time.Time
+	openView   int64
+	openSeenAt time.Time
+}
+
+// New returns an exchanger; Attach gives it the transport before Run.
+func New(
+	name string, clock func() time.Time, m members, c configurations, r runner, o online, log *slog.Logger,
+) *Exchanger {
+	return &Exchanger{
+		name:           name,
+		clock:          clock,
+		members:        m,
+		configurations: c,
+		runner:         r,
+		online:         o,
+		log:            log,
+		leaving:        map[string]time.Time{},
+		cancelled:      map[string]time.Time{},
+	}
+}
+
+// Attach sets the transport, which needs the exchanger as its handler and so is made after it.
+func (e *Exchanger) Attach(p peers) {
+	e.peers = p
+}
+
+// Run exchanges with peers each second until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		e.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Announce sends one round at once, for instance when this instance starts to leave.
+func (e *Exchanger) Announce(ctx context.Context) {
+	e.round(ctx)
+}
+
+// SetLeaving tells peers from now on that this instance is leaving.
+func (e *Exchanger) SetLeaving() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.ownLeaving = true
+}
+
+// ReportLeaving passes on that an instance was seen leaving.
+func (e *Exchanger) ReportLeaving(name string) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.leaving[name] = e.clock().Add(cancelledFor)
+}
+
+// ReportCancelled passes on that a job was cancelled.
+func (e *Exchanger) ReportCancelled(id string) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.cancelled[id] = e.clock().Add(cancelledFor)
+}
+
+// ObserveOpen records the digest of this instance's view of open jobs and when the store confirmed it.
+func (e *Exchanger) ObserveOpen(digest int64, at time.Time) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.openView = digest
+	if at.After(e.openSeenAt) {
+		e.openSeenAt = at
+	}
+}
+
+// HandleExchange answers a peer's regular message.
+func (e *Exchanger) HandleExchange(m *peer.Exchange) *peer.Exchange {
+	e.learn(m)
+
+	return e.message(m.Sender)
+}
+
+// HandleConfiguration answers with the configuration in force.
+func (e *Exchanger) HandleConfiguration(m *peer.ConfigurationRequest) (*peer.ConfigurationReply, error) {
+	c := e.configurations.Current()
+	if c == nil || c.Version < m.Version {
+		return nil, fault.New(fault.CodeNotFound, "this instance does not have that configuration")
+	}
+	encoded, err := json.Marshal(c)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeInternal, "cannot encode the configuration")
+	}
+
+	return &peer.ConfigurationReply{
+		Configuration: encoded,
+	}, nil
+}
+
+// HandleOnline takes changed in-flight counts.
+func (e *Exchanger) HandleOnline(m *peer.OnlineNotice) {
+	e.online.ObserveOnline(m.Sender, m.Online, e.clock())
+}
+
+func (e *Exchanger) round(ctx context.Context) {
+	p := pool.New().WithMaxGoroutines(maxWorkers)
+	for _, i := range e.choosePeers() {
+		p.Go(func() { e.exchange(ctx, i) })
+	}
+	p.Wait()
+}
+
+func (e *Exchanger) choosePeers() []membership.Instance {
+	others := []membership.Instance{}
+	for _, i := range e.members.Live(e.clock()) {
+		if i.Name != e.name {
+			others = append(others, i)
+		}
+	}
+	if len(others) < allPeers {
+		return others
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+
+	return others[:sampledPeers]
+}
+
+func (e *Exchanger) exchange(ctx context.Context, i membership.Instance) {
+	sentAt := e.clock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := e.peers.Exchange(call, i.PeerAddress, e.message(i.Name))
+	if err != nil {
+		e.log.Debug("peer exchange failed", "peer", i.Name, "error", err)
+
+		return
+	}
+	e.learn(reply)
+	// Only the answer to an own request has a bounded age: a message that waited in a socket while this process was
+	// paused must not confirm the view of open jobs.
+	seenAt := sentAt.Add(-time.Duration(reply.JobsSeenAgoMillis) * time.Millisecond)
+	e.runner.ConfirmOpen(int64(reply.JobsRevision), seenAt)
+	if c := e.configurations.Current(); c == nil || reply.ConfigurationVersion > c.Version {
+		e.fetchConfiguration(ctx, i, reply.ConfigurationVersion)
+	}
+}
+
+func (e *Exchanger) fetchConfiguration(ctx context.Context, i membership.Instance, version int) {
+	if version < 1 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := e.peers.Configuration(call, i.PeerAddress, version)
+	if err != nil || len(reply.Configuration) > maxConfigurationBytes {
+		e.log.Warn("cannot get the configuration from a peer", "peer", i.Name, "version", version, "error", err)
+
+		return
+	}
+	c := &configuration.Configuration{}
+	if err := json.Unmarshal(reply.Configuration, c); err != nil {
+		e.log.Warn("peer sent an invalid configuration", "peer", i.Name, "version", version, "error", err)
+
+		return
+	}
+	if e.configurations.Apply(c) {
+		e.log.Info("configuration in force from a peer", "peer", i.Name, "version", c.Version)
+	}
+}
+
+func (e *Exchanger) learn(m *peer.Exchange) {
+	now := e.clock()
+	for _, name := range m.LeavingBackendServers {
+		e.members.MarkLeaving(name, now)
+	}
+	for _, name := range m.LeavingInstances {
+		if name != e.name {
+			e.members.MarkLeaving(name, now)
+		}
+	}
+	if len(m.CancelledJobs) > 0 {
+		e.runner.CancelJobs(m.CancelledJobs)
+	}
+	e.online.ObserveOnline(m.Sender, m.Online, now)
+}
+
+func (e *Exchanger) message(receiver string) *peer.Exchange {
+	now := e.clock()
+	version := 0
+	if c := e.configurations.Current(); c != nil {
+		version = c.Version
+	}
+	counts := e.online.OnlineCounts(receiver)
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	m := &peer.Exchange{
+		Sender:                e.name,
+		ConfigurationVersion:  version,
+		JobsRevision:          int(e.openView),
+		JobsSeenAgoMillis:     int(now.Sub(e.openSeenAt).Milliseconds()),
+		LeavingBackendServers: prune(e.leaving, now),
+		CancelledJobs:         prune(e.cancelled, now),
+		Online:                counts,
+	}
+	if e.openSeenAt.IsZero() {
+		m.JobsSeenAgoMillis = int(time.Hour.Milliseconds())
+	}
+	if e.ownLeaving {
+		m.LeavingInstances = []string{e.name}
+	}
+
+	return m
+}
+
+// prune removes entries whose time has passed and returns the rest.
+func prune(entries map[string]time.Time, now time.Time) []string {
+	names := []string{}
+	for name, until := range entries {
+		if now.After(until) {
+			delete(entries, name)
+
+			continue
+		}
+		names = append(names, name)
+	}
+
+	return names
+}
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,9 @@
+// Package examples holds the data of the demo: a configuration, online requests, a batch and an order.
+package examples
+
+import "embed"
+
+// Files holds the data by file name.
+//
+//go:embed *.json *.jsonl
+var Files embed.FS
