--- /dev/null
+++ b/io/standin/objectstore/store.go
@@ -0,0 +1,160 @@
+package objectstore
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	client "tarragonwalk/io/objectstore"
+)
+
+// MaxValueBytes is the largest accepted value.
+const MaxValueBytes = 1 << 20
+
+// defaultLogLimit is the number of changes kept for watches.
+const defaultLogLimit = 10000
+
+type object struct {
+	value []byte
+	// version grows with each change, and also with a delete, so that a recreated key never repeats a version.
+	version int
+	exists  bool
+}
+
+// Store is an in-memory object store with versions, watches and fault injection; its methods may be called concurrently.
+type Store struct {
+	server *fasthttp.Server
+	done   chan struct{}
+
+	mu       sync.Mutex
+	objects  map[string]*object
+	revision int
+	log      []client.Change
+	logLimit int
+	changed  chan struct{}
+	closed   bool
+	reads    int64
+	writes   int64
+	faults   faults
+	random   *rand.Rand
+
+	readLimit  *rate.Limiter
+	writeLimit *rate.Limiter
+
+	network network
+}
+
+// New returns an empty store whose injected faults are drawn from seed.
+func New(seed uint64) *Store {
+	s := &Store{
+		done:       make(chan struct{}),
+		objects:    map[string]*object{},
+		logLimit:   defaultLogLimit,
+		changed:    make(chan struct{}),
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		readLimit:  rate.NewLimiter(rate.Inf, 0),
+		writeLimit: rate.NewLimiter(rate.Inf, 0),
+	}
+	s.network.init()
+	s.server = &fasthttp.Server{
+		Handler:               s.handle,
+		MaxRequestBodySize:    2 * MaxValueBytes,
+		NoDefaultServerHeader: true,
+		Logger:                discard{},
+	}
+
+	return s
+}
+
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// Serve answers requests on l until Close.
+func (s *Store) Serve(l net.Listener) error {
+	s.network.start(l)
+
+	return s.server.Serve(&s.network)
+}
+
+// Close stops the store and closes its connections.
+func (s *Store) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+
+		return
+	}
+	s.closed = true
+	close(s.done)
+	s.mu.Unlock()
+	s.network.stop()
+}
+
+// Calls returns the number of reads (list and watch included) and writes received, refused ones included.
+func (s *Store) Calls() (reads, writes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.reads, s.writes
+}
+
+// SetLimits bounds reads and writes per second; 0 removes a bound.
+func (s *Store) SetLimits(reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readLimit = limiter(reads)
+	s.writeLimit = limiter(writes)
+}
+
+func limiter(n int) *rate.Limiter {
+	if n <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+
+	return rate.NewLimiter(rate.Limit(n), n)
+}
+
+// SetLogLimit bounds the number of changes kept for watches.
+func (s *Store) SetLogLimit(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logLimit = n
+	s.trim()
+}
+
+func (s *Store) trim() {
+	if n := len(s.log) - s.logLimit; n > 0 {
+		s.log = append([]client.Change(nil), s.log[n:]...)
+	}
+}
+
+// record appends a change and wakes watches; s.mu is held.
+func (s *Store) record(key string, version int) {
+	s.revision++
+	s.log = append(s.log, client.Change{
+		Key:      key,
+		Revision: s.revision,
+		Version:  version,
+	})
+	s.trim()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// sleep waits until d has passed or the store is closed.
+func (s *Store) sleep(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.done:
+	}
+}
