--- a/core/configuration/configuration_schema.go
+++ b/core/configuration/configuration_schema.go
@@ -376,7 +376,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "FirstTokenMillis", 1)
 	}
 	if v, ok := raw["Idempotent"]; !ok || v == nil {
-		plain.Idempotent = true
+		plain.Idempotent = false
 	}
 	if v, ok := raw["SuccessRatio"]; !ok || v == nil {
 		plain.SuccessRatio = 0.99
--- /dev/null
+++ b/core/configuration/patch.go
@@ -0,0 +1,82 @@
+package configuration
+
+import (
+	"encoding/json"
+	"strconv"
+	"tarragonwalk/core/fault"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+)
+
+// empty is the document that the first patch applies to.
+const empty = `{"BackendServers":{},"Batch":{},"Deployments":{},"OnlineRoutes":{},"Operators":{},"Workspaces":{}}`
+
+// ApplyPatch returns the valid successor of current, which may be nil, or fault.CodeStaleVersion or fault.CodeInvalid.
+func ApplyPatch(current *Configuration, p Patch) (*Configuration, error) {
+	version, document := 0, []byte(empty)
+	if current != nil {
+		version = current.Version
+		var err error
+		if document, err = json.Marshal(current); err != nil {
+			return nil, fault.Wrap(err, fault.CodeInternal, "encode the configuration")
+		}
+	}
+	if p.BaseVersion != version {
+		return nil, Stale(version)
+	}
+	fields := map[string]string{}
+	var patch map[string]json.RawMessage
+	if err := json.Unmarshal(p.Patch, &patch); err != nil || patch == nil {
+		fields["Patch"] = "must be a JSON object"
+
+		return nil, invalid(fields)
+	}
+	for _, k := range []string{"Version", "Operation"} {
+		if _, ok := patch[k]; ok {
+			fields[k] = "is set by the system"
+		}
+	}
+	merged, err := jsonpatch.MergePatch(document, p.Patch)
+	if err != nil {
+		fields["Patch"] = err.Error()
+
+		return nil, invalid(fields)
+	}
+	c := decode(merged, fields)
+	c.Version = version + 1
+	c.Operation = p.Operation
+	check(c, fields)
+	if len(fields) > 0 {
+		return nil, invalid(fields)
+	}
+
+	return c, nil
+}
+
+// Decode reads a stored configuration and refuses unknown keys and invalid fields.
+func Decode(document []byte) (*Configuration, error) {
+	fields := map[string]string{}
+	c := decode(document, fields)
+	check(c, fields)
+	if len(fields) > 0 {
+		return nil, invalid(fields)
+	}
+
+	return c, nil
+}
+
+// Stale returns the refusal of a patch whose base is not the current version.
+func Stale(current int) error {
+	e := fault.New(fault.CodeStaleVersion, "the current version is "+strconv.Itoa(current))
+	e.Param = "BaseVersion"
+	e.Version = int64(current)
+
+	return e
+}
+
+func invalid(fields map[string]string) error {
+	e := fault.New(fault.CodeInvalid, "the configuration is invalid")
+	e.Fields = fields
+
+	return e
+}
