--- /dev/null
+++ b/io/configstore/doc.go
@@ -0,0 +1,2 @@
+// Package configstore keeps the configuration in the object store, one immutable object per version.
+package configstore
--- a/io/objectstore/client.go
+++ b/io/objectstore/client.go
@@ -11,12 +11,11 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"tarragonwalk/core/fault"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
-
-	"tarragonwalk/core/fault"
 )
 
 const (
--- a/io/objectstore/client_test.go
+++ b/io/objectstore/client_test.go
@@ -5,13 +5,13 @@
 	"net"
 	"net/netip"
 	"sync"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/objectstore"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/objectstore"
 	standin "tarragonwalk/io/standin/objectstore"
 )
 
--- a/io/objectstore/write.go
+++ b/io/objectstore/write.go
@@ -4,11 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"tarragonwalk/core/fault"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"tarragonwalk/core/fault"
 )
 
 // writeAttempts bounds how often a conditional write is resent after a read-back showed that it had no effect yet.
