Group imports by formatter; wait for the store stand-in in its tests

The stand-in had not begun to accept, so the connection waited in the listener's backlog and was reset, which is ambiguous. Ruled out: a wrong classification in the client; a reset after connecting may have carried the request. Conclusion: the tests start once the stand-in accepts; the checks are unchanged.

--- a/core/configuration/patch.go
+++ b/core/configuration/patch.go
@@ -3,9 +3,10 @@
 import (
 	"encoding/json"
 	"strconv"
-	"tarragonwalk/core/fault"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"tarragonwalk/core/fault"
 )
 
 // empty is the document that the first patch applies to.
--- a/core/configuration/patch_test.go
+++ b/core/configuration/patch_test.go
@@ -4,10 +4,11 @@
 	"encoding/json"
 	"errors"
 	"strings"
-	"tarragonwalk/core/fault"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
 )
 
 const first = `{"Deployments":{"d":{"Model":"m"},"p":{"Model":"m"}},
--- a/io/configstore/store.go
+++ b/io/configstore/store.go
@@ -11,12 +11,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/objectstore"
 	"time"
 
 	"github.com/google/uuid"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/objectstore"
 )
 
 const (
--- a/io/configstore/store_test.go
+++ b/io/configstore/store_test.go
@@ -8,14 +8,14 @@
 	"net"
 	"net/netip"
 	"sync"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/objectstore"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/objectstore"
 	standin "tarragonwalk/io/standin/objectstore"
 )
 
--- a/io/objectstore/client.go
+++ b/io/objectstore/client.go
@@ -11,11 +11,12 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"tarragonwalk/core/fault"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
+
+	"tarragonwalk/core/fault"
 )
 
 const (
--- a/io/objectstore/client_test.go
+++ b/io/objectstore/client_test.go
@@ -5,13 +5,13 @@
 	"net"
 	"net/netip"
 	"sync"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/objectstore"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/objectstore"
 	standin "tarragonwalk/io/standin/objectstore"
 )
 
@@ -23,12 +23,26 @@
 	}
 	s := standin.New(1)
 	go func() { _ = s.Serve(l) }()
-	c := objectstore.New(netip.MustParseAddrPort(l.Addr().String()), 1000, 1000)
+	address := netip.MustParseAddrPort(l.Addr().String())
+	waitForServing(t, address)
+	c := objectstore.New(address, 1000, 1000)
 	t.Cleanup(func() { c.Close(); s.Close() })
 
 	return s, c
 }
 
+// waitForServing returns once the stand-in accepts. Before that a connection waits in the listener's backlog and is
+// reset by a refusal, which is an ambiguous failure and not the refused connection that a test means to cause.
+func waitForServing(t *testing.T, address netip.AddrPort) {
+	t.Helper()
+	c := objectstore.New(address, 1000, 1000)
+	defer c.Close()
+	_, _, err := c.Get(t.Context(), "warm-up")
+	if fault.CodeOf(err) != fault.CodeNotFound {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a wrong result for conditional writes, and against a fault that is reported as another one.
 func TestConditions(t *testing.T) {
 	is := is.New(t)
--- a/io/objectstore/write.go
+++ b/io/objectstore/write.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
-	"tarragonwalk/core/fault"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tarragonwalk/core/fault"
 )
 
 // writeAttempts bounds how often a conditional write is resent after a read-back showed that it had no effect yet.
