--- /dev/null
+++ b/core/membership/table.go
@@ -0,0 +1,186 @@
+package membership
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// A mark has to outlive the platform's list, which lags by several polls; it is bounded so that a false mark ends.
+	markLifetime = 30 * time.Second
+	// Callers ask again after this time, which bounds how long they try an instance that has left.
+	addressLifetime = 30 * time.Second
+)
+
+// Table merges the platform's instance list with leaving marks from peers and backend servers.
+type Table struct {
+	mutex     sync.Mutex
+	instances map[string]Instance
+	marks     map[string]mark
+}
+
+type mark struct {
+	until         time.Time
+	listedLeaving bool
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		instances: map[string]Instance{},
+		marks:     map[string]mark{},
+	}
+}
+
+// Observe replaces the list of instances; an empty list is taken as a failure of the platform and ignored.
+func (t *Table) Observe(list []Instance, at time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.instances = make(map[string]Instance, len(list))
+	for _, in := range list {
+		t.instances[in.Name] = in
+		m, ok := t.marks[in.Name]
+		switch {
+		case !ok:
+		case in.State == StateLeaving:
+			m.listedLeaving = true
+			t.marks[in.Name] = m
+		case m.listedLeaving:
+			delete(t.marks, in.Name)
+		}
+	}
+	for n, m := range t.marks {
+		if !at.Before(m.until) {
+			delete(t.marks, n)
+		}
+	}
+}
+
+// MarkLeaving records a peer's update or a server's own 503; a repeated mark does not extend the first one.
+func (t *Table) MarkLeaving(name string, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.marked(name, at) {
+		return
+	}
+	t.marks[name] = mark{
+		until:         at.Add(markLifetime),
+		listedLeaving: t.instances[name].State == StateLeaving,
+	}
+}
+
+// Live returns the entry instances that are not leaving, sorted by name.
+func (t *Table) Live(at time.Time) []Instance {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	return t.live(at)
+}
+
+// Usable reports whether a backend server may get new work; one that the list does not know is usable.
+func (t *Table) Usable(name string, at time.Time) bool {
+	s, known := t.State(name, at)
+
+	return !known || s == StateLive
+}
+
+// State returns the merged state of an instance, and false if neither the list nor a mark knows it.
+func (t *Table) State(name string, at time.Time) (State, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.marked(name, at) {
+		return StateLeaving, true
+	}
+	in, ok := t.instances[name]
+
+	return in.State, ok
+}
+
+// Addresses lists the entry instances for callers in a zone: the zone first, then its region, then others.
+func (t *Table) Addresses(zone string, at time.Time) AddressList {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	list := t.live(at)
+	if len(list) == 0 {
+		// Marks alone must not leave callers without an address.
+		list = t.listed()
+	}
+	region := t.region(zone)
+	slices.SortFunc(list, func(a, b Instance) int {
+		return cmp.Or(
+			cmp.Compare(distance(a, zone, region), distance(b, zone, region)),
+			cmp.Compare(rank(zone, a.Name), rank(zone, b.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	out := make([]Address, 0, len(list))
+	for _, in := range list {
+		out = append(out, Address{
+			Address: in.CallerAddress,
+			Name:    in.Name,
+			Region:  in.Region,
+			Zone:    in.Zone,
+		})
+	}
+
+	return AddressList{
+		Addresses: out,
+		KeepUntil: at.Add(addressLifetime),
+	}
+}
+
+func (t *Table) marked(name string, at time.Time) bool {
+	m, ok := t.marks[name]
+
+	return ok && at.Before(m.until)
+}
+
+func (t *Table) live(at time.Time) []Instance {
+	return slices.DeleteFunc(t.listed(), func(in Instance) bool { return t.marked(in.Name, at) })
+}
+
+func (t *Table) listed() []Instance {
+	out := make([]Instance, 0, len(t.instances))
+	for _, in := range t.instances {
+		if in.Role == RoleEntry && in.State == StateLive {
+			out = append(out, in)
+		}
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+
+	return out
+}
+
+func (t *Table) region(zone string) string {
+	for _, in := range t.instances {
+		if in.Zone == zone {
+			return in.Region
+		}
+	}
+
+	return ""
+}
+
+func distance(in Instance, zone, region string) int {
+	switch {
+	case in.Zone == zone:
+		return 0
+	case in.Region == region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func rank(zone, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(zone + "\x00" + name))
+
+	return h.Sum64()
+}
--- /dev/null
+++ b/io/httperror/doc.go
@@ -0,0 +1,2 @@
+// Package httperror turns failures into HTTP answers in the OpenAI error format.
+package httperror
