--- a/core/access/checker.go
+++ b/core/access/checker.go
@@ -24,8 +24,13 @@
 
 type index struct {
 	version    int
-	workspaces map[[sha256.Size]byte]string
-	operators  map[[sha256.Size]byte]string
+	workspaces map[[sha256.Size]byte]owner
+	operators  map[[sha256.Size]byte]owner
+}
+
+type owner struct {
+	name string
+	hash [sha256.Size]byte
 }
 
 // New returns a checker of the holder's configuration.
@@ -103,8 +108,8 @@
 	}
 	x := &index{
 		version:    g.Version,
-		workspaces: map[[sha256.Size]byte]string{},
-		operators:  map[[sha256.Size]byte]string{},
+		workspaces: map[[sha256.Size]byte]owner{},
+		operators:  map[[sha256.Size]byte]owner{},
 	}
 	for n, w := range g.Workspaces {
 		for _, k := range w.KeyHashes {
@@ -120,14 +125,17 @@
 }
 
 // A hash that two owners share goes to the first name, so that all instances agree.
-func (x *index) add(to map[[sha256.Size]byte]string, hash, name string) {
+func (x *index) add(to map[[sha256.Size]byte]owner, hash, name string) {
 	b, err := hex.DecodeString(hash)
 	if err != nil || len(b) != sha256.Size {
 		return
 	}
 	k := [sha256.Size]byte(b)
-	if old, ok := to[k]; !ok || name < old {
-		to[k] = name
+	if old, ok := to[k]; !ok || name < old.name {
+		to[k] = owner{
+			name: name,
+			hash: k,
+		}
 	}
 }
 
@@ -138,13 +146,13 @@
 	return subtle.ConstantTimeCompare(d[:], hash[:]) == 1
 }
 
-func find(in map[[sha256.Size]byte]string, key string) (string, error) {
+func find(in map[[sha256.Size]byte]owner, key string) (string, error) {
 	d := sha256.Sum256([]byte(key))
-	name, ok := in[d]
-	// The map is keyed by a digest, so its timing says nothing about the key.
-	if key == "" || !ok {
+	// The map is keyed by a digest, so the timing of the look-up says nothing about the key.
+	o, ok := in[d]
+	if key == "" || !ok || !Matches(key, o.hash) {
 		return "", fault.New(fault.CodeUnauthorized, "missing or unknown key")
 	}
 
-	return name, nil
+	return o.name, nil
 }
--- /dev/null
+++ b/io/caller/listener.go
@@ -0,0 +1,34 @@
+package caller
+
+import (
+	"net"
+	"time"
+)
+
+// A caller that stops reading for this long is treated as gone; fasthttp itself bounds only whole responses.
+const writeTime = 30 * time.Second
+
+type listener struct {
+	net.Listener
+}
+
+type conn struct {
+	net.Conn
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return &conn{Conn: c}, nil
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return 0, err
+	}
+
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,283 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"tarragonwalk/core/access"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/job"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/httperror"
+	"tarragonwalk/io/settings"
+)
+
+type dispatcher interface {
+	Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error
+	Call(ctx context.Context, r *inference.Request, idempotent bool, call func(context.Context, netip.AddrPort) error) error
+}
+
+type store interface {
+	PutFile(ctx context.Context, workspace, name string, r io.Reader) (job.File, error)
+	GetFile(ctx context.Context, workspace, id string) (job.File, error)
+	ReadFile(ctx context.Context, workspace, id string, w io.Writer) error
+	Submit(ctx context.Context, s job.Submission) (job.Status, error)
+	GetJob(ctx context.Context, workspace, id string) (job.Status, error)
+	ListJobs(ctx context.Context, workspace, after string, limit int) (jobs []job.Status, more bool, err error)
+	Cancel(ctx context.Context, workspace, id string) (job.Status, error)
+	ReadResults(ctx context.Context, workspace, id string, w io.Writer) error
+}
+
+type holder interface {
+	Current() *configuration.Configuration
+}
+
+type members interface {
+	Addresses(zone string, at time.Time) membership.AddressList
+}
+
+type guard interface {
+	Do(ctx context.Context, workspace, key string, digest string, call func(context.Context) (status int, body []byte, err error)) (status int, body []byte, err error)
+}
+
+type service interface {
+	Call(ctx context.Context, address netip.AddrPort, method, path string, header map[string]string, body []byte) (status int, answer []byte, err error)
+}
+
+const (
+	headerBytes = 16 << 10
+	nameBytes   = 128
+	// Multipart boundaries and part headers around an uploaded file.
+	multipartBytes = 64 << 10
+	// Bounds the store calls of one request, so that a slow store does not hold connections for ever.
+	storeTime = 30 * time.Second
+	// Bounds the transfer of a whole file in either direction.
+	fileTime = 10 * time.Minute
+	idleTime = 75 * time.Second
+)
+
+// Server serves the callers' HTTP API.
+type Server struct {
+	app        *fiber.App
+	dispatcher dispatcher
+	store      store
+	holder     holder
+	members    members
+	guard      guard
+	service    service
+	access     *access.Checker
+	limits     settings.LimitSettings
+	zone       string
+	grace      time.Duration
+	log        *slog.Logger
+	clock      func() time.Time
+	base       context.Context
+	stop       context.CancelFunc
+	closing    atomic.Bool
+}
+
+// New returns a server for an instance in a zone; grace is how long a stopping instance still accepts connections.
+func New(d dispatcher, s store, h holder, m members, g guard, c service, limits settings.LimitSettings, zone string,
+	grace time.Duration, log *slog.Logger, clock func() time.Time,
+) *Server {
+	base, stop := context.WithCancel(context.Background())
+	v := &Server{
+		dispatcher: d,
+		store:      s,
+		holder:     h,
+		members:    m,
+		guard:      g,
+		service:    c,
+		access:     access.New(h),
+		limits:     limits,
+		zone:       zone,
+		grace:      grace,
+		log:        log,
+		clock:      clock,
+		base:       base,
+		stop:       stop,
+	}
+	v.app = fiber.New(fiber.Config{
+		AppName:               "tarragonwalk",
+		BodyLimit:             limits.BodyBytes,
+		ReadBufferSize:        headerBytes,
+		ReadTimeout:           fileTime,
+		IdleTimeout:           idleTime,
+		DisableStartupMessage: true,
+		// Handlers keep strings after they return, which fiber otherwise overwrites.
+		Immutable:    true,
+		ErrorHandler: v.fail,
+	})
+	v.app.Server().HeaderReceived = v.bodyLimit
+	v.routes()
+
+	return v
+}
+
+// Serve answers requests on a listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	return eris.Wrap(s.app.Listener(&listener{Listener: l}), "serve callers")
+}
+
+// Shutdown fails readiness, accepts requests for the grace time, then waits for those in flight until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	defer s.stop()
+	t := time.NewTimer(s.grace)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+
+	return eris.Wrap(s.app.ShutdownWithContext(ctx), "stop serving callers")
+}
+
+func (s *Server) routes() {
+	s.app.Use(s.prepare)
+	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.ready)
+	v := s.app.Group("/v1", s.authorize)
+	v.Post("/chat/completions", s.chat)
+	v.Get("/models", s.models)
+	v.Post("/files", s.putFile)
+	v.Get("/files/:id", s.getFile)
+	v.Get("/files/:id/content", s.readFile)
+	v.Post("/batches", s.submit)
+	v.Get("/batches", s.listBatches)
+	v.Get("/batches/:id", s.getBatch)
+	v.Post("/batches/:id/cancel", s.cancelBatch)
+	v.Get("/addresses", s.addresses)
+	v.All("/services/:route", s.callService)
+	v.All("/services/:route/*", s.callService)
+}
+
+func (s *Server) bodyLimit(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
+	limit := s.limits.BodyBytes
+	if path == "/v1/files" {
+		limit = s.limits.FileBytes + multipartBytes
+	}
+
+	return fasthttp.RequestConfig{MaxRequestBodySize: limit}
+}
+
+func (s *Server) prepare(c *fiber.Ctx) error {
+	if s.closing.Load() {
+		c.Set(fiber.HeaderConnection, "close")
+	}
+	id := c.Get("X-Request-Id")
+	if id == "" {
+		id = uuid.NewString()
+	}
+	if !token(id) {
+		return invalid("X-Request-Id", "must be 1 to 128 printable ASCII characters")
+	}
+	c.Set("X-Request-Id", id)
+	c.Locals("request", id)
+
+	return c.Next()
+}
+
+func (s *Server) authorize(c *fiber.Ctx) error {
+	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if !ok {
+		key = ""
+	}
+	w, err := s.access.Workspace(key)
+	if err != nil {
+		return err
+	}
+	c.Locals("workspace", w)
+
+	return c.Next()
+}
+
+func (s *Server) ready(c *fiber.Ctx) error {
+	if g := s.holder.Current(); s.closing.Load() || g == nil || g.Version == 0 {
+		return c.Status(http.StatusServiceUnavailable).SendString("not ready\n")
+	}
+
+	return c.SendString("ready\n")
+}
+
+func (s *Server) addresses(c *fiber.Ctx) error {
+	return c.JSON(s.members.Addresses(c.Get("X-Zone", s.zone), s.clock()))
+}
+
+func (s *Server) fail(c *fiber.Ctx, err error) error {
+	a := httperror.From(s.classify(err), s.clock())
+	if a.Status >= http.StatusInternalServerError {
+		s.log.Warn("request failed", "request", requestID(c), "workspace", workspace(c), "path", c.Path(), "error", err)
+	}
+	for k, v := range a.Header {
+		c.Set(k, v)
+	}
+
+	return c.Status(a.Status).Send(a.Body)
+}
+
+func (s *Server) classify(err error) error {
+	var f *fiber.Error
+	if !errors.As(err, &f) {
+		return err
+	}
+	switch f.Code {
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		return fault.New(fault.CodeNotFound, "no such endpoint")
+	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		return fault.New(fault.CodeTooLarge, "the request is too large")
+	case http.StatusInternalServerError:
+		return err
+	default:
+		return fault.New(fault.CodeInvalid, "malformed request")
+	}
+}
+
+func workspace(c *fiber.Ctx) string {
+	w, _ := c.Locals("workspace").(string)
+
+	return w
+}
+
+func requestID(c *fiber.Ctx) string {
+	r, _ := c.Locals("request").(string)
+
+	return r
+}
+
+func invalid(param, message string) error {
+	e := fault.New(fault.CodeInvalid, param+" "+message)
+	e.Param = param
+
+	return e
+}
+
+// Names become part of store keys and headers, so they are short and printable.
+func token(s string) bool {
+	if s == "" || len(s) > nameBytes {
+		return false
+	}
+	for _, b := range []byte(s) {
+		if b <= ' ' || b > '~' {
+			return false
+		}
+	}
+
+	return true
+}
--- /dev/null
+++ b/io/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves the administration API: configuration, status and metrics.
+package operator
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,217 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/rotisserie/eris"
+
+	"tarragonwalk/core/access"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/httperror"
+)
+
+type holder interface {
+	Current() *configuration.Configuration
+}
+
+type store interface {
+	Append(ctx context.Context, p configuration.Patch) (*configuration.Configuration, error)
+}
+
+const (
+	headerBytes = 16 << 10
+	// The store holds values up to 1 MB and a patch is never larger than the configuration it creates.
+	bodyBytes = 1 << 20
+	storeTime = 30 * time.Second
+	idleTime  = 75 * time.Second
+)
+
+// Server serves the administration API.
+type Server struct {
+	app       *fiber.App
+	holder    holder
+	store     store
+	validate  func(configuration.Patch) error
+	status    func() any
+	access    *access.Checker
+	bootstrap [sha256.Size]byte
+	log       *slog.Logger
+	clock     func() time.Time
+}
+
+// New returns a server; bootstrap is the SHA-256 of the key that may create version 1, zero for none.
+func New(h holder, s store, validate func(configuration.Patch) error, status func() any, bootstrap [sha256.Size]byte,
+	log *slog.Logger, clock func() time.Time,
+) *Server {
+	v := &Server{
+		holder:    h,
+		store:     s,
+		validate:  validate,
+		status:    status,
+		access:    access.New(h),
+		bootstrap: bootstrap,
+		log:       log,
+		clock:     clock,
+	}
+	v.app = fiber.New(fiber.Config{
+		AppName:               "tarragonwalk",
+		BodyLimit:             bodyBytes,
+		ReadBufferSize:        headerBytes,
+		ReadTimeout:           storeTime,
+		WriteTimeout:          storeTime,
+		IdleTimeout:           idleTime,
+		DisableStartupMessage: true,
+		Immutable:             true,
+		ErrorHandler:          v.fail,
+	})
+	v.app.Use(v.authorize)
+	v.app.Get("/admin/v1/configuration", v.get)
+	v.app.Post("/admin/v1/configuration/patches", v.patch)
+	v.app.Post("/admin/v1/configuration/validate", v.check)
+	v.app.Get("/admin/v1/status", func(c *fiber.Ctx) error { return c.JSON(v.status()) })
+	v.app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
+
+	return v
+}
+
+// Serve answers requests on a listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	return eris.Wrap(s.app.Listener(l), "serve operators")
+}
+
+// Shutdown closes the listener and waits for requests in flight until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return eris.Wrap(s.app.ShutdownWithContext(ctx), "stop serving operators")
+}
+
+func (s *Server) authorize(c *fiber.Ctx) error {
+	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if !ok {
+		return fault.New(fault.CodeUnauthorized, "missing or unknown key")
+	}
+	if g := s.holder.Current(); g == nil || g.Version == 0 {
+		if s.bootstrap == [sha256.Size]byte{} || !access.Matches(key, s.bootstrap) {
+			return fault.New(fault.CodeUnauthorized, "missing or unknown key")
+		}
+		c.Locals("operator", "bootstrap")
+		c.Locals("write", true)
+
+		return c.Next()
+	}
+	name, write, err := s.access.Operator(key)
+	if err != nil {
+		return err
+	}
+	c.Locals("operator", name)
+	c.Locals("write", write)
+
+	return c.Next()
+}
+
+func (s *Server) get(c *fiber.Ctx) error {
+	g := s.holder.Current()
+	if g == nil || g.Version == 0 {
+		return fault.New(fault.CodeNotFound, "no configuration yet")
+	}
+
+	return c.JSON(g)
+}
+
+func (s *Server) patch(c *fiber.Ctx) error {
+	if w, _ := c.Locals("write").(bool); !w {
+		return fault.New(fault.CodeForbidden, "the operator may not write")
+	}
+	p, err := decodePatch(c.Body())
+	if err != nil {
+		return err
+	}
+	// A bootstrap key creates the first version only, even if this instance has not seen that another one exists.
+	if c.Locals("operator") == "bootstrap" && p.BaseVersion != 0 {
+		return fault.New(fault.CodeForbidden, "the bootstrap key may only create the first version")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTime)
+	defer cancel()
+	g, err := s.store.Append(ctx, p)
+	if err != nil {
+		return err
+	}
+	s.log.Info("configuration accepted", "operator", c.Locals("operator"), "version", g.Version)
+
+	return c.JSON(g)
+}
+
+func (s *Server) check(c *fiber.Ctx) error {
+	p, err := decodePatch(c.Body())
+	if err != nil {
+		return err
+	}
+	if err := s.validate(p); err != nil {
+		return err
+	}
+
+	return c.JSON(fiber.Map{"Valid": true})
+}
+
+func decodePatch(body []byte) (configuration.Patch, error) {
+	var p configuration.Patch
+	// The generated decoder lets unknown keys pass, and a misspelled key must not be dropped silently.
+	var known struct {
+		BaseVersion json.RawMessage
+		Operation   json.RawMessage
+		Patch       json.RawMessage
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	err := d.Decode(&known)
+	if err == nil && !errors.Is(d.Decode(&struct{}{}), io.EOF) {
+		err = errors.New("data after the object")
+	}
+	if err == nil {
+		err = json.Unmarshal(body, &p)
+	}
+	if err == nil && len(p.Patch) == 0 {
+		err = errors.New("Patch is required")
+	}
+	if err != nil {
+		return p, fault.Wrap(err, fault.CodeInvalid, "malformed patch: "+err.Error())
+	}
+
+	return p, nil
+}
+
+func (s *Server) fail(c *fiber.Ctx, err error) error {
+	var f *fiber.Error
+	if errors.As(err, &f) {
+		switch f.Code {
+		case http.StatusNotFound, http.StatusMethodNotAllowed:
+			err = fault.New(fault.CodeNotFound, "no such endpoint")
+		case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+			err = fault.New(fault.CodeTooLarge, "the request is too large")
+		default:
+			err = fault.Wrap(err, fault.CodeInvalid, "malformed request")
+		}
+	}
+	a := httperror.From(err, s.clock())
+	if a.Status >= http.StatusInternalServerError {
+		s.log.Warn("request failed", "path", c.Path(), "error", err)
+	}
+	for k, v := range a.Header {
+		c.Set(k, v)
+	}
+
+	return c.Status(a.Status).Send(a.Body)
+}
