--- a/core/access/checker.go
+++ b/core/access/checker.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"sync/atomic"
-
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 )
--- a/io/caller/batches.go
+++ b/io/caller/batches.go
@@ -4,13 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"time"
-
-	"github.com/gofiber/fiber/v2"
-
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 	"tarragonwalk/io/openai"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
 )
 
 const (
--- a/io/caller/chat_request.go
+++ b/io/caller/chat_request.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/openai"
 )
--- a/io/caller/models.go
+++ b/io/caller/models.go
@@ -1,9 +1,9 @@
 package caller
 
 import (
-	"github.com/gofiber/fiber/v2"
-
 	"tarragonwalk/io/openai"
+
+	"github.com/gofiber/fiber/v2"
 )
 
 func (s *Server) models(c *fiber.Ctx) error {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -6,13 +6,12 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"time"
-
-	"github.com/gofiber/fiber/v2"
-
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
 )
 
 // Only these headers reach a service; the caller's key must not.
--- a/io/httperror/status.go
+++ b/io/httperror/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-
 	"tarragonwalk/core/fault"
 )
 
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -12,16 +12,15 @@
 	"net"
 	"net/http"
 	"strings"
+	"tarragonwalk/core/access"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/httperror"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/rotisserie/eris"
-
-	"tarragonwalk/core/access"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/httperror"
 )
 
 type holder interface {
@@ -184,7 +183,7 @@
 		err = json.Unmarshal(body, &p)
 	}
 	if err == nil && len(p.Patch) == 0 {
-		err = errors.New("Patch is required")
+		err = errors.New("field Patch is required")
 	}
 	if err != nil {
 		return p, fault.Wrap(err, fault.CodeInvalid, "malformed patch: "+err.Error())
