Add the engine client and its stand-in

fasthttp's own client hides the connection, so a dial failure cannot be told from a failed write and a request cannot be ended by closing it. io/transport keeps its own pool and uses fasthttp's request and response with streamed bodies. A pooled connection is checked for a close before it is used again.

Conclusion: the stand-in has no tests of batching and cache yet.

--- /dev/null
+++ b/io/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the client of model engines.
+package engine
--- /dev/null
+++ b/io/standin/engine/engine.go
@@ -0,0 +1,173 @@
+package engine
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/io/standin/listener"
+	"time"
+)
+
+// Engine runs all streams in one batch, one token for each stream at a step; it is safe for concurrent use.
+type Engine struct {
+	// Set by options only.
+	base, perStream, perByte time.Duration
+	maxBatch                 int
+	loadLag, cacheLag        time.Duration
+	cacheGap                 int
+	fencing                  bool
+	marker                   string
+
+	lock     sync.Mutex
+	wake     chan struct{}
+	stop     chan struct{}
+	stopped  bool
+	loop     sync.WaitGroup
+	waiting  []*stream
+	running  []*stream
+	cache    *cache
+	samples  []sample
+	faults   faults
+	counters counters
+	random   *rand.PCG
+	token    int
+	applied  map[string]inference.Order
+	orders   []inference.Order
+
+	server   *http.Server
+	listener *listener.Listener
+}
+
+// sample is the load from a time on.
+type sample struct {
+	at               time.Time
+	running, waiting int
+}
+
+// counters are read by tests.
+type counters struct {
+	started      map[string]int
+	tokens       int
+	largestBatch int
+	canceled    int
+}
+
+// New returns an engine with steps of 2 ms + 0.1 ms for each stream and a batch of up to 16 streams, and starts its
+// step loop.
+func New(options ...func(*Engine)) *Engine {
+	e := &Engine{
+		base:      2 * time.Millisecond,
+		perStream: 100 * time.Microsecond,
+		perByte:   time.Microsecond,
+		maxBatch:  16,
+		wake:      make(chan struct{}, 1),
+		stop:      make(chan struct{}),
+		cache:     newCache(256),
+		random:    rand.NewPCG(1, 1),
+		applied:   make(map[string]inference.Order),
+		counters: counters{
+			started: make(map[string]int),
+		},
+	}
+	for _, o := range options {
+		o(e)
+	}
+	e.server = &http.Server{
+		Handler:           e.handler(),
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+	e.loop.Go(e.run)
+
+	return e
+}
+
+// Serve answers requests on l until Close or Crash, and then returns nil.
+func (e *Engine) Serve(l net.Listener) error {
+	w := listener.New(l)
+	e.lock.Lock()
+	if e.stopped {
+		e.lock.Unlock()
+
+		return w.Close()
+	}
+	e.listener = w
+	e.lock.Unlock()
+	err := e.server.Serve(w)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+
+	return err
+}
+
+// Close closes the listener and all connections and ends the step loop.
+func (e *Engine) Close() {
+	e.lock.Lock()
+	if !e.stopped {
+		e.stopped = true
+		close(e.stop)
+	}
+	w := e.listener
+	e.lock.Unlock()
+	if w != nil {
+		_ = w.Close()
+		w.Drop()
+	}
+	_ = e.server.Close() // The connections are closed already.
+	e.loop.Wait()
+}
+
+// Started returns how often each stream ID was started.
+func (e *Engine) Started() map[string]int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	r := make(map[string]int, len(e.counters.started))
+	for k, v := range e.counters.started {
+		r[k] = v
+	}
+
+	return r
+}
+
+// Tokens returns the number of tokens generated.
+func (e *Engine) Tokens() int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+
+	return e.counters.tokens
+}
+
+// LargestBatch returns the largest number of streams in one step.
+func (e *Engine) LargestBatch() int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+
+	return e.counters.largestBatch
+}
+
+// Canceled returns the number of streams that ended early by a cancel call or a closed connection.
+func (e *Engine) Canceled() int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+
+	return e.counters.canceled
+}
+
+// Running returns the current batch and the streams that wait inside the engine.
+func (e *Engine) Running() (running, waiting int) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+
+	return len(e.running), len(e.waiting)
+}
+
+// Orders returns the applied orders.
+func (e *Engine) Orders() []inference.Order {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+
+	return append([]inference.Order(nil), e.orders...)
+}
--- /dev/null
+++ b/io/standin/engine/faults.go
@@ -0,0 +1,95 @@
+package engine
+
+import "math/rand/v2"
+
+// faults are guarded by the engine's lock.
+type faults struct {
+	slow       float64
+	frozen     bool
+	leaving    bool
+	duplicates int
+	failure    float64
+}
+
+// Slow multiplies the time of each step by factor until it is called with 1.
+func (e *Engine) Slow(factor float64) {
+	e.set(func(f *faults) { f.slow = factor })
+}
+
+// Freeze stops all tokens while connections stay open.
+func (e *Engine) Freeze(on bool) {
+	e.set(func(f *faults) { f.frozen = on })
+}
+
+// Leave makes the engine reject new streams while running ones go on.
+func (e *Engine) Leave(on bool) {
+	e.set(func(f *faults) { f.leaving = on })
+}
+
+// Duplicate sends each of the next n token events twice.
+func (e *Engine) Duplicate(n int) {
+	e.set(func(f *faults) { f.duplicates = n })
+}
+
+// Fail rejects new streams with status 500 with a probability.
+func (e *Engine) Fail(probability float64) {
+	e.set(func(f *faults) { f.failure = probability })
+}
+
+// Silence makes all established connections silent for good; new ones work.
+func (e *Engine) Silence() {
+	if w := e.gate(); w != nil {
+		w.Silence()
+	}
+}
+
+// Drop closes all established connections.
+func (e *Engine) Drop() {
+	if w := e.gate(); w != nil {
+		w.Drop()
+	}
+}
+
+// Refuse makes new connections fail, established ones go on.
+func (e *Engine) Refuse(on bool) error {
+	if w := e.gate(); w != nil {
+		return w.Refuse(on)
+	}
+
+	return nil
+}
+
+// Crash closes the listener and all connections at once.
+func (e *Engine) Crash() {
+	e.Close()
+}
+
+func (e *Engine) set(change func(*faults)) {
+	e.lock.Lock()
+	change(&e.faults)
+	e.lock.Unlock()
+	e.notify()
+}
+
+func (e *Engine) gate() interface {
+	Silence()
+	Drop()
+	Refuse(bool) error
+} {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.listener == nil {
+		return nil
+	}
+
+	return e.listener
+}
+
+// rejects reports whether a new stream fails, and whether because the engine is leaving.
+func (e *Engine) rejects() (failed, leaving bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	failed = e.faults.failure > 0 && rand.New(e.random).Float64() < e.faults.failure
+
+	return failed, e.faults.leaving
+}
--- /dev/null
+++ b/io/standin/engine/steps.go
@@ -0,0 +1,164 @@
+package engine
+
+import "time"
+
+// run is the step loop.
+func (e *Engine) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	next := time.Now()
+	for {
+		d, work := e.plan()
+		if !work {
+			select {
+			case <-e.stop:
+				return
+			case <-e.wake:
+			}
+			next = time.Now()
+
+			continue
+		}
+		// A fixed schedule makes up for late timers; a late loop does not run several steps at once.
+		next = next.Add(d)
+		wait := time.Until(next)
+		if wait < 0 {
+			next = next.Add(-wait)
+			wait = 0
+		}
+		timer.Reset(wait)
+		select {
+		case <-e.stop:
+			return
+		case <-timer.C:
+		}
+		e.step()
+	}
+}
+
+// plan removes canceled streams, admits waiting ones and returns the time of the next step, if there is any work.
+func (e *Engine) plan() (time.Duration, bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.running = e.withoutCancelled(e.running)
+	e.waiting = e.withoutCancelled(e.waiting)
+	for len(e.waiting) > 0 && len(e.running) < e.maxBatch {
+		s := e.waiting[0]
+		e.waiting[0] = nil
+		e.waiting = e.waiting[1:]
+		s.prefill = time.Duration(s.size-e.cache.covered(s.blocks)) * e.perByte
+		e.cache.store(s.blocks, time.Now())
+		e.running = append(e.running, s)
+	}
+	e.counters.largestBatch = max(e.counters.largestBatch, len(e.running))
+	e.observe()
+	if len(e.running) == 0 || e.faults.frozen {
+		return 0, false
+	}
+
+	return time.Duration(float64(e.stepTime()) * max(1, e.faults.slow)), true
+}
+
+func (e *Engine) stepTime() time.Duration {
+	return e.base + time.Duration(len(e.running))*e.perStream
+}
+
+// step generates one token for each stream whose prompt is read.
+func (e *Engine) step() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.faults.frozen {
+		return
+	}
+	d := e.stepTime()
+	kept := e.running[:0]
+	for _, s := range e.running {
+		if s.prefill > 0 {
+			s.prefill -= d
+			kept = append(kept, s)
+
+			continue
+		}
+		if s.isCancelled() {
+			kept = append(kept, s)
+
+			continue
+		}
+		repeat := e.faults.duplicates > 0
+		if repeat {
+			e.faults.duplicates--
+		}
+		e.counters.tokens++
+		if !s.advance(repeat) {
+			kept = append(kept, s)
+		}
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+}
+
+func (e *Engine) withoutCancelled(l []*stream) []*stream {
+	kept := l[:0]
+	for _, s := range l {
+		if s.isCancelled() {
+			e.counters.canceled++
+		} else {
+			kept = append(kept, s)
+		}
+	}
+	clear(l[len(kept):])
+
+	return kept
+}
+
+// add queues a stream.
+func (e *Engine) add(s *stream) {
+	e.lock.Lock()
+	e.counters.started[s.id]++
+	if s.offset < s.answer.tokens { // A resumed stream may be complete.
+		e.waiting = append(e.waiting, s)
+	}
+	e.observe()
+	e.lock.Unlock()
+	e.notify()
+}
+
+func (e *Engine) notify() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// observe records the load if it changed.
+func (e *Engine) observe() {
+	now := time.Now()
+	n := sample{
+		at:      now,
+		running: len(e.running),
+		waiting: len(e.waiting),
+	}
+	if k := len(e.samples); k > 0 && e.samples[k-1].running == n.running && e.samples[k-1].waiting == n.waiting {
+		return
+	}
+	for len(e.samples) > 1 && now.Sub(e.samples[1].at) > e.loadLag {
+		e.samples = e.samples[1:]
+	}
+	e.samples = append(e.samples, n)
+}
+
+// load returns the load as it was before the lag.
+func (e *Engine) load() sample {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	r := sample{
+		at: time.Now().Add(-e.loadLag),
+	}
+	for _, s := range e.samples {
+		if !s.at.After(r.at) {
+			r.running, r.waiting = s.running, s.waiting
+		}
+	}
+
+	return r
+}
--- /dev/null
+++ b/io/standin/engine/stream.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+// stream is one generation; its progress is written by the step loop only.
+type stream struct {
+	id      string
+	answer  answer
+	blocks  []uint64
+	size    int
+	prefill time.Duration // time left until the first token; guarded by the engine's lock
+
+	lock      sync.Mutex
+	offset    int // tokens generated
+	repeats   []int
+	canceled bool
+	news      chan struct{}
+}
+
+func (s *stream) cancel() {
+	s.lock.Lock()
+	s.canceled = true
+	s.lock.Unlock()
+	s.notify()
+}
+
+func (s *stream) isCancelled() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return s.canceled
+}
+
+// advance generates one token and reports whether it was the last one.
+func (s *stream) advance(repeat bool) bool {
+	s.lock.Lock()
+	if s.offset < s.answer.tokens {
+		s.offset++
+	}
+	if repeat {
+		s.repeats = append(s.repeats, s.offset)
+	}
+	last := s.offset >= s.answer.tokens
+	s.lock.Unlock()
+	s.notify()
+
+	return last
+}
+
+// progress returns the generated tokens, the offsets to send twice, and whether the stream was canceled.
+func (s *stream) progress() (offset int, repeats []int, canceled bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	repeats = s.repeats
+	s.repeats = nil
+
+	return s.offset, repeats, s.canceled
+}
+
+func (s *stream) notify() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/io/standin/listener/connection.go
@@ -0,0 +1,55 @@
+package listener
+
+import (
+	"net"
+	"sync"
+)
+
+// connection discards all traffic in both directions once it is silent.
+type connection struct {
+	net.Conn
+	owner     *Listener
+	quiet     chan struct{}
+	done      chan struct{}
+	quietOnce sync.Once
+	doneOnce  sync.Once
+}
+
+func (c *connection) silence() {
+	c.quietOnce.Do(func() { close(c.quiet) })
+}
+
+// Read discards input and blocks while the connection is silent.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.quiet:
+		<-c.done
+
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+// Write discards output while the connection is silent.
+func (c *connection) Write(p []byte) (int, error) {
+	select {
+	case <-c.quiet:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.doneOnce.Do(func() {
+		close(c.done)
+		c.owner.lock.Lock()
+		delete(c.owner.open, c)
+		c.owner.lock.Unlock()
+	})
+
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/io/transport/connection.go
@@ -0,0 +1,59 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+// connection sets its progress deadline on every read and write.
+type connection struct {
+	net.Conn
+	reader  *bufio.Reader
+	opened  time.Time
+	idle    time.Time
+	limit   time.Time
+	started bool
+}
+
+// Read sets the read deadline to the current progress limit.
+func (c *connection) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(c.limit); err != nil {
+		return 0, err
+	}
+
+	return c.Conn.Read(p)
+}
+
+// Write sets the write deadline to the current progress limit and records that bytes may have been sent.
+func (c *connection) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.limit); err != nil {
+		return 0, err
+	}
+	c.started = true
+
+	return c.Conn.Write(p)
+}
+
+// quiet reports whether an idle connection is open and has no unread input.
+func (c *connection) quiet() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	r, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = r.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, e := syscall.Read(int(fd), b[:])
+		open = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK //nolint:errorlint // A system call returns a plain Errno.
+
+		return true
+	})
+
+	return err == nil && open
+}
--- /dev/null
+++ b/io/transport/doc.go
@@ -0,0 +1,2 @@
+// Package transport performs one HTTP request over a pooled connection, without retries, with a progress deadline.
+package transport
