Add the service client and its stand-in

Cause: non-idempotent calls need a client that sends each call at most once and says unreachable only if nothing was sent.

A streamed fasthttp body that breaks at a chunk boundary, or a long body with a Content-Length, ends with a plain EOF, so a truncated answer would pass as complete. Answers other than event streams are therefore read whole, where fasthttp reports the truncation.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -60,11 +60,15 @@
 	q.Header.Set("X-Stream-Id", r.Stream)
 	q.SetBodyRaw(body)
 	var stopped error
-	_, err = c.transport.Do(ctx, a, q, c.first, func(p *fasthttp.Response, extend func(time.Duration)) error {
+	_, err = c.transport.Do(ctx, a, q, c.first, 0, func(p *fasthttp.Response, extend func(time.Duration)) error {
 		if err := statusFailure(p); err != nil {
 			return err
 		}
 
+		if p.BodyStream() == nil {
+			return fault.New(fault.CodeStreamLost, "response without a body")
+		}
+
 		return c.events(newSSE(p.BodyStream()), r.Offset, extend, func(e inference.Event) error {
 			stopped = on(e)
 
@@ -165,7 +169,7 @@
 		q.SetBodyRaw(body)
 	}
 	var answer []byte
-	_, err := c.transport.Do(ctx, a, q, c.first, func(p *fasthttp.Response, _ func(time.Duration)) error {
+	_, err := c.transport.Do(ctx, a, q, c.first, maxAnswer, func(p *fasthttp.Response, _ func(time.Duration)) error {
 		status := p.StatusCode()
 		if status == http.StatusConflict || status == http.StatusPreconditionFailed {
 			return fault.New(fault.CodeFenced, "order has a stale fencing token")
@@ -176,11 +180,7 @@
 		if err := statusFailure(p); err != nil {
 			return err
 		}
-		var err error
-		answer, err = io.ReadAll(io.LimitReader(p.BodyStream(), maxAnswer))
-		if err != nil {
-			return transport.Failure(err, "answer lost")
-		}
+		answer = append([]byte{}, p.Body()...)
 
 		return nil
 	})
--- a/io/engine/message.go
+++ b/io/engine/message.go
@@ -80,8 +80,14 @@
 	}
 	text := "engine answered " + strconv.Itoa(status)
 	var b openai.ErrorBody
-	answer, err := io.ReadAll(io.LimitReader(p.BodyStream(), maxAnswer))
-	if err == nil && json.Unmarshal(answer, &b) == nil {
+	var answer []byte
+	if body := p.BodyStream(); body == nil {
+		answer = p.Body()
+	} else {
+		// An incomplete body only loses the message.
+		answer, _ = io.ReadAll(io.LimitReader(body, maxAnswer))
+	}
+	if json.Unmarshal(answer, &b) == nil {
 		text += ": " + b.Error.Message
 	}
 	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
--- /dev/null
+++ b/io/service/client.go
@@ -0,0 +1,85 @@
+package service
+
+import (
+	"context"
+	"net/netip"
+	"net/textproto"
+	"strings"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/transport"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxAnswer bounds the body of an answer, which is held in memory.
+const maxAnswer = 16 << 20
+
+// Client calls plain services, each call at most once; it is safe for concurrent use.
+type Client struct {
+	transport *transport.Transport
+	wait      time.Duration
+}
+
+// New returns a client that waits up to wait for the whole answer of a call.
+func New(wait time.Duration) *Client {
+	return &Client{
+		transport: transport.New(),
+		wait:      wait,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.transport.Close()
+}
+
+// Call sends one request; path may hold a query. BackendUnreachable, Invalid and CodeCancelled state that nothing was sent;
+// after that, a missing or incomplete answer is OutcomeUnknown. Every status is an answer.
+func (c *Client) Call(ctx context.Context, address netip.AddrPort, method, path string, header map[string]string,
+	body []byte,
+) (status int, answer []byte, err error) {
+	if !token(method) || !strings.HasPrefix(path, "/") || strings.ContainsFunc(path, func(r rune) bool {
+		return r <= ' ' || r == 0x7f
+	}) {
+		return 0, nil, fault.New(fault.CodeInvalid, "invalid method or path")
+	}
+	q := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(q)
+	q.Header.SetMethod(method)
+	q.SetRequestURI(path)
+	q.URI().DisablePathNormalizing = true
+	for k, v := range header {
+		if !ownHeader(k) {
+			q.Header.Set(k, v)
+		}
+	}
+	q.SetBodyRaw(body)
+	sent, err := c.transport.Do(ctx, address, q, c.wait, maxAnswer,
+		func(p *fasthttp.Response, _ func(time.Duration)) error {
+			status = p.StatusCode()
+			answer = append([]byte{}, p.Body()...)
+
+			return nil
+		})
+	if err != nil && sent {
+		return 0, nil, fault.Wrap(err, fault.CodeOutcomeUnknown, "answer lost after the request was sent")
+	}
+
+	return status, answer, err
+}
+
+// ownHeader reports whether a header belongs to the connection, so that a caller's value would break the framing.
+func ownHeader(name string) bool {
+	switch textproto.CanonicalMIMEHeaderKey(name) {
+	case "Host", "Connection", "Content-Length", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Keep-Alive",
+		"Expect", "Proxy-Connection":
+		return true
+	default:
+		return false
+	}
+}
+
+func token(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool { return r < 'A' || r > 'Z' })
+}
--- /dev/null
+++ b/io/service/doc.go
@@ -0,0 +1,2 @@
+// Package service is the client of plain services.
+package service
--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -52,7 +52,7 @@
 	started      map[string]int
 	tokens       int
 	largestBatch int
-	canceled    int
+	canceled     int
 }
 
 // New returns an engine with steps of 2 ms + 0.1 ms for each stream and a batch of up to 16 streams, and starts its
--- a/io/standin/engine/stream.go
+++ b/io/standin/engine/stream.go
@@ -13,11 +13,11 @@
 	size    int
 	prefill time.Duration // time left until the first token; guarded by the engine's lock
 
-	lock      sync.Mutex
-	offset    int // tokens generated
-	repeats   []int
+	lock     sync.Mutex
+	offset   int // tokens generated
+	repeats  []int
 	canceled bool
-	news      chan struct{}
+	news     chan struct{}
 }
 
 func (s *stream) cancel() {
--- /dev/null
+++ b/io/standin/service/service.go
@@ -0,0 +1,161 @@
+package service
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"sync"
+	"tarragonwalk/io/standin/listener"
+	"time"
+)
+
+// maxBody bounds a request body.
+const maxBody = 16 << 20
+
+// Service answers each call with its own body; it is safe for concurrent use.
+type Service struct {
+	lock     sync.Mutex
+	keys     map[string]int
+	paths    map[string]int
+	delay    time.Duration
+	lost     int
+	closed   bool
+	listener *listener.Listener
+	server   *http.Server
+}
+
+// New returns a service without delay.
+func New() *Service {
+	s := &Service{
+		keys:  make(map[string]int),
+		paths: make(map[string]int),
+	}
+	s.server = &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+
+	return s
+}
+
+// Serve answers requests on l until Close or Crash, and then returns nil.
+func (s *Service) Serve(l net.Listener) error {
+	w := listener.New(l)
+	s.lock.Lock()
+	if s.closed {
+		s.lock.Unlock()
+
+		return w.Close()
+	}
+	s.listener = w
+	s.lock.Unlock()
+	err := s.server.Serve(w)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+
+	return err
+}
+
+// Close closes the listener and all connections.
+func (s *Service) Close() {
+	s.lock.Lock()
+	s.closed = true
+	w := s.listener
+	s.lock.Unlock()
+	if w != nil {
+		_ = w.Close()
+		w.Drop()
+	}
+	_ = s.server.Close() // The connections are closed already.
+}
+
+// Crash closes the listener and all connections at once.
+func (s *Service) Crash() {
+	s.Close()
+}
+
+// Delay makes each later call take d before it runs.
+func (s *Service) Delay(d time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.delay = d
+}
+
+// LoseAnswers closes the connection instead of answering for the next n calls, after they ran.
+func (s *Service) LoseAnswers(n int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.lost = n
+}
+
+// Refuse makes new connections fail and closes established ones.
+func (s *Service) Refuse(on bool) error {
+	s.lock.Lock()
+	w := s.listener
+	s.lock.Unlock()
+	if w == nil {
+		return nil
+	}
+	err := w.Refuse(on)
+	if on {
+		w.Drop()
+	}
+
+	return err
+}
+
+// Silence makes all established connections silent for good; new ones work.
+func (s *Service) Silence() {
+	s.lock.Lock()
+	w := s.listener
+	s.lock.Unlock()
+	if w != nil {
+		w.Silence()
+	}
+}
+
+// Keys returns how many calls ran for each Idempotency-Key.
+func (s *Service) Keys() map[string]int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return maps.Clone(s.keys)
+}
+
+// Paths returns how many calls ran for each path.
+func (s *Service) Paths() map[string]int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return maps.Clone(s.paths)
+}
+
+func (s *Service) serve(w http.ResponseWriter, q *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxBody))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+
+		return
+	}
+	s.lock.Lock()
+	d := s.delay
+	s.lock.Unlock()
+	time.Sleep(d)
+	s.lock.Lock()
+	if k := q.Header.Get("Idempotency-Key"); k != "" {
+		s.keys[k]++
+	}
+	s.paths[q.URL.Path]++
+	lose := s.lost > 0
+	if lose {
+		s.lost--
+	}
+	s.lock.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(b) // A broken connection ends the request anyway.
+}
--- a/io/transport/transport.go
+++ b/io/transport/transport.go
@@ -45,11 +45,12 @@
 	}
 }
 
-// Do sends q to a and hands the response with its body to use. The response headers have to arrive within first; the
-// function given to use grants more time for reads from now on. Sent reports whether any byte can have left.
+// Do sends q to a and hands the response to use. With a positive maxBody, the response holds its whole body, and a
+// longer or truncated one is a failure; with 0, it has a body stream, whose early end use has to detect. The response
+// has to arrive within first; the function given to use grants more time for reads from now on. Sent reports whether any byte can have left.
 // Failures are BackendUnreachable (only before sending), BackendSilent, StreamLost, CodeCancelled, or use's own error.
 func (t *Transport) Do(ctx context.Context, a netip.AddrPort, q *fasthttp.Request, first time.Duration,
-	use func(p *fasthttp.Response, extend func(time.Duration)) error,
+	maxBody int, use func(p *fasthttp.Response, extend func(time.Duration)) error,
 ) (sent bool, err error) {
 	c, err := t.acquire(ctx, a)
 	if err != nil {
@@ -60,9 +61,10 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	p := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(p)
-	p.StreamBody = true
+	p.StreamBody = maxBody == 0
+	p.SkipBody = q.Header.IsHead()
 	q.SetHost(a.String())
-	reusable, err := exchange(c, q, p, use)
+	reusable, err := exchange(c, q, p, maxBody, use)
 	if !stop() {
 		reusable = false
 	}
@@ -91,7 +93,7 @@
 	clear(t.idle)
 }
 
-func exchange(c *connection, q *fasthttp.Request, p *fasthttp.Response,
+func exchange(c *connection, q *fasthttp.Request, p *fasthttp.Response, maxBody int,
 	use func(*fasthttp.Response, func(time.Duration)) error,
 ) (reusable bool, err error) {
 	w := bufio.NewWriter(c)
@@ -101,7 +103,11 @@
 	if err != nil {
 		return false, Failure(err, "cannot send the request")
 	}
-	if err = p.ReadLimitBody(c.reader, maxBuffered); err != nil {
+	limit := maxBody
+	if limit == 0 {
+		limit = maxBuffered
+	}
+	if err = p.ReadLimitBody(c.reader, limit); err != nil {
 		return false, Failure(err, "cannot read the response")
 	}
 	defer p.CloseBodyStream() //nolint:errcheck // Only returns the reader to its pool.
@@ -109,6 +115,9 @@
 	if err != nil {
 		return false, err
 	}
+	if p.BodyStream() == nil {
+		return !p.ConnectionClose(), nil
+	}
 	c.limit = time.Now().Add(restWait)
 	n, rest := io.Copy(io.Discard, io.LimitReader(p.BodyStream(), maxRest))
 
