--- /dev/null
+++ b/io/instancelist/doc.go
@@ -0,0 +1,2 @@
+// Package instancelist is the client of the platform's instance list.
+package instancelist
--- /dev/null
+++ b/io/standin/instancelist/list.go
@@ -0,0 +1,147 @@
+package instancelist
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/standin/listener"
+	"time"
+)
+
+// List serves a table of instances; it is safe for concurrent use.
+type List struct {
+	lock     sync.Mutex
+	lag      time.Duration
+	outage   bool
+	versions []version // by time; the first one may be shown
+	fetched  int
+	closed   bool
+	listener *listener.Listener
+	server   *http.Server
+}
+
+// version is the table from a time on.
+type version struct {
+	at        time.Time
+	instances []membership.Instance
+}
+
+// New returns an empty list that shows each change after a lag.
+func New(lag time.Duration) *List {
+	l := &List{
+		lag:      lag,
+		versions: make([]version, 1),
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/instances", l.serve)
+	l.server = &http.Server{
+		Handler:           m,
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+
+	return l
+}
+
+// Serve answers requests on n until Close, and then returns nil.
+func (l *List) Serve(n net.Listener) error {
+	w := listener.New(n)
+	l.lock.Lock()
+	if l.closed {
+		l.lock.Unlock()
+
+		return w.Close()
+	}
+	l.listener = w
+	l.lock.Unlock()
+	err := l.server.Serve(w)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+
+	return err
+}
+
+// Close closes the listener and all connections.
+func (l *List) Close() {
+	l.lock.Lock()
+	l.closed = true
+	w := l.listener
+	l.lock.Unlock()
+	if w != nil {
+		_ = w.Close()
+		w.Drop()
+	}
+	_ = l.server.Close() // The connections are closed already.
+}
+
+// Set adds an instance or replaces the one of the same name.
+func (l *List) Set(i membership.Instance) {
+	l.change(func(t []membership.Instance) []membership.Instance {
+		return append(remove(t, i.Name), i)
+	})
+}
+
+// Remove deletes an instance.
+func (l *List) Remove(name string) {
+	l.change(func(t []membership.Instance) []membership.Instance { return remove(t, name) })
+}
+
+// Lag sets the time until a change shows.
+func (l *List) Lag(d time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.lag = d
+}
+
+// Outage makes all requests fail with status 503.
+func (l *List) Outage(on bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.outage = on
+}
+
+// Fetched returns the number of requests.
+func (l *List) Fetched() int {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+
+	return l.fetched
+}
+
+func remove(t []membership.Instance, name string) []membership.Instance {
+	return slices.DeleteFunc(t, func(i membership.Instance) bool { return i.Name == name })
+}
+
+func (l *List) change(f func([]membership.Instance) []membership.Instance) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.versions = append(l.versions, version{
+		at:        time.Now(),
+		instances: f(slices.Clone(l.versions[len(l.versions)-1].instances)),
+	})
+}
+
+func (l *List) serve(w http.ResponseWriter, _ *http.Request) {
+	l.lock.Lock()
+	l.fetched++
+	shown := time.Now().Add(-l.lag)
+	for len(l.versions) > 1 && !l.versions[1].at.After(shown) {
+		l.versions = l.versions[1:]
+	}
+	r := membership.InstanceList{
+		Instances: append([]membership.Instance{}, l.versions[0].instances...),
+	}
+	outage := l.outage
+	l.lock.Unlock()
+	if outage {
+		w.WriteHeader(http.StatusServiceUnavailable)
+
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(r) // A broken connection ends the request anyway.
+}
