--- a/io/standin/engine/engine_test.go
+++ b/io/standin/engine/engine_test.go
@@ -128,7 +128,9 @@
 		news: make(chan struct{}, 1),
 	})
 	is.Equal(e.load().waiting+e.load().running, 0)
+	e.lock.Lock()
 	e.loadLag = 0
+	e.lock.Unlock()
 	s := e.load()
 	is.Equal(s.waiting+s.running, 1)
 }
