Add admission, routing, pace, retry and dispatch

Conclusion: usable for integration; pace, routing, admission and retry have no tests of their own yet.

--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,195 @@
+package admission
+
+import (
+	"slices"
+	"tarragonwalk/core/inference"
+)
+
+const (
+	defaultTokens = 512
+	// Reading a prompt costs an engine about a tenth of generating the same number of tokens, at 4 bytes per token.
+	promptBytesPerToken = 40
+	longTokens          = 2048
+)
+
+// Size estimates the work of a request in generated tokens.
+func Size(r *inference.Request) int {
+	tokens := r.MaxTokens
+	if tokens == 0 {
+		tokens = defaultTokens
+	}
+
+	return max(1, tokens-r.Offset+r.PromptBytes/promptBytesPerToken)
+}
+
+// Long reports whether a request counts as long work.
+func Long(r *inference.Request) bool {
+	return Size(r) > longTokens
+}
+
+type item struct {
+	id       uint64
+	sequence uint64
+	request  *inference.Request
+	weight   int
+	long     bool
+}
+
+type share struct {
+	deployment string
+	workspace  string
+}
+
+// queue shares each deployment between workspaces by weight, in virtual time.
+type queue struct {
+	maxRequests int
+	maxBytes    int
+	bytes       int
+	sequence    uint64
+	items       map[uint64]*item
+	waiting     map[share][]*item
+	clock       map[string]float64
+	used        map[share]float64
+}
+
+func newQueue(maxRequests, maxBytes int) *queue {
+	return &queue{
+		maxRequests: maxRequests,
+		maxBytes:    maxBytes,
+		items:       map[uint64]*item{},
+		waiting:     map[share][]*item{},
+		clock:       map[string]float64{},
+		used:        map[share]float64{},
+	}
+}
+
+// push refuses a request beyond the bounds; one workspace may fill half of the queue, so that others find room.
+func (q *queue) push(id uint64, r *inference.Request, weight int) bool {
+	key := shareOf(r)
+	bytes := len(r.Body)
+	for _, it := range q.waiting[key] {
+		bytes += len(it.request.Body)
+	}
+	if len(q.items) >= q.maxRequests || q.bytes+len(r.Body) > q.maxBytes ||
+		2*len(q.waiting[key]) >= q.maxRequests+1 || 2*bytes > q.maxBytes+len(r.Body) {
+		return false
+	}
+	q.sequence++
+	it := &item{
+		id:       id,
+		sequence: q.sequence,
+		request:  r,
+		weight:   weight,
+		long:     Long(r),
+	}
+	if len(q.waiting[key]) == 0 {
+		// An idle workspace saves up no share.
+		q.used[key] = max(q.used[key], q.clock[r.Deployment])
+	}
+	q.items[id] = it
+	q.waiting[key] = append(q.waiting[key], it)
+	q.bytes += len(r.Body)
+
+	return true
+}
+
+// due returns the request to start next; long requests pass waiting short ones only while longAllowed.
+func (q *queue) due(deployment string, longAllowed bool) *item {
+	short := false
+	for key, items := range q.waiting {
+		short = short || key.deployment == deployment && slices.ContainsFunc(items, isShort)
+	}
+	var best *item
+	for key, items := range q.waiting {
+		if key.deployment != deployment {
+			continue
+		}
+		head := items[0]
+		if short && !longAllowed && head.long {
+			i := slices.IndexFunc(items, isShort)
+			if i < 0 {
+				continue
+			}
+			head = items[i]
+		}
+		if best == nil || q.before(head, best) {
+			best = head
+		}
+	}
+
+	return best
+}
+
+func (q *queue) before(a, b *item) bool {
+	ua, ub := q.used[shareOf(a.request)], q.used[shareOf(b.request)]
+	if ua != ub {
+		return ua < ub
+	}
+
+	return a.sequence < b.sequence
+}
+
+func (q *queue) serve(it *item) {
+	key := shareOf(it.request)
+	q.clock[key.deployment] = max(q.clock[key.deployment], q.used[key])
+	q.used[key] += float64(Size(it.request)) / float64(it.weight)
+	q.remove(it.id)
+}
+
+func (q *queue) remove(id uint64) bool {
+	it, ok := q.items[id]
+	if !ok {
+		return false
+	}
+	delete(q.items, id)
+	q.bytes -= len(it.request.Body)
+	key := shareOf(it.request)
+	left := slices.DeleteFunc(q.waiting[key], func(o *item) bool { return o == it })
+	if len(left) == 0 {
+		delete(q.waiting, key)
+	} else {
+		q.waiting[key] = left
+	}
+	if !q.waits(key.deployment) {
+		for k := range q.used {
+			if k.deployment == key.deployment {
+				delete(q.used, k)
+			}
+		}
+		delete(q.clock, key.deployment)
+	}
+
+	return true
+}
+
+func (q *queue) waits(deployment string) bool {
+	for key := range q.waiting {
+		if key.deployment == deployment {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (q *queue) deployments() []string {
+	var names []string
+	for key := range q.waiting {
+		if !slices.Contains(names, key.deployment) {
+			names = append(names, key.deployment)
+		}
+	}
+
+	return names
+}
+
+func isShort(it *item) bool {
+	return !it.long
+}
+
+func shareOf(r *inference.Request) share {
+	return share{
+		deployment: r.Deployment,
+		workspace:  r.Workspace,
+	}
+}
--- /dev/null
+++ b/core/dispatch/attempt.go
@@ -0,0 +1,318 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+)
+
+var (
+	errPreempted = fault.New(fault.CodePreempted, "preempted by an online request")
+	errStopped   = fault.New(fault.CodeCancelled, "another stream answers the request")
+)
+
+// lane is one stream of an attempt on one backend server.
+type lane struct {
+	id      uint64
+	server  string
+	address netip.AddrPort
+	class   inference.Class
+}
+
+type outcome struct {
+	lane   lane
+	err    error
+	failed bool
+}
+
+// race lets the first stream with a token answer and ends the others.
+type race struct {
+	mu     sync.Mutex
+	winner uint64
+	lanes  map[uint64]context.CancelFunc
+}
+
+func (ra *race) join(id uint64, cancel context.CancelFunc) bool {
+	ra.mu.Lock()
+	defer ra.mu.Unlock()
+	if ra.winner != 0 {
+		return false
+	}
+	ra.lanes[id] = cancel
+
+	return true
+}
+
+func (ra *race) claim(id uint64) bool {
+	ra.mu.Lock()
+	defer ra.mu.Unlock()
+	if ra.winner == 0 {
+		ra.winner = id
+		for other, cancel := range ra.lanes {
+			if other != id {
+				cancel()
+			}
+		}
+	}
+
+	return ra.winner == id
+}
+
+func (ra *race) decided() bool {
+	ra.mu.Lock()
+	defer ra.mu.Unlock()
+
+	return ra.winner != 0
+}
+
+// attempt streams on the ticket's server, and on a second one if the first token is late.
+func (d *Dispatcher) attempt(ctx context.Context, s *sequence, t *ticket) error {
+	ra := &race{lanes: map[uint64]context.CancelFunc{}}
+	results := make(chan outcome, 2)
+	var group conc.WaitGroup
+	defer group.Wait()
+	launch := func(l lane) {
+		laneCtx, cancel := context.WithCancel(ctx)
+		r := s.next()
+		if !ra.join(l.id, cancel) {
+			cancel()
+		}
+		group.Go(func() {
+			defer cancel()
+			results <- d.stream(laneCtx, s, ra, l, r)
+		})
+	}
+	first := lane{
+		id:      t.id,
+		server:  t.server,
+		address: t.address,
+		class:   s.request.Class,
+	}
+	launch(first)
+	var late <-chan time.Time
+	if first.class == inference.ClassOnline {
+		timer := time.NewTimer(d.hedgeAfter(s.request.Deployment, first.server))
+		defer timer.Stop()
+		late = timer.C
+	}
+	var failure error
+	for streams := 1; streams > 0; {
+		select {
+		case o := <-results:
+			streams--
+			if o.failed {
+				s.failed(o.lane.server, o.err)
+				failure = o.err
+			} else {
+				s.ran.Store(true)
+			}
+		case <-late:
+			if ra.decided() || ctx.Err() != nil {
+				continue
+			}
+			if l, ok := d.hedge(s, first); ok {
+				launch(l)
+				streams++
+			}
+		}
+	}
+	if failure == nil {
+		failure = fault.New(fault.CodeStreamLost, "the stream ended before its last event")
+	}
+
+	return failure
+}
+
+// stream runs one lane; failed is false if the lane was stopped by this instance or reached the end.
+func (d *Dispatcher) stream(ctx context.Context, s *sequence, ra *race, l lane, r *inference.Request) outcome {
+	d.begin(r.Deployment, l)
+	err := d.engine.Stream(ctx, l.address, r, func(e inference.Event) error {
+		if ctx.Err() != nil || !ra.claim(l.id) {
+			return errStopped
+		}
+		before := d.token(l)
+		err := s.deliver(e)
+		if after := d.now(); after.Sub(before) > time.Millisecond {
+			d.resume(l, after)
+		}
+
+		return err
+	})
+	if err == nil && !s.finished() {
+		err = fault.New(fault.CodeStreamLost, "the stream ended before its last event")
+	}
+	failed := err != nil && ctx.Err() == nil && s.sinkError() == nil && !s.finished() && !errors.Is(err, errStopped)
+	d.release(l, err, failed)
+	if err != nil && !fault.NotRun(err) {
+		d.cancel(ctx, l.address, r.Stream)
+	}
+
+	return outcome{
+		lane:   l,
+		err:    err,
+		failed: failed,
+	}
+}
+
+// cancel ends a stream on its backend server in the background; it is skipped when many cancellations are under way.
+func (d *Dispatcher) cancel(ctx context.Context, a netip.AddrPort, stream string) {
+	select {
+	case d.cancelSlots <- struct{}{}:
+	default:
+		counters.Add("CancelsSkipped", 1)
+
+		return
+	}
+	go func() {
+		defer func() { <-d.cancelSlots }()
+		ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+		defer stop()
+		if err := d.engine.Cancel(ctx, a, stream); err != nil {
+			counters.Add("CancelsFailed", 1)
+		}
+	}()
+}
+
+// hedgeAfter is earlier for a probe, so that probing a straggler does not raise the tail latency.
+func (d *Dispatcher) hedgeAfter(deployment, server string) time.Duration {
+	d.mu.Lock()
+	defer d.unlock()
+	at := d.now()
+	if median := d.pace.Median(deployment, at); median > 0 && d.pace.Straggler(server, at) {
+		return median
+	}
+
+	return d.pace.HedgeAfter(deployment)
+}
+
+// hedge takes a slot on another healthy server of the own region within the hedging budget.
+func (d *Dispatcher) hedge(s *sequence, first lane) (lane, bool) {
+	d.mu.Lock()
+	defer d.unlock()
+	at, c := d.now(), d.configuration.Current()
+	excluded := map[string]bool{first.server: true}
+	for name, b := range c.BackendServers {
+		if s.excluded[name] || b.Region != d.self.Region || d.pace.Straggler(name, at) {
+			excluded[name] = true
+		}
+	}
+	name, ok := d.router.Pick(c, s.request, excluded, at)
+	if !ok || !d.hedges.Allow() {
+		return lane{}, false
+	}
+	counters.Add("Hedged", 1)
+	d.lastID++
+	d.admission.Start(d.lastID, s.request, name)
+	d.rose(c, name, at)
+
+	return lane{
+		id:      d.lastID,
+		server:  name,
+		address: c.BackendServers[name].Address,
+		class:   inference.ClassOnline,
+	}, true
+}
+
+func (d *Dispatcher) begin(deployment string, l lane) {
+	d.mu.Lock()
+	defer d.unlock()
+	d.pace.StartStream(deployment, l.server, l.id, d.now())
+}
+
+func (d *Dispatcher) token(l lane) time.Time {
+	d.mu.Lock()
+	defer d.unlock()
+	at := d.now()
+	d.pace.Token(l.server, l.id, at)
+
+	return at
+}
+
+func (d *Dispatcher) resume(l lane, at time.Time) {
+	d.mu.Lock()
+	defer d.unlock()
+	d.pace.Resume(l.server, l.id, at)
+}
+
+// release frees the lane's slot and gives it to what waits.
+func (d *Dispatcher) release(l lane, err error, failed bool) {
+	d.mu.Lock()
+	defer d.unlock()
+	at := d.now()
+	d.pace.EndStream(l.server, l.id, at)
+	if l.class == inference.ClassBatch {
+		d.admission.EndBatch(l.id, l.server)
+		delete(d.running, l.id)
+	} else {
+		d.admission.End(l.id)
+		d.reported[l.server] = at
+	}
+	if failed {
+		switch fault.CodeOf(err) {
+		case fault.CodeBackendLeaving:
+			d.avoid[l.server] = at.Add(avoidLeaving)
+		case fault.CodeBackendUnreachable, fault.CodeBackendSilent, fault.CodeStreamLost:
+			d.pace.Fail(l.server, at)
+		}
+	}
+	d.schedule(at)
+}
+
+// again waits for the backoff if another attempt is within the budget and the deadline, else it returns err.
+func (d *Dispatcher) again(ctx context.Context, s *sequence, err error, may bool) error {
+	s.attempts++
+	if !may || s.attempts >= maxAttempts {
+		return err
+	}
+	d.mu.Lock()
+	at := d.now()
+	// A refusal by a leaving server ran nothing and repeats on no other server, so it costs no budget.
+	allowed := fault.CodeOf(err) == fault.CodeBackendLeaving || d.retries.Allow()
+	next := d.retries.Next(s.attempts, at)
+	d.unlock()
+	if !allowed || !s.request.Deadline.IsZero() && next.After(s.request.Deadline) {
+		return err
+	}
+	counters.Add("Retried", 1)
+	timer := time.NewTimer(next.Sub(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ended(ctx)
+	}
+}
+
+func retryable(code fault.Code) bool {
+	switch code {
+	case fault.CodeBackendUnreachable, fault.CodeBackendLeaving, fault.CodeBackendSilent, fault.CodeBackendFailed,
+		fault.CodeStreamLost, fault.CodeOverloaded, fault.CodeUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+func withDeadline(ctx context.Context, r *inference.Request) (context.Context, context.CancelFunc) {
+	if r.Deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+
+	return context.WithDeadline(ctx, r.Deadline)
+}
+
+func ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.Wrap(ctx.Err(), fault.CodeDeadlinePassed, "the deadline has passed")
+	}
+
+	return fault.Wrap(ctx.Err(), fault.CodeCancelled, "the request was canceled")
+}
--- /dev/null
+++ b/core/dispatch/counters.go
@@ -0,0 +1,5 @@
+package dispatch
+
+import "expvar"
+
+var counters = expvar.NewMap("Dispatch")
--- /dev/null
+++ b/core/dispatch/dispatcher.go
@@ -0,0 +1,319 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/admission"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/core/pace"
+	"tarragonwalk/core/retry"
+	"tarragonwalk/core/routing"
+	"tarragonwalk/io/peer"
+)
+
+const (
+	retryRatio = 0.10
+	hedgeRatio = 0.02
+	// retryBurst lets all streams of one lost worker continue at once.
+	retryBurst = 64
+	hedgeBurst = 8
+	// maxAttempts ends a request that fails everywhere before it spends the whole budget.
+	maxAttempts = 8
+	// avoidLeaving covers the lag of the instance list after a backend server has said that it is leaving.
+	avoidLeaving = 5 * time.Second
+	// cancelTimeout bounds the message that ends a stream on a backend server.
+	cancelTimeout = time.Second
+	cancelLimit   = 256
+	// pollInterval finds slots that appear by a change of configuration or membership.
+	pollInterval = 250 * time.Millisecond
+)
+
+type engine interface {
+	Stream(ctx context.Context, a netip.AddrPort, r *inference.Request, on func(inference.Event) error) error
+	Cancel(ctx context.Context, a netip.AddrPort, stream string) error
+}
+
+type holder interface {
+	Current() *configuration.Configuration
+}
+
+type members interface {
+	Usable(name string, at time.Time) bool
+	Live(at time.Time) []membership.Instance
+}
+
+type picker interface {
+	Pick(
+		c *configuration.Configuration, r *inference.Request, excluded map[string]bool, at time.Time,
+	) (string, bool)
+}
+
+// Dispatcher runs online and batch requests on the backend servers of their deployments.
+type Dispatcher struct {
+	engine        engine
+	configuration holder
+	members       members
+	self          membership.Instance
+	notify        func(feeder string, count peer.OnlineCount)
+	now           func() time.Time
+	queueWait     time.Duration
+	cancelSlots   chan struct{}
+
+	// mu guards all fields below.
+	mu        sync.Mutex
+	admission *admission.Controller
+	pace      *pace.Tracker
+	router    picker
+	retries   *retry.Budget
+	hedges    *retry.Budget
+	lastID    uint64
+	waiting   map[uint64]*ticket
+	batch     []*ticket
+	running   map[uint64]context.CancelCauseFunc
+	avoid     map[string]time.Time
+	reported  map[string]time.Time
+	feeding   feeding
+	polled    time.Time
+	outbox    []notice
+}
+
+type notice struct {
+	feeder string
+	count  peer.OnlineCount
+}
+
+// New returns a dispatcher for the entry instance self. notify must not block; queueWait bounds the time in the queue,
+// and a stream without an event for the silence duration makes its backend server a straggler.
+func New(
+	e engine,
+	c holder,
+	m members,
+	self membership.Instance,
+	notify func(feeder string, count peer.OnlineCount),
+	now func() time.Time,
+	random *rand.Rand,
+	queueRequests, queueBytes int,
+	queueWait, silence time.Duration,
+) *Dispatcher {
+	d := &Dispatcher{
+		engine:        e,
+		configuration: c,
+		members:       m,
+		self:          self,
+		notify:        notify,
+		now:           now,
+		queueWait:     queueWait,
+		cancelSlots:   make(chan struct{}, cancelLimit),
+		admission:     admission.New(queueRequests, queueBytes),
+		pace:          pace.New(silence),
+		retries:       retry.New(retryRatio, retryBurst, random),
+		hedges:        retry.New(hedgeRatio, hedgeBurst, random),
+		waiting:       map[uint64]*ticket{},
+		running:       map[uint64]context.CancelCauseFunc{},
+		avoid:         map[string]time.Time{},
+		reported:      map[string]time.Time{},
+	}
+	d.router = routing.New(self.Zone, self.Region, d.usable, d.pace, d.onlineOn, random)
+
+	return d
+}
+
+// Run streams a request to its end; on gets each event once and in order, and its error ends the request.
+func (d *Dispatcher) Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error {
+	ctx, cancel := withDeadline(ctx, r)
+	defer cancel()
+	s := newSequence(r, on)
+	d.countRequest()
+	for {
+		done, err := d.runOnce(ctx, s)
+		if done {
+			return err
+		}
+	}
+}
+
+func (d *Dispatcher) runOnce(ctx context.Context, s *sequence) (done bool, err error) {
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t, err := d.acquire(attempt, cancel, s)
+	if err != nil {
+		return true, s.truthful(err)
+	}
+	err = d.attempt(attempt, s, t)
+	switch {
+	case s.finished():
+		return true, nil
+	case s.sinkError() != nil:
+		return true, s.sinkError()
+	case ctx.Err() != nil:
+		return true, s.truthful(ended(ctx))
+	case context.Cause(attempt) == errPreempted: //nolint:errorlint // The cause is set by this package only.
+		counters.Add("Preempted", 1)
+
+		return false, nil
+	}
+	if err := d.again(ctx, s, err, retryable(fault.CodeOf(err))); err != nil {
+		return true, s.truthful(err)
+	}
+
+	return false, nil
+}
+
+// Call sends a request to a plain service; call runs again only if it is idempotent or no byte reached the service.
+func (d *Dispatcher) Call(
+	ctx context.Context, r *inference.Request, idempotent bool, call func(context.Context, netip.AddrPort) error,
+) error {
+	ctx, cancel := withDeadline(ctx, r)
+	defer cancel()
+	s := newSequence(r, nil)
+	d.countRequest()
+	for {
+		t, err := d.acquire(ctx, nil, s)
+		if err != nil {
+			return s.truthful(err)
+		}
+		err = d.callOnce(ctx, t, call)
+		if err == nil {
+			return nil
+		}
+		s.failed(t.server, err)
+		if ctx.Err() != nil {
+			return s.truthful(err)
+		}
+		code := fault.CodeOf(err)
+		may := code == fault.CodeBackendUnreachable || idempotent && retryable(code)
+		if err := d.again(ctx, s, err, may); err != nil {
+			return s.truthful(err)
+		}
+	}
+}
+
+func (d *Dispatcher) callOnce(
+	ctx context.Context, t *ticket, call func(context.Context, netip.AddrPort) error,
+) (err error) {
+	l := lane{
+		id:      t.id,
+		server:  t.server,
+		address: t.address,
+		class:   inference.ClassOnline,
+	}
+	d.begin(t.sequence.request.Deployment, l)
+	defer func() {
+		if err == nil {
+			d.token(l)
+		}
+		d.release(l, err, ctx.Err() == nil)
+	}()
+
+	if ctx.Err() != nil {
+		return ended(ctx)
+	}
+
+	return call(ctx, t.address)
+}
+
+// BatchSlots returns how many more batch streams this instance may start now on the workers that it feeds.
+func (d *Dispatcher) BatchSlots(deployment string) int {
+	d.mu.Lock()
+	defer d.unlock()
+	at, c := d.now(), d.configuration.Current()
+	n := 0
+	for _, name := range d.fed(c, deployment, at) {
+		if d.usable(name, at) {
+			n += d.admission.BatchFree(name, c.BackendServers[name].Slots, at)
+		}
+	}
+	for _, t := range d.batch {
+		if t.sequence.request.Deployment == deployment {
+			n--
+		}
+	}
+
+	return max(0, n)
+}
+
+// ObserveOnline takes the online requests that another instance has in flight on workers fed by this one.
+func (d *Dispatcher) ObserveOnline(sender string, counts []peer.OnlineCount, at time.Time) {
+	d.mu.Lock()
+	defer d.unlock()
+	c := d.configuration.Current()
+	for _, n := range counts {
+		d.admission.ObservePeer(sender, n.BackendServer, n.InFlight, at)
+		d.preempt(c, n.BackendServer, at)
+	}
+	d.schedule(at)
+}
+
+// OnlineCounts returns this instance's online requests in flight on the workers that the receiver feeds.
+func (d *Dispatcher) OnlineCounts(receiver string, at time.Time) []peer.OnlineCount {
+	d.mu.Lock()
+	defer d.unlock()
+	feeders := d.feeders(d.configuration.Current(), at)
+	var counts []peer.OnlineCount
+	for name, last := range d.reported {
+		n := d.admission.Online(name)
+		if n == 0 && at.Sub(last) > reportZeroFor {
+			delete(d.reported, name)
+
+			continue
+		}
+		if feeders[name] == receiver {
+			counts = append(counts, peer.OnlineCount{
+				BackendServer: name,
+				InFlight:      n,
+			})
+		}
+	}
+
+	return counts
+}
+
+// Snapshot returns this instance's streams in flight by backend server, and the number of queued online requests.
+func (d *Dispatcher) Snapshot() (online, batch map[string]int, queued int) {
+	d.mu.Lock()
+	defer d.unlock()
+	online, batch = map[string]int{}, map[string]int{}
+	for name := range d.configuration.Current().BackendServers {
+		if n := d.admission.Online(name); n > 0 {
+			online[name] = n
+		}
+		if n := d.admission.Batch(name); n > 0 {
+			batch[name] = n
+		}
+	}
+
+	return online, batch, d.admission.Queued()
+}
+
+func (d *Dispatcher) countRequest() {
+	counters.Add("Requests", 1)
+	d.mu.Lock()
+	defer d.unlock()
+	d.retries.Request()
+	d.hedges.Request()
+}
+
+// unlock releases mu and sends the notices that were collected under it.
+func (d *Dispatcher) unlock() {
+	out := d.outbox
+	d.outbox = nil
+	d.mu.Unlock()
+	for _, n := range out {
+		d.notify(n.feeder, n.count)
+	}
+}
+
+func (d *Dispatcher) usable(name string, at time.Time) bool {
+	return !at.Before(d.avoid[name]) && d.members.Usable(name, at)
+}
+
+func (d *Dispatcher) onlineOn(name string) int {
+	return d.admission.OnlineAll(name, d.now())
+}
--- /dev/null
+++ b/core/dispatch/feeding.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/core/rendezvous"
+	"tarragonwalk/io/peer"
+)
+
+const (
+	// feedingLife bounds the cost of ranking; a stale view costs performance only.
+	feedingLife = 100 * time.Millisecond
+	// reportZeroFor repeats an ended count long enough for several exchanges.
+	reportZeroFor = 10 * time.Second
+)
+
+type feeding struct {
+	configuration *configuration.Configuration
+	at            time.Time
+	live          []string
+	feeders       map[string]string
+}
+
+// feeders returns the feeder by backend server: in its own region if one is live, so that tokens stay off the link.
+func (d *Dispatcher) feeders(c *configuration.Configuration, at time.Time) map[string]string {
+	f := &d.feeding
+	if f.configuration == c && at.Sub(f.at) < feedingLife {
+		return f.feeders
+	}
+	live := d.members.Live(at)
+	names := make([]string, 0, len(live))
+	regions := map[string][]string{}
+	for _, n := range live {
+		if n.Role == membership.RoleEntry {
+			names = append(names, n.Region+"/"+n.Name)
+			regions[n.Region] = append(regions[n.Region], n.Name)
+		}
+	}
+	slices.Sort(names)
+	f.at = at
+	if f.configuration == c && slices.Equal(f.live, names) {
+		return f.feeders
+	}
+	var all []string
+	for _, n := range regions {
+		all = append(all, n...)
+	}
+	f.configuration, f.live, f.feeders = c, names, map[string]string{}
+	for name, b := range c.BackendServers {
+		candidates := regions[b.Region]
+		if len(candidates) == 0 {
+			candidates = all
+		}
+		f.feeders[name] = rendezvous.Highest(name, candidates)
+	}
+
+	return f.feeders
+}
+
+// fed returns the backend servers of the deployment that this instance feeds.
+func (d *Dispatcher) fed(c *configuration.Configuration, deployment string, at time.Time) []string {
+	feeders := d.feeders(c, at)
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(c.BackendServers)) {
+		b := c.BackendServers[name]
+		if b.Deployment == deployment && !b.Leaving && feeders[name] == d.self.Name {
+			names = append(names, name)
+		}
+	}
+
+	return names
+}
+
+// rose preempts batch streams after an online start, here if this instance is the feeder, else by a notice.
+func (d *Dispatcher) rose(c *configuration.Configuration, name string, at time.Time) {
+	d.reported[name] = at
+	d.preempt(c, name, at)
+	if feeder := d.feeders(c, at)[name]; feeder != "" && feeder != d.self.Name {
+		d.outbox = append(d.outbox, notice{
+			feeder: feeder,
+			count: peer.OnlineCount{
+				BackendServer: name,
+				InFlight:      d.admission.Online(name),
+			},
+		})
+	}
+}
+
+func (d *Dispatcher) preempt(c *configuration.Configuration, name string, at time.Time) {
+	for _, id := range d.admission.Preempt(name, c.BackendServers[name].Slots, at) {
+		if cancel := d.running[id]; cancel != nil {
+			cancel(errPreempted)
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/sequence.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+)
+
+// sequence is the one ordered output of a request over all its attempts.
+type sequence struct {
+	request *inference.Request
+	on      func(inference.Event) error
+	// excluded and attempts belong to the request's goroutine, and to the dispatcher's lock while it waits.
+	excluded map[string]bool
+	attempts int
+	streams  int
+	ran      atomic.Bool
+
+	// mu keeps deliveries apart; it is taken before the dispatcher's lock, never after it.
+	mu     sync.Mutex
+	offset int
+	text   strings.Builder
+	done   bool
+	sink   error
+}
+
+func newSequence(r *inference.Request, on func(inference.Event) error) *sequence {
+	s := &sequence{
+		request:  r,
+		on:       on,
+		excluded: map[string]bool{},
+		offset:   r.Offset,
+	}
+	s.text.WriteString(r.Generated)
+
+	return s
+}
+
+// deliver passes on an event that is next in order; it drops repeated tokens and fails on a gap.
+func (s *sequence) deliver(e inference.Event) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.done || s.sink != nil:
+		return errStopped
+	case e.Offset == s.offset+1:
+	case e.Offset == s.offset && e.Finish != "":
+		e.Text = ""
+	case e.Offset <= s.offset:
+		return nil
+	default:
+		return fault.New(fault.CodeStreamLost, fmt.Sprintf("token %d follows token %d", e.Offset, s.offset))
+	}
+	if err := s.on(e); err != nil {
+		s.sink = err
+
+		return err
+	}
+	s.offset = e.Offset
+	s.text.WriteString(e.Text)
+	s.done = e.Finish != ""
+
+	return nil
+}
+
+// next returns the request that continues after the tokens delivered so far, with its own stream identity.
+func (s *sequence) next() *inference.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := *s.request
+	r.Offset = s.offset
+	r.Generated = s.text.String()
+	// A late cancellation of an earlier attempt must not end a later one on the same worker.
+	if s.streams > 0 {
+		r.Stream = fmt.Sprintf("%s.%d", s.request.Stream, s.streams)
+	}
+	s.streams++
+
+	return &r
+}
+
+func (s *sequence) finished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.done
+}
+
+func (s *sequence) sinkError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.sink
+}
+
+func (s *sequence) resumed() bool {
+	return s.streams > 0
+}
+
+func (s *sequence) failed(server string, err error) {
+	s.excluded[server] = true
+	if !fault.NotRun(err) {
+		s.ran.Store(true)
+	}
+}
+
+// truthful replaces a code that states "not run" if an earlier attempt may have run.
+func (s *sequence) truthful(err error) error {
+	if !s.ran.Load() || !fault.NotRun(err) {
+		return err
+	}
+
+	return fault.Wrap(err, fault.CodeStreamLost, "the request was interrupted and could not continue")
+}
--- /dev/null
+++ b/core/dispatch/ticket.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+)
+
+// ticket is a request's place in a queue and then its slot on a backend server.
+type ticket struct {
+	id       uint64
+	sequence *sequence
+	cancel   context.CancelCauseFunc
+	ready    chan struct{}
+	// server and address are set before ready is closed.
+	server  string
+	address netip.AddrPort
+}
+
+func (t *ticket) grant(c *configuration.Configuration, name string) {
+	t.server = name
+	t.address = c.BackendServers[name].Address
+	close(t.ready)
+}
+
+// acquire waits for a slot; cancel ends the attempt that follows if it is preempted.
+func (d *Dispatcher) acquire(ctx context.Context, cancel context.CancelCauseFunc, s *sequence) (*ticket, error) {
+	if ctx.Err() != nil {
+		return nil, ended(ctx)
+	}
+	t := &ticket{
+		sequence: s,
+		cancel:   cancel,
+		ready:    make(chan struct{}),
+	}
+	until, err := d.enqueue(t)
+	if err != nil {
+		counters.Add("Refused", 1)
+
+		return nil, err
+	}
+	select {
+	case <-t.ready:
+		return t, nil
+	default:
+	}
+
+	return d.wait(ctx, t, until)
+}
+
+func (d *Dispatcher) enqueue(t *ticket) (until <-chan time.Time, err error) {
+	d.mu.Lock()
+	defer d.unlock()
+	at, c, r := d.now(), d.configuration.Current(), t.sequence.request
+	d.lastID++
+	t.id = d.lastID
+	if r.Class == inference.ClassBatch {
+		if t.sequence.resumed() {
+			d.batch = slices.Insert(d.batch, 0, t)
+		} else {
+			d.batch = append(d.batch, t)
+		}
+		d.schedule(at)
+
+		return nil, nil
+	}
+	name, err := d.admission.Arrive(t.id, r, c, func(r *inference.Request) (string, bool) {
+		return d.pick(c, r, t.sequence, at)
+	}, at)
+	switch {
+	case err != nil:
+		return nil, err
+	case name != "":
+		t.grant(c, name)
+		d.rose(c, name, at)
+
+		return nil, nil
+	}
+	counters.Add("Queued", 1)
+	d.waiting[t.id] = t
+	d.schedule(at)
+
+	return time.After(d.queueWait), nil
+}
+
+func (d *Dispatcher) wait(ctx context.Context, t *ticket, until <-chan time.Time) (*ticket, error) {
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-t.ready:
+			return t, nil
+		case <-poll.C:
+			d.poll()
+		case <-until:
+			if d.leave(t) {
+				return nil, d.overloaded()
+			}
+			until = nil
+		case <-ctx.Done():
+			if !d.leave(t) {
+				// The slot was granted meanwhile; the attempt ends at once with the context and frees it.
+				return t, nil
+			}
+			err := ended(ctx)
+			if fault.CodeOf(err) == fault.CodeDeadlinePassed && t.sequence.request.Class != inference.ClassBatch {
+				err = d.overloaded()
+			}
+
+			return nil, err
+		}
+	}
+}
+
+func (d *Dispatcher) overloaded() *fault.Error {
+	counters.Add("Refused", 1)
+	err := fault.New(fault.CodeOverloaded, "no backend server became free before the queue deadline")
+	err.RetryAt = d.now().Add(time.Second)
+
+	return err
+}
+
+// leave takes the ticket out of its queue; false if it has its slot already.
+func (d *Dispatcher) leave(t *ticket) bool {
+	d.mu.Lock()
+	defer d.unlock()
+	if t.server != "" {
+		return false
+	}
+	delete(d.waiting, t.id)
+	d.admission.Abandon(t.id)
+	d.batch = slices.DeleteFunc(d.batch, func(o *ticket) bool { return o == t })
+	// The request may have been the head that nothing could pass.
+	d.schedule(d.now())
+
+	return true
+}
+
+func (d *Dispatcher) poll() {
+	d.mu.Lock()
+	defer d.unlock()
+	if at := d.now(); at.Sub(d.polled) >= pollInterval/2 {
+		d.polled = at
+		d.schedule(at)
+	}
+}
+
+// schedule starts what has to wait no longer: online requests first, then batch streams in the slots that remain.
+func (d *Dispatcher) schedule(at time.Time) {
+	c := d.configuration.Current()
+	for _, deployment := range d.admission.Waiting() {
+		for {
+			id, name, ok := d.admission.Next(deployment, c, func(id uint64, r *inference.Request) (string, bool) {
+				return d.pickQueued(c, r, d.waiting[id].sequence, at)
+			})
+			if !ok {
+				break
+			}
+			d.waiting[id].grant(c, name)
+			delete(d.waiting, id)
+			d.rose(c, name, at)
+		}
+	}
+	full := map[string]bool{}
+	d.batch = slices.DeleteFunc(d.batch, func(t *ticket) bool {
+		deployment := t.sequence.request.Deployment
+		if full[deployment] {
+			return false
+		}
+		name, ok := d.pickBatch(c, t.sequence, at)
+		if !ok {
+			full[deployment] = true
+
+			return false
+		}
+		d.admission.StartBatch(t.id, name, c.BackendServers[name].Slots, at)
+		d.running[t.id] = t.cancel
+		t.grant(c, name)
+
+		return true
+	})
+}
+
+// pick leaves out the servers that failed the request, unless there are no others.
+func (d *Dispatcher) pick(
+	c *configuration.Configuration, r *inference.Request, s *sequence, at time.Time,
+) (string, bool) {
+	excluded := s.excluded
+	if len(excluded) > 0 && !d.others(c, r.Deployment, excluded, at) {
+		excluded = nil
+	}
+
+	return d.router.Pick(c, r, excluded, at)
+}
+
+// pickQueued falls back to servers that failed the request, so that it does not block the queue behind it.
+func (d *Dispatcher) pickQueued(
+	c *configuration.Configuration, r *inference.Request, s *sequence, at time.Time,
+) (string, bool) {
+	if name, ok := d.pick(c, r, s, at); ok || len(s.excluded) == 0 {
+		return name, ok
+	}
+
+	return d.router.Pick(c, r, nil, at)
+}
+
+func (d *Dispatcher) others(
+	c *configuration.Configuration, deployment string, excluded map[string]bool, at time.Time,
+) bool {
+	for name, b := range c.BackendServers {
+		if b.Deployment == deployment && !b.Leaving && !excluded[name] && d.usable(name, at) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// pickBatch returns the fed worker with the most free batch slots; failed workers and stragglers come last.
+func (d *Dispatcher) pickBatch(c *configuration.Configuration, s *sequence, at time.Time) (string, bool) {
+	best, most := "", 0
+	avoided, avoidedMost := "", 0
+	for _, name := range d.fed(c, s.request.Deployment, at) {
+		if !d.usable(name, at) {
+			continue
+		}
+		free := d.admission.BatchFree(name, c.BackendServers[name].Slots, at)
+		if s.excluded[name] || d.pace.Straggler(name, at) {
+			if free > avoidedMost {
+				avoided, avoidedMost = name, free
+			}
+		} else if free > most {
+			best, most = name, free
+		}
+	}
+	if best != "" {
+		return best, true
+	}
+	if avoided != "" && d.pace.Probe(avoided, at) {
+		return avoided, true
+	}
+
+	return "", false
+}
--- /dev/null
+++ b/core/pace/tracker.go
@@ -0,0 +1,279 @@
+package pace
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	window = 2 * time.Second
+	// samples bounds the memory per backend server; one entry instance starts few streams per worker within the window.
+	samples = 32
+	// deploymentSamples keeps enough first tokens for a p95.
+	deploymentSamples = 256
+	stragglerFactor   = 3
+	// Below these values differences are scheduling noise, not a slow backend server.
+	firstTokenFloor = 20 * time.Millisecond
+	tokenFloor      = 5 * time.Millisecond
+	// Each probe may cost a caller latency, so the interval doubles while probes fail.
+	probeInterval    = time.Second
+	maxProbeInterval = 8 * time.Second
+	summaryInterval  = 50 * time.Millisecond
+	forgetAfter      = time.Minute
+	// defaultHedge applies until there are enough samples for a p95; it is the target for the first token.
+	defaultHedge = 750 * time.Millisecond
+	minHedge     = 20
+)
+
+// Tracker holds recent measurements per backend server; it is not safe for concurrent use.
+type Tracker struct {
+	silence     time.Duration
+	servers     map[string]*server
+	deployments map[string]*deployment
+}
+
+type sample struct {
+	at    time.Time
+	value time.Duration
+}
+
+type server struct {
+	deployment string
+	first      ring
+	gaps       ring
+	streams    map[uint64]*stream
+	straggler  bool
+	since      time.Time
+	probed     time.Time
+	probeAfter time.Duration
+	seen       time.Time
+}
+
+type stream struct {
+	started time.Time
+	last    time.Time
+	tokens  int
+}
+
+type deployment struct {
+	first   ring
+	at      time.Time
+	medianF time.Duration
+	medianG time.Duration
+}
+
+// New returns an empty tracker; a stream without an event for the silence duration makes its server a straggler.
+func New(silence time.Duration) *Tracker {
+	return &Tracker{
+		silence:     silence,
+		servers:     map[string]*server{},
+		deployments: map[string]*deployment{},
+	}
+}
+
+// StartStream records that a stream was sent to a backend server.
+func (t *Tracker) StartStream(deploymentName, name string, id uint64, at time.Time) {
+	s := t.servers[name]
+	if s == nil {
+		s = &server{
+			first:   ring{size: samples},
+			gaps:    ring{size: samples},
+			streams: map[uint64]*stream{},
+		}
+		t.servers[name] = s
+	}
+	if t.deployments[deploymentName] == nil {
+		t.deployments[deploymentName] = &deployment{first: ring{size: deploymentSamples}}
+	}
+	s.deployment = deploymentName
+	s.seen = at
+	s.streams[id] = &stream{
+		started: at,
+		last:    at,
+	}
+}
+
+// Token records a token of a stream; the first one measures the time to first token, later ones the inter-token latency.
+func (t *Tracker) Token(name string, id uint64, at time.Time) {
+	s := t.servers[name]
+	if s == nil || s.streams[id] == nil {
+		return
+	}
+	st := s.streams[id]
+	if st.tokens == 0 {
+		m := sample{
+			at:    at,
+			value: at.Sub(st.started),
+		}
+		s.first.add(m)
+		t.deployments[s.deployment].first.add(m)
+	} else {
+		s.gaps.add(sample{
+			at:    at,
+			value: at.Sub(st.last),
+		})
+	}
+	st.tokens++
+	st.last, s.seen = at, at
+}
+
+// EndStream records that a stream ended in any way.
+func (t *Tracker) EndStream(name string, id uint64, at time.Time) {
+	if s := t.servers[name]; s != nil {
+		delete(s.streams, id)
+		s.seen = at
+	}
+}
+
+// Fail records a lost or silent backend server, which gets only probes until a token arrives.
+func (t *Tracker) Fail(name string, at time.Time) {
+	if s := t.servers[name]; s != nil {
+		s.straggler, s.since, s.probed, s.probeAfter = true, at, at, probeInterval
+	}
+}
+
+// Straggler reports whether a backend server is more than 3 times slower than its deployment's median or silent.
+func (t *Tracker) Straggler(name string, at time.Time) bool {
+	s := t.servers[name]
+	if s == nil {
+		return false
+	}
+	d := t.summary(s.deployment, at)
+	slow, known := s.slow(d, t.silence, at)
+	switch {
+	case slow && !s.straggler:
+		s.straggler, s.since, s.probed, s.probeAfter = true, at, at, probeInterval
+	case !slow && known && s.straggler:
+		s.straggler, s.probeAfter = false, 0
+	}
+
+	return s.straggler
+}
+
+// Probe reports whether a straggler may get one request now, and records it; at most one each second and none while a
+// stream is in flight, which gives evidence itself.
+func (t *Tracker) Probe(name string, at time.Time) bool {
+	s := t.servers[name]
+	if s == nil {
+		return true
+	}
+	if len(s.streams) > 0 || at.Sub(s.probed) < s.probeAfter {
+		return false
+	}
+	s.probed = at
+	s.probeAfter = min(maxProbeInterval, max(probeInterval, 2*s.probeAfter))
+
+	return true
+}
+
+// FirstToken returns the expected time to first token, the deployment's median without own evidence, or 0 without any.
+func (t *Tracker) FirstToken(name string, at time.Time) time.Duration {
+	s := t.servers[name]
+	if s == nil {
+		return 0
+	}
+	if m, n := s.first.median(at.Add(-window)); n > 0 {
+		return m
+	}
+
+	return t.summary(s.deployment, at).medianF
+}
+
+// Median returns the deployment's median time to first token, or 0 without evidence.
+func (t *Tracker) Median(deploymentName string, at time.Time) time.Duration {
+	if t.deployments[deploymentName] == nil {
+		return 0
+	}
+
+	return t.summary(deploymentName, at).medianF
+}
+
+// HedgeAfter returns the deployment's p95 time to first token.
+func (t *Tracker) HedgeAfter(deploymentName string) time.Duration {
+	d := t.deployments[deploymentName]
+	if d == nil || len(d.first.items) < minHedge {
+		return defaultHedge
+	}
+	v := d.first.since(time.Time{})
+	slices.Sort(v)
+
+	return v[len(v)*95/100]
+}
+
+func (t *Tracker) summary(name string, at time.Time) *deployment {
+	d := t.deployments[name]
+	if !d.at.IsZero() && at.Sub(d.at) < summaryInterval {
+		return d
+	}
+	d.at = at
+	var first, gaps []time.Duration
+	for n, s := range t.servers {
+		if len(s.streams) == 0 && at.Sub(s.seen) > forgetAfter {
+			delete(t.servers, n)
+
+			continue
+		}
+		if s.deployment != name {
+			continue
+		}
+		if m, k := s.first.median(at.Add(-window)); k > 0 {
+			first = append(first, m)
+		}
+		if m, k := s.gaps.median(at.Add(-window)); k > 0 {
+			gaps = append(gaps, m)
+		}
+	}
+	// Without recent evidence the last median remains the reference, so that a probe can be judged.
+	if len(first) > 0 {
+		d.medianF = lowerMedian(first)
+	}
+	if len(gaps) > 0 {
+		d.medianG = lowerMedian(gaps)
+	}
+
+	return d
+}
+
+func (s *server) slow(d *deployment, silence time.Duration, at time.Time) (slow, known bool) {
+	from := at.Add(-window)
+	if s.straggler && s.since.After(from) {
+		from = s.since
+	}
+	firstBound := max(stragglerFactor*d.medianF, firstTokenFloor)
+	first, waiting := s.first.since(from), 0
+	for _, st := range s.streams {
+		age := at.Sub(st.last)
+		if age > silence {
+			return true, true
+		}
+		// A stream that still waits is a lower bound of its time to first token.
+		if st.tokens == 0 && d.medianF > 0 && age > firstBound {
+			first = append(first, age)
+			waiting++
+		}
+	}
+	// One slow sample may be a long prompt; two agree on a slow backend server.
+	if len(first) >= 2 && d.medianF > 0 && lowerMedian(first) > firstBound {
+		return true, true
+	}
+	gap, n := s.gaps.median(from)
+	if n >= 4 && d.medianG > 0 && gap > max(stragglerFactor*d.medianG, tokenFloor) {
+		return true, true
+	}
+	recovered := len(first) > waiting && lowerMedian(first) <= firstBound || len(first) == 0 && n >= 4
+
+	return false, recovered
+}
+
+func lowerMedian(v []time.Duration) time.Duration {
+	slices.Sort(v)
+
+	return v[(len(v)-1)/2]
+}
+
+// Resume restarts the gap of a stream whose consumer was slow, so that the delay is not counted against the server.
+func (t *Tracker) Resume(name string, id uint64, at time.Time) {
+	if s := t.servers[name]; s != nil && s.streams[id] != nil {
+		s.streams[id].last = at
+	}
+}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds repeated attempts to a share of the requests and spaces them with jitter.
+package retry
--- /dev/null
+++ b/core/routing/router.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/inference"
+)
+
+const (
+	// Half of the 30 Mbit/s link is left to results, configuration and the other instances' requests.
+	linkBytesPerSecond = 1_900_000
+	// tokenBytes is the size of one event on the wire.
+	tokenBytes    = 200
+	defaultTokens = 512
+	hintLife      = 30 * time.Second
+	hintLimit     = 4096
+)
+
+type pacer interface {
+	Straggler(name string, at time.Time) bool
+	Probe(name string, at time.Time) bool
+	FirstToken(name string, at time.Time) time.Duration
+}
+
+type hint struct {
+	server string
+	at     time.Time
+}
+
+// Router chooses by zone, region, expected first token and load; it is not safe for concurrent use.
+type Router struct {
+	zone      string
+	region    string
+	usable    func(name string, at time.Time) bool
+	pace      pacer
+	online    func(name string) int
+	random    *rand.Rand
+	hints     map[string]hint
+	linkBytes float64
+	linkAt    time.Time
+}
+
+// New returns a router for an instance in a zone and region; online returns the online requests in flight on a server.
+func New(
+	zone, region string,
+	usable func(name string, at time.Time) bool,
+	pace pacer,
+	online func(name string) int,
+	random *rand.Rand,
+) *Router {
+	return &Router{
+		zone:      zone,
+		region:    region,
+		usable:    usable,
+		pace:      pace,
+		online:    online,
+		random:    random,
+		hints:     map[string]hint{},
+		linkBytes: linkBytesPerSecond,
+	}
+}
+
+// Pick returns a backend server with a free slot that is not excluded; false if there is none.
+func (ro *Router) Pick(
+	c *configuration.Configuration,
+	r *inference.Request,
+	excluded map[string]bool,
+	at time.Time,
+) (string, bool) {
+	local, remote := ro.usableServers(c, r.Deployment, excluded, at)
+	names := local
+	if len(local) == 0 {
+		if !ro.linkAllows(r, at) {
+			return "", false
+		}
+		names = remote
+	}
+	free := slices.DeleteFunc(names, func(n string) bool {
+		return ro.online(n) >= slots(c, n)
+	})
+	healthy := make([]string, 0, len(free))
+	for _, n := range free {
+		if !ro.pace.Straggler(n, at) {
+			healthy = append(healthy, n)
+		} else if ro.pace.Probe(n, at) {
+			return ro.take(c, r, n, at), true
+		}
+	}
+	if len(healthy) == 0 {
+		// Stragglers are better than none: a slot that is free of online work is never left waiting.
+		healthy = free
+	}
+	if len(healthy) == 0 {
+		return "", false
+	}
+
+	return ro.take(c, r, ro.best(c, r, ro.zoneClass(c, healthy), at), at), true
+}
+
+func (ro *Router) usableServers(
+	c *configuration.Configuration,
+	deployment string,
+	excluded map[string]bool,
+	at time.Time,
+) (local, remote []string) {
+	for _, n := range slices.Sorted(maps.Keys(c.BackendServers)) {
+		b := c.BackendServers[n]
+		switch {
+		case b.Deployment != deployment || b.Leaving || excluded[n] || !ro.usable(n, at):
+		case b.Region == ro.region:
+			local = append(local, n)
+		default:
+			remote = append(remote, n)
+		}
+	}
+
+	return local, remote
+}
+
+// zoneClass keeps the own zone's servers below half load; beyond that, a hop to another zone costs less than the load.
+func (ro *Router) zoneClass(c *configuration.Configuration, names []string) []string {
+	var near []string
+	for _, n := range names {
+		if c.BackendServers[n].Zone == ro.zone && 2*ro.online(n) < slots(c, n) {
+			near = append(near, n)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+
+	return names
+}
+
+// best compares two random choices, which avoids herding, and the server that may hold the prefix in its cache.
+func (ro *Router) best(c *configuration.Configuration, r *inference.Request, names []string, at time.Time) string {
+	i := ro.random.IntN(len(names))
+	choices := []string{names[i]}
+	if len(names) > 1 {
+		choices = append(choices, names[(i+1+ro.random.IntN(len(names)-1))%len(names)])
+	}
+	h, ok := ro.hints[r.Prefix]
+	hinted := ""
+	if ok && r.Prefix != "" && at.Sub(h.at) < hintLife && slices.Contains(names, h.server) {
+		hinted = h.server
+		choices = append(choices, hinted)
+	}
+	best, least := "", 0.0
+	for _, n := range choices {
+		load := float64(ro.online(n))
+		if n == hinted {
+			load--
+		}
+		expected := max(ro.pace.FirstToken(n, at), time.Millisecond)
+		score := expected.Seconds() * (1 + load/float64(slots(c, n)))
+		if best == "" || score < least {
+			best, least = n, score
+		}
+	}
+
+	return best
+}
+
+func (ro *Router) take(c *configuration.Configuration, r *inference.Request, name string, at time.Time) string {
+	if c.BackendServers[name].Region != ro.region {
+		ro.linkBytes -= linkCost(r)
+	}
+	if r.Prefix != "" {
+		if len(ro.hints) >= hintLimit {
+			clear(ro.hints)
+		}
+		ro.hints[r.Prefix] = hint{
+			server: name,
+			at:     at,
+		}
+	}
+
+	return name
+}
+
+func (ro *Router) linkAllows(r *inference.Request, at time.Time) bool {
+	if !ro.linkAt.IsZero() {
+		earned := at.Sub(ro.linkAt).Seconds() * linkBytesPerSecond
+		ro.linkBytes = min(linkBytesPerSecond, ro.linkBytes+max(0, earned))
+	}
+	ro.linkAt = at
+
+	return ro.linkBytes >= min(linkCost(r), linkBytesPerSecond)
+}
+
+func linkCost(r *inference.Request) float64 {
+	tokens := r.MaxTokens
+	if tokens == 0 {
+		tokens = defaultTokens
+	}
+
+	return float64(len(r.Body) + tokens*tokenBytes)
+}
+
+func slots(c *configuration.Configuration, name string) int {
+	return max(1, c.BackendServers[name].Slots)
+}
