--- /dev/null
+++ b/core/once/doc.go
@@ -0,0 +1,2 @@
+// Package once runs non-idempotent requests at most once.
+package once
--- /dev/null
+++ b/core/once/guard.go
@@ -0,0 +1,192 @@
+package once
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+)
+
+// objects is the part of the object store's client that Guard uses.
+type objects interface {
+	Get(ctx context.Context, key string) (value []byte, version int64, err error)
+	Put(ctx context.Context, key string, value []byte, ifVersion int64) (version int64, err error)
+}
+
+const (
+	// valueLimit is the store's limit of a value.
+	valueLimit = 1 << 20
+	// settleTime bounds the writes after the call, which continue when the caller has gone.
+	settleTime = 5 * time.Second
+	// retryTime is the pause before a repeated write.
+	retryTime = 100 * time.Millisecond
+)
+
+// Guard claims a request in the store before it is sent and keeps its outcome.
+type Guard struct {
+	objects objects
+	now     func() time.Time
+}
+
+// record is the value of a claim. Its states: claimed, done, not_run.
+type record struct {
+	Operation string
+	Digest    string
+	State     string
+	At        time.Time
+	Status    int    `json:",omitempty"`
+	Body      []byte `json:",omitempty"`
+	// Trimmed is true if the body was too large to keep.
+	Trimmed bool `json:",omitempty"`
+}
+
+// The states of a record.
+const (
+	stateClaimed = "claimed"
+	stateDone    = "done"
+	stateNotRun  = "not_run"
+)
+
+// New returns a guard; now returns the time.
+func New(o objects, now func() time.Time) *Guard {
+	return &Guard{
+		objects: o,
+		now:     now,
+	}
+}
+
+// Do runs call unless a request with the same key was claimed before. Such a resend gets the stored outcome, with an
+// empty body if that was above 1 MB encoded, or outcome_unknown while there is none, or conflict if its digest
+// differs. Failures before the call and calls that reached no backend server return not_run.
+func (g *Guard) Do(
+	ctx context.Context, workspace, key, digest string, call func(context.Context) (status int, body []byte, err error),
+) (int, []byte, error) {
+	storeKey := job.OnceKey(workspace, key)
+	own := record{
+		Operation: rand.Text(),
+		Digest:    digest,
+		State:     stateClaimed,
+		At:        g.now().UTC(),
+	}
+	version, prior, err := g.claim(ctx, storeKey, own)
+	if err != nil {
+		return 0, nil, err
+	}
+	if prior != nil {
+		return replay(prior, digest)
+	}
+	status, body, err := call(ctx)
+	if err != nil && fault.NotRun(err) {
+		own.State = stateNotRun
+		if e := g.settle(ctx, storeKey, own, version); e != nil {
+			// The claim stays, so a resend hears outcome_unknown; this caller's answer is still true.
+			return 0, nil, fault.Wrap(err, fault.CodeNotRun, "nothing ran, but the key may stay claimed")
+		}
+
+		return 0, nil, fault.Wrap(err, fault.CodeNotRun, "nothing ran")
+	}
+	if err != nil {
+		return 0, nil, fault.Wrap(err, fault.CodeOutcomeUnknown, "the request was sent and its outcome is unknown")
+	}
+	own.State = stateDone
+	own.Status = status
+	own.Body = body
+	// The caller has the outcome whether or not it could be stored; without it a resend hears outcome_unknown.
+	_ = g.settle(ctx, storeKey, own, version)
+
+	return status, body, nil
+}
+
+// claim creates the record, or takes over one that states not_run. It returns the version of the own claim, or the
+// record of an earlier request.
+func (g *Guard) claim(ctx context.Context, key string, own record) (int64, *record, error) {
+	value, err := json.Marshal(own)
+	if err != nil {
+		return 0, nil, fault.Wrap(err, fault.CodeInternal, "encode the claim")
+	}
+	version := int64(0)
+	// A few rounds suffice: each one ends unless an answer was lost or another request has just changed the record.
+	for range 5 {
+		v, err := g.objects.Put(ctx, key, value, version)
+		if err == nil {
+			return v, nil, nil
+		}
+		if c := fault.CodeOf(err); c != fault.CodeConflict && c != fault.CodeOutcomeUnknown {
+			return 0, nil, fault.Wrap(err, fault.CodeNotRun, "the request could not be claimed")
+		}
+		prior, v, err := g.read(ctx, key)
+		switch {
+		case fault.CodeOf(err) == fault.CodeNotFound:
+			version = 0
+		case err != nil:
+			// The claim may exist, but nothing was sent. A resend may hear outcome_unknown.
+			return 0, nil, fault.Wrap(err, fault.CodeNotRun, "the request could not be claimed")
+		case prior.Operation == own.Operation:
+			return v, nil, nil
+		case prior.State == stateNotRun && prior.Digest == own.Digest:
+			version = v
+		default:
+			return 0, prior, nil
+		}
+	}
+
+	return 0, nil, fault.New(fault.CodeNotRun, "the request could not be claimed")
+}
+
+func (g *Guard) read(ctx context.Context, key string) (*record, int64, error) {
+	value, version, err := g.objects.Get(ctx, key)
+	if err != nil {
+		return nil, 0, err
+	}
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, 0, fault.Wrap(err, fault.CodeInternal, "decode a claim")
+	}
+
+	return &r, version, nil
+}
+
+// replay answers a resend from the record of the first request.
+func replay(r *record, digest string) (int, []byte, error) {
+	switch {
+	case r.Digest != digest:
+		return 0, nil, fault.New(fault.CodeConflict, "the key was used for another request")
+	case r.State == stateDone:
+		return r.Status, r.Body, nil
+	default:
+		return 0, nil, fault.New(fault.CodeOutcomeUnknown, "the request was sent before and its outcome is unknown")
+	}
+}
+
+// settle writes the state after the call. It repeats the write, as only this operation changes its claim: a conflict
+// means that an earlier copy of this write took effect.
+func (g *Guard) settle(ctx context.Context, key string, r record, version int64) error {
+	value, err := json.Marshal(r)
+	if err == nil && len(value) > valueLimit {
+		r.Body = nil
+		r.Trimmed = true
+		value, err = json.Marshal(r)
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, "encode the outcome")
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	defer cancel()
+	for {
+		_, err = g.objects.Put(ctx, key, value, version)
+		if c := fault.CodeOf(err); c == "" || c == fault.CodeConflict {
+			return nil
+		}
+		t := time.NewTimer(retryTime)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/core/slack/doc.go
@@ -0,0 +1,2 @@
+// Package slack orders batch jobs by the time they can spare.
+package slack
