--- /dev/null
+++ b/core/batch/chunk.go
@@ -0,0 +1,204 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// partLimit is the store's limit of a value.
+	partLimit = 1 << 20
+	// storePause and storePauseLimit bound the pause between repeats of a store call in an outage.
+	storePause      = 100 * time.Millisecond
+	storePauseLimit = 5 * time.Second
+)
+
+// start runs a claimed chunk in the background.
+func (r *Runner) start(ctx context.Context, w *work, n, attempt int, version int64) {
+	r.mu.Lock()
+	w.chunks[n] = stateHeld
+	w.pause = visitTime
+	r.holding++
+	r.held[w.open.Workspace]++
+	r.unstarted[w.open.Deployment] += w.file.Chunks[n].Items
+	r.mu.Unlock()
+	r.chunks.Go(func() {
+		done := r.runChunk(ctx, w, n, attempt)
+		if !done && w.ctx.Err() == nil {
+			r.release(ctx, w, n, attempt, version)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !done {
+			w.chunks[n] = stateTaken
+			w.delay(r.now())
+		} else {
+			w.chunks[n] = stateDone
+			w.check = true
+			w.visitAt = time.Time{}
+		}
+		r.holding--
+		r.held[w.open.Workspace]--
+		r.notify()
+	})
+}
+
+// runChunk runs the items of a chunk and publishes their results; it reports whether a result is published.
+func (r *Runner) runChunk(ctx context.Context, w *work, n, attempt int) bool {
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(w.ctx, cancel)()
+	unstarted := w.file.Chunks[n].Items
+	began := func(count int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		count = min(count, unstarted)
+		unstarted -= count
+		r.unstarted[w.open.Deployment] -= count
+	}
+	defer func() { began(unstarted) }()
+	data, err := r.read(run, job.FileChunkKey(w.open.Workspace, w.open.File, n))
+	if err != nil {
+		r.log.Warn("read a chunk", "job", w.open.ID, "chunk", n, "error", err)
+
+		return false
+	}
+	items, err := job.Items(data)
+	if err != nil {
+		r.log.Error("decode a chunk", "job", w.open.ID, "chunk", n, "error", err)
+
+		return false
+	}
+	results := make([]job.ItemResult, len(items))
+	limited, stop := context.WithTimeout(run, w.open.Deadline.Sub(r.now()))
+	defer stop()
+	var group conc.WaitGroup
+	for i := range items {
+		e := r.newRun(w, w.file.Chunks[n].FirstItem+i, items[i])
+		e.started = r.admit(limited, w)
+		began(1)
+		group.Go(func() { results[i] = r.runItem(limited, w, e) })
+	}
+	group.Wait()
+	if run.Err() != nil && !complete(results) {
+		return false
+	}
+
+	return r.publish(ctx, w, n, attempt, results)
+}
+
+// complete reports whether each item has a result; a stopped item has none.
+func complete(results []job.ItemResult) bool {
+	for _, e := range results {
+		if e.ID == "" {
+			return false
+		}
+	}
+
+	return true
+}
+
+// publish writes the parts and then the result of a chunk. It continues for lingerTime after ctx ends.
+func (r *Runner) publish(ctx context.Context, w *work, n, attempt int, results []job.ItemResult) bool {
+	linger, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(w.ctx, cancel)()
+	defer context.AfterFunc(ctx, func() {
+		if sleep(linger, lingerTime) {
+			cancel()
+		}
+	})()
+	c := job.ChunkResult{
+		Attempt: attempt,
+	}
+	var part []byte
+	flush := func() error {
+		c.Parts++
+
+		return r.create(linger, job.PartKey(w.open.ID, n, attempt, c.Parts-1), part)
+	}
+	for _, e := range results {
+		line, failed := encode(e)
+		if failed {
+			c.Failed++
+		} else {
+			c.Completed++
+		}
+		if len(part)+len(line) > partLimit {
+			if err := flush(); err != nil {
+				return false
+			}
+			part = nil
+		}
+		part = append(part, line...)
+	}
+	if err := flush(); err != nil {
+		return false
+	}
+	value, err := json.Marshal(c)
+	if err == nil {
+		err = r.create(linger, job.ResultKey(w.open.ID, n), value)
+	}
+
+	return err == nil
+}
+
+// encode returns the line of a result and whether it is a failed one; a result above the limit of a part is replaced.
+func encode(e job.ItemResult) ([]byte, bool) {
+	line, err := json.Marshal(e)
+	if err != nil || len(line) >= partLimit {
+		e = failedResult(e.ID, e.CustomID, fault.New(fault.CodeTooLarge, "the result is too large to store"))
+		// A result of short strings always encodes.
+		line, _ = json.Marshal(e)
+	}
+
+	return append(line, '\n'), e.Error != nil
+}
+
+// read gets a value, and tries again until ctx ends.
+func (r *Runner) read(ctx context.Context, key string) ([]byte, error) {
+	for pause := storePause; ; pause = min(2*pause, storePauseLimit) {
+		data, _, err := r.objects.Get(ctx, key)
+		if err == nil || !sleep(ctx, r.jitter(pause)) {
+			return data, err
+		}
+	}
+}
+
+// create writes a write-once value, and tries again until ctx ends. A conflict means that the value, or another
+// holder's result, is there.
+func (r *Runner) create(ctx context.Context, key string, value []byte) error {
+	for pause := storePause; ; pause = min(2*pause, storePauseLimit) {
+		_, err := r.objects.Put(ctx, key, value, 0)
+		if c := fault.CodeOf(err); c == "" || c == fault.CodeConflict {
+			return nil
+		}
+		if !sleep(ctx, r.jitter(pause)) {
+			return err
+		}
+	}
+}
+
+// release lets another runner take the chunk over at once.
+func (r *Runner) release(ctx context.Context, w *work, n, attempt int, version int64) {
+	value, err := json.Marshal(job.Claim{
+		Holder:      r.name,
+		Incarnation: r.incarnation,
+		Attempt:     attempt,
+		Released:    true,
+	})
+	if err == nil {
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+		defer cancel()
+		_, err = r.objects.Put(end, job.ClaimKey(w.open.ID, n), value, version)
+	}
+	if err != nil {
+		r.log.Warn("release a claim", "job", w.open.ID, "chunk", n, "error", err)
+	}
+}
--- /dev/null
+++ b/core/batch/item.go
@@ -0,0 +1,215 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/job"
+	"tarragonwalk/io/openai"
+)
+
+const (
+	// retryPause and retryPauseLimit bound the pause between two runs of an item.
+	retryPause      = 100 * time.Millisecond
+	retryPauseLimit = 5 * time.Second
+	// admitPause is how often a waiting item reads the batch slots, which change without a notice.
+	admitPause = 50 * time.Millisecond
+)
+
+// itemRun is an item with the tokens generated so far, which later runs continue.
+type itemRun struct {
+	item     job.Item
+	request  inference.Request
+	model    string
+	finish   string
+	started  error
+	attempts int
+}
+
+func (r *Runner) newRun(w *work, number int, item job.Item) *itemRun {
+	var body struct {
+		Model               string `json:"model"`
+		MaxTokens           int    `json:"max_tokens"`
+		MaxCompletionTokens int    `json:"max_completion_tokens"`
+	}
+	// A body that does not decode is refused by the backend server; the file check decodes the model only.
+	_ = json.Unmarshal(item.Body, &body)
+	id := job.RequestID(w.open.ID, number)
+
+	return &itemRun{
+		item:  item,
+		model: body.Model,
+		request: inference.Request{
+			Body:        item.Body,
+			Class:       inference.ClassBatch,
+			Deadline:    w.open.Deadline,
+			Deployment:  w.open.Deployment,
+			ID:          id,
+			MaxTokens:   max(0, body.MaxTokens, body.MaxCompletionTokens),
+			PromptBytes: len(item.Body),
+			Stream:      job.StreamID(w.open.Workspace, id),
+			Workspace:   w.open.Workspace,
+		},
+	}
+}
+
+// admit waits until an item may start and takes a batch slot: the job is open, the view is fresh and a slot is free.
+func (r *Runner) admit(ctx context.Context, w *work) error {
+	for {
+		slots := r.dispatcher.BatchSlots(w.open.Deployment)
+		r.mu.Lock()
+		if w.ctx.Err() != nil {
+			r.mu.Unlock()
+
+			return errStopped
+		}
+		if ctx.Err() != nil {
+			r.mu.Unlock()
+
+			return stopCause(ctx)
+		}
+		if r.fresh(r.now()) && r.running[w.open.Deployment] < slots {
+			r.running[w.open.Deployment]++
+			r.mu.Unlock()
+
+			return nil
+		}
+		changed := r.changed
+		r.mu.Unlock()
+		t := time.NewTimer(admitPause)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// stopCause tells the deadline from a stop.
+func stopCause(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.New(fault.CodeDeadlinePassed, "the job's deadline has passed")
+	}
+
+	return errStopped
+}
+
+// runItem runs an admitted item until it has a result; a stopped item has a result without an ID.
+func (r *Runner) runItem(ctx context.Context, w *work, e *itemRun) job.ItemResult {
+	for pause := retryPause; ; pause = min(2*pause, retryPauseLimit) {
+		err := e.started
+		if err == nil {
+			err = r.runOnce(ctx, w, e)
+		}
+		if err != nil && ctx.Err() != nil {
+			err = stopCause(ctx)
+		}
+		if errors.Is(err, errStopped) && (ctx.Err() != nil || w.ctx.Err() != nil) {
+			return job.ItemResult{}
+		}
+		switch classify(err) {
+		case outcomeDone:
+			return e.result()
+		case outcomeFailed:
+			return failedResult(e.request.ID, e.item.CustomID, err)
+		case outcomeRetry:
+			e.attempts++
+			if e.attempts >= w.open.Attempts {
+				return failedResult(e.request.ID, e.item.CustomID, err)
+			}
+		case outcomeWait:
+		}
+		sleep(ctx, r.jitter(pause))
+		e.started = r.admit(ctx, w)
+	}
+}
+
+// runOnce runs an item in its batch slot and frees the slot.
+func (r *Runner) runOnce(ctx context.Context, w *work, e *itemRun) error {
+	began := r.now()
+	// The dispatcher gets a copy, as the tokens generated so far change during the run.
+	q := e.request
+	err := r.dispatcher.Run(ctx, &q, e.event)
+	if err == nil && e.finish == "" {
+		err = fault.New(fault.CodeStreamLost, "the stream ended without a finish reason")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[w.open.Deployment]--
+	if err == nil {
+		old := r.itemTime[w.open.Deployment]
+		took := r.now().Sub(began)
+		if old == 0 {
+			old = took
+		}
+		r.itemTime[w.open.Deployment] = max(time.Microsecond, (7*old+took)/8)
+	}
+	r.notify()
+
+	return err
+}
+
+// event appends a token; a repeated one is ignored and a gap fails the run.
+func (e *itemRun) event(v inference.Event) error {
+	q := &e.request
+	if v.Text != "" && v.Offset > q.Offset {
+		if v.Offset != q.Offset+1 {
+			return fault.New(fault.CodeStreamLost, "a token is missing in the stream")
+		}
+		q.Generated += v.Text
+		q.Offset = v.Offset
+	}
+	if v.Finish != "" {
+		e.finish = v.Finish
+	}
+
+	return nil
+}
+
+func (e *itemRun) result() job.ItemResult {
+	body, err := json.Marshal(openai.ChatCompletion{
+		ID:     "chatcmpl-" + e.request.ID,
+		Object: "chat.completion",
+		Model:  e.model,
+		Choices: []openai.Choice{{
+			FinishReason: e.finish,
+			Message: openai.Message{
+				Role:    "assistant",
+				Content: e.request.Generated,
+			},
+		}},
+		Usage: openai.Usage{
+			CompletionTokens: e.request.Offset,
+			TotalTokens:      e.request.Offset,
+		},
+	})
+	if err != nil {
+		return failedResult(e.request.ID, e.item.CustomID, fault.Wrap(err, fault.CodeInternal, "encode the answer"))
+	}
+
+	return job.ItemResult{
+		ID:       e.request.ID,
+		CustomID: e.item.CustomID,
+		Response: &job.ItemResponse{
+			StatusCode: 200,
+			RequestID:  e.request.ID,
+			Body:       body,
+		},
+	}
+}
+
+func failedResult(id, custom string, err error) job.ItemResult {
+	return job.ItemResult{
+		ID:       id,
+		CustomID: custom,
+		Error: &job.ItemError{
+			Code:    string(fault.CodeOf(err)),
+			Message: err.Error(),
+		},
+	}
+}
--- /dev/null
+++ b/core/batch/runner.go
@@ -0,0 +1,194 @@
+package batch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/claim"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/objectstore"
+
+	"github.com/sourcegraph/conc"
+)
+
+// objects is the part of the object store's client that Runner uses.
+type objects interface {
+	Get(ctx context.Context, key string) (value []byte, version int64, err error)
+	Put(ctx context.Context, key string, value []byte, ifVersion int64) (version int64, err error)
+	Delete(ctx context.Context, key string, ifVersion int64) error
+	List(ctx context.Context, prefix, after string, limit int) (entries []objectstore.Entry, revision int64, err error)
+}
+
+// dispatcher runs one item; BatchSlots is the total of batch streams that this instance may run for a deployment.
+type dispatcher interface {
+	Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error
+	BatchSlots(deployment string) int
+}
+
+// members gives the live entry instances.
+type members interface {
+	Live(at time.Time) []membership.Instance
+}
+
+const (
+	// viewAge is how old the view of the open-job index may be when an item starts; with the 1 s of a peer exchange a
+	// cancellation takes effect within 4 s.
+	viewAge = 3 * time.Second
+	// claimants is how many instances work on a job, so that claim attempts do not grow with the fleet.
+	claimants = 8
+	// idleTime is the pause of the main loop when there is nothing to claim.
+	idleTime = 250 * time.Millisecond
+	// lingerTime is how long finished items may still be published after the runner's context ends.
+	lingerTime = 3 * time.Second
+	// releaseTime bounds the release of a claim or the session after the runner's context ends.
+	releaseTime = 2 * time.Second
+)
+
+// Runner claims chunks of open jobs, runs their items and publishes the results.
+type Runner struct {
+	objects     objects
+	dispatcher  dispatcher
+	members     members
+	name        string
+	incarnation string
+	now         func() time.Time
+	log         *slog.Logger
+	session     *session
+	// watcher is used by the main loop only.
+	watcher *claim.Watcher
+	chunks  conc.WaitGroup
+
+	// mu protects the fields below. It is never held during a call to the store or the dispatcher.
+	mu          sync.Mutex
+	random      *rand.Rand
+	jobs        map[string]*work
+	cancelled   map[string]time.Time
+	revision    int64
+	confirmedAt time.Time
+	// running counts items in flight, and unstarted the items of held chunks that have not started, by deployment.
+	running   map[string]int
+	unstarted map[string]int
+	itemTime  map[string]time.Duration
+	// held counts held chunks by workspace.
+	held    map[string]int
+	holding int
+	// changed is closed and replaced when a waiting item or the main loop should look again.
+	changed chan struct{}
+}
+
+// New returns a runner with the name and incarnation of its instance.
+func New(
+	o objects, d dispatcher, m members, name, incarnation string, now func() time.Time, random *rand.Rand, log *slog.Logger,
+) *Runner {
+	return &Runner{
+		objects:     o,
+		dispatcher:  d,
+		members:     m,
+		name:        name,
+		incarnation: incarnation,
+		now:         now,
+		log:         log,
+		session: &session{
+			objects:     o,
+			name:        name,
+			incarnation: incarnation,
+			now:         now,
+		},
+		watcher:   claim.New(),
+		random:    random,
+		jobs:      make(map[string]*work),
+		cancelled: make(map[string]time.Time),
+		running:   make(map[string]int),
+		unstarted: make(map[string]int),
+		itemTime:  make(map[string]time.Duration),
+		held:      make(map[string]int),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Run works on the observed jobs until ctx ends, then stops items, releases claims and removes the session. It returns
+// within a few seconds after that.
+func (r *Runner) Run(ctx context.Context) {
+	var renewal conc.WaitGroup
+	renewal.Go(func() { r.renew(ctx) })
+	for ctx.Err() == nil {
+		changed := r.changes()
+		if r.step(ctx) {
+			continue
+		}
+		t := time.NewTimer(idleTime)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	r.chunks.Wait()
+	renewal.Wait()
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+	defer cancel()
+	if err := r.session.remove(end); err != nil {
+		r.log.Warn("remove the session", "error", err)
+	}
+}
+
+// renew renews the session while the runner holds claims, also after ctx ends until the last chunk is released.
+func (r *Runner) renew(ctx context.Context) {
+	t := time.NewTicker(claim.Renewal / 5)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		holding := r.holding
+		r.mu.Unlock()
+		if holding == 0 {
+			continue
+		}
+		if err := r.session.ensure(ctx); err != nil && ctx.Err() == nil {
+			r.log.Warn("renew the session", "error", err)
+		}
+	}
+}
+
+// changes returns a channel that is closed at the next notify.
+func (r *Runner) changes() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.changed
+}
+
+// notify wakes the main loop and waiting items; the caller holds mu.
+func (r *Runner) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// jitter returns between half of d and d.
+func (r *Runner) jitter(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return d/2 + time.Duration(r.random.Int64N(int64(d/2)+1))
+}
+
+// sleep waits for d or until ctx ends and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+
+	return ctx.Err() == nil
+}
--- /dev/null
+++ b/core/batch/runner_test.go
@@ -0,0 +1,422 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/job"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/internal/fakestore"
+	"tarragonwalk/io/jobstore"
+	"tarragonwalk/io/objectstore"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// link is one instance's way to the store; it can be cut or paused.
+type link struct {
+	*fakestore.Store
+	mu     sync.Mutex
+	cut    bool
+	paused chan struct{}
+}
+
+func (l *link) pass(ctx context.Context) error {
+	l.mu.Lock()
+	p := l.paused
+	l.mu.Unlock()
+	if p != nil {
+		select {
+		case <-p:
+		case <-ctx.Done():
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return fault.New(fault.CodeStoreUnavailable, "cut off")
+	}
+
+	return nil
+}
+
+func (l *link) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = make(chan struct{})
+}
+
+func (l *link) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.paused)
+	l.paused = nil
+}
+
+func (l *link) Get(ctx context.Context, key string) ([]byte, int64, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+
+	return l.Store.Get(ctx, key)
+}
+
+func (l *link) Put(ctx context.Context, key string, value []byte, v int64) (int64, error) {
+	if err := l.pass(ctx); err != nil {
+		return 0, err
+	}
+
+	return l.Store.Put(ctx, key, value, v)
+}
+
+func (l *link) List(ctx context.Context, prefix, after string, limit int) ([]objectstore.Entry, int64, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+
+	return l.Store.List(ctx, prefix, after, limit)
+}
+
+func (l *link) Watch(ctx context.Context, prefix string, since int64, until time.Time) ([]objectstore.Change, int64, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	changes, revision, err := l.Store.Watch(ctx, prefix, since, until)
+	if e := l.pass(ctx); e != nil {
+		return nil, 0, e
+	}
+
+	return changes, revision, err
+}
+
+// fleet is a set of runners over one store.
+type fleet struct {
+	store *fakestore.Store
+	names []string
+	took  time.Duration
+	mu    sync.Mutex
+	runs  map[string]int
+	// late counts items that started after their runner knew that the job was cancelled.
+	late int
+}
+
+type node struct {
+	*Runner
+	link   *link
+	jobs   *jobstore.Store
+	stop   context.CancelFunc
+	ended  chan struct{}
+	fleet  *fleet
+	know   bool
+	starts []time.Time
+}
+
+func (f *fleet) Live(time.Time) []membership.Instance {
+	var is []membership.Instance
+	for _, n := range f.names {
+		is = append(is, membership.Instance{Name: n, Role: membership.RoleEntry, State: membership.StateLive})
+	}
+
+	return is
+}
+
+func (n *node) BatchSlots(string) int { return 2 }
+
+func (n *node) Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error {
+	f := n.fleet
+	f.mu.Lock()
+	f.runs[r.ID]++
+	n.starts = append(n.starts, time.Now())
+	if n.know {
+		f.late++
+	}
+	f.mu.Unlock()
+	if !sleep(ctx, f.took) {
+		return fault.Wrap(ctx.Err(), fault.CodeCancelled, "run ended")
+	}
+	switch {
+	case strings.Contains(string(r.Body), "invalid"):
+		return fault.New(fault.CodeInvalid, "cannot be done")
+	case strings.Contains(string(r.Body), "broken"):
+		return fault.New(fault.CodeBackendFailed, "fails each time")
+	}
+
+	return on(inference.Event{Offset: 1, Text: "ok", Finish: "stop"})
+}
+
+func limits() configuration.BatchDefaults {
+	return configuration.BatchDefaults{Attempts: 3, ChunkItems: 3, ChunkBytes: 10000, MaxItems: 100}
+}
+
+func newFleet(names ...string) *fleet {
+	return &fleet{store: fakestore.New(), names: names, took: 400 * time.Millisecond, runs: make(map[string]int)}
+}
+
+func (f *fleet) launch(name, incarnation string, seed uint64) *node {
+	l := &link{Store: f.store}
+	n := &node{link: l, fleet: f, ended: make(chan struct{}), jobs: jobstore.New(l, limits, time.Now)}
+	n.Runner = New(l, n, f, name, incarnation, time.Now, rand.New(rand.NewPCG(seed, 1)), slog.New(slog.DiscardHandler))
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	go n.jobs.FollowOpen(ctx, func(jobs []job.OpenJob, revision int64, at time.Time) {
+		n.ObserveOpen(jobs, revision, at)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		n.know = len(jobs) > 0 && jobs[0].Cancelled
+	})
+	go func() {
+		n.Runner.Run(ctx)
+		close(n.ended)
+	}()
+
+	return n
+}
+
+func (f *fleet) submit(is *is.I, items int, special string) (*jobstore.Store, job.Status) {
+	s := jobstore.New(f.store, limits, time.Now)
+	var b bytes.Buffer
+	for i := range items {
+		word := "plain"
+		if i == 1 {
+			word = special
+		}
+		fmt.Fprintf(&b, `{"custom_id":"c%d","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[],"user":%q}}`+"\n", i, word)
+	}
+	file, err := s.PutFile(context.Background(), "w", "f", &b)
+	is.NoErr(err)
+	st, err := s.Submit(context.Background(), job.Submission{Workspace: "w", File: file.ID, Deployment: "d", Deadline: time.Now().Add(10 * time.Minute)})
+	is.NoErr(err)
+
+	return s, st
+}
+
+// results fails unless each item has exactly one result, in order.
+func results(is *is.I, s *jobstore.Store, id string, items int) []job.ItemResult {
+	var b bytes.Buffer
+	is.NoErr(s.ReadResults(context.Background(), "w", id, &b))
+	var out []job.ItemResult
+	for l := range bytes.Lines(b.Bytes()) {
+		var e job.ItemResult
+		is.NoErr(json.Unmarshal(l, &e))
+		is.Equal(e.CustomID, fmt.Sprintf("c%d", len(out)))
+		out = append(out, e)
+	}
+	is.Equal(len(out), items)
+
+	return out
+}
+
+func bubble(t *testing.T, name string, f func(is *is.I)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { f(is.New(t)) }) })
+}
+
+// Guards against losing or repeating results on the failures that 1.5 of the design lists.
+func TestFailures(t *testing.T) {
+	const items = 9
+	cases := []struct {
+		name    string
+		special string
+		failed  int
+		within  time.Duration
+		disturb func(f *fleet, a, b *node)
+	}{
+		{name: "none", special: "x", within: 6 * time.Second, disturb: func(*fleet, *node, *node) {}},
+		{name: "item never done", special: "broken", failed: 1, within: 9 * time.Second, disturb: func(*fleet, *node, *node) {}},
+		{name: "invalid item", special: "invalid", failed: 1, within: 6 * time.Second, disturb: func(*fleet, *node, *node) {}},
+		{name: "runner dies", special: "x", within: 60 * time.Second, disturb: func(_ *fleet, a, _ *node) {
+			a.link.set(true)
+			a.stop()
+		}},
+		{name: "runner returns", special: "x", within: 14 * time.Second, disturb: func(f *fleet, a, _ *node) {
+			a.link.set(true)
+			a.stop()
+			n := f.launch("a", "2", 9)
+			time.AfterFunc(3*time.Minute, n.stop)
+		}},
+		{name: "paused holder", special: "x", within: 60 * time.Second, disturb: func(_ *fleet, a, _ *node) {
+			a.link.pause()
+			time.AfterFunc(time.Minute, a.link.resume)
+		}},
+		{name: "store outage", special: "x", within: 40 * time.Second, disturb: func(f *fleet, _, _ *node) {
+			f.store.SetDown(true)
+			time.AfterFunc(20*time.Second, func() { f.store.SetDown(false) })
+		}},
+		{name: "planned stop", special: "x", within: 14 * time.Second, disturb: func(_ *fleet, a, _ *node) { a.stop() }},
+	}
+	for _, c := range cases {
+		bubble(t, c.name, func(is *is.I) {
+			f := newFleet("a", "b")
+			s, st := f.submit(is, items, c.special)
+			a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+			time.Sleep(500 * time.Millisecond)
+			c.disturb(f, a, b)
+			time.Sleep(c.within)
+			got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+			is.NoErr(err)
+			is.Equal(got.Job.State, job.JobStateCompleted)
+			is.Equal(got.Completed, items-c.failed)
+			is.Equal(got.Failed, c.failed)
+			before := results(is, s, st.Job.ID, items)
+			time.Sleep(3 * time.Minute) // a paused holder resumes and publishes late
+			is.Equal(results(is, s, st.Job.ID, items), before)
+			a.stop()
+			b.stop()
+			<-a.ended
+			<-b.ended
+		})
+	}
+}
+
+// Guards against a write that is repeated or given up when its answer is lost after it took effect.
+func TestLostAnswers(t *testing.T) {
+	for _, kind := range []string{"file/", "open/", "job/", "claim/", "part/", "result/", "session/", ""} {
+		bubble(t, "lost "+kind, func(is *is.I) {
+			f := newFleet("a", "b")
+			seen := make(map[string]int)
+			f.store.SetLose(func(_, key string) bool {
+				seen[key]++
+
+				return strings.HasPrefix(key, kind) && seen[key]%2 == 1
+			})
+			s, st := f.submit(is, 7, "x")
+			a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+			time.Sleep(2 * time.Minute)
+			got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+			is.NoErr(err)
+			is.Equal(got.Job.State, job.JobStateCompleted)
+			results(is, s, st.Job.ID, 7)
+			a.stop()
+			b.stop()
+			<-a.ended
+			<-b.ended
+		})
+	}
+}
+
+// Guards against a cancelled job that goes on, also on an instance that the store's watch cannot reach.
+func TestCancel(t *testing.T) {
+	for _, how := range []string{"index", "peer", "cut off"} {
+		bubble(t, how, func(is *is.I) {
+			f := newFleet("a")
+			s, st := f.submit(is, 60, "x")
+			a := f.launch("a", "1", 1)
+			time.Sleep(time.Second)
+			is.True(len(a.starts) > 0)
+			allowed := 100 * time.Millisecond
+			if how == "cut off" {
+				a.link.set(true)
+				allowed = 4 * time.Second
+			}
+			at := time.Now()
+			if how == "peer" {
+				a.CancelJobs([]string{st.Job.ID})
+			} else {
+				got, err := s.Cancel(context.Background(), "w", st.Job.ID)
+				is.NoErr(err)
+				is.Equal(got.Job.State, job.JobStateCancelled)
+			}
+			time.Sleep(30 * time.Second)
+			is.True(a.starts[len(a.starts)-1].Sub(at) <= allowed)
+			is.Equal(f.late, 0)
+			a.stop()
+			<-a.ended
+		})
+	}
+}
+
+// Guards against an accepted item without a result when the deadline passes.
+func TestDeadline(t *testing.T) {
+	bubble(t, "expired", func(is *is.I) {
+		f := newFleet("a")
+		f.took = 4 * time.Minute
+		s, st := f.submit(is, 12, "x")
+		a := f.launch("a", "1", 1)
+		time.Sleep(11 * time.Minute)
+		got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+		is.NoErr(err)
+		is.Equal(got.Job.State, job.JobStateExpired)
+		is.Equal(got.Completed+got.Failed, 12)
+		is.Equal(results(is, s, st.Job.ID, 12)[11].Error.Code, string(fault.CodeDeadlinePassed))
+		a.stop()
+		<-a.ended
+	})
+}
+
+// Guards against combinations of faults that lose an item, end it twice, or start one of a job known to be cancelled.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(2, 3).Draw(rt, "runners")
+		items := rapid.IntRange(1, 14).Draw(rt, "items")
+		cancel := rapid.IntRange(0, 12).Draw(rt, "cancel")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 4), 0, 10).Draw(rt, "faults")
+		lost := rapid.Uint64().Draw(rt, "lost")
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet([]string{"a", "b", "c"}[:count]...)
+			s, st := f.submit(is, items, "broken")
+			random := rand.New(rand.NewPCG(lost, 2))
+			f.store.SetLose(func(string, string) bool { return random.IntN(6) == 0 })
+			var all []*node
+			for i, n := range f.names {
+				all = append(all, f.launch(n, "0", uint64(i)))
+			}
+			for i, k := range faults {
+				n := all[i%count]
+				switch k {
+				case 0:
+					n.link.set(true)
+					n.stop()
+					all[i%count] = f.launch(f.names[i%count], fmt.Sprint(i+1), uint64(i))
+				case 1:
+					n.link.pause()
+					time.AfterFunc(17*time.Second, n.link.resume)
+					time.Sleep(18 * time.Second)
+				case 2:
+					f.store.SetDown(true)
+					time.Sleep(4 * time.Second)
+					f.store.SetDown(false)
+				}
+				time.Sleep(700 * time.Millisecond)
+				if i == cancel {
+					for range 20 {
+						if _, err := s.Cancel(context.Background(), "w", st.Job.ID); err == nil {
+							break
+						}
+					}
+				}
+			}
+			time.Sleep(3 * time.Minute)
+			got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+			is.NoErr(err)
+			if got.Job.State != job.JobStateCancelled {
+				is.Equal(got.Job.State, job.JobStateCompleted)
+				results(is, s, st.Job.ID, items)
+			}
+			is.Equal(f.late, 0)
+			for _, n := range all {
+				n.stop()
+				<-n.ended
+			}
+			time.Sleep(time.Minute)
+		})
+	})
+}
--- /dev/null
+++ b/core/batch/view.go
@@ -0,0 +1,86 @@
+package batch
+
+import (
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+)
+
+// cancelledTime is how long a cancellation from a peer is remembered for a job that is not in the index.
+const cancelledTime = 10 * time.Minute
+
+// ObserveOpen replaces the view of the open-job index by one that was current at a time on this instance's clock; an
+// older revision than the current one is ignored.
+func (r *Runner) ObserveOpen(jobs []job.OpenJob, revision int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision < r.revision {
+		return
+	}
+	r.revision = revision
+	r.confirm(at)
+	present := make(map[string]bool, len(jobs))
+	for _, o := range jobs {
+		present[o.ID] = true
+		w := r.jobs[o.ID]
+		if w == nil {
+			w = newWork(o)
+			r.jobs[o.ID] = w
+		}
+		if _, ok := r.cancelled[o.ID]; ok || o.Cancelled {
+			w.stop()
+		}
+	}
+	for id, w := range r.jobs {
+		if !present[id] {
+			w.stop()
+			delete(r.jobs, id)
+		}
+	}
+	now := r.now()
+	for id, t := range r.cancelled {
+		if !present[id] && now.Sub(t) > cancelledTime {
+			delete(r.cancelled, id)
+		}
+	}
+	r.notify()
+}
+
+// ConfirmOpen records that a revision was the current one at a time on this instance's clock, as seen by a peer; it has
+// no effect if this runner's view is older than the revision.
+func (r *Runner) ConfirmOpen(revision int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision <= r.revision && revision > 0 {
+		r.confirm(at)
+		r.notify()
+	}
+}
+
+func (r *Runner) confirm(at time.Time) {
+	if at.After(r.confirmedAt) {
+		r.confirmedAt = at
+	}
+}
+
+// CancelJobs stops the items of jobs at once and starts none of them again.
+func (r *Runner) CancelJobs(ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		r.cancelled[id] = r.now()
+		if w := r.jobs[id]; w != nil {
+			w.stop()
+		}
+	}
+	r.notify()
+}
+
+// fresh reports whether the view is recent enough to start items; the caller holds mu.
+func (r *Runner) fresh(at time.Time) bool {
+	return !r.confirmedAt.IsZero() && at.Sub(r.confirmedAt) <= viewAge
+}
+
+// errStopped ends an item whose job was cancelled or whose runner stops.
+var errStopped = fault.New(fault.CodeCancelled, "stopped")
