Test the bounds and fair share of admission

Cause: the limits of batch work and the queue had no property over random arrivals, ends, cancels and preemptions.

--- /dev/null
+++ b/core/admission/controller_test.go
@@ -0,0 +1,100 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/inference"
+)
+
+// Guards against batch above its limit, online work queued beside a free slot, and leaks in the tables.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 12).Draw(t, "slots")
+		conf := &configuration.Configuration{}
+		c := New(6, 1<<16)
+		at := time.Unix(1000, 0)
+		pick := func(*inference.Request) (string, bool) { return "w", c.Online("w") < slots }
+		queuedPick := func(_ uint64, r *inference.Request) (string, bool) { return pick(r) }
+		var online, batch, queued []uint64
+		drop := func(ids []uint64) ([]uint64, uint64) {
+			i := rapid.IntRange(0, len(ids)-1).Draw(t, "index")
+
+			return append(append([]uint64{}, ids[:i]...), ids[i+1:]...), ids[i]
+		}
+		for id := uint64(1); id <= 60; id++ {
+			var gone uint64
+			switch op := rapid.IntRange(0, 4).Draw(t, "op"); {
+			case op <= 1:
+				r := &inference.Request{Deployment: "d", Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "ws")}
+				r.MaxTokens = rapid.SampledFrom([]int{10, 9000}).Draw(t, "tokens")
+				name, err := c.Arrive(id, r, conf, pick, at)
+				if name != "" {
+					online = append(online, id)
+				} else if err == nil {
+					queued = append(queued, id)
+				}
+			case op == 2 && len(online) > 0:
+				online, gone = drop(online)
+				c.End(gone)
+			case op == 3 && len(queued) > 0:
+				queued, gone = drop(queued)
+				c.Abandon(gone)
+			case op == 4 && c.StartBatch(id, "w", slots, at):
+				batch = append(batch, id)
+			}
+			for {
+				started, _, ok := c.Next("d", conf, queuedPick)
+				if !ok {
+					break
+				}
+				online = append(online, started)
+				for i, q := range queued {
+					if q == started {
+						queued = append(queued[:i], queued[i+1:]...)
+
+						break
+					}
+				}
+			}
+			for _, p := range c.Preempt("w", slots, at) {
+				if p != batch[len(batch)-1] {
+					t.Fatal("an older batch stream was preempted before a newer one")
+				}
+				batch = batch[:len(batch)-1]
+			}
+			if c.Batch("w") > max(0, slots-Headroom(slots)-c.Online("w")) || c.Batch("w") != len(batch) {
+				t.Fatal("batch streams above the limit")
+			}
+			if c.Queued() > 0 && c.Online("w") < slots || c.Online("w") != len(online) || c.Queued() != len(queued) {
+				t.Fatal("online request queued beside a free slot, or lost")
+			}
+		}
+	})
+}
+
+// Guards against a workspace that takes more than its weight of a full fleet.
+func TestFairShare(t *testing.T) {
+	is := is.New(t)
+	conf := &configuration.Configuration{Workspaces: configuration.ConfigurationWorkspaces{"a": {Weight: 3}, "b": {Weight: 1}}}
+	c := New(200, 1<<20)
+	full := func(*inference.Request) (string, bool) { return "", false }
+	free := func(uint64, *inference.Request) (string, bool) { return "w", true }
+	for id := uint64(0); id < 160; id++ {
+		_, err := c.Arrive(id, &inference.Request{Deployment: "d", Workspace: []string{"a", "b"}[id%2]}, conf, full, time.Time{})
+		is.NoErr(err)
+	}
+	a := 0
+	for range 80 {
+		id, _, ok := c.Next("d", conf, free)
+		is.True(ok)
+		if id%2 == 0 {
+			a++
+		}
+	}
+	is.True(a >= 58 && a <= 62)
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -4,10 +4,9 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"time"
-
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/inference"
+	"time"
 )
 
 const (
