--- a/cmd/tarragonwalk/batch.go
+++ b/cmd/tarragonwalk/batch.go
@@ -117,7 +117,7 @@
 	giveUpAt := time.Now().Add(c.Timeout)
 	var bar *progressbar.ProgressBar
 	for {
-		answer, err := client.Get(apiclient.Path(batchesPath, c.jobArgument.Arguments.Job))
+		answer, err := client.Get(apiclient.Path(batchesPath, c.Arguments.Job))
 		if err != nil {
 			return err
 		}
@@ -150,7 +150,7 @@
 // Execute writes the results of a job that has ended.
 func (c *batchResultsCommand) Execute([]string) error {
 	client := apiclient.New(c.URL, c.Key)
-	answer, err := client.Get(apiclient.Path(batchesPath, c.jobArgument.Arguments.Job))
+	answer, err := client.Get(apiclient.Path(batchesPath, c.Arguments.Job))
 	if err != nil {
 		return err
 	}
@@ -176,7 +176,7 @@
 
 // Execute cancels a job; a job that has ended keeps its state.
 func (c *batchCancelCommand) Execute([]string) error {
-	path := apiclient.Path(batchesPath, c.jobArgument.Arguments.Job) + "/cancel"
+	path := apiclient.Path(batchesPath, c.Arguments.Job) + "/cancel"
 	answer, err := apiclient.New(c.URL, c.Key).Post(path, nil, nil)
 
 	return c.showBatch(answer, err)
--- a/cmd/tarragonwalk/config.go
+++ b/cmd/tarragonwalk/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/google/uuid"
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"tarragonwalk/core/configuration"
@@ -62,7 +63,7 @@
 	}
 	body, err := json.Marshal(configuration.Patch{
 		BaseVersion: p.BaseVersion,
-		Operation:   configuration.NewOperation(),
+		Operation:   uuid.NewString(),
 		Patch:       text,
 	})
 	if err != nil {
--- a/core/access/checker.go
+++ b/core/access/checker.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync/atomic"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 )
--- a/core/access/checker_test.go
+++ b/core/access/checker_test.go
@@ -3,11 +3,12 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
 )
 
 type fixed struct{ configuration *configuration.Configuration }
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -2,10 +2,11 @@
 
 import (
 	"slices"
+	"time"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
-	"time"
 )
 
 const (
@@ -222,6 +223,11 @@
 
 // Headroom returns the slots that batch work leaves free: an eighth, at least one.
 func Headroom(slots int) int {
+	if slots == 1 {
+		// A backend server with one slot would otherwise never run batch work; an online request preempts it there.
+		return 0
+	}
+
 	return max(1, slots/8)
 }
 
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -84,7 +84,7 @@
 	c := New(200, 1<<20)
 	full := func(*inference.Request) (string, bool) { return "", false }
 	free := func(uint64, *inference.Request) (string, bool) { return "w", true }
-	for id := uint64(0); id < 160; id++ {
+	for id := range uint64(160) {
 		_, err := c.Arrive(id, &inference.Request{Deployment: "d", Workspace: []string{"a", "b"}[id%2]}, conf, full, time.Time{})
 		is.NoErr(err)
 	}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+
 	"tarragonwalk/core/inference"
 )
 
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/job"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
 )
 
 const (
--- a/core/batch/end.go
+++ b/core/batch/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 )
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/job"
 	"tarragonwalk/io/openai"
-	"time"
 )
 
 const (
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -5,13 +5,14 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
 	"tarragonwalk/core/claim"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/io/objectstore"
-	"time"
-
-	"github.com/sourcegraph/conc"
 )
 
 // objects is the part of the object store's client that Runner uses.
@@ -66,6 +67,7 @@
 	random      *rand.Rand
 	jobs        map[string]*work
 	canceled    map[string]time.Time
+	digest      int64
 	revision    int64
 	confirmedAt time.Time
 	// running counts items in flight, and unstarted the items of held chunks that have not started, by deployment.
--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -9,6 +9,13 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
@@ -17,12 +24,6 @@
 	"tarragonwalk/internal/fakestore"
 	"tarragonwalk/io/jobstore"
 	"tarragonwalk/io/objectstore"
-	"testing"
-	"testing/synctest"
-	"time"
-
-	"github.com/matryer/is"
-	"pgregory.net/rapid"
 )
 
 // link is one instance's way to the store; it can be cut or paused.
@@ -190,7 +191,7 @@
 		n.ObserveOpen(jobs, revision, at)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		n.know = len(jobs) > 0 && jobs[0].Cancelled //nolint:misspell // the schema names the field
+		n.know = len(jobs) > 0 && jobs[0].Cancelled
 	})
 	go func() {
 		n.Runner.Run(ctx)
--- a/core/batch/session.go
+++ b/core/batch/session.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
+
 	"tarragonwalk/core/claim"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
-	"time"
 )
 
 // session is the instance's own session record.
--- a/core/batch/step.go
+++ b/core/batch/step.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"time"
+
 	"tarragonwalk/core/claim"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/core/slack"
-	"time"
 )
 
 // firstItemTime is the assumed time of an item before one was measured.
--- a/core/batch/view.go
+++ b/core/batch/view.go
@@ -1,9 +1,10 @@
 package batch
 
 import (
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
-	"time"
 )
 
 // canceledTime is how long a cancellation from a peer is remembered for a job that is not in the index.
@@ -18,6 +19,7 @@
 		return
 	}
 	r.revision = revision
+	r.digest = job.Digest(jobs)
 	r.confirm(at)
 	present := make(map[string]bool, len(jobs))
 	for _, o := range jobs {
@@ -27,7 +29,7 @@
 			w = newWork(o)
 			r.jobs[o.ID] = w
 		}
-		if _, ok := r.canceled[o.ID]; ok || o.Cancelled { //nolint:misspell // the schema names the field
+		if _, ok := r.canceled[o.ID]; ok || o.Cancelled {
 			w.stop()
 		}
 	}
@@ -46,12 +48,13 @@
 	r.notify()
 }
 
-// ConfirmOpen records that a revision was the current one at a time on this instance's clock, as seen by a peer; it has
-// no effect if this runner's view is older than the revision.
-func (r *Runner) ConfirmOpen(revision int64, at time.Time) {
+// ConfirmOpen records that a view with this digest (job.Digest) was the current one at a time on this instance's clock,
+// as seen by a peer; it has no effect if this runner's view differs. Revisions are not compared, since the store's
+// revision grows with every write to any key.
+func (r *Runner) ConfirmOpen(digest int64, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision <= r.revision && revision > 0 {
+	if digest == r.digest && !r.confirmedAt.IsZero() {
 		r.confirm(at)
 		r.notify()
 	}
@@ -83,3 +86,11 @@
 
 // errStopped ends an item whose job was canceled or whose runner stops.
 var errStopped = fault.New(fault.CodeCancelled, "stopped")
+
+// OpenJobs returns the number of jobs in the view.
+func (r *Runner) OpenJobs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return len(r.jobs)
+}
--- a/core/batch/visit.go
+++ b/core/batch/visit.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+
 	"tarragonwalk/core/claim"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
--- a/core/batch/work.go
+++ b/core/batch/work.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"tarragonwalk/core/job"
 	"time"
+
+	"tarragonwalk/core/job"
 )
 
 // state is what the runner knows about a chunk.
--- a/core/claim/watcher.go
+++ b/core/claim/watcher.go
@@ -1,8 +1,9 @@
 package claim
 
 import (
-	"tarragonwalk/core/job"
 	"time"
+
+	"tarragonwalk/core/job"
 )
 
 const (
--- a/core/claim/watcher_test.go
+++ b/core/claim/watcher_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"tarragonwalk/core/job"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/job"
 )
 
 // Guards against taking a chunk from a live holder and against leaving one with a dead holder.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -219,7 +219,8 @@
 	return call(ctx, t.address)
 }
 
-// BatchSlots returns how many more batch streams this instance may start now on the workers that it feeds.
+// BatchSlots returns how many batch streams this instance may have on the workers that it feeds, those in flight
+// included.
 func (d *Dispatcher) BatchSlots(deployment string) int {
 	d.mu.Lock()
 	defer d.unlock()
@@ -227,16 +228,11 @@
 	n := 0
 	for _, name := range d.fed(c, deployment, at) {
 		if d.usable(name, at) {
-			n += d.admission.BatchFree(name, c.BackendServers[name].Slots, at)
-		}
-	}
-	for _, t := range d.batch {
-		if t.sequence.request.Deployment == deployment {
-			n--
+			n += d.admission.BatchFree(name, c.BackendServers[name].Slots, at) + d.admission.Batch(name)
 		}
 	}
 
-	return max(0, n)
+	return n
 }
 
 // ObserveOnline takes the online requests that another instance has in flight on workers fed by this one.
--- a/core/exchange/exchanger.go
+++ b/core/exchange/exchanger.go
@@ -49,14 +49,14 @@
 
 // runner takes what peers know of open jobs.
 type runner interface {
-	ConfirmOpen(revision int64, at time.Time)
+	ConfirmOpen(digest int64, at time.Time)
 	CancelJobs(ids []string)
 }
 
 // online takes and gives in-flight counts of online requests.
 type online interface {
 	ObserveOnline(sender string, counts []peer.OnlineCount, at time.Time)
-	OnlineCounts(receiver string) []peer.OnlineCount
+	OnlineCounts(receiver string, at time.Time) []peer.OnlineCount
 }
 
 // Exchanger sends and answers the regular message. Its lock guards its own tables and is never held while a dependency is called.
@@ -126,6 +126,14 @@
 	e.ownLeaving = true
 }
 
+// Leaving reports whether this instance is leaving.
+func (e *Exchanger) Leaving() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+
+	return e.ownLeaving
+}
+
 // ReportLeaving passes on that an instance was seen leaving.
 func (e *Exchanger) ReportLeaving(name string) {
 	e.lock.Lock()
@@ -233,8 +241,8 @@
 
 		return
 	}
-	c := &configuration.Configuration{}
-	if err := json.Unmarshal(reply.Configuration, c); err != nil {
+	c, err := configuration.Decode(reply.Configuration)
+	if err != nil {
 		e.log.Warn("peer sent an invalid configuration", "peer", i.Name, "version", version, "error", err)
 
 		return
@@ -266,7 +274,7 @@
 	if c := e.configurations.Current(); c != nil {
 		version = c.Version
 	}
-	counts := e.online.OnlineCounts(receiver)
+	counts := e.online.OnlineCounts(receiver, now)
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	m := &peer.Exchange{
--- /dev/null
+++ b/core/instance/instance.go
@@ -0,0 +1,277 @@
+package instance
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"tarragonwalk/core/batch"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/dispatch"
+	"tarragonwalk/core/exchange"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/core/notice"
+	"tarragonwalk/core/once"
+	"tarragonwalk/io/caller"
+	"tarragonwalk/io/configstore"
+	"tarragonwalk/io/engine"
+	"tarragonwalk/io/instancelist"
+	"tarragonwalk/io/jobstore"
+	"tarragonwalk/io/objectstore"
+	"tarragonwalk/io/operator"
+	"tarragonwalk/io/peer"
+	"tarragonwalk/io/service"
+	"tarragonwalk/io/settings"
+)
+
+const (
+	// firstEventTime allows for a queue inside the engine and a long prompt before a stream counts as silent.
+	firstEventTime = 5 * time.Second
+	// eventTime is well above the pace of a straggler that is ten times slower than 36 ms a token.
+	eventTime = time.Second
+	// queueWait bounds the wait of an online request for a slot.
+	queueWait = 2 * time.Second
+	// serviceTime bounds a call of a plain service that names no deadline.
+	serviceTime = 60 * time.Second
+)
+
+// Instance is one entry instance with all of its parts.
+type Instance struct {
+	settings    *settings.Settings
+	log         *slog.Logger
+	clock       func() time.Time
+	incarnation string
+	startedAt   time.Time
+
+	objects    *objectstore.Client
+	holder     *configuration.Holder
+	configs    *configstore.Store
+	table      *membership.Table
+	list       *instancelist.Client
+	engines    *engine.Client
+	services   *service.Client
+	dispatcher *dispatch.Dispatcher
+	jobs       *jobstore.Store
+	runner     *batch.Runner
+	exchanger  *exchange.Exchanger
+	node       *peer.Node
+	notifier   *notice.Notifier
+	caller     *caller.Server
+	operator   *operator.Server
+
+	listeners []net.Listener
+	endpoints endpoints
+	cancel    context.CancelFunc
+	stopBatch context.CancelFunc
+	tasks     conc.WaitGroup
+	batchTask conc.WaitGroup
+}
+
+// endpoints are the bound addresses, which differ from the settings if a port is 0.
+type endpoints struct {
+	caller   netip.AddrPort
+	operator netip.AddrPort
+	peer     netip.AddrPort
+}
+
+// New returns an instance that Start has to start.
+func New(s *settings.Settings, log *slog.Logger, clock func() time.Time) *Instance {
+	return &Instance{
+		settings:    s,
+		log:         log.With("instance", s.Instance.Name),
+		clock:       clock,
+		incarnation: uuid.NewString(),
+		startedAt:   clock(),
+	}
+}
+
+// Start binds the listeners and starts all parts; a failure leaves nothing running.
+func (i *Instance) Start() error {
+	if err := i.listen(); err != nil {
+		return err
+	}
+	if err := i.build(); err != nil {
+		i.closeListeners()
+
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	batchContext, stopBatch := context.WithCancel(ctx)
+	i.stopBatch = stopBatch
+	i.serve()
+	i.tasks.Go(func() { i.configs.Follow(ctx) })
+	i.tasks.Go(func() { i.list.Follow(ctx, i.table.Observe) })
+	i.tasks.Go(func() { i.jobs.FollowOpen(ctx, i.observeOpen) })
+	i.tasks.Go(func() { i.exchanger.Run(ctx) })
+	i.tasks.Go(func() { i.notifier.Run(ctx) })
+	i.batchTask.Go(func() { i.runner.Run(batchContext) })
+	i.log.Info("instance started", "caller", i.endpoints.caller.String(), "operator", i.endpoints.operator.String(),
+		"peer", i.endpoints.peer.String(), "incarnation", i.incarnation)
+
+	return nil
+}
+
+// CallerAddress returns the bound address of the callers' API.
+func (i *Instance) CallerAddress() netip.AddrPort {
+	return i.endpoints.caller
+}
+
+// OperatorAddress returns the bound address of the administration API.
+func (i *Instance) OperatorAddress() netip.AddrPort {
+	return i.endpoints.operator
+}
+
+// PeerAddress returns the bound address for other entry instances.
+func (i *Instance) PeerAddress() netip.AddrPort {
+	return i.endpoints.peer
+}
+
+func (i *Instance) listen() error {
+	l := i.settings.Listen
+	for _, b := range []struct {
+		wanted netip.AddrPort
+		bound  *netip.AddrPort
+	}{
+		{
+			wanted: l.Caller,
+			bound:  &i.endpoints.caller,
+		},
+		{
+			wanted: l.Operator,
+			bound:  &i.endpoints.operator,
+		},
+		{
+			wanted: l.Peer,
+			bound:  &i.endpoints.peer,
+		},
+	} {
+		listener, err := net.Listen("tcp", b.wanted.String())
+		if err != nil {
+			i.closeListeners()
+
+			return fault.Wrap(err, fault.CodeUnavailable, "cannot listen on "+b.wanted.String())
+		}
+		i.listeners = append(i.listeners, listener)
+		*b.bound = netip.MustParseAddrPort(listener.Addr().String())
+	}
+
+	return nil
+}
+
+func (i *Instance) build() error {
+	s := i.settings
+	name := s.Instance.Name
+	i.objects = objectstore.New(s.Platform.Store, s.Platform.StoreReadsPerSecond, s.Platform.StoreWritesPerSecond)
+	i.holder = configuration.NewHolder()
+	i.configs = configstore.New(i.objects, i.holder, s.Data.Folder, i.log)
+	i.table = membership.New()
+	i.table.Observe([]membership.Instance{i.self()}, i.clock())
+	i.list = instancelist.New(s.Platform.InstanceList)
+	i.engines = engine.New(firstEventTime, eventTime)
+	i.services = service.New(serviceTime)
+	i.dispatcher = dispatch.New(i.engines, currentHolder{holder: i.holder}, i.table, i.self(), i.notify, i.clock,
+		newRandom(), s.Limits.QueueRequests, s.Limits.QueueBytes, queueWait, eventTime)
+	i.jobs = jobstore.New(i.objects, i.batchLimits, i.clock)
+	i.runner = batch.New(i.objects, i.dispatcher, i.table, name, i.incarnation, i.clock, newRandom(), i.log)
+	i.exchanger = exchange.New(name, i.clock, i.table, i.holder, i.runner, i.dispatcher, i.log)
+	i.node = peer.New(name, []byte(s.Peers.Secret), i.clock, i.exchanger)
+	i.exchanger.Attach(i.node)
+	i.notifier = notice.New(i.node, i.table, i.clock, i.log)
+	jobs := &announcedJobs{
+		Store:     i.jobs,
+		exchanger: i.exchanger,
+		runner:    i.runner,
+	}
+	grace := time.Duration(s.Limits.StopGraceMillis) * time.Millisecond
+	i.caller = caller.New(i.dispatcher, jobs, i.holder, i.table, once.New(i.objects, i.clock), i.services, *s.Limits,
+		s.Instance.Zone, grace, i.log, i.clock)
+	bootstrap, err := bootstrapKey(s.Operator.BootstrapKeyHash)
+	if err != nil {
+		return err
+	}
+	i.operator = operator.New(i.holder, i.configs, i.validate, func() any { return i.Status() }, bootstrap, i.log, i.clock)
+
+	return nil
+}
+
+func (i *Instance) self() membership.Instance {
+	return membership.Instance{
+		Name:          i.settings.Instance.Name,
+		Role:          membership.RoleEntry,
+		Zone:          i.settings.Instance.Zone,
+		Region:        i.settings.Instance.Region,
+		CallerAddress: i.endpoints.caller,
+		PeerAddress:   i.endpoints.peer,
+		State:         membership.StateLive,
+	}
+}
+
+func (i *Instance) serve() {
+	const callerIndex, operatorIndex, peerIndex = 0, 1, 2
+	i.tasks.Go(func() { i.logServe("caller", i.caller.Serve(i.listeners[callerIndex])) })
+	i.tasks.Go(func() { i.logServe("operator", i.operator.Serve(i.listeners[operatorIndex])) })
+	i.tasks.Go(func() { i.logServe("peer", i.node.Serve(i.listeners[peerIndex])) })
+}
+
+func (i *Instance) logServe(part string, err error) {
+	if err != nil {
+		i.log.Error("listener ended", "part", part, "error", err)
+	}
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range i.listeners {
+		l.Close()
+	}
+}
+
+func (i *Instance) notify(feeder string, count peer.OnlineCount) {
+	i.notifier.Notify(feeder, count)
+}
+
+func (i *Instance) batchLimits() configuration.BatchDefaults {
+	return currentHolder{holder: i.holder}.Current().Batch
+}
+
+func (i *Instance) validate(p configuration.Patch) error {
+	_, err := configuration.ApplyPatch(i.holder.Current(), p)
+
+	return err
+}
+
+func (i *Instance) observeOpen(jobs []job.OpenJob, revision int64, at time.Time) {
+	i.runner.ObserveOpen(jobs, revision, at)
+	i.exchanger.ObserveOpen(job.Digest(jobs), at)
+	for _, o := range jobs {
+		if o.Cancelled {
+			i.exchanger.ReportCancelled(o.ID)
+		}
+	}
+}
+
+func bootstrapKey(text string) ([sha256.Size]byte, error) {
+	key := [sha256.Size]byte{}
+	decoded, err := hex.DecodeString(text)
+	if err != nil || (len(decoded) != 0 && len(decoded) != len(key)) {
+		return key, fault.New(fault.CodeInvalid, "Operator.BootstrapKeyHash is not a hex SHA-256 digest")
+	}
+	copy(key[:], decoded)
+
+	return key, nil
+}
+
+// newRandom returns a source for one owner, since a source is not safe for concurrent use.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // spreads load only
+}
--- a/core/job/splitter.go
+++ b/core/job/splitter.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+
 	"tarragonwalk/core/fault"
 )
 
--- a/core/job/splitter_test.go
+++ b/core/job/splitter_test.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"fmt"
 	"strings"
-	"tarragonwalk/core/fault"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
 )
 
 func line(id, model string) string {
--- /dev/null
+++ b/core/notice/notifier.go
@@ -0,0 +1,115 @@
+package notice
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/peer"
+)
+
+const (
+	callTimeout = 500 * time.Millisecond
+	maxWorkers  = 16
+)
+
+// sender is the transport to other entry instances.
+type sender interface {
+	Online(ctx context.Context, a netip.AddrPort, counts []peer.OnlineCount) error
+}
+
+// members is the table of instances.
+type members interface {
+	Live(at time.Time) []membership.Instance
+}
+
+// Notifier sends counts to feeders without blocking its caller; a count that changes while a message is under way is sent in the next one, so a burst costs few messages.
+type Notifier struct {
+	sender  sender
+	members members
+	clock   func() time.Time
+	log     *slog.Logger
+	wake    chan struct{}
+
+	lock    sync.Mutex
+	pending map[string]map[string]int // feeder to backend server to count
+}
+
+// New returns a notifier.
+func New(s sender, m members, clock func() time.Time, log *slog.Logger) *Notifier {
+	return &Notifier{
+		sender:  s,
+		members: m,
+		clock:   clock,
+		log:     log,
+		wake:    make(chan struct{}, 1),
+		pending: map[string]map[string]int{},
+	}
+}
+
+// Notify queues a count for a feeder and returns at once.
+func (n *Notifier) Notify(feeder string, count peer.OnlineCount) {
+	n.lock.Lock()
+	counts := n.pending[feeder]
+	if counts == nil {
+		counts = map[string]int{}
+		n.pending[feeder] = counts
+	}
+	counts[count.BackendServer] = count.InFlight
+	n.lock.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends queued counts until ctx ends.
+func (n *Notifier) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wake:
+		}
+		n.flush(ctx)
+	}
+}
+
+func (n *Notifier) flush(ctx context.Context) {
+	n.lock.Lock()
+	pending := n.pending
+	n.pending = map[string]map[string]int{}
+	n.lock.Unlock()
+	addresses := map[string]netip.AddrPort{}
+	for _, i := range n.members.Live(n.clock()) {
+		addresses[i.Name] = i.PeerAddress
+	}
+	p := pool.New().WithMaxGoroutines(maxWorkers)
+	for feeder, counts := range pending {
+		if a, ok := addresses[feeder]; ok {
+			p.Go(func() { n.send(ctx, feeder, a, counts) })
+		}
+	}
+	p.Wait()
+}
+
+// send makes one attempt: the next regular exchange carries the count again.
+func (n *Notifier) send(ctx context.Context, feeder string, a netip.AddrPort, counts map[string]int) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list := make([]peer.OnlineCount, 0, len(counts))
+	for name, count := range counts {
+		list = append(list, peer.OnlineCount{
+			BackendServer: name,
+			InFlight:      count,
+		})
+	}
+	if err := n.sender.Online(call, a, list); err != nil {
+		n.log.Debug("online notice failed", "peer", feeder, "error", err)
+	}
+}
--- a/core/once/guard.go
+++ b/core/once/guard.go
@@ -4,9 +4,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
-	"time"
 )
 
 // objects is the part of the object store's client that Guard uses.
--- a/core/once/guard_test.go
+++ b/core/once/guard_test.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"strings"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/internal/fakestore"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/internal/fakestore"
 )
 
 // Guards against a second run of a non-idempotent request, and against a false not_run.
--- a/core/routing/leastinflight/router.go
+++ b/core/routing/leastinflight/router.go
@@ -4,9 +4,10 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/inference"
-	"time"
 )
 
 // Router picks the usable backend server with the fewest online requests; it is not safe for concurrent use.
--- a/core/routing/roundrobin/router.go
+++ b/core/routing/roundrobin/router.go
@@ -3,9 +3,10 @@
 import (
 	"maps"
 	"slices"
+	"time"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/inference"
-	"time"
 )
 
 // Router picks usable backend servers in the order of their names; it is not safe for concurrent use.
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -4,9 +4,10 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/inference"
-	"time"
 )
 
 const (
--- a/internal/fakestore/store.go
+++ b/internal/fakestore/store.go
@@ -5,9 +5,10 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/objectstore"
-	"time"
 )
 
 // Store keeps objects with versions and a change log.
--- a/io/caller/batches.go
+++ b/io/caller/batches.go
@@ -4,12 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/job"
-	"tarragonwalk/io/openai"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+	"tarragonwalk/io/openai"
 )
 
 const (
--- a/io/caller/chat.go
+++ b/io/caller/chat.go
@@ -6,13 +6,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/io/openai"
-	"time"
-
-	"github.com/gofiber/fiber/v2"
 )
 
 // Events that may wait for a slow caller before the engine's stream is held back.
--- a/io/caller/chat_request.go
+++ b/io/caller/chat_request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/openai"
 )
--- a/io/caller/files.go
+++ b/io/caller/files.go
@@ -6,11 +6,12 @@
 	"io"
 	"path"
 	"strings"
+
+	"github.com/gofiber/fiber/v2"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 	"tarragonwalk/io/openai"
-
-	"github.com/gofiber/fiber/v2"
 )
 
 // The results of a batch are a file named after it.
--- a/io/caller/models.go
+++ b/io/caller/models.go
@@ -1,9 +1,9 @@
 package caller
 
 import (
-	"tarragonwalk/io/openai"
-
 	"github.com/gofiber/fiber/v2"
+
+	"tarragonwalk/io/openai"
 )
 
 func (s *Server) models(c *fiber.Ctx) error {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -10,6 +10,13 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
 	"tarragonwalk/core/access"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
@@ -18,12 +25,6 @@
 	"tarragonwalk/core/membership"
 	"tarragonwalk/io/httperror"
 	"tarragonwalk/io/settings"
-	"time"
-
-	"github.com/gofiber/fiber/v2"
-	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 )
 
 type dispatcher interface {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -12,16 +12,17 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/job"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/io/settings"
-	"testing"
-	"time"
-
-	"github.com/matryer/is"
 )
 
 type fake struct {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -6,12 +6,13 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/inference"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
 )
 
 // Only these headers reach a service; the caller's key must not.
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -5,12 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"tarragonwalk/core/inference"
-	"tarragonwalk/io/httperror"
-	"tarragonwalk/io/openai"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+
+	"tarragonwalk/core/inference"
+	"tarragonwalk/io/httperror"
+	"tarragonwalk/io/openai"
 )
 
 // Headers are held back this long for a refusal's status; afterwards a comment line per interval finds callers that
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -9,12 +9,13 @@
 	"net/netip"
 	"net/url"
 	"strconv"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/inference"
-	"tarragonwalk/io/transport"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/io/transport"
 )
 
 // maxAnswer bounds the body of a short answer.
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -6,14 +6,14 @@
 	"errors"
 	"net"
 	"net/netip"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/inference"
-	"tarragonwalk/io/openai"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/io/openai"
 	standin "tarragonwalk/io/standin/engine"
 )
 
--- a/io/engine/message.go
+++ b/io/engine/message.go
@@ -5,11 +5,12 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/valyala/fasthttp"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/io/openai"
-
-	"github.com/valyala/fasthttp"
 )
 
 // chunk is the part of openai.ChatChunk that is read for every token. The generated decoder parses each level twice
--- a/io/httperror/answer.go
+++ b/io/httperror/answer.go
@@ -7,9 +7,10 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/openai"
-	"time"
 )
 
 // Answer is the HTTP answer for a failure.
--- a/io/httperror/answer_test.go
+++ b/io/httperror/answer_test.go
@@ -4,11 +4,12 @@
 	"encoding/json"
 	"errors"
 	"os"
-	"tarragonwalk/core/fault"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
 )
 
 // Guards against a fault code without a status, and against a false "not run" header.
--- a/io/httperror/status.go
+++ b/io/httperror/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+
 	"tarragonwalk/core/fault"
 )
 
--- a/io/instancelist/client.go
+++ b/io/instancelist/client.go
@@ -6,12 +6,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/membership"
-	"tarragonwalk/io/transport"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/transport"
 )
 
 const (
--- a/io/instancelist/client_test.go
+++ b/io/instancelist/client_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"net/netip"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/membership"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/membership"
 	standin "tarragonwalk/io/standin/instancelist"
 )
 
--- a/io/jobstore/file.go
+++ b/io/jobstore/file.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"os"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 )
--- a/io/jobstore/follow.go
+++ b/io/jobstore/follow.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/job"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
 )
 
 const (
--- a/io/jobstore/job.go
+++ b/io/jobstore/job.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"io"
 	"strings"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/job"
 
 	"github.com/sourcegraph/conc/pool"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
 )
 
 // readers bounds the parallel reads of one call.
@@ -125,7 +126,7 @@
 	for {
 		var o job.OpenJob
 		version, err := s.get(ctx, job.OpenKey(j.ID), &o)
-		if fault.CodeOf(err) == fault.CodeNotFound || (err == nil && o.Cancelled) { //nolint:misspell // the schema names the field
+		if fault.CodeOf(err) == fault.CodeNotFound || (err == nil && o.Cancelled) {
 			return nil
 		}
 		if err != nil {
--- a/io/jobstore/store.go
+++ b/io/jobstore/store.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
+
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/objectstore"
-	"time"
 )
 
 // objects is the part of the object store's client that Store uses.
--- a/io/jobstore/store_test.go
+++ b/io/jobstore/store_test.go
@@ -5,15 +5,16 @@
 	"context"
 	"strings"
 	"sync"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/core/job"
-	"tarragonwalk/internal/fakestore"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+	"tarragonwalk/internal/fakestore"
 )
 
 const input = `{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m"}}
@@ -83,7 +84,7 @@
 			var o job.OpenJob
 			_, err = s.get(t.Context(), job.OpenKey(st.Job.ID), &o)
 			is.NoErr(err)
-			is.True(o.Cancelled) //nolint:misspell // the schema names the field
+			is.True(o.Cancelled)
 			again, err := s.Cancel(t.Context(), "w/x", st.Job.ID)
 			is.NoErr(err)
 			is.Equal(again.Job.EndedAt, first.Job.EndedAt)
--- a/io/jobstore/submit.go
+++ b/io/jobstore/submit.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
-	"time"
 )
 
 // openGrace is how long Submit may take between the index and the record before it writes the index again. It is half
@@ -135,7 +136,7 @@
 		Chunks:     j.Chunks,
 		Attempts:   j.Attempts,
 		Deadline:   j.Deadline,
-		Cancelled:  j.State == job.JobStateCancelled, //nolint:misspell // the schema names the field
+		Cancelled:  j.State == job.JobStateCancelled,
 	})
 
 	return value
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -12,15 +12,16 @@
 	"net"
 	"net/http"
 	"strings"
-	"tarragonwalk/core/access"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/httperror"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/rotisserie/eris"
+
+	"tarragonwalk/core/access"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/httperror"
 )
 
 type holder interface {
--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -9,12 +9,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"tarragonwalk/core/configuration"
-	"tarragonwalk/core/fault"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
 )
 
 type fake struct{ current *configuration.Configuration }
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -5,11 +5,12 @@
 	"net/netip"
 	"net/textproto"
 	"strings"
-	"tarragonwalk/core/fault"
-	"tarragonwalk/io/transport"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/transport"
 )
 
 // maxAnswer bounds the body of an answer, which is held in memory.
--- a/io/service/client_test.go
+++ b/io/service/client_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"net"
 	"net/netip"
-	"tarragonwalk/core/fault"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/fault"
 	standin "tarragonwalk/io/standin/service"
 )
 
--- a/io/standin/engine/answer.go
+++ b/io/standin/engine/answer.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"strings"
+
 	"tarragonwalk/io/openai"
 )
 
--- a/io/standin/engine/cache.go
+++ b/io/standin/engine/cache.go
@@ -3,8 +3,9 @@
 import (
 	"container/list"
 	"hash/fnv"
-	"tarragonwalk/io/openai"
 	"time"
+
+	"tarragonwalk/io/openai"
 )
 
 // blockBytes is the unit of the prefix cache.
--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -6,9 +6,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
+
 	"tarragonwalk/core/inference"
 	"tarragonwalk/io/standin/listener"
-	"time"
 )
 
 // Engine runs all streams in one batch, one token for each stream at a step; it is safe for concurrent use.
--- a/io/standin/engine/engine_test.go
+++ b/io/standin/engine/engine_test.go
@@ -8,11 +8,12 @@
 	"net/http"
 	"strings"
 	"sync"
-	"tarragonwalk/io/openai"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/io/openai"
 )
 
 func serve(t *testing.T, options ...func(*Engine)) (*Engine, string) {
--- a/io/standin/engine/handler.go
+++ b/io/standin/engine/handler.go
@@ -8,10 +8,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/io/openai"
-	"time"
 )
 
 // maxBody bounds a request body.
--- a/io/standin/instancelist/list.go
+++ b/io/standin/instancelist/list.go
@@ -7,9 +7,10 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
+
 	"tarragonwalk/core/membership"
 	"tarragonwalk/io/standin/listener"
-	"time"
 )
 
 // List serves a table of instances; it is safe for concurrent use.
--- a/io/standin/service/service.go
+++ b/io/standin/service/service.go
@@ -7,8 +7,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"tarragonwalk/io/standin/listener"
 	"time"
+
+	"tarragonwalk/io/standin/listener"
 )
 
 // maxBody bounds a request body.
--- a/io/transport/transport.go
+++ b/io/transport/transport.go
@@ -8,10 +8,11 @@
 	"net"
 	"net/netip"
 	"sync"
-	"tarragonwalk/core/fault"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tarragonwalk/core/fault"
 )
 
 const (
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -20,3 +20,4 @@
 generate objectstore io/objectstore
 generate peer io/peer
 generate settings io/settings
+generate instance core/instance
