--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,7 @@
 	settleTime   = 20 * time.Second
 	settlePoll   = 20 * time.Millisecond
 	anyPort      = "127.0.0.1:0"
+	closedPort   = "127.0.0.1:1" // nothing listens there
 )
 
 // Fleet is a set of stand-ins and the entry instances before them; its methods are for one goroutine.
@@ -105,7 +106,15 @@
 
 // StartInstance starts an entry instance and adds it to the instance list.
 func (f *Fleet) StartInstance(name, zone, region string) error {
-	sum := sha256.Sum256([]byte(BootstrapKey))
+	return f.startInstance(name, zone, region, f.store)
+}
+
+// StartInstanceWithoutStore starts an entry instance that never reaches the store.
+func (f *Fleet) StartInstanceWithoutStore(name, zone, region string) error {
+	return f.startInstance(name, zone, region, netip.MustParseAddrPort(closedPort))
+}
+
+func (f *Fleet) startInstance(name, zone, region string, store netip.AddrPort) error {
 	s := &settings.Settings{
 		Instance: settings.InstanceSettings{
 			Name:   name,
@@ -118,7 +127,7 @@
 			Peer:     netip.MustParseAddrPort(anyPort),
 		},
 		Platform: settings.PlatformSettings{
-			Store:                f.store,
+			Store:                store,
 			InstanceList:         f.list,
 			StoreReadsPerSecond:  storeReads,
 			StoreWritesPerSecond: storeWrites,
@@ -127,7 +136,7 @@
 			Secret: peerSecret,
 		},
 		Operator: &settings.OperatorSettings{
-			BootstrapKeyHash: hex.EncodeToString(sum[:]),
+			BootstrapKeyHash: HashKey(BootstrapKey),
 		},
 		Limits: &settings.LimitSettings{
 			StopGraceMillis: stopGrace,
@@ -268,6 +277,13 @@
 	return apiclient.New("http://"+f.Instances[name].OperatorAddress().String(), key)
 }
 
+// HashKey returns the digest of a key as the configuration holds it.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+
+	return hex.EncodeToString(sum[:])
+}
+
 // Await polls until done is true and fails after 20 s.
 func Await(done func() bool) error {
 	giveUpAt := time.Now().Add(settleTime)
