Drop work of callers that have gone; make a repeated generation fit; spread addresses

Cause: found in the read-through of the callers' API. A caller that hung up while waiting for a whole answer kept its slot until the deadline; a stream continued after its instance was lost was sampled anew, so its rest need not fit; two runs of one request id shared a stream identity, so a cancel of one could end the other; all callers of a zone got the same first address.

--- a/io/caller/chat.go
+++ b/io/caller/chat.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/google/uuid"
 
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
@@ -27,6 +28,7 @@
 	events chan inference.Event
 	ended  chan struct{}
 	err    error // valid once ended is closed
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
@@ -47,12 +49,12 @@
 	id := requestID(c)
 	r := &inference.Request{
 		ID:          id,
-		Stream:      digest(workspace(c), id),
+		Stream:      streamID(workspace(c), id),
 		Workspace:   workspace(c),
 		Route:       q.Model,
 		Deployment:  route.Deployment,
 		Class:       inference.ClassOnline,
-		Body:        body,
+		Body:        withSeed(body, workspace(c), id),
 		PromptBytes: promptBytes(q),
 		MaxTokens:   maxTokens(q),
 		Prefix:      prefix(q),
@@ -63,10 +65,17 @@
 		return s.stream(c, g)
 	}
 	defer g.cancel()
+	cancelOnHangUp(g.ctx, c, g.cancel)
 
 	return s.whole(c, g)
 }
 
+// streamID is the same at its start for every run of a request, which gives the completion its id, and ends in a nonce:
+// a late cancel of one run must not end another run of the same request on the same backend server.
+func streamID(workspace, id string) string {
+	return digest(workspace, id) + "." + uuid.NewString()[:8]
+}
+
 func (s *Server) modelRoute(workspace, model string) (configuration.OnlineRoute, error) {
 	r, err := s.access.Route(workspace, model)
 	if err == nil && r.Kind != configuration.RouteKindModel {
@@ -103,6 +112,7 @@
 		after:  after,
 		events: make(chan inference.Event, eventBuffer),
 		ended:  make(chan struct{}),
+		ctx:    ctx,
 		cancel: cancel,
 	}
 	go func() {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -216,10 +216,6 @@
 	return c.SendString("ready\n")
 }
 
-func (s *Server) addresses(c *fiber.Ctx) error {
-	return c.JSON(s.members.Addresses(c.Get("X-Zone", s.zone), s.clock()))
-}
-
 func (s *Server) fail(c *fiber.Ctx, err error) error {
 	a := httperror.From(s.classify(err), s.clock())
 	if a.Status >= http.StatusInternalServerError {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -308,6 +308,52 @@
 	}
 }
 
+// Guards against work that goes on for a caller that has hung up while it waited for a whole answer.
+func TestHangUpWithoutStream(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	_, address := start(t, func(ctx context.Context, _ func(inference.Event) error) error {
+		<-ctx.Done()
+		close(ended)
+
+		return ctx.Err()
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(address, "http://"))
+	is.NoErr(err)
+	_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ka\r\n"+
+		"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(chatBody), chatBody)
+	is.NoErr(err)
+	select {
+	case <-ended:
+		t.Fatal("the run ended while the caller was waiting")
+	case <-time.After(2 * hangUpInterval):
+	}
+	is.NoErr(c.Close())
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the run goes on")
+	}
+}
+
+// Guards against callers of one availability zone that all take the same instance.
+func TestSpread(t *testing.T) {
+	is := is.New(t)
+	list := []membership.Address{
+		{Name: "a", Zone: "z1", Region: "r"},
+		{Name: "b", Zone: "z1", Region: "r"},
+		{Name: "c", Zone: "z1", Region: "r"},
+		{Name: "d", Zone: "z2", Region: "r"},
+	}
+	first := map[string]int{}
+	for range 300 {
+		spread := spreadAddresses(list)
+		first[spread[0].Name]++
+		is.Equal(spread[3].Name, "d") // the order of zones stays
+	}
+	is.Equal(len(first), 3)
+}
+
 // Guards against a decoder that panics or accepts a request without a model or messages.
 func FuzzDecodeChat(f *testing.F) {
 	f.Add([]byte(chatBody))
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -60,6 +60,10 @@
 	}
 	ctx, cancel := context.WithTimeout(s.base, r.Deadline.Sub(s.clock()))
 	defer cancel()
+	if route.Idempotent {
+		// A non-idempotent call goes on without its caller, so that its outcome is recorded for a resend.
+		cancelOnHangUp(ctx, c, cancel)
+	}
 	var status int
 	var answer []byte
 	if route.Idempotent {
