--- a/core/inference/inference_schema.go
+++ b/core/inference/inference_schema.go
@@ -79,9 +79,21 @@
 
 // Load is a backend server's own report, which may be seconds old.
 type Load struct {
+	// Adapter is the loaded adapter.
+	Adapter string `json:"Adapter,omitempty,omitzero"`
+
 	// At is when the load was sampled.
 	At time.Time `json:"At"`
 
+	// Loading is true while an order to load is under way; new streams are refused.
+	Loading bool `json:"Loading,omitempty,omitzero"`
+
+	// Model is the loaded model, empty if unknown.
+	Model string `json:"Model,omitempty,omitzero"`
+
+	// ModelVersion is the version of the loaded weights.
+	ModelVersion string `json:"ModelVersion,omitempty,omitzero"`
+
 	// Running is the number of streams in the batch.
 	Running int `json:"Running"`
 
@@ -109,6 +121,18 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["Adapter"]; !ok || v == nil {
+		plain.Adapter = ""
+	}
+	if v, ok := raw["Loading"]; !ok || v == nil {
+		plain.Loading = false
+	}
+	if v, ok := raw["Model"]; !ok || v == nil {
+		plain.Model = ""
+	}
+	if v, ok := raw["ModelVersion"]; !ok || v == nil {
+		plain.ModelVersion = ""
+	}
 	if 0 > plain.Running {
 		return fmt.Errorf("field %s: must be >= %v", "Running", 0)
 	}
--- a/core/instance/failure_test.go
+++ b/core/instance/failure_test.go
@@ -30,7 +30,7 @@
 )
 
 // startFleet starts two entry instances before engines e-1 to e-n and one service.
-func startFleet(t *testing.T, engines int) *fleet.Fleet {
+func startFleet(t *testing.T, engines int, options ...func(*engine.Engine)) *fleet.Fleet {
 	t.Helper()
 	f, err := fleet.New(slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -38,7 +38,8 @@
 	}
 	t.Cleanup(f.Close)
 	c := newConfiguration(engines)
-	if err := f.StartBackends(c, engine.Steps(2*time.Millisecond, 0, 16)); err != nil {
+	options = append(options, engine.Steps(2*time.Millisecond, 0, 16))
+	if err := f.StartBackends(c, options...); err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range []string{"entry-1", "entry-2"} {
@@ -86,7 +87,9 @@
 		Attempts:     3,
 	}
 	for n := range engines {
-		c.BackendServers[fmt.Sprintf("e-%d", n+1)] = newBackend(configuration.BackendKindEngine, "drafting")
+		b := newBackend(configuration.BackendKindEngine, "drafting")
+		b.ChecksFencing = n > 0
+		c.BackendServers[fmt.Sprintf("e-%d", n+1)] = b
 	}
 
 	return c
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -19,9 +19,11 @@
 	"tarragonwalk/core/exchange"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
+	"tarragonwalk/core/lease"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/core/notice"
 	"tarragonwalk/core/once"
+	"tarragonwalk/core/rollout"
 	"tarragonwalk/io/caller"
 	"tarragonwalk/io/configstore"
 	"tarragonwalk/io/engine"
@@ -66,6 +68,7 @@
 	exchanger  *exchange.Exchanger
 	node       *peer.Node
 	notifier   *notice.Notifier
+	rollouts   *rollout.Manager
 	caller     *caller.Server
 	operator   *operator.Server
 
@@ -115,6 +118,7 @@
 	i.tasks.Go(func() { i.jobs.FollowOpen(ctx, i.observeOpen) })
 	i.tasks.Go(func() { i.exchanger.Run(ctx) })
 	i.tasks.Go(func() { i.notifier.Run(ctx) })
+	i.batchTask.Go(func() { i.rollouts.Run(batchContext) })
 	i.batchTask.Go(func() { i.runner.Run(batchContext) })
 	i.log.Info("instance started", "caller", i.endpoints.caller.String(), "operator", i.endpoints.operator.String(),
 		"peer", i.endpoints.peer.String(), "incarnation", i.incarnation)
@@ -188,6 +192,8 @@
 	i.node = peer.New(name, []byte(s.Peers.Secret), i.clock, i.exchanger)
 	i.exchanger.Attach(i.node)
 	i.notifier = notice.New(i.node, i.table, i.clock, i.log)
+	held := lease.New(i.objects, rollout.LeaseKey(s.Instance.Zone), name, i.incarnation, i.clock)
+	i.rollouts = rollout.New(i.engines, i.holder, i.table, held, i.self(), i.clock, i.log)
 	jobs := &announcedJobs{
 		Store:     i.jobs,
 		exchanger: i.exchanger,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,8 +14,10 @@
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/instance"
+	"tarragonwalk/core/lease"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/io/apiclient"
+	storeclient "tarragonwalk/io/objectstore"
 	"tarragonwalk/io/settings"
 	"tarragonwalk/io/standin/engine"
 	"tarragonwalk/io/standin/instancelist"
@@ -252,6 +254,19 @@
 	return err
 }
 
+// LeaseHolder returns the holder of a lease as the store has it, or empty.
+func (f *Fleet) LeaseHolder(key string) string {
+	c := storeclient.New(f.store, storeReads, storeWrites)
+	defer c.Close()
+	value, _, err := c.Get(context.Background(), key)
+	record := lease.Record{}
+	if err != nil || json.Unmarshal(value, &record) != nil {
+		return ""
+	}
+
+	return record.Holder
+}
+
 // Close stops everything at once.
 func (f *Fleet) Close() {
 	for name := range f.Instances {
--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -37,6 +37,10 @@
 	token    int
 	applied  map[string]inference.Order
 	orders   []inference.Order
+	weights  weights
+	loading  bool
+	loads    int
+	loadTime time.Duration
 
 	server   *http.Server
 	listener *listener.Listener
--- a/io/standin/engine/handler.go
+++ b/io/standin/engine/handler.go
@@ -37,7 +37,7 @@
 		return
 	}
 	failed, leaving := e.rejects()
-	if leaving {
+	if leaving || e.refusesNew() {
 		w.Header().Set("X-Leaving", "1")
 		writeError(w, http.StatusServiceUnavailable, fault.CodeBackendLeaving, "leaving")
 
@@ -224,10 +224,17 @@
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s := e.load()
+	e.lock.Lock()
+	have, loading := e.weights, e.loading
+	e.lock.Unlock()
 	writeJSON(w, inference.Load{
-		At:      s.at,
-		Running: s.running,
-		Waiting: s.waiting,
+		At:           s.at,
+		Running:      s.running,
+		Waiting:      s.waiting,
+		Model:        have.model,
+		Adapter:      have.adapter,
+		ModelVersion: have.version,
+		Loading:      loading,
 	})
 }
 
@@ -273,6 +280,7 @@
 	e.token = max(e.token, token)
 	e.applied[o.ID] = o
 	e.orders = append(e.orders, o)
+	e.apply(o)
 }
 
 func readJSON(w http.ResponseWriter, q *http.Request, v any) bool {
--- a/io/standin/engine/options.go
+++ b/io/standin/engine/options.go
@@ -43,3 +43,16 @@
 func Seed(n uint64) func(*Engine) {
 	return func(e *Engine) { e.random.Seed(n, n) }
 }
+
+// Loaded sets the weights that the engine reports, and how long an order to load others takes. Without it the engine
+// reports no weights.
+func Loaded(model, adapter, version string, loadTime time.Duration) func(*Engine) {
+	return func(e *Engine) {
+		e.weights = weights{
+			model:   model,
+			adapter: adapter,
+			version: version,
+		}
+		e.loadTime = loadTime
+	}
+}
