Serve callers and operators by TLS with certificates that are read again when they change

Cause: access in the clear was the only way. Found on the way: peeking at a connection's bytes misses a caller that closes TLS, so the hang-up check asks for the connection's state. Checked: TestReload with a renewed and a broken pair; the hang-up tests over plain connections. TLS through a whole instance was not run.

--- a/cmd/tarragonwalk/addresses.go
+++ b/cmd/tarragonwalk/addresses.go
@@ -15,7 +15,11 @@
 
 // Execute prints the entry instances in order of preference.
 func (c *addressCommand) Execute([]string) error {
-	answer, err := apiclient.New(c.URL, c.Key).Get("/v1/addresses")
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Get("/v1/addresses")
 	if err != nil {
 		return err
 	}
@@ -41,7 +45,11 @@
 
 // Execute prints the instance's status as JSON.
 func (c *statusCommand) Execute([]string) error {
-	answer, err := apiclient.New(c.URL, c.Key).Get("/admin/v1/status")
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Get("/admin/v1/status")
 	if err != nil {
 		return err
 	}
--- a/cmd/tarragonwalk/batch.go
+++ b/cmd/tarragonwalk/batch.go
@@ -46,7 +46,10 @@
 	if err != nil {
 		return err
 	}
-	client := apiclient.New(c.URL, c.Key)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
 	file, err := client.Upload(filepath.Base(c.Arguments.File), content)
 	if err != nil {
 		return err
@@ -83,7 +86,10 @@
 
 // Execute prints one job or the workspace's jobs.
 func (c *batchStatusCommand) Execute([]string) error {
-	client := apiclient.New(c.URL, c.Key)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
 	if c.Arguments.Job != "" {
 		answer, err := client.Get(apiclient.Path(batchesPath, c.Arguments.Job))
 
@@ -113,7 +119,10 @@
 
 // Execute polls the job until it ends and shows a progress bar on a terminal.
 func (c *batchWaitCommand) Execute([]string) error {
-	client := apiclient.New(c.URL, c.Key)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
 	giveUpAt := time.Now().Add(c.Timeout)
 	var bar *progressbar.ProgressBar
 	for {
@@ -149,7 +158,10 @@
 
 // Execute writes the results of a job that has ended.
 func (c *batchResultsCommand) Execute([]string) error {
-	client := apiclient.New(c.URL, c.Key)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
 	answer, err := client.Get(apiclient.Path(batchesPath, c.Arguments.Job))
 	if err != nil {
 		return err
@@ -177,7 +189,11 @@
 // Execute cancels a job; a job that has ended keeps its state.
 func (c *batchCancelCommand) Execute([]string) error {
 	path := apiclient.Path(batchesPath, c.Arguments.Job) + "/cancel"
-	answer, err := apiclient.New(c.URL, c.Key).Post(path, nil, nil)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Post(path, nil, nil)
 
 	return c.showBatch(answer, err)
 }
--- a/cmd/tarragonwalk/config.go
+++ b/cmd/tarragonwalk/config.go
@@ -25,7 +25,11 @@
 
 // Execute prints a summary, or the whole document with --json.
 func (c *configGetCommand) Execute([]string) error {
-	answer, err := apiclient.New(c.URL, c.Key).Get("/admin/v1/configuration")
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Get("/admin/v1/configuration")
 	if err != nil {
 		return err
 	}
@@ -84,7 +88,11 @@
 	if err != nil {
 		return err
 	}
-	answer, err := apiclient.New(c.URL, c.Key).Post("/admin/v1/configuration/patches", body, nil)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Post("/admin/v1/configuration/patches", body, nil)
 	if err != nil {
 		return err
 	}
@@ -111,7 +119,11 @@
 	if err != nil {
 		return err
 	}
-	answer, err := apiclient.New(c.URL, c.Key).Post("/admin/v1/configuration/validate", body, nil)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Post("/admin/v1/configuration/validate", body, nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/tarragonwalk/output.go
+++ b/cmd/tarragonwalk/output.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -8,15 +9,36 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/io/apiclient"
 )
 
 // target says which entry instance to call, with which key.
 type target struct {
 	URL  string `long:"url" env:"TARRAGONWALK_URL" default:"http://127.0.0.1:8080" description:"Base URL of the instance's API"`
 	Key  string `long:"key" env:"TARRAGONWALK_KEY" description:"Bearer key"`
+	CA   string `long:"ca" env:"TARRAGONWALK_CA" description:"PEM file with the roots to trust in place of the system's"`
 	JSON bool   `long:"json" description:"Print JSON for scripts"`
 }
 
+// client returns a client of the instance.
+func (t *target) client() (*apiclient.Client, error) {
+	c := apiclient.New(t.URL, t.Key)
+	if t.CA == "" {
+		return c, nil
+	}
+	text, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeInvalid, "cannot read "+t.CA)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, fault.New(fault.CodeInvalid, t.CA+" holds no PEM certificate")
+	}
+	c.Trust(roots)
+
+	return c, nil
+}
+
 func printJSON(v any) error {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -25,6 +25,7 @@
 	"tarragonwalk/core/once"
 	"tarragonwalk/core/rollout"
 	"tarragonwalk/io/caller"
+	"tarragonwalk/io/certificate"
 	"tarragonwalk/io/configstore"
 	"tarragonwalk/io/engine"
 	"tarragonwalk/io/instancelist"
@@ -47,6 +48,13 @@
 	serviceTime = 60 * time.Second
 )
 
+// Positions in the list of listeners.
+const (
+	callerIndex = iota
+	operatorIndex
+	peerIndex
+)
+
 // Instance is one entry instance with all of its parts.
 type Instance struct {
 	settings    *settings.Settings
@@ -103,7 +111,11 @@
 	if err := i.listen(); err != nil {
 		return err
 	}
-	if err := i.build(); err != nil {
+	err := i.build()
+	if err == nil {
+		err = i.secure()
+	}
+	if err != nil {
 		i.closeListeners()
 
 		return err
@@ -211,6 +223,22 @@
 	return nil
 }
 
+// secure serves callers and operators by TLS if the settings name a certificate.
+func (i *Instance) secure() error {
+	l := i.settings.Listen
+	if l.CertificateFile == "" {
+		return nil
+	}
+	r, err := certificate.New(l.CertificateFile, l.KeyFile, i.clock, i.log)
+	if err != nil {
+		return err
+	}
+	i.listeners[callerIndex] = r.Listen(i.listeners[callerIndex])
+	i.listeners[operatorIndex] = r.Listen(i.listeners[operatorIndex])
+
+	return nil
+}
+
 func (i *Instance) self() membership.Instance {
 	return membership.Instance{
 		Name:          i.settings.Instance.Name,
@@ -224,7 +252,6 @@
 }
 
 func (i *Instance) serve() {
-	const callerIndex, operatorIndex, peerIndex = 0, 1, 2
 	i.tasks.Go(func() { i.logServe("caller", i.caller.Serve(i.listeners[callerIndex])) })
 	i.tasks.Go(func() { i.logServe("operator", i.operator.Serve(i.listeners[operatorIndex])) })
 	i.tasks.Go(func() { i.logServe("peer", i.node.Serve(i.listeners[peerIndex])) })
--- a/io/apiclient/client.go
+++ b/io/apiclient/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"mime/multipart"
 	"net/url"
@@ -28,7 +30,7 @@
 	streams *fasthttp.Client
 }
 
-// New returns a client for a base URL such as http://127.0.0.1:8080.
+// New returns a client for a base URL such as https://127.0.0.1:8080.
 func New(base, key string) *Client {
 	return &Client{
 		base: base,
@@ -48,6 +50,16 @@
 	}
 }
 
+// Trust accepts servers whose certificate is signed by roots, in place of the system's roots; it is called before use.
+func (c *Client) Trust(roots *x509.CertPool) {
+	for _, h := range []*fasthttp.Client{c.http, c.streams} {
+		h.TLSConfig = &tls.Config{
+			MinVersion: tls.VersionTLS12,
+			RootCAs:    roots,
+		}
+	}
+}
+
 // Get returns the body of a path, or the API's error as a fault.
 func (c *Client) Get(path string) ([]byte, error) {
 	return c.send(fasthttp.MethodGet, path, "", nil, nil)
--- a/io/caller/hangup.go
+++ b/io/caller/hangup.go
@@ -2,26 +2,26 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"golang.org/x/sys/unix"
 )
 
-// hangUpInterval bounds how long work goes on for a caller that has gone.
-const hangUpInterval = time.Second
+const (
+	// hangUpInterval bounds how long work goes on for a caller that has gone.
+	hangUpInterval = time.Second
+	// tcpEstablished is the state of a connection that neither side has closed.
+	tcpEstablished = 1
+)
 
 // cancelOnHangUp calls cancel once the caller has closed its connection, until ctx ends. fasthttp reports a caller that
 // has gone only when a write fails, and an answer that is not streamed writes nothing until it is complete.
 func cancelOnHangUp(ctx context.Context, c *fiber.Ctx, cancel context.CancelFunc) {
-	wrapped, ok := c.Context().Conn().(*conn)
-	if !ok {
-		return
-	}
-	raw, ok := wrapped.Conn.(syscall.Conn)
-	if !ok {
+	socket := socketOf(c.Context().Conn())
+	if socket == nil {
 		return
 	}
 	go func() {
@@ -33,7 +33,7 @@
 				return
 			case <-t.C:
 			}
-			if hungUp(raw) {
+			if hungUp(socket) {
 				cancel()
 
 				return
@@ -42,7 +42,21 @@
 	}()
 }
 
-// hungUp looks at the connection without taking bytes of a pipelined request from it.
+// socketOf unwraps a connection, through TLS as well, or returns nil.
+func socketOf(c net.Conn) syscall.Conn {
+	if wrapped, ok := c.(*conn); ok {
+		c = wrapped.Conn
+	}
+	if secure, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = secure.NetConn()
+	}
+	socket, _ := c.(syscall.Conn)
+
+	return socket
+}
+
+// hungUp asks for the state of the connection. Looking at its bytes would not do: a caller that closes TLS sends an
+// alert first, which would look like the next request.
 func hungUp(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -50,11 +64,9 @@
 	}
 	gone := false
 	err = raw.Control(func(fd uintptr) {
-		one := [1]byte{}
-		n, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting := errors.Is(e, syscall.EAGAIN) || errors.Is(e, syscall.EINTR)
-		gone = !waiting && (e != nil || n == 0)
+		info, e := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		gone = e == nil && info.State != tcpEstablished
 	})
 
-	return gone || errors.Is(err, net.ErrClosed)
+	return gone || err != nil
 }
--- a/io/settings/settings_schema.go
+++ b/io/settings/settings_schema.go
@@ -156,6 +156,13 @@
 	// Caller serves callers.
 	Caller netip.AddrPort `json:"Caller"`
 
+	// CertificateFile is a PEM certificate chain for callers and operators; empty
+	// serves plain HTTP.
+	CertificateFile string `json:"CertificateFile,omitempty,omitzero"`
+
+	// KeyFile is the PEM key of the certificate.
+	KeyFile string `json:"KeyFile,omitempty,omitzero"`
+
 	// Operator serves operators and metrics.
 	Operator netip.AddrPort `json:"Operator"`
 
@@ -183,6 +190,12 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["CertificateFile"]; !ok || v == nil {
+		plain.CertificateFile = ""
+	}
+	if v, ok := raw["KeyFile"]; !ok || v == nil {
+		plain.KeyFile = ""
+	}
 	*j = ListenSettings(plain)
 	return nil
 }
