Add batch and latency ratios to the objectives

Routes had limits for the first token and between tokens but no ratio of requests that must meet them, and batch work had no objective, so no error budget could be computed for either.

LatencyRatio is one value for both latency objectives: two would let a route state budgets that nobody asked for. Its default 0.95 is the p95 of the design's targets. BatchRatio belongs to the deployment, since a job names no route. Zero is refused as it is for SuccessRatio, because an encoded zero is left out.

Checked: defaults and refusals by TestObjectives; build, vet, tests and lint. core/dispatch TestOverloadIsNotRun fails in some runs; it does so on the parent commit too, and this change does not touch that package.

--- a/core/configuration/configuration_schema.go
+++ b/core/configuration/configuration_schema.go
@@ -279,6 +279,10 @@
 	// Adapter is the name of the adapter, empty for none.
 	Adapter string `json:"Adapter,omitempty,omitzero"`
 
+	// BatchRatio is the objective for batch items whose result is published before
+	// the job's deadline, 0 to 1.
+	BatchRatio float64 `json:"BatchRatio,omitempty,omitzero"`
+
 	// Model is the name of the base model.
 	Model string `json:"Model"`
 
@@ -303,6 +307,15 @@
 	if v, ok := raw["Adapter"]; !ok || v == nil {
 		plain.Adapter = ""
 	}
+	if v, ok := raw["BatchRatio"]; !ok || v == nil {
+		plain.BatchRatio = 0.99
+	}
+	if 1 < plain.BatchRatio {
+		return fmt.Errorf("field %s: must be <= %v", "BatchRatio", 1)
+	}
+	if 0 > plain.BatchRatio {
+		return fmt.Errorf("field %s: must be >= %v", "BatchRatio", 0)
+	}
 	if utf8.RuneCountInString(string(plain.Model)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "Model", 1)
 	}
@@ -333,6 +346,10 @@
 	// Kind is model or service.
 	Kind RouteKind `json:"Kind"`
 
+	// LatencyRatio is the objective for requests that meet FirstTokenMillis, and for
+	// those that meet TokenMillis, 0 to 1.
+	LatencyRatio float64 `json:"LatencyRatio,omitempty,omitzero"`
+
 	// SuccessRatio is the objective for successful requests, 0 to 1.
 	SuccessRatio float64 `json:"SuccessRatio,omitempty,omitzero"`
 
@@ -378,6 +395,15 @@
 	if v, ok := raw["Idempotent"]; !ok || v == nil {
 		plain.Idempotent = false
 	}
+	if v, ok := raw["LatencyRatio"]; !ok || v == nil {
+		plain.LatencyRatio = 0.95
+	}
+	if 1 < plain.LatencyRatio {
+		return fmt.Errorf("field %s: must be <= %v", "LatencyRatio", 1)
+	}
+	if 0 > plain.LatencyRatio {
+		return fmt.Errorf("field %s: must be >= %v", "LatencyRatio", 0)
+	}
 	if v, ok := raw["SuccessRatio"]; !ok || v == nil {
 		plain.SuccessRatio = 0.99
 	}
--- a/core/configuration/patch_test.go
+++ b/core/configuration/patch_test.go
@@ -77,3 +77,23 @@
 	is.True(!h.Apply(&Configuration{Version: 1}))
 	is.Equal(h.Current().Version, 2)
 }
+
+// Guards against objectives without a default, and against a ratio that no budget can be computed from.
+func TestObjectives(t *testing.T) {
+	is := is.New(t)
+	base, err := ApplyPatch(nil, Patch{Patch: json.RawMessage(first)})
+	is.NoErr(err)
+	is.Equal(base.Deployments["d"].BatchRatio, 0.99)
+	is.Equal(base.OnlineRoutes["m"].SuccessRatio, 0.99)
+	is.Equal(base.OnlineRoutes["m"].LatencyRatio, 0.95)
+	_, err = ApplyPatch(base, Patch{
+		BaseVersion: 1,
+		Patch:       json.RawMessage(`{"Deployments":{"d":{"BatchRatio":0}},"OnlineRoutes":{"m":{"LatencyRatio":1.5},"s":{"LatencyRatio":0}}}`),
+	})
+	var e *fault.Error
+	is.True(errors.As(err, &e))
+	is.Equal(len(e.Fields), 3)
+	for _, f := range []string{"Deployments.d.BatchRatio", "OnlineRoutes.m.LatencyRatio", "OnlineRoutes.s.LatencyRatio"} {
+		is.True(e.Fields[f] != "") // a reason for each ratio
+	}
+}
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -40,6 +40,11 @@
 	r.add(value < 1, path, "must be at least 1")
 }
 
+func (r reasons) ratio(value float64, path string) {
+	// An encoded 0 is left out and would be read back as the default.
+	r.add(!(value > 0 && value <= 1), path, "must be above 0 and at most 1")
+}
+
 func check(c *Configuration, fields map[string]string) {
 	r := reasons(fields)
 	r.positive(c.Version, "Version")
@@ -52,6 +57,7 @@
 		path := "Deployments." + name
 		r.name(name, path)
 		r.name(d.Model, path+".Model")
+		r.ratio(d.BatchRatio, path+".BatchRatio")
 	}
 	for name, o := range c.Operators {
 		path := "Operators." + name
@@ -83,8 +89,8 @@
 	r.positive(o.DeadlineMillis, path+".DeadlineMillis")
 	r.positive(o.FirstTokenMillis, path+".FirstTokenMillis")
 	r.positive(o.TokenMillis, path+".TokenMillis")
-	// An encoded 0 is left out and would be read back as the default.
-	r.add(!(o.SuccessRatio > 0 && o.SuccessRatio <= 1), path+".SuccessRatio", "must be above 0 and at most 1")
+	r.ratio(o.SuccessRatio, path+".SuccessRatio")
+	r.ratio(o.LatencyRatio, path+".LatencyRatio")
 	_, ok := c.Deployments[o.Deployment]
 	r.add(!ok, path+".Deployment", "names no deployment")
 	want := BackendKindEngine
