Add the burn ledger and the merge of several instances

Operators need burn rates over 5 m, 30 m, 1 h, 6 h and 3 d with a state that does not grow with the load. Each objective has three rings: 120 buckets of 30 s, 36 of 10 min and 72 of 1 h, so a window's length varies by at most one bucket, a tenth for 5 m and less for the others. An online route takes 5,472 bytes, a deployment's batch work 1,824.

Weighed: one ring of 30 s buckets for all windows (8,640 cells per objective); an exponentially decayed rate (small, but it cannot tell missing data from good data, and two of them cannot be merged as counts).

Time is covered by beats at most 5 s apart. A pause, the time before the start, an instance that did not answer and one that does not know the route yet all lower the covered share and add no good count. A pair is judged only with a twelfth of its long window, as with less both windows hold the same data, and it is quiet only with more than half of both windows known.

Buckets are counted from the start on the monotonic clock and the merge aligns windows by their end, so clocks of instances are not compared.

--- /dev/null
+++ b/core/burn/ledger_test.go
@@ -0,0 +1,184 @@
+package burn
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"tarragonwalk/core/configuration"
+)
+
+var start = time.Date(2026, 11, 30, 8, 0, 0, 0, time.UTC)
+
+func configured() *configuration.Configuration {
+	return &configuration.Configuration{
+		Version:     3,
+		Deployments: configuration.ConfigurationDeployments{"d": {Model: "m", BatchRatio: 0.99}, "p": {Model: "p", BatchRatio: 0.99}},
+		OnlineRoutes: configuration.ConfigurationOnlineRoutes{
+			"m": {Kind: configuration.RouteKindModel, Deployment: "d", SuccessRatio: 0.99, LatencyRatio: 0.95},
+			"s": {Kind: configuration.RouteKindService, Deployment: "p", SuccessRatio: 0.999, LatencyRatio: 0.95},
+		},
+	}
+}
+
+// beats lets the ledger run from one time to another.
+func beats(l *Ledger, from, to time.Time) {
+	for at := from; at.Before(to); at = at.Add(BeatLimit) {
+		l.Beat(at)
+	}
+	l.Beat(to)
+}
+
+func find(s Snapshot, o Objective, name string) *Series {
+	for n := range s.Series {
+		if s.Series[n].Objective == o && s.Series[n].Name == name {
+			return &s.Series[n]
+		}
+	}
+
+	return nil
+}
+
+// Guards against state that grows with load or time, and against a stated size that is wrong.
+func TestLedgerSize(t *testing.T) {
+	is := is.New(t)
+	is.Equal(int(unsafe.Sizeof([cells]cell{}))*3, RouteBytes)
+	is.Equal(int(unsafe.Sizeof([cells]cell{})), DeploymentBytes)
+	l := New(start)
+	for _, o := range []Objective{ObjectiveSuccess, ObjectiveFirstToken, ObjectiveBetweenTokens} {
+		l.Count(o, "m", 1, 0, start)
+	}
+	at := start
+	is.Equal(testing.AllocsPerRun(10_000, func() {
+		at = at.Add(time.Minute)
+		l.Beat(at)
+		l.Count(ObjectiveSuccess, "m", 1, 1, at)
+	}), 0.0)
+	is.Equal(len(l.series), 3)
+	l.Count(ObjectiveBatch, "gone", 1, 0, at)
+	l.Count(ObjectiveSuccess, "gone", 1, 0, at)
+	l.Retain(configured())
+	is.Equal(len(l.series), 3)
+	is.Equal(add(math.MaxUint32-1, 5), uint32(math.MaxUint32))
+}
+
+// Guards against objectives that are missing from the answer, or listed where they have no meaning.
+func TestLedgerSeries(t *testing.T) {
+	is := is.New(t)
+	s := New(start).Snapshot("i", configured(), start)
+	targets := map[Objective]float64{}
+	for _, e := range s.Series {
+		if e.Name != "s" {
+			targets[e.Objective] = e.Target
+		}
+	}
+	is.Equal(targets, map[Objective]float64{ObjectiveSuccess: 0.99, ObjectiveFirstToken: 0.95, ObjectiveBetweenTokens: 0.95, ObjectiveBatch: 0.99})
+	is.Equal(len(s.Series), 5) // a service has no tokens and no batch items
+	b, err := json.Marshal(s)
+	is.NoErr(err)
+	var again Snapshot
+	is.NoErr(json.Unmarshal(b, &again))
+	is.Equal(again, s)
+}
+
+// Guards against counts that outlive their window, or leave it early by more than a bucket.
+func TestLedgerExpiry(t *testing.T) {
+	for n, w := range windows {
+		t.Run(w.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(start)
+			l.Count(ObjectiveSuccess, "m", 2, 1, start)
+			read := func(after time.Duration) Window {
+				return find(l.Snapshot("i", configured(), start.Add(after)), ObjectiveSuccess, "m").Windows[n]
+			}
+			kept := read(w.length - time.Nanosecond)
+			is.Equal(kept.Good, 2)
+			is.Equal(kept.Bad, 1)
+			gone := read(w.length)
+			is.Equal(gone.Good+gone.Bad, 0)
+			gone = read(400 * time.Hour) // all buckets are passed at once
+			is.Equal(gone.Good+gone.Bad, 0)
+		})
+	}
+}
+
+// Guards against covered time for a process that was paused or had not started.
+func TestLedgerCoverage(t *testing.T) {
+	is := is.New(t)
+	l := New(start)
+	beats(l, start, start.Add(20*time.Minute))
+	beats(l, start.Add(30*time.Minute), start.Add(40*time.Minute))
+	w := find(l.Snapshot("i", configured(), start.Add(40*time.Minute)), ObjectiveSuccess, "m").Windows
+	is.Equal(w[fiveMinutes].CoveredMillis, w[fiveMinutes].Millis)
+	// 30 m less the pause of 10 m, and the current bucket is empty at a whole half minute.
+	is.Equal(w[halfHour].Millis, 1_770_000)
+	is.Equal(w[halfHour].CoveredMillis, 1_170_000)
+	is.Equal(w[oneHour].CoveredMillis, 1_800_000)
+	is.Equal(w[sixHours].CoveredMillis, 1_800_000)
+	is.Equal(w[threeDays].CoveredMillis, 1_800_000)
+	is.Equal(w[threeDays].Millis, (71*60+40)*60_000)
+}
+
+type entry struct {
+	at        time.Duration
+	good, bad int
+	from      time.Duration
+}
+
+// Guards against a ring that differs from a recount of all events: lost, doubled or kept counts and covered time.
+func TestLedgerEqualsRecount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(start)
+		var events, covered []entry
+		var latest, beaten time.Duration
+		step := rapid.Custom(func(t *rapid.T) time.Duration {
+			longest := rapid.SampledFrom([]time.Duration{5 * time.Second, time.Minute, 20 * time.Minute, 2 * time.Hour, 80 * time.Hour}).Draw(t, "longest")
+
+			return time.Duration(rapid.Int64Range(-int64(time.Second), int64(longest)).Draw(t, "step"))
+		})
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			at := latest + step.Draw(t, "after")
+			latest = max(latest, at)
+			if rapid.Bool().Draw(t, "beat") {
+				l.Beat(start.Add(at))
+				if latest-beaten <= BeatLimit {
+					covered = append(covered, entry{from: beaten, at: latest})
+				}
+				beaten = latest
+			} else {
+				e := entry{at: latest, good: rapid.IntRange(0, 9).Draw(t, "good"), bad: rapid.IntRange(0, 9).Draw(t, "bad")}
+				events = append(events, e)
+				l.Count(ObjectiveBatch, "d", e.good, e.bad, start.Add(at))
+			}
+		}
+		if latest-beaten <= BeatLimit {
+			covered = append(covered, entry{from: beaten, at: latest})
+		}
+		got := find(l.Snapshot("i", configured(), start.Add(latest)), ObjectiveBatch, "d").Windows
+		for n, w := range windows {
+			width := levels[w.level].width
+			begin := latest.Truncate(width) - time.Duration(w.buckets()-1)*width
+			want := Window{Millis: int((latest - begin).Milliseconds())}
+			for _, e := range events {
+				if e.at >= begin {
+					want.Good += e.good
+					want.Bad += e.bad
+				}
+			}
+			var sum time.Duration
+			for _, e := range covered {
+				sum += max(0, e.at-max(e.from, begin))
+			}
+			want.CoveredMillis = int(sum.Milliseconds())
+			// The span is summed bucket by bucket in whole milliseconds, of which only the current one is broken.
+			if got[n] != want {
+				t.Fatalf("%s: %+v, want %+v", w.name, got[n], want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/burn/merge.go
@@ -0,0 +1,206 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// RateLimit is the highest burn rate reported; a target of 1 leaves no budget, and JSON has no infinity.
+	RateLimit = 1e6
+	// judgeable is the least covered share of the long window for an alert. In each pair the short window is a twelfth of
+	// the long one: with less, both would hold the same data.
+	judgeable = 1.0 / 12
+	// known is the share of both windows above which a pair without an alert is quiet and not incomplete.
+	known = 0.5
+)
+
+// pairs are ordered from the most urgent. At these factors the pairs spend 2 %, 5 % and 10 % of a 30-day budget within
+// their long window.
+var pairs = [...]struct {
+	long, short int
+	factor      float64
+}{
+	{
+		long:   oneHour,
+		short:  fiveMinutes,
+		factor: 14.4,
+	},
+	{
+		long:   sixHours,
+		short:  halfHour,
+		factor: 6,
+	},
+	{
+		long:   threeDays,
+		short:  sixHours,
+		factor: 1,
+	},
+}
+
+// Rate is the bad ratio over 1 less the target: 0 without a count, at most RateLimit.
+func Rate(good, bad int, target float64) float64 {
+	if bad <= 0 {
+		return 0
+	}
+	ratio := float64(bad) / (float64(good) + float64(bad))
+
+	return min(ratio/max(1-target, 1/RateLimit), RateLimit)
+}
+
+// Merge adds up the snapshots of the sources, nil for one that did not answer, whose time is missing. It ignores the
+// second answer of the same process. The windows of each instance end at its own reading of the clock, so that clocks of
+// two instances are never compared.
+func Merge(at time.Time, sources []Source, snapshots []*Snapshot) Report {
+	r := Report{
+		At:      at,
+		Sources: slices.Clone(sources),
+		Rows:    []Row{},
+	}
+	var answers []*Snapshot
+	missing := 0
+	for n, s := range snapshots {
+		o := &r.Sources[n]
+		switch {
+		case s == nil:
+			o.Answered = false
+			missing++
+		case !complete(s):
+			o.Answered = false
+			o.Error = "the instance reports other windows"
+			missing++
+		default:
+			o.Answered = true
+			o.Instance = s.Instance
+			o.StartedAt = &s.StartedAt
+			if slices.ContainsFunc(answers, func(a *Snapshot) bool {
+				return a.Instance == s.Instance && a.StartedAt.Equal(s.StartedAt)
+			}) {
+				o.Error = "the same instance as an earlier one, ignored"
+
+				continue
+			}
+			answers = append(answers, s)
+		}
+	}
+	// The latest configuration decides on targets and on what is listed.
+	slices.SortStableFunc(answers, func(a, b *Snapshot) int { return cmp.Compare(b.ConfigurationVersion, a.ConfigurationVersion) })
+	if len(answers) == 0 {
+		return r
+	}
+	r.ConfigurationVersion = answers[0].ConfigurationVersion
+	for _, s := range answers[0].Series {
+		row := judge(total(s, answers, missing))
+		for _, a := range row.Alerts {
+			if a.State == AlertStateFiring {
+				r.Firing++
+			}
+		}
+		r.Rows = append(r.Rows, row)
+	}
+
+	return r
+}
+
+func complete(s *Snapshot) bool {
+	for _, e := range s.Series {
+		if len(e.Windows) != len(windows) || len(e.Hours) != coarseBuckets {
+			return false
+		}
+	}
+
+	return true
+}
+
+// total adds up the series like s; an instance without it adds missing time.
+func total(s Series, answers []*Snapshot, missing int) Series {
+	t := Series{
+		Name:      s.Name,
+		Objective: s.Objective,
+		Target:    s.Target,
+		Windows:   make([]Window, len(windows)),
+		Hours:     make([]Window, coarseBuckets),
+	}
+	for _, a := range answers {
+		n := slices.IndexFunc(a.Series, func(e Series) bool { return e.Name == s.Name && e.Objective == s.Objective })
+		if n < 0 {
+			missing++
+
+			continue
+		}
+		plus(t.Windows, a.Series[n].Windows)
+		plus(t.Hours, a.Series[n].Hours)
+	}
+	for n, w := range windows {
+		t.Windows[n].Millis += missing * int(w.length.Milliseconds())
+	}
+	for n := range t.Hours {
+		t.Hours[n].Millis += missing * int(levels[coarse].width.Milliseconds())
+	}
+
+	return t
+}
+
+func plus(sum, more []Window) {
+	for n, w := range more {
+		sum[n].Millis += w.Millis
+		sum[n].CoveredMillis += w.CoveredMillis
+		sum[n].Good += w.Good
+		sum[n].Bad += w.Bad
+	}
+}
+
+func judge(s Series) Row {
+	r := Row{
+		Name:      s.Name,
+		Objective: s.Objective,
+		Target:    s.Target,
+	}
+	for n, w := range s.Windows {
+		r.Burns = append(r.Burns, newBurn(windows[n].name, w, s.Target))
+	}
+	for n, w := range s.Hours {
+		r.Hours = append(r.Hours, newBurn((time.Duration(n)*levels[coarse].width).String(), w, s.Target))
+	}
+	r.BudgetLeft = 1 - r.Burns[threeDays].Rate
+	for _, p := range pairs {
+		long, short := r.Burns[p.long], r.Burns[p.short]
+		r.Alerts = append(r.Alerts, Alert{
+			Long:   long.Name,
+			Short:  short.Name,
+			Factor: p.factor,
+			State:  state(long, short, p.factor),
+		})
+	}
+
+	return r
+}
+
+func newBurn(name string, w Window, target float64) Burn {
+	b := Burn{
+		Name:   name,
+		Window: w,
+		Rate:   Rate(w.Good, w.Bad, target),
+	}
+	if w.Millis > 0 {
+		b.Covered = min(float64(w.CoveredMillis)/float64(w.Millis), 1)
+	}
+
+	return b
+}
+
+func state(long, short Burn, factor float64) AlertState {
+	// 1-0.99 is slightly above 0.01 in floating point, which must not hide a rate that equals the factor.
+	factor *= 1 - 1e-9
+	switch {
+	case long.Covered < judgeable || short.Covered == 0:
+		return AlertStateIncomplete
+	case long.Rate >= factor && short.Rate >= factor:
+		return AlertStateFiring
+	case long.Covered > known && short.Covered > known:
+		return AlertStateQuiet
+	default:
+		return AlertStateIncomplete
+	}
+}
