Count outcomes in the burn ledger and serve it to operators

The ledger had no input. A recorder wraps the dispatcher for the callers' server, so that core/dispatch stays as it is; core/batch reports published chunks through a one-method interface. GET /admin/v1/burn returns the counts.

Refusals that lie with the caller do not count; overloads, lost streams and passed deadlines do. A caller that leaves does not count for success, but counts as a missed first token if it had waited for longer than the limit, as a hang would otherwise be invisible. A request meets the limit between tokens if enough of its own gaps do; weighed: the mean gap, which hides stalls, and the longest gap, which fails almost every long answer. The time in which a caller takes an event is not part of a gap.

Known limits: a call that the at-most-once guard refuses does not reach the dispatcher and is not counted; an error status of a plain service is an answer; a chunk that lost the race for its result may count twice.

--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -90,7 +90,12 @@
 		return false
 	}
 
-	return r.publish(ctx, w, n, attempt, results)
+	done := r.publish(ctx, w, n, attempt, results)
+	if done {
+		r.recorder.Published(w.open.Deployment, len(items), w.open.Deadline, r.now())
+	}
+
+	return done
 }
 
 // complete reports whether each item has a result; a stopped item has none.
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -34,6 +34,11 @@
 	Live(at time.Time) []membership.Instance
 }
 
+// recorder counts the items of published chunks.
+type recorder interface {
+	Published(deployment string, items int, deadline, at time.Time)
+}
+
 const (
 	// viewAge is how old the view of the open-job index may be when an item starts; with the 1 s of a peer exchange a
 	// cancellation takes effect within 4 s.
@@ -53,6 +58,7 @@
 	objects     objects
 	dispatcher  dispatcher
 	members     members
+	recorder    recorder
 	name        string
 	incarnation string
 	now         func() time.Time
@@ -83,12 +89,14 @@
 
 // New returns a runner with the name and incarnation of its instance.
 func New(
-	o objects, d dispatcher, m members, name, incarnation string, now func() time.Time, random *rand.Rand, log *slog.Logger,
+	o objects, d dispatcher, m members, c recorder, name, incarnation string, now func() time.Time, random *rand.Rand,
+	log *slog.Logger,
 ) *Runner {
 	return &Runner{
 		objects:     o,
 		dispatcher:  d,
 		members:     m,
+		recorder:    c,
 		name:        name,
 		incarnation: incarnation,
 		now:         now,
--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -115,6 +115,8 @@
 	took  time.Duration
 	mu    sync.Mutex
 	runs  map[string]int
+	// published counts the items that runners reported as published.
+	published int
 	// late counts items that started after their runner knew that the job was canceled.
 	late int
 }
@@ -139,6 +141,12 @@
 	return is
 }
 
+func (f *fleet) Published(_ string, items int, _, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.published += items
+}
+
 func (n *node) BatchSlots(string) int { return 2 }
 
 func (n *node) Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error {
@@ -184,7 +192,7 @@
 func (f *fleet) launch(name, incarnation string, seed uint64) *node {
 	l := &link{Store: f.store}
 	n := &node{link: l, fleet: f, ended: make(chan struct{}), jobs: jobstore.New(l, limits, time.Now)}
-	n.Runner = New(l, n, f, name, incarnation, time.Now, rand.New(rand.NewPCG(seed, 1)), slog.New(slog.DiscardHandler))
+	n.Runner = New(l, n, f, f, name, incarnation, time.Now, rand.New(rand.NewPCG(seed, 1)), slog.New(slog.DiscardHandler))
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
 	go n.jobs.FollowOpen(ctx, func(jobs []job.OpenJob, revision int64, at time.Time) {
@@ -292,6 +300,9 @@
 			b.stop()
 			<-a.ended
 			<-b.ended
+			// A chunk that lost the race for its result may count once more, but none may be left out.
+			is.True(f.published >= items)
+			is.True(f.published == items || c.name != "none")
 		})
 	}
 }
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -22,6 +22,7 @@
 	"tarragonwalk/core/membership"
 	"tarragonwalk/core/notice"
 	"tarragonwalk/core/once"
+	"tarragonwalk/core/recording"
 	"tarragonwalk/io/caller"
 	"tarragonwalk/io/configstore"
 	"tarragonwalk/io/engine"
@@ -61,6 +62,7 @@
 	engines    *engine.Client
 	services   *service.Client
 	dispatcher *dispatch.Dispatcher
+	recorder   *recording.Recorder
 	jobs       *jobstore.Store
 	runner     *batch.Runner
 	exchanger  *exchange.Exchanger
@@ -115,6 +117,7 @@
 	i.tasks.Go(func() { i.jobs.FollowOpen(ctx, i.observeOpen) })
 	i.tasks.Go(func() { i.exchanger.Run(ctx) })
 	i.tasks.Go(func() { i.notifier.Run(ctx) })
+	i.tasks.Go(func() { i.recorder.Follow(ctx) })
 	i.batchTask.Go(func() { i.runner.Run(batchContext) })
 	i.log.Info("instance started", "caller", i.endpoints.caller.String(), "operator", i.endpoints.operator.String(),
 		"peer", i.endpoints.peer.String(), "incarnation", i.incarnation)
@@ -183,7 +186,8 @@
 	i.dispatcher = dispatch.New(i.engines, currentHolder{holder: i.holder}, i.table, i.self(), i.notify, i.clock,
 		newRandom(), s.Limits.QueueRequests, s.Limits.QueueBytes, queueWait, eventTime)
 	i.jobs = jobstore.New(i.objects, i.batchLimits, i.clock)
-	i.runner = batch.New(i.objects, i.dispatcher, i.table, name, i.incarnation, i.clock, newRandom(), i.log)
+	i.recorder = recording.New(i.dispatcher, currentHolder{holder: i.holder}, name, i.clock)
+	i.runner = batch.New(i.objects, i.dispatcher, i.table, i.recorder, name, i.incarnation, i.clock, newRandom(), i.log)
 	i.exchanger = exchange.New(name, i.clock, i.table, i.holder, i.runner, i.dispatcher, i.log)
 	i.node = peer.New(name, []byte(s.Peers.Secret), i.clock, i.exchanger)
 	i.exchanger.Attach(i.node)
@@ -194,13 +198,14 @@
 		runner:    i.runner,
 	}
 	grace := time.Duration(s.Limits.StopGraceMillis) * time.Millisecond
-	i.caller = caller.New(i.dispatcher, jobs, i.holder, i.table, once.New(i.objects, i.clock), i.services, *s.Limits,
+	i.caller = caller.New(i.recorder, jobs, i.holder, i.table, once.New(i.objects, i.clock), i.services, *s.Limits,
 		s.Instance.Zone, grace, i.log, i.clock)
 	bootstrap, err := bootstrapKey(s.Operator.BootstrapKeyHash)
 	if err != nil {
 		return err
 	}
-	i.operator = operator.New(i.holder, i.configs, i.validate, func() any { return i.Status() }, bootstrap, i.log, i.clock)
+	i.operator = operator.New(i.holder, i.configs, i.validate, func() any { return i.Status() },
+		func() any { return i.recorder.Snapshot() }, bootstrap, i.log, i.clock)
 
 	return nil
 }
--- /dev/null
+++ b/core/recording/meter.go
@@ -0,0 +1,44 @@
+package recording
+
+import (
+	"time"
+
+	"tarragonwalk/core/inference"
+)
+
+// meter times the events of one request. The time in which the caller takes an event is left out of the gaps, so that a
+// slow caller does not count as a slow backend server. It reads the clock twice per event and allocates nothing.
+type meter struct {
+	on    func(inference.Event) error
+	now   func() time.Time
+	limit time.Duration
+	began time.Time
+
+	offset   int
+	tokens   int
+	first    time.Duration
+	returned time.Time
+	slow     int
+	finished bool
+}
+
+func (m *meter) event(e inference.Event) error {
+	if e.Offset > m.offset {
+		at := m.now()
+		if m.tokens == 0 {
+			m.first = at.Sub(m.began)
+		} else if at.Sub(m.returned) > m.limit {
+			m.slow++
+		}
+		m.tokens++
+		m.offset = e.Offset
+	}
+	m.finished = m.finished || e.Finish != ""
+	var err error
+	if m.on != nil {
+		err = m.on(e)
+	}
+	m.returned = m.now()
+
+	return err
+}
--- /dev/null
+++ b/core/recording/recorder.go
@@ -0,0 +1,191 @@
+package recording
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/burn"
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+)
+
+type dispatcher interface {
+	Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error
+	Call(ctx context.Context, r *inference.Request, idempotent bool, call func(context.Context, netip.AddrPort) error) error
+}
+
+// holder's Current is never nil.
+type holder interface {
+	Current() *configuration.Configuration
+}
+
+// beatInterval is well below burn.BeatLimit, so that a late timer does not appear as missing data.
+const beatInterval = time.Second
+
+// Recorder runs requests on a dispatcher and counts their outcomes; its methods may be called concurrently.
+type Recorder struct {
+	dispatcher dispatcher
+	holder     holder
+	instance   string
+	now        func() time.Time
+
+	mu      sync.Mutex
+	ledger  *burn.Ledger
+	version int
+}
+
+// New returns a recorder that counts from now on under the instance's name.
+func New(d dispatcher, h holder, instance string, now func() time.Time) *Recorder {
+	return &Recorder{
+		dispatcher: d,
+		holder:     h,
+		instance:   instance,
+		now:        now,
+		ledger:     burn.New(now()),
+	}
+}
+
+// Follow marks the time as covered until ctx ends, and drops the counts of routes that leave the configuration.
+func (r *Recorder) Follow(ctx context.Context) {
+	t := time.NewTicker(beatInterval)
+	defer t.Stop()
+	for {
+		r.beat()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Recorder) beat() {
+	c := r.holder.Current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Beat(r.now())
+	if c.Version != r.version {
+		r.ledger.Retain(c)
+		r.version = c.Version
+	}
+}
+
+// Snapshot returns the counts of the configured routes and deployments.
+func (r *Recorder) Snapshot() burn.Snapshot {
+	c := r.holder.Current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.ledger.Snapshot(r.instance, c, r.now())
+}
+
+// Run streams a request and counts its success, its time to the first token and its pace.
+func (r *Recorder) Run(ctx context.Context, q *inference.Request, on func(inference.Event) error) error {
+	route, ok := r.holder.Current().OnlineRoutes[q.Route]
+	if !ok || q.Class != inference.ClassOnline {
+		return r.dispatcher.Run(ctx, q, on)
+	}
+	m := &meter{
+		on:     on,
+		now:    r.now,
+		limit:  time.Duration(route.TokenMillis) * time.Millisecond,
+		began:  r.now(),
+		offset: q.Offset,
+	}
+	err := r.dispatcher.Run(ctx, q, m.event)
+	outcome := err
+	if err == nil && !m.finished {
+		// The caller's API reports such a stream as lost.
+		outcome = fault.New(fault.CodeStreamLost, "the stream ended without a finish reason")
+	}
+	at := r.now()
+	waited, counts := m.first, m.tokens > 0
+	if !counts {
+		// A request without a token has missed the objective once it has waited for longer, whoever ended it.
+		waited = at.Sub(m.began)
+		counts = waited > firstToken(route) && !refused(outcome)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.success(q.Route, outcome, at)
+	if counts {
+		r.count(burn.ObjectiveFirstToken, q.Route, waited <= firstToken(route), at)
+	}
+	if gaps := m.tokens - 1; gaps > 0 {
+		r.count(burn.ObjectiveBetweenTokens, q.Route, paced(m.slow, gaps, route.LatencyRatio), at)
+	}
+
+	return err
+}
+
+// Call sends a request to a plain service and counts its success; every status that the service answers is one.
+func (r *Recorder) Call(
+	ctx context.Context, q *inference.Request, idempotent bool, call func(context.Context, netip.AddrPort) error,
+) error {
+	err := r.dispatcher.Call(ctx, q, idempotent, call)
+	if _, ok := r.holder.Current().OnlineRoutes[q.Route]; ok {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.success(q.Route, err, r.now())
+	}
+
+	return err
+}
+
+// Published counts the items of a published chunk: good if they are readable before the job's deadline, even if the
+// result of an item is its own error.
+func (r *Recorder) Published(deployment string, items int, deadline, at time.Time) {
+	if _, ok := r.holder.Current().Deployments[deployment]; !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.Before(deadline) {
+		r.ledger.Count(burn.ObjectiveBatch, deployment, items, 0, at)
+	} else {
+		r.ledger.Count(burn.ObjectiveBatch, deployment, 0, items, at)
+	}
+}
+
+func (r *Recorder) success(route string, err error, at time.Time) {
+	// A caller that leaves has neither got an answer nor been failed.
+	left := fault.CodeOf(err) == fault.CodeCancelled && !errors.Is(err, context.DeadlineExceeded)
+	if !left && !refused(err) {
+		r.count(burn.ObjectiveSuccess, route, err == nil, at)
+	}
+}
+
+func (r *Recorder) count(o burn.Objective, route string, good bool, at time.Time) {
+	if good {
+		r.ledger.Count(o, route, 1, 0, at)
+	} else {
+		r.ledger.Count(o, route, 0, 1, at)
+	}
+}
+
+// refused reports whether the request was refused for a reason that lies with the caller. An overload does not.
+func refused(err error) bool {
+	switch fault.CodeOf(err) {
+	case fault.CodeInvalid, fault.CodeUnauthorized, fault.CodeForbidden, fault.CodeNotFound, fault.CodeTooLarge,
+		fault.CodeConflict:
+		return true
+	default:
+		return false
+	}
+}
+
+// paced reports whether enough gaps of one request kept the limit. The ratio is the same as among requests, as a p95
+// between tokens allows a twentieth of the gaps to be longer.
+func paced(slow, gaps int, ratio float64) bool {
+	const rounding = 1e-9
+
+	return float64(slow) <= (1-ratio)*float64(gaps)+rounding
+}
+
+func firstToken(o configuration.OnlineRoute) time.Duration {
+	return time.Duration(o.FirstTokenMillis) * time.Millisecond
+}
--- a/io/operator/doc.go
+++ b/io/operator/doc.go
@@ -1,2 +1,2 @@
-// Package operator serves the administration API: configuration, status and metrics.
+// Package operator serves the administration API: configuration, status, burn counts and metrics.
 package operator
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -47,6 +47,7 @@
 	store     store
 	validate  func(configuration.Patch) error
 	status    func() any
+	burn      func() any
 	access    *access.Checker
 	bootstrap [sha256.Size]byte
 	log       *slog.Logger
@@ -54,14 +55,15 @@
 }
 
 // New returns a server; bootstrap is the SHA-256 of the key that may create version 1, zero for none.
-func New(h holder, s store, validate func(configuration.Patch) error, status func() any, bootstrap [sha256.Size]byte,
-	log *slog.Logger, clock func() time.Time,
+func New(h holder, s store, validate func(configuration.Patch) error, status, burn func() any,
+	bootstrap [sha256.Size]byte, log *slog.Logger, clock func() time.Time,
 ) *Server {
 	v := &Server{
 		holder:    h,
 		store:     s,
 		validate:  validate,
 		status:    status,
+		burn:      burn,
 		access:    access.New(h),
 		bootstrap: bootstrap,
 		log:       log,
@@ -83,6 +85,7 @@
 	v.app.Post("/admin/v1/configuration/patches", v.patch)
 	v.app.Post("/admin/v1/configuration/validate", v.check)
 	v.app.Get("/admin/v1/status", func(c *fiber.Ctx) error { return c.JSON(v.status()) })
+	v.app.Get("/admin/v1/burn", func(c *fiber.Ctx) error { return c.JSON(v.burn()) })
 	v.app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 
 	return v
--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/burn"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 )
@@ -73,6 +74,8 @@
 		{name: "no configuration", method: "GET", path: get, key: "first", status: 404},
 		{name: "validate", method: "POST", path: get + "/validate", key: "read", body: `{"BaseVersion":1,"Patch":{}}`, version: 1, status: 400},
 		{name: "status", method: "GET", path: "/admin/v1/status", key: "read", version: 1, status: 200},
+		{name: "burn", method: "GET", path: "/admin/v1/burn", key: "read", version: 1, status: 200},
+		{name: "burn without a key", method: "GET", path: "/admin/v1/burn", version: 1, status: 401},
 		{name: "metrics", method: "GET", path: "/debug/vars", key: "read", version: 1, status: 200},
 		{name: "over-long", method: "POST", path: patches, key: "write", body: strings.Repeat(" ", bodyBytes+1), version: 1, status: 413},
 	}
@@ -84,7 +87,7 @@
 				f.current = configured(c.version)
 			}
 			reject := func(configuration.Patch) error { return fault.New(fault.CodeInvalid, "no") }
-			s := New(f, f, reject, func() any { return f.current }, hash("first"), slog.New(slog.DiscardHandler), time.Now)
+			s := New(f, f, reject, func() any { return f.current }, func() any { return burn.Snapshot{Instance: "i"} }, hash("first"), slog.New(slog.DiscardHandler), time.Now)
 			r := httptest.NewRequestWithContext(t.Context(), c.method, c.path, strings.NewReader(c.body))
 			if c.key != "" {
 				r.Header.Set("Authorization", "Bearer "+c.key)
