--- a/core/burn/ledger.go
+++ b/core/burn/ledger.go
@@ -107,8 +107,8 @@
 	l.Beat(at)
 	s := Snapshot{
 		Instance:             instance,
-		At:                   at,
-		StartedAt:            l.started,
+		At:                   at.UTC(),
+		StartedAt:            l.started.UTC(),
 		ConfigurationVersion: c.Version,
 		Series:               []Series{},
 	}
