--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -22,3 +22,4 @@
 generate settings io/settings
 generate instance core/instance
 generate lease core/lease
+generate burn core/burn
