--- a/io/objectstore/client.go
+++ b/io/objectstore/client.go
@@ -38,7 +38,7 @@
 )
 
 // calls counts calls by kind and result, for example "get ok" and "put lost".
-var calls = expvar.NewMap("objectstore_calls")
+var calls = expvar.NewMap("ObjectStoreCalls")
 
 // errDial marks a call that failed before a connection existed, so that nothing can have been sent.
 var errDial = errors.New("connection failed")
