Share the slots of a worker among the entry instances

Cause: found in a review of admission. Every instance filled all slots of a worker with its own online requests; only the feeder knew of the others', so requests queued inside the engine. Ruled out: fixed shares (waste slots), credits (a message before each request on an idle worker). The test with two instances did not show the fault, since one of the two is the feeder; it now uses four. Conclusion: the feeder's answers carry the others' counts; a burst from idle can exceed the slots for one round trip.

--- /dev/null
+++ b/core/dispatch/others.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tarragonwalk/io/peer"
+)
+
+// othersSender stands for all other instances in the table of peers' counts. One name for all feeders lets a new
+// feeder's account replace that of the earlier one.
+const othersSender = ""
+
+// OthersOnline returns, for the backend servers that the receiver asks about (nil for all that this instance feeds), the
+// online requests that all instances but the receiver have in flight. Only the feeder hears of all of them, so it tells
+// the others; without that each instance would fill the slots of a backend server on its own.
+func (d *Dispatcher) OthersOnline(receiver string, asked []peer.OnlineCount, at time.Time) []peer.OnlineCount {
+	d.mu.Lock()
+	defer d.unlock()
+	names := make([]string, 0, len(asked))
+	for _, a := range asked {
+		names = append(names, a.BackendServer)
+	}
+	if asked == nil {
+		names = d.fedAll(at)
+	}
+	counts := make([]peer.OnlineCount, 0, len(names))
+	for _, name := range names {
+		counts = append(counts, peer.OnlineCount{
+			BackendServer: name,
+			InFlight:      d.admission.OnlineExcept(receiver, name, at),
+		})
+	}
+
+	return counts
+}
+
+// ObserveOthers takes a feeder's account of the online requests that other instances have in flight.
+func (d *Dispatcher) ObserveOthers(counts []peer.OnlineCount, at time.Time) {
+	if len(counts) > 0 {
+		d.ObserveOnline(othersSender, counts, at)
+	}
+}
+
+// fedAll returns the backend servers that this instance feeds.
+func (d *Dispatcher) fedAll(at time.Time) []string {
+	names := []string{}
+	for name, feeder := range d.feeders(d.configuration.Current(), at) {
+		if feeder == d.self.Name {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+
+	return names
+}
+
+// askFeeders renews the accounts of the backend servers that queued requests wait for. An account only falls when the
+// feeder is asked again, and a request that waits causes no notice by itself.
+func (d *Dispatcher) askFeeders(at time.Time) {
+	c := d.configuration.Current()
+	feeders := d.feeders(c, at)
+	deployments := map[string]bool{}
+	for _, t := range d.waiting {
+		deployments[t.sequence.request.Deployment] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.BackendServers)) {
+		feeder := feeders[name]
+		if !deployments[c.BackendServers[name].Deployment] || feeder == "" || feeder == d.self.Name {
+			continue
+		}
+		d.outbox = append(d.outbox, notice{
+			feeder: feeder,
+			count: peer.OnlineCount{
+				BackendServer: name,
+				InFlight:      d.admission.Online(name),
+			},
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/others_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/inference"
+	"tarragonwalk/io/peer"
+)
+
+// Guards against instances that each fill the slots of a worker on their own, which queues requests inside the engine,
+// and against a request that goes on waiting after the other instance's requests have ended.
+func TestInstancesShareSlots(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEngine{tokens: 1, hang: map[uint16]bool{1: true}}
+	f := fleet(1, 3)
+	d := newDispatcher(e, f, 8)
+	account := func(n int) {
+		d.ObserveOthers([]peer.OnlineCount{
+			{
+				BackendServer: "w1",
+				InFlight:      n,
+			},
+		}, d.now())
+	}
+	account(2)
+	ctx, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() { _ = d.Run(ctx, request("a", inference.ClassOnline), nil) })
+	}
+	waitFor(t, "one started and one queued", func() bool {
+		online, _, queued := d.Snapshot()
+
+		return online["w1"] == 1 && queued == 1
+	})
+	account(0)
+	waitFor(t, "both started", func() bool {
+		online, _, queued := d.Snapshot()
+
+		return online["w1"] == 2 && queued == 0
+	})
+	stop()
+	group.Wait()
+	is.Equal(e.count(), 2)
+}
+
+// Guards against a feeder that counts an instance's own requests among those of the others.
+func TestOthersOnline(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(&fakeEngine{tokens: 1}, fleet(1, 8), 8)
+	report := func(sender string, n int) {
+		d.ObserveOnline(sender, []peer.OnlineCount{
+			{
+				BackendServer: "w1",
+				InFlight:      n,
+			},
+		}, d.now())
+	}
+	report("x", 2)
+	report("y", 3)
+	for receiver, want := range map[string]int{"x": 3, "y": 2, "z": 5} {
+		counts := d.OthersOnline(receiver, nil, d.now())
+		is.Equal(len(counts), 1)
+		is.Equal(counts[0].InFlight, want)
+	}
+}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -147,6 +147,7 @@
 	if at := d.now(); at.Sub(d.polled) >= pollInterval/2 {
 		d.polled = at
 		d.schedule(at)
+		d.askFeeders(at)
 	}
 }
 
--- a/core/exchange/exchanger.go
+++ b/core/exchange/exchanger.go
@@ -57,6 +57,8 @@
 type online interface {
 	ObserveOnline(sender string, counts []peer.OnlineCount, at time.Time)
 	OnlineCounts(receiver string, at time.Time) []peer.OnlineCount
+	ObserveOthers(counts []peer.OnlineCount, at time.Time)
+	OthersOnline(receiver string, asked []peer.OnlineCount, at time.Time) []peer.OnlineCount
 }
 
 // Exchanger sends and answers the regular message. Its lock guards its own tables and is never held while a dependency is called.
@@ -181,9 +183,12 @@
 	}, nil
 }
 
-// HandleOnline takes changed in-flight counts.
-func (e *Exchanger) HandleOnline(m *peer.OnlineNotice) {
-	e.online.ObserveOnline(m.Sender, m.Online, e.clock())
+// HandleOnline takes changed in-flight counts and returns those of the other instances on the same backend servers.
+func (e *Exchanger) HandleOnline(m *peer.OnlineNotice) []peer.OnlineCount {
+	now := e.clock()
+	e.online.ObserveOnline(m.Sender, m.Online, now)
+
+	return e.online.OthersOnline(m.Sender, m.Online, now)
 }
 
 func (e *Exchanger) round(ctx context.Context) {
@@ -266,6 +271,7 @@
 		e.runner.CancelJobs(m.CancelledJobs)
 	}
 	e.online.ObserveOnline(m.Sender, m.Online, now)
+	e.online.ObserveOthers(m.Others, now)
 }
 
 func (e *Exchanger) message(receiver string) *peer.Exchange {
@@ -275,6 +281,7 @@
 		version = c.Version
 	}
 	counts := e.online.OnlineCounts(receiver, now)
+	others := e.online.OthersOnline(receiver, nil, now)
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	m := &peer.Exchange{
@@ -285,6 +292,7 @@
 		LeavingBackendServers: prune(e.leaving, now),
 		CancelledJobs:         prune(e.cancelled, now),
 		Online:                counts,
+		Others:                others,
 	}
 	if e.openSeenAt.IsZero() {
 		m.JobsSeenAgoMillis = int(time.Hour.Milliseconds())
--- a/core/instance/failure_test.go
+++ b/core/instance/failure_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
@@ -337,3 +338,39 @@
 	is.NoErr(apiclient.Decode(answer, &list))
 	is.Equal(len(list.Data), 0)
 }
+
+// Guards against entry instances that each fill the slots of a backend server, so that requests queue inside the engine,
+// where short work waits behind long and nothing can be preempted.
+func TestInstancesShareSlots(t *testing.T) {
+	t.Parallel()
+	const callers, slots, instances = 12, 8, 4
+	is := is.New(t)
+	f := startFleet(t, 1)
+	// Two instances would not show it: one of them is the feeder, which hears of the other's requests anyway.
+	is.NoErr(f.StartInstance("entry-3", zone, region))
+	is.NoErr(f.StartInstance("entry-4", zone, region))
+	is.NoErr(f.AwaitInstances())
+	is.NoErr(f.AwaitVersion(1))
+	stopAt := time.Now().Add(3 * time.Second)
+	p := pool.New()
+	for n := range callers * instances {
+		c := f.Caller(fmt.Sprintf("entry-%d", n%instances+1), keyA)
+		p.Go(func() {
+			for k := 0; time.Now().Before(stopAt); k++ {
+				_, body := newRequest(fmt.Sprintf("Note %d of caller %d", k, n), 20)
+				_, _ = stream(c, body, fmt.Sprintf("r-%d-%d", n, k), nil)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	most := 0
+	for time.Now().Before(stopAt) {
+		running, waiting := f.Engines["e-1"].Running()
+		most = max(most, running+waiting)
+		time.Sleep(time.Millisecond)
+	}
+	p.Wait()
+	t.Logf("at most %d requests in the engine", most)
+	// Each instance may have started one request that the others have not heard of.
+	is.True(most <= slots+instances)
+}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -207,7 +207,7 @@
 	i.exchanger = exchange.New(name, i.clock, i.table, i.holder, i.runner, i.dispatcher, i.log)
 	i.node = peer.New(name, []byte(s.Peers.Secret), i.clock, i.exchanger)
 	i.exchanger.Attach(i.node)
-	i.notifier = notice.New(i.node, i.table, i.clock, i.log)
+	i.notifier = notice.New(i.node, i.table, i.dispatcher, i.clock, i.log)
 	held := lease.New(i.objects, rollout.LeaseKey(s.Instance.Zone), name, i.incarnation, i.clock)
 	i.rollouts = rollout.New(i.engines, i.holder, i.table, held, i.self(), i.clock, i.log)
 	jobs := &announcedJobs{
--- a/core/notice/notifier.go
+++ b/core/notice/notifier.go
@@ -20,7 +20,12 @@
 
 // sender is the transport to other entry instances.
 type sender interface {
-	Online(ctx context.Context, a netip.AddrPort, counts []peer.OnlineCount) error
+	Online(ctx context.Context, a netip.AddrPort, counts []peer.OnlineCount) (others []peer.OnlineCount, err error)
+}
+
+// online takes what the feeder knows of other instances.
+type online interface {
+	ObserveOthers(counts []peer.OnlineCount, at time.Time)
 }
 
 // members is the table of instances.
@@ -32,6 +37,7 @@
 type Notifier struct {
 	sender  sender
 	members members
+	online  online
 	clock   func() time.Time
 	log     *slog.Logger
 	wake    chan struct{}
@@ -41,10 +47,11 @@
 }
 
 // New returns a notifier.
-func New(s sender, m members, clock func() time.Time, log *slog.Logger) *Notifier {
+func New(s sender, m members, o online, clock func() time.Time, log *slog.Logger) *Notifier {
 	return &Notifier{
 		sender:  s,
 		members: m,
+		online:  o,
 		clock:   clock,
 		log:     log,
 		wake:    make(chan struct{}, 1),
@@ -109,7 +116,11 @@
 			InFlight:      count,
 		})
 	}
-	if err := n.sender.Online(call, a, list); err != nil {
+	others, err := n.sender.Online(call, a, list)
+	if err != nil {
 		n.log.Debug("online notice failed", "peer", feeder, "error", err)
+
+		return
 	}
+	n.online.ObserveOthers(others, n.clock())
 }
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -22,7 +22,7 @@
 type handler interface {
 	HandleExchange(m *Exchange) *Exchange
 	HandleConfiguration(m *ConfigurationRequest) (*ConfigurationReply, error)
-	HandleOnline(m *OnlineNotice)
+	HandleOnline(m *OnlineNotice) []OnlineCount
 }
 
 // Node is both ends of the messages between entry instances. The lock guards the connection table only and is never held during a call.
@@ -105,14 +105,17 @@
 	return reply, n.call(ctx, a, "Peer.Configuration", request, reply)
 }
 
-// Online tells the feeder of backend servers about changed in-flight counts.
-func (n *Node) Online(ctx context.Context, a netip.AddrPort, counts []OnlineCount) error {
+// Online tells the feeder of backend servers about changed in-flight counts and returns those of all other instances.
+func (n *Node) Online(ctx context.Context, a netip.AddrPort, counts []OnlineCount) (others []OnlineCount, err error) {
 	notice := &OnlineNotice{
 		Sender: n.name,
 		Online: counts,
 	}
 
-	return n.call(ctx, a, "Peer.Online", notice, &Ack{})
+	ack := &Ack{}
+	err = n.call(ctx, a, "Peer.Online", notice, ack)
+
+	return ack.Others, err
 }
 
 func (n *Node) serveConnection(server *rpc.Server, c net.Conn) {
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -33,8 +33,15 @@
 	return nil, fault.New(fault.CodeNotFound, "no configuration")
 }
 
-func (f *fakeHandler) HandleOnline(m *OnlineNotice) {
+func (f *fakeHandler) HandleOnline(m *OnlineNotice) []OnlineCount {
 	f.online.Add(int64(m.Online[0].InFlight))
+
+	return []OnlineCount{
+		{
+			BackendServer: m.Online[0].BackendServer,
+			InFlight:      9,
+		},
+	}
 }
 
 func startNode(t *testing.T, secret string, h handler) (*Node, netip.AddrPort) {
@@ -67,12 +74,14 @@
 	})
 	is.NoErr(err)
 	is.Equal(reply.ConfigurationVersion, 8)
-	is.NoErr(c.Online(ctx, a, []OnlineCount{
+	others, err := c.Online(ctx, a, []OnlineCount{
 		{
 			BackendServer: "w1",
 			InFlight:      3,
 		},
-	}))
+	})
+	is.NoErr(err)
+	is.Equal(others[0].InFlight, 9)
 	is.Equal(h.online.Load(), int64(3))
 	_, err = c.Configuration(ctx, a, 1)
 	is.True(err != nil)          // the handler's error reaches the caller
@@ -88,12 +97,13 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	is.True(c.Online(ctx, a, []OnlineCount{
+	_, err := c.Online(ctx, a, []OnlineCount{
 		{
 			BackendServer: "w1",
 			InFlight:      3,
 		},
-	}) != nil)
+	})
+	is.True(err != nil)
 	is.Equal(h.online.Load(), int64(0))
 }
 
--- a/io/peer/peer_schema.go
+++ b/io/peer/peer_schema.go
@@ -6,8 +6,12 @@
 import "fmt"
 import "unicode/utf8"
 
-// Ack is an empty answer.
+// Ack answers an online notice.
 type Ack struct {
+	// Others counts the online requests that all other instances have in flight on
+	// the notice's backend servers, as far as the feeder knows.
+	Others []OnlineCount `json:"Others,omitempty,omitzero"`
+
 	// Sender is the answering instance.
 	Sender string `json:"Sender"`
 }
@@ -116,6 +120,10 @@
 	// Online counts are for workers that the receiver feeds.
 	Online []OnlineCount `json:"Online,omitempty,omitzero"`
 
+	// Others counts, for each backend server that the sender feeds, the online
+	// requests of all instances but the receiver.
+	Others []OnlineCount `json:"Others,omitempty,omitzero"`
+
 	// Sender is the instance's name.
 	Sender string `json:"Sender"`
 }
--- a/io/peer/service.go
+++ b/io/peer/service.go
@@ -23,10 +23,10 @@
 	return nil
 }
 
-// Online takes changed in-flight counts.
+// Online takes changed in-flight counts and answers with those of the other instances.
 func (s *service) Online(m *OnlineNotice, reply *Ack) error {
-	s.node.handler.HandleOnline(m)
 	reply.Sender = s.node.name
+	reply.Others = s.node.handler.HandleOnline(m)
 
 	return nil
 }
