--- a/core/batch/visit.go
+++ b/core/batch/visit.go
@@ -86,8 +86,14 @@
 		prefix string
 		state  state
 	}{
-		{prefix: job.ClaimsPrefix(w.open.ID), state: stateTaken},
-		{prefix: job.ResultsPrefix(w.open.ID), state: stateDone},
+		{
+			prefix: job.ClaimsPrefix(w.open.ID),
+			state:  stateTaken,
+		},
+		{
+			prefix: job.ResultsPrefix(w.open.ID),
+			state:  stateDone,
+		},
 	} {
 		after := ""
 		for {
