--- a/cmd/tarragonwalk/config.go
+++ b/cmd/tarragonwalk/config.go
@@ -84,23 +84,9 @@
 
 // Execute sends the patch and prints the new number.
 func (c *configPatchCommand) Execute([]string) error {
-	body, err := c.body()
-	if err != nil {
-		return err
-	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	answer, err := client.Post("/admin/v1/configuration/patches", body, nil)
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		return printRaw(answer)
-	}
 	document := configuration.Configuration{}
-	if err := apiclient.Decode(answer, &document); err != nil {
+	printed, err := c.send(&c.target, "/admin/v1/configuration/patches", &document)
+	if err != nil || printed {
 		return err
 	}
 	fmt.Printf("configuration version %d accepted\n", document.Version)
@@ -115,24 +101,37 @@
 
 // Execute asks the instance to check the patch.
 func (c *configValidateCommand) Execute([]string) error {
-	body, err := c.body()
-	if err != nil {
+	printed, err := c.send(&c.target, "/admin/v1/configuration/validate", nil)
+	if err != nil || printed {
 		return err
 	}
-	client, err := c.client()
+	fmt.Println("the patch is valid")
+
+	return nil
+}
+
+// send posts the patch and decodes the answer into v, or prints it and reports that if JSON was asked for.
+func (p *patchInput) send(t *target, path string, v any) (printed bool, err error) {
+	body, err := p.body()
 	if err != nil {
-		return err
+		return false, err
 	}
-	answer, err := client.Post("/admin/v1/configuration/validate", body, nil)
+	client, err := t.client()
 	if err != nil {
-		return err
+		return false, err
 	}
-	if c.JSON {
-		return printRaw(answer)
+	answer, err := client.Post(path, body, nil)
+	if err != nil {
+		return false, err
+	}
+	if t.JSON {
+		return true, printRaw(answer)
+	}
+	if v == nil {
+		return false, nil
 	}
-	fmt.Println("the patch is valid")
 
-	return nil
+	return false, apiclient.Decode(answer, v)
 }
 
 func readInput(path string) ([]byte, error) {
--- a/io/standin/objectstore/faults.go
+++ b/io/standin/objectstore/faults.go
@@ -1,6 +1,11 @@
 package objectstore
 
-import "time"
+import (
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/standin/listener"
+)
 
 type faults struct {
 	unavailable bool
@@ -23,7 +28,18 @@
 
 // SetRefused closes the listener and all connections while on; off listens again on the same address.
 func (s *Store) SetRefused(on bool) error {
-	return s.network.refuse(on)
+	l := s.served()
+	if l == nil {
+		return fault.New(fault.CodeUnavailable, "the store does not serve yet")
+	}
+	if err := l.Refuse(on); err != nil {
+		return err
+	}
+	if on {
+		l.Drop()
+	}
+
+	return nil
 }
 
 // SetDelay delays every answer.
@@ -43,10 +59,19 @@
 
 // SilenceEstablished makes the connections open now silent for good; new connections work.
 func (s *Store) SilenceEstablished() {
-	s.network.silence()
+	if l := s.served(); l != nil {
+		l.Silence()
+	}
 }
 
 // SetFrozen makes watches answer that nothing changed while on.
 func (s *Store) SetFrozen(on bool) {
 	s.change(func(f *faults) { f.frozen = on })
 }
+
+func (s *Store) served() *listener.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.listener
+}
--- a/io/standin/objectstore/handler.go
+++ b/io/standin/objectstore/handler.go
@@ -33,8 +33,7 @@
 	f := s.faults
 	lose := write && f.loseAnswers > 0 && s.random.Float64() < f.loseAnswers
 	s.mu.Unlock()
-	connection, ok := c.Conn().(*conn)
-	if f.silent || ok && connection.silent.Load() {
+	if f.silent {
 		<-s.done
 		drop(c)
 
--- a/io/standin/objectstore/store.go
+++ b/io/standin/objectstore/store.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	client "tarragonwalk/io/objectstore"
+	"tarragonwalk/io/standin/listener"
 )
 
 // MaxValueBytes is the largest accepted value.
@@ -45,7 +46,7 @@
 	readLimit  *rate.Limiter
 	writeLimit *rate.Limiter
 
-	network network
+	listener *listener.Listener // nil before Serve
 }
 
 // New returns an empty store whose injected faults are drawn from seed.
@@ -59,7 +60,6 @@
 		readLimit:  rate.NewLimiter(rate.Inf, 0),
 		writeLimit: rate.NewLimiter(rate.Inf, 0),
 	}
-	s.network.init()
 	s.server = &fasthttp.Server{
 		Handler:               s.handle,
 		MaxRequestBodySize:    2 * MaxValueBytes,
@@ -76,9 +76,17 @@
 
 // Serve answers requests on l until Close.
 func (s *Store) Serve(l net.Listener) error {
-	s.network.start(l)
+	wrapped := listener.New(l)
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
 
-	return s.server.Serve(&s.network)
+		return l.Close()
+	}
+	s.listener = wrapped
+	s.mu.Unlock()
+
+	return s.server.Serve(wrapped)
 }
 
 // Close stops the store and closes its connections.
@@ -91,8 +99,12 @@
 	}
 	s.closed = true
 	close(s.done)
+	l := s.listener
 	s.mu.Unlock()
-	s.network.stop()
+	if l != nil {
+		_ = l.Close()
+		l.Drop()
+	}
 }
 
 // Calls returns the number of reads (list and watch included) and writes received, refused ones included.
