Claim chunks only for free batch slots and among feeders

Cause: a finished chunk set the flag that asks for a look at the end of the job, and with that flag set the runner claimed free chunks whatever its slots were, until none was left. Items that wait for a retry counted neither as running nor as unstarted, so an outage of the backend servers made the runner claim one chunk after the other. All live instances were ranked for a job, so a job had a feeder among its 8 instances only by luck.

Ruled out: BatchSlots includes streams in flight and is compared with the items of held chunks, so no slot counts twice.

The runner counts unfinished items of held chunks and claims one chunk ahead when none waits for a slot. Without free slots it looks for the end only. Dispatcher.Feeders names the feeders of a deployment; they are ranked, and more than 8 per job if there are fewer jobs than feeders. Jobs past their deadline need no slots and are published 4 chunks at a time.

--- /dev/null
+++ b/core/batch/capacity_test.go
@@ -0,0 +1,128 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/job"
+)
+
+// holders returns how many chunks without a result each holder has, by the claims in the store.
+func (f *fleet) holders(is *is.I, id string) map[string]int {
+	held := make(map[string]int)
+	entries, _, err := f.store.List(context.Background(), job.ClaimsPrefix(id), "", 1000)
+	is.NoErr(err)
+	for _, e := range entries {
+		value, _, err := f.store.Get(context.Background(), e.Key)
+		is.NoErr(err)
+		var c job.Claim
+		is.NoErr(json.Unmarshal(value, &c))
+		key := job.ResultsPrefix(id) + e.Key[len(job.ClaimsPrefix(id)):]
+		if _, _, err := f.store.Get(context.Background(), key); fault.CodeOf(err) == fault.CodeNotFound && !c.Released {
+			held[c.Holder]++
+		}
+	}
+
+	return held
+}
+
+// Guards against an instance that claims chunks beyond its batch slots, so that other feeders find no work.
+func TestCapacity(t *testing.T) {
+	cases := []struct {
+		name    string
+		slots   func(name string, since time.Duration) int
+		refused bool
+		// most is how many chunks of 3 items an instance may hold: 2 running items of 2 chunks and 1 chunk ahead.
+		most map[string]int
+	}{
+		{name: "both feed", slots: func(string, time.Duration) int { return 2 }, most: map[string]int{"a": 3, "b": 3}},
+		{name: "one feeds", slots: func(n string, _ time.Duration) int { return map[string]int{"a": 2}[n] }, most: map[string]int{"a": 3}},
+		{name: "feeder changes", slots: func(n string, d time.Duration) int {
+			if n == "b" && d > 3*time.Second {
+				return 0
+			}
+
+			return 2
+		}, most: map[string]int{"a": 3, "b": 3}},
+		{name: "items refused as not run", slots: func(string, time.Duration) int { return 2 }, refused: true, most: map[string]int{"a": 3, "b": 3}},
+	}
+	for _, c := range cases {
+		bubble(t, c.name, func(is *is.I) {
+			f := newFleet("a", "b")
+			begin := time.Now()
+			f.slots = func(n, _ string) int { return c.slots(n, time.Since(begin)) }
+			f.answer = func(*inference.Request) error {
+				if c.refused {
+					return fault.New(fault.CodeBackendUnreachable, "no connection")
+				}
+
+				return nil
+			}
+			_, st := f.submit(is, 60, "x")
+			a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+			atChange := 0
+			problem := "" // asserted after the end, as goroutines of a bubble must end first
+			for i := range 100 {
+				time.Sleep(100 * time.Millisecond)
+				held := f.holders(is, st.Job.ID)
+				for n, k := range held {
+					if k > c.most[n] {
+						problem = fmt.Sprintf("after %v %s holds %d chunks", time.Since(begin), n, k)
+					}
+				}
+				if c.name == "feeder changes" && i == 31 {
+					atChange = held["b"]
+				}
+				if c.name == "feeder changes" && i > 31 && held["b"] > atChange {
+					problem = fmt.Sprintf("b claims without slots: %d, before %d", held["b"], atChange)
+				}
+			}
+			a.stop()
+			b.stop()
+			<-a.ended
+			<-b.ended
+			is.Equal(problem, "")
+		})
+	}
+}
+
+// Guards against jobs that wait because no feeder of their deployment is among the highest ranked live instances.
+func TestFeedersFindJobs(t *testing.T) {
+	bubble(t, "2 feeders among 40", func(is *is.I) {
+		var names []string
+		for i := range 40 {
+			names = append(names, fmt.Sprint("n", i))
+		}
+		f := newFleet(names...)
+		f.slots = func(n, _ string) int { return map[string]int{"n3": 2, "n17": 2}[n] }
+		f.feeders = func(string) []string { return []string{"n17", "n3"} }
+		var ids []string
+		for i := range 4 {
+			_, st := f.submitKey(is, 2, "x", fmt.Sprint("k", i))
+			ids = append(ids, st.Job.ID)
+		}
+		var all []*node
+		for i, n := range names {
+			all = append(all, f.launch(n, "1", uint64(i)))
+		}
+		time.Sleep(30 * time.Second)
+		for _, n := range all {
+			n.stop()
+		}
+		for _, n := range all {
+			<-n.ended
+		}
+		for _, id := range ids {
+			got, err := all[0].jobs.GetJob(context.Background(), "w", id)
+			is.NoErr(err)
+			is.Equal(got.Job.State, job.JobStateCompleted)
+		}
+	})
+}
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -26,7 +26,7 @@
 	w.pause = visitTime
 	r.holding++
 	r.held[w.open.Workspace]++
-	r.unstarted[w.open.Deployment] += w.file.Chunks[n].Items
+	r.unfinished[w.open.Deployment] += w.file.Chunks[n].Items
 	r.mu.Unlock()
 	r.chunks.Go(func() {
 		done := r.runChunk(ctx, w, n, attempt)
@@ -54,15 +54,16 @@
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer w.onStop(cancel)()
-	unstarted := w.file.Chunks[n].Items
-	began := func(count int) {
+	unfinished := w.file.Chunks[n].Items
+	finished := func(count int) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		count = min(count, unstarted)
-		unstarted -= count
-		r.unstarted[w.open.Deployment] -= count
+		count = min(count, unfinished)
+		unfinished -= count
+		r.unfinished[w.open.Deployment] -= count
+		r.notify()
 	}
-	defer func() { began(unstarted) }()
+	defer func() { finished(w.file.Chunks[n].Items) }()
 	data, err := r.read(run, job.FileChunkKey(w.open.Workspace, w.open.File, n))
 	if err != nil {
 		r.log.Warn("read a chunk", "job", w.open.ID, "chunk", n, "error", err)
@@ -82,8 +83,10 @@
 	for i := range items {
 		e := r.newRun(w, w.file.Chunks[n].FirstItem+i, items[i])
 		e.started = r.admit(limited, w)
-		began(1)
-		group.Go(func() { results[i] = r.runItem(limited, w, e) })
+		group.Go(func() {
+			results[i] = r.runItem(limited, w, e)
+			finished(1)
+		})
 	}
 	group.Wait()
 	if run.Err() != nil && !complete(results) {
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -23,10 +23,12 @@
 	List(ctx context.Context, prefix, after string, limit int) (entries []objectstore.Entry, revision int64, err error)
 }
 
-// dispatcher runs one item; BatchSlots is the total of batch streams that this instance may run for a deployment.
+// dispatcher runs one item. BatchSlots is the total of batch streams, those in flight included, that this instance may
+// have for a deployment; Feeders names the live instances that feed a backend server of the deployment.
 type dispatcher interface {
 	Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error
 	BatchSlots(deployment string) int
+	Feeders(deployment string) []string
 }
 
 // members gives the live entry instances.
@@ -38,8 +40,11 @@
 	// viewAge is how old the view of the open-job index may be when an item starts; with the 1 s of a peer exchange a
 	// cancellation takes effect within 4 s.
 	viewAge = 3 * time.Second
-	// claimants is how many instances work on a job, so that claim attempts do not grow with the fleet.
+	// claimants is how many instances work on a job, so that claim attempts do not grow with the fleet. If there are
+	// fewer jobs than feeders, each job has proportionally more, so that all feeders find work.
 	claimants = 8
+	// expiring bounds the chunks of overdue jobs that are published at the same time; they need no batch slot.
+	expiring = 4
 	// idleTime is the pause of the main loop when there is nothing to claim.
 	idleTime = 250 * time.Millisecond
 	// lingerTime is how long finished items may still be published after the runner's context ends.
@@ -70,10 +75,10 @@
 	digest      int64
 	revision    int64
 	confirmedAt time.Time
-	// running counts items in flight, and unstarted the items of held chunks that have not started, by deployment.
-	running   map[string]int
-	unstarted map[string]int
-	itemTime  map[string]time.Duration
+	// running counts items in flight, and unfinished the items of held chunks that have no result, by deployment.
+	running    map[string]int
+	unfinished map[string]int
+	itemTime   map[string]time.Duration
 	// held counts held chunks by workspace.
 	held    map[string]int
 	holding int
@@ -99,15 +104,15 @@
 			incarnation: incarnation,
 			now:         now,
 		},
-		watcher:   claim.New(),
-		random:    random,
-		jobs:      make(map[string]*work),
-		canceled:  make(map[string]time.Time),
-		running:   make(map[string]int),
-		unstarted: make(map[string]int),
-		itemTime:  make(map[string]time.Duration),
-		held:      make(map[string]int),
-		changed:   make(chan struct{}),
+		watcher:    claim.New(),
+		random:     random,
+		jobs:       make(map[string]*work),
+		canceled:   make(map[string]time.Time),
+		running:    make(map[string]int),
+		unfinished: make(map[string]int),
+		itemTime:   make(map[string]time.Duration),
+		held:       make(map[string]int),
+		changed:    make(chan struct{}),
 	}
 }
 
--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -117,10 +117,15 @@
 	runs  map[string]int
 	// late counts items that started after their runner knew that the job was canceled.
 	late int
+	// slots and feeders stand for the dispatcher's view of the workers, answer for a backend server's.
+	slots   func(name, deployment string) int
+	feeders func(deployment string) []string
+	answer  func(r *inference.Request) error
 }
 
 type node struct {
 	*Runner
+	self   string
 	link   *link
 	jobs   *jobstore.Store
 	stop   context.CancelFunc
@@ -139,7 +144,9 @@
 	return is
 }
 
-func (n *node) BatchSlots(string) int { return 2 }
+func (n *node) BatchSlots(deployment string) int { return n.fleet.slots(n.self, deployment) }
+
+func (n *node) Feeders(deployment string) []string { return n.fleet.feeders(deployment) }
 
 func (n *node) Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error {
 	f := n.fleet
@@ -153,6 +160,11 @@
 	if !sleep(ctx, f.took) {
 		return fault.Wrap(ctx.Err(), fault.CodeCancelled, "run ended")
 	}
+	if f.answer != nil {
+		if err := f.answer(r); err != nil {
+			return err
+		}
+	}
 	switch {
 	case strings.Contains(string(r.Body), "invalid"):
 		return fault.New(fault.CodeInvalid, "cannot be done")
@@ -178,12 +190,19 @@
 }
 
 func newFleet(names ...string) *fleet {
-	return &fleet{store: fakestore.New(), names: names, took: 400 * time.Millisecond, runs: make(map[string]int)}
+	return &fleet{
+		store:   fakestore.New(),
+		names:   names,
+		took:    400 * time.Millisecond,
+		runs:    make(map[string]int),
+		slots:   func(string, string) int { return 2 },
+		feeders: func(string) []string { return names },
+	}
 }
 
 func (f *fleet) launch(name, incarnation string, seed uint64) *node {
 	l := &link{Store: f.store}
-	n := &node{link: l, fleet: f, ended: make(chan struct{}), jobs: jobstore.New(l, limits, time.Now)}
+	n := &node{self: name, link: l, fleet: f, ended: make(chan struct{}), jobs: jobstore.New(l, limits, time.Now)}
 	n.Runner = New(l, n, f, name, incarnation, time.Now, rand.New(rand.NewPCG(seed, 1)), slog.New(slog.DiscardHandler))
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
@@ -202,6 +221,10 @@
 }
 
 func (f *fleet) submit(is *is.I, items int, special string) (*jobstore.Store, job.Status) {
+	return f.submitKey(is, items, special, "")
+}
+
+func (f *fleet) submitKey(is *is.I, items int, special, key string) (*jobstore.Store, job.Status) {
 	s := jobstore.New(f.store, limits, time.Now)
 	var b bytes.Buffer
 	for i := range items {
@@ -213,7 +236,7 @@
 	}
 	file, err := s.PutFile(context.Background(), "w", "f", &b)
 	is.NoErr(err)
-	st, err := s.Submit(context.Background(), job.Submission{Workspace: "w", File: file.ID, Deployment: "d", Deadline: time.Now().Add(10 * time.Minute)})
+	st, err := s.Submit(context.Background(), job.Submission{Workspace: "w", File: file.ID, Deployment: "d", Deadline: time.Now().Add(10 * time.Minute), IdempotencyKey: key})
 	is.NoErr(err)
 
 	return s, st
--- a/core/batch/step.go
+++ b/core/batch/step.go
@@ -15,59 +15,81 @@
 // step visits the job that should be served next and reports whether there was one.
 func (r *Runner) step(ctx context.Context) bool {
 	now := r.now()
-	var names []string
-	for _, m := range r.members.Live(now) {
-		if m.Role == membership.RoleEntry {
-			names = append(names, m.Name)
-		}
-	}
-	w := r.pick(now, names, r.slots())
+	w, claims := r.pick(now, r.capacities(now))
 	if w == nil {
 		return false
 	}
-	r.visit(ctx, w)
+	r.visit(ctx, w, claims)
 	r.watcher.Forget(now)
 
 	return true
 }
 
-// slots reads the batch slots of each deployment that has an open job.
-func (r *Runner) slots() map[string]int {
-	slots := make(map[string]int)
+// capacity is what the dispatcher tells about a deployment with open jobs.
+type capacity struct {
+	jobs  int
+	slots int
+	// names are the instances that may work on its jobs: its feeders, or all live ones if nobody feeds it.
+	names []string
+}
+
+// capacities reads the capacity of each deployment that has an open job.
+func (r *Runner) capacities(now time.Time) map[string]capacity {
+	all := make(map[string]capacity)
 	r.mu.Lock()
 	for _, w := range r.jobs {
-		slots[w.open.Deployment] = 0
+		c := all[w.open.Deployment]
+		c.jobs++
+		all[w.open.Deployment] = c
 	}
 	r.mu.Unlock()
-	for d := range slots {
-		slots[d] = r.dispatcher.BatchSlots(d)
+	var live []string
+	for _, m := range r.members.Live(now) {
+		if m.Role == membership.RoleEntry {
+			live = append(live, m.Name)
+		}
+	}
+	for d, c := range all {
+		c.slots = r.dispatcher.BatchSlots(d)
+		c.names = r.dispatcher.Feeders(d)
+		if len(c.names) == 0 {
+			c.names = live
+		}
+		all[d] = c
 	}
 
-	return slots
+	return all
 }
 
-// pick selects among the jobs that are due, that this instance works on and that have a use: free slots, a possible end
-// or a passed deadline.
-func (r *Runner) pick(now time.Time, names []string, slots map[string]int) *work {
+// pick selects among the jobs that are due, that this instance works on and that have a use: slots that its held chunks
+// do not keep busy, a possible end or a passed deadline. It reports whether a chunk may be claimed.
+func (r *Runner) pick(now time.Time, all map[string]capacity) (*work, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.fresh(now) {
-		return nil
+		return nil, false
 	}
 	var ws []*work
 	var cs []slack.Candidate
+	claims := make(map[*work]bool)
 	for id, w := range r.jobs {
 		o := w.open
 		if w.ended || w.ctx.Err() != nil || now.Before(w.visitAt) {
 			continue
 		}
-		late := !now.Before(o.Deadline)
-		if slots[o.Deployment] <= r.running[o.Deployment]+r.unstarted[o.Deployment] && !w.check && !late {
+		c := all[o.Deployment]
+		// One chunk is claimed ahead once all items of the held chunks run.
+		free := c.slots > 0 && r.unfinished[o.Deployment] <= c.slots
+		if !now.Before(o.Deadline) {
+			free = r.holding < expiring
+		}
+		if !free && !w.check {
 			continue
 		}
-		if !claim.Among(id, r.name, names, claimants) {
+		if !claim.Among(id, r.name, c.names, max(claimants, claimants*len(c.names)/max(1, c.jobs))) {
 			continue
 		}
+		claims[w] = free
 		per := r.itemTime[o.Deployment]
 		if per == 0 {
 			per = firstItemTime
@@ -77,13 +99,13 @@
 		cs = append(cs, slack.Candidate{
 			Job:         id,
 			Workspace:   o.Workspace,
-			LatestStart: slack.LatestStart(o.Deadline, items, per, slots[o.Deployment]),
+			LatestStart: slack.LatestStart(o.Deadline, items, per, c.slots),
 			Held:        r.held[o.Workspace],
 		})
 	}
 	if n := slack.Next(cs); n >= 0 {
-		return ws[n]
+		return ws[n], claims[ws[n]]
 	}
 
-	return nil
+	return nil, false
 }
--- a/core/batch/visit.go
+++ b/core/batch/visit.go
@@ -14,8 +14,9 @@
 // pageLimit is the number of keys asked for in one listing.
 const pageLimit = 1000
 
-// visit claims one chunk of a job, or looks for the job's end and for claims to take over.
-func (r *Runner) visit(ctx context.Context, w *work) {
+// visit claims one chunk of a job, or looks for the job's end and for claims to take over. Without claims it looks for
+// the end only.
+func (r *Runner) visit(ctx context.Context, w *work, claims bool) {
 	if !w.loaded {
 		loaded, err := r.load(ctx, w)
 		if err != nil || !loaded {
@@ -27,14 +28,14 @@
 	r.mu.Lock()
 	n := w.next(stateFree, claim.Offset(w.open.ID, r.name, len(w.chunks)))
 	r.mu.Unlock()
-	if n >= 0 {
+	if n >= 0 && claims {
 		if err := r.take(ctx, w, n, 1, 0); err != nil {
 			r.postpone(w, err)
 		}
 
 		return
 	}
-	if err := r.revisit(ctx, w); err != nil {
+	if err := r.revisit(ctx, w, claims); err != nil {
 		r.postpone(w, err)
 	}
 }
@@ -115,7 +116,7 @@
 }
 
 // revisit ends a job whose chunks are all published, or takes over the first claim that allows it.
-func (r *Runner) revisit(ctx context.Context, w *work) error {
+func (r *Runner) revisit(ctx context.Context, w *work, claims bool) error {
 	if err := r.survey(ctx, w); err != nil {
 		return err
 	}
@@ -127,11 +128,17 @@
 			taken = append(taken, n)
 		}
 	}
-	w.delay(r.now())
+	w.check = false
+	if claims {
+		w.delay(r.now())
+	}
 	r.mu.Unlock()
 	if remaining == 0 {
 		return r.end(ctx, w)
 	}
+	if !claims {
+		return nil
+	}
 	for _, n := range taken {
 		took, err := r.takeOver(ctx, w, n)
 		if err != nil {
--- a/core/batch/work.go
+++ b/core/batch/work.go
@@ -89,5 +89,4 @@
 func (w *work) delay(now time.Time) {
 	w.visitAt = now.Add(w.pause)
 	w.pause = min(2*w.pause, visitLimit)
-	w.check = false
 }
