Name file chunks by their items

Cause: the key of a chunk was its number. An upload that had found no metadata replaced chunks of the same content that another upload had cut with other limits, also after the metadata of the other one was written.

Ruled out: making the limits part of the file identity. A resent job without an Idempotency-Key would become a second job after a change of the limits.

After: a chunk key names its first item and item count, has one content only and is never replaced.

--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -64,7 +64,7 @@
 		r.notify()
 	}
 	defer func() { finished(w.file.Chunks[n].Items) }()
-	data, err := r.read(run, job.FileChunkKey(w.open.Workspace, w.open.File, n))
+	data, err := r.read(run, job.FileChunkKey(w.open.Workspace, w.open.File, w.file.Chunks[n]))
 	if err != nil {
 		r.log.Warn("read a chunk", "job", w.open.ID, "chunk", n, "error", err)
 
--- a/core/job/key.go
+++ b/core/job/key.go
@@ -16,9 +16,10 @@
 	return "file/" + url.PathEscape(workspace) + "/" + url.PathEscape(file)
 }
 
-// FileChunkKey returns the key of a file's chunk, from 0.
-func FileChunkKey(workspace, file string, chunk int) string {
-	return fmt.Sprintf("%s/%06d", FileKey(workspace, file), chunk)
+// FileChunkKey returns the key of a file's chunk. It names the chunk's items, so that a key has one content only,
+// whatever the chunk limits of an upload are.
+func FileChunkKey(workspace, file string, c ChunkInfo) string {
+	return fmt.Sprintf("%s/%06d-%d", FileKey(workspace, file), c.FirstItem, c.Items)
 }
 
 // OpenKey returns the key of a job's entry in the open-job index.
--- a/io/jobstore/file.go
+++ b/io/jobstore/file.go
@@ -58,16 +58,15 @@
 	if err == nil || fault.CodeOf(err) != fault.CodeNotFound {
 		return found, notRun(err)
 	}
-	// Other limits would cut other chunks under the same keys if an earlier upload ended halfway, so a chunk that
-	// exists with another content is replaced; no job can refer to it before the metadata exists.
 	offset := int64(0)
-	for n, c := range f.Chunks {
+	for _, c := range f.Chunks {
 		data := make([]byte, c.Bytes)
 		if _, err := content.ReadAt(data, offset); err != nil {
 			return job.File{}, fault.Wrap(err, fault.CodeInternal, "read a temporary file")
 		}
 		offset += int64(c.Bytes)
-		if err := s.storeChunk(ctx, job.FileChunkKey(f.Workspace, f.ID, n), data); err != nil {
+		// A chunk that exists is from another upload of the same content.
+		if _, err := s.create(ctx, job.FileChunkKey(f.Workspace, f.ID, c), data); err != nil {
 			return job.File{}, notRun(err)
 		}
 	}
@@ -86,20 +85,6 @@
 	return f, nil
 }
 
-func (s *Store) storeChunk(ctx context.Context, key string, data []byte) error {
-	created, err := s.create(ctx, key, data)
-	if err != nil || created {
-		return err
-	}
-	old, version, err := s.objects.Get(ctx, key)
-	if err != nil || string(old) == string(data) {
-		return err
-	}
-	_, err = s.objects.Put(ctx, key, data, version)
-
-	return err
-}
-
 // GetFile returns a file's description; it makes one call.
 func (s *Store) GetFile(ctx context.Context, workspace, id string) (job.File, error) {
 	var f job.File
@@ -114,8 +99,8 @@
 	if err != nil {
 		return err
 	}
-	for n := range f.Chunks {
-		data, _, err := s.objects.Get(ctx, job.FileChunkKey(workspace, id, n))
+	for _, c := range f.Chunks {
+		data, _, err := s.objects.Get(ctx, job.FileChunkKey(workspace, id, c))
 		if err != nil {
 			return err
 		}
--- a/io/jobstore/store_test.go
+++ b/io/jobstore/store_test.go
@@ -142,3 +142,46 @@
 		<-ended
 	})
 }
+
+// between runs a function after the first read of a key, to interleave two callers.
+type between struct {
+	*fakestore.Store
+	key string
+	run func()
+}
+
+func (b *between) Get(ctx context.Context, key string) ([]byte, int64, error) {
+	value, version, err := b.Store.Get(ctx, key)
+	if run := b.run; key == b.key && run != nil {
+		b.run = nil
+		run()
+	}
+
+	return value, version, err
+}
+
+// Guards against an upload that replaces chunks of the same content which another upload has cut with other limits.
+func TestChunkLimits(t *testing.T) {
+	is := is.New(t)
+	f := fakestore.New()
+	with := func(items int) func() configuration.BatchDefaults {
+		return func() configuration.BatchDefaults {
+			return configuration.BatchDefaults{Attempts: 3, ChunkItems: items, ChunkBytes: 1000, MaxItems: 10}
+		}
+	}
+	first, err := New(fakestore.New(), with(1), time.Now).PutFile(t.Context(), "w", "f", strings.NewReader(input))
+	is.NoErr(err)
+	var stored job.File
+	b := &between{Store: f, key: job.FileKey("w", first.ID), run: func() {
+		stored, err = New(f, with(1), time.Now).PutFile(t.Context(), "w", "f", strings.NewReader(input))
+		is.NoErr(err)
+	}}
+	s := New(b, with(2), time.Now)
+	second, err := s.PutFile(t.Context(), "w", "f", strings.NewReader(input))
+	is.NoErr(err)
+	is.Equal(second, stored)
+	is.Equal(len(second.Chunks), 2)
+	var content bytes.Buffer
+	is.NoErr(s.ReadFile(t.Context(), "w", second.ID, &content))
+	is.Equal(content.String(), input)
+}
