Take claims over only on sessions read after the claim

The failure tests now count runs: an item runs again only if a crash, pause or stop of its node explains it. A new test loses the instance that acknowledged a submission at once, after 1 ms and after 500 ms.

Cause 1: an observer judged a claim by a session that it had read up to 5 s before. A holder that had restarted, or had been idle for 15 s, and claimed in between lost its chunk although it was alive. Cause 2: the time of a store outage counted as time without a renewal, so live holders lost their chunks after an outage.

Ruled out: a wrong order of session and claim at the holder; it renews first.

--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -115,6 +115,7 @@
 	took  time.Duration
 	mu    sync.Mutex
 	runs  map[string]int
+	nodes []*node
 	// late counts items that started after their runner knew that the job was canceled.
 	late int
 	// slots and feeders stand for the dispatcher's view of the workers, answer for a backend server's.
@@ -133,6 +134,9 @@
 	fleet  *fleet
 	know   bool
 	starts []time.Time
+	runs   map[string]int
+	// disturbed is true if a crash, pause or stop of this node explains a second run of its items elsewhere.
+	disturbed bool
 }
 
 func (f *fleet) Live(time.Time) []membership.Instance {
@@ -144,6 +148,35 @@
 	return is
 }
 
+// crash ends the node as the loss of its process would: no write of it reaches the store any more.
+func (n *node) crash() {
+	n.fleet.mu.Lock()
+	n.disturbed = true
+	n.fleet.mu.Unlock()
+	n.link.set(true)
+	n.stop()
+}
+
+// explained fails unless each item of the job ran, at most attempts times on each disturbed node and at most attempts
+// times on all others together.
+func (f *fleet) explained(is *is.I, items, attempts int, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range items {
+		item := job.RequestID(id, i)
+		is.True(f.runs[item] > 0)
+		undisturbed := 0
+		for _, n := range f.nodes {
+			if !n.disturbed {
+				undisturbed += n.runs[item]
+			} else {
+				is.True(n.runs[item] <= attempts)
+			}
+		}
+		is.True(undisturbed <= attempts)
+	}
+}
+
 func (n *node) BatchSlots(deployment string) int { return n.fleet.slots(n.self, deployment) }
 
 func (n *node) Feeders(deployment string) []string { return n.fleet.feeders(deployment) }
@@ -152,6 +185,7 @@
 	f := n.fleet
 	f.mu.Lock()
 	f.runs[r.ID]++
+	n.runs[r.ID]++
 	n.starts = append(n.starts, time.Now())
 	if n.know {
 		f.late++
@@ -202,8 +236,9 @@
 
 func (f *fleet) launch(name, incarnation string, seed uint64) *node {
 	l := &link{Store: f.store}
-	n := &node{self: name, link: l, fleet: f, ended: make(chan struct{}), jobs: jobstore.New(l, limits, time.Now)}
+	n := &node{self: name, link: l, fleet: f, ended: make(chan struct{}), runs: make(map[string]int), jobs: jobstore.New(l, limits, time.Now)}
 	n.Runner = New(l, n, f, name, incarnation, time.Now, rand.New(rand.NewPCG(seed, 1)), slog.New(slog.DiscardHandler))
+	f.nodes = append(f.nodes, n)
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
 	go n.jobs.FollowOpen(ctx, func(jobs []job.OpenJob, revision int64, at time.Time) {
@@ -224,8 +259,7 @@
 	return f.submitKey(is, items, special, "")
 }
 
-func (f *fleet) submitKey(is *is.I, items int, special, key string) (*jobstore.Store, job.Status) {
-	s := jobstore.New(f.store, limits, time.Now)
+func input(items int, special string) *bytes.Buffer {
 	var b bytes.Buffer
 	for i := range items {
 		word := "plain"
@@ -234,7 +268,13 @@
 		}
 		fmt.Fprintf(&b, `{"custom_id":"c%d","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[],"user":%q}}`+"\n", i, word)
 	}
-	file, err := s.PutFile(context.Background(), "w", "f", &b)
+
+	return &b
+}
+
+func (f *fleet) submitKey(is *is.I, items int, special, key string) (*jobstore.Store, job.Status) {
+	s := jobstore.New(f.store, limits, time.Now)
+	file, err := s.PutFile(context.Background(), "w", "f", input(items, special))
 	is.NoErr(err)
 	st, err := s.Submit(context.Background(), job.Submission{Workspace: "w", File: file.ID, Deployment: "d", Deadline: time.Now().Add(10 * time.Minute), IdempotencyKey: key})
 	is.NoErr(err)
@@ -266,26 +306,26 @@
 func TestFailures(t *testing.T) {
 	const items = 9
 	cases := []struct {
-		name    string
-		special string
-		failed  int
-		within  time.Duration
-		disturb func(f *fleet, a, b *node)
+		name     string
+		special  string
+		failed   int
+		within   time.Duration
+		attempts int
+		disturb  func(f *fleet, a, b *node)
 	}{
 		{name: "none", special: "x", within: 6 * time.Second, disturb: func(*fleet, *node, *node) {}},
-		{name: "item never done", special: "broken", failed: 1, within: 9 * time.Second, disturb: func(*fleet, *node, *node) {}},
+		{name: "item never done", special: "broken", failed: 1, attempts: 3, within: 9 * time.Second, disturb: func(*fleet, *node, *node) {}},
 		{name: "invalid item", special: "invalid", failed: 1, within: 6 * time.Second, disturb: func(*fleet, *node, *node) {}},
 		{name: "runner dies", special: "x", within: 60 * time.Second, disturb: func(_ *fleet, a, _ *node) {
-			a.link.set(true)
-			a.stop()
+			a.crash()
 		}},
 		{name: "runner returns", special: "x", within: 14 * time.Second, disturb: func(f *fleet, a, _ *node) {
-			a.link.set(true)
-			a.stop()
+			a.crash()
 			n := f.launch("a", "2", 9)
 			time.AfterFunc(3*time.Minute, n.stop)
 		}},
 		{name: "paused holder", special: "x", within: 60 * time.Second, disturb: func(_ *fleet, a, _ *node) {
+			a.disturbed = true
 			a.link.pause()
 			time.AfterFunc(time.Minute, a.link.resume)
 		}},
@@ -293,7 +333,10 @@
 			f.store.SetDown(true)
 			time.AfterFunc(20*time.Second, func() { f.store.SetDown(false) })
 		}},
-		{name: "planned stop", special: "x", within: 14 * time.Second, disturb: func(_ *fleet, a, _ *node) { a.stop() }},
+		{name: "planned stop", special: "x", within: 14 * time.Second, disturb: func(_ *fleet, a, _ *node) {
+			a.disturbed = true
+			a.stop()
+		}},
 	}
 	for _, c := range cases {
 		bubble(t, c.name, func(is *is.I) {
@@ -311,6 +354,7 @@
 			before := results(is, s, st.Job.ID, items)
 			time.Sleep(3 * time.Minute) // a paused holder resumes and publishes late
 			is.Equal(results(is, s, st.Job.ID, items), before)
+			f.explained(is, items, max(1, c.attempts), st.Job.ID)
 			a.stop()
 			b.stop()
 			<-a.ended
@@ -319,6 +363,72 @@
 	}
 }
 
+// Guards against a job that is lost with the instance that acknowledged it, before or after that claimed a chunk.
+func TestAcceptingInstanceLost(t *testing.T) {
+	const items = 9
+	for _, after := range []time.Duration{0, time.Millisecond, 500 * time.Millisecond} {
+		bubble(t, after.String(), func(is *is.I) {
+			f := newFleet("a", "b")
+			a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+			time.Sleep(time.Second)
+			s := jobstore.New(f.store, limits, time.Now)
+			file, err := a.jobs.PutFile(context.Background(), "w", "f", input(items, "x"))
+			is.NoErr(err)
+			st, err := a.jobs.Submit(context.Background(), job.Submission{Workspace: "w", File: file.ID, Deployment: "d", Deadline: time.Now().Add(10 * time.Minute)})
+			is.NoErr(err)
+			time.Sleep(after)
+			a.crash()
+			time.Sleep(time.Minute)
+			b.stop()
+			<-a.ended
+			<-b.ended
+			got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+			is.NoErr(err)
+			is.Equal(got.Job.State, job.JobStateCompleted)
+			results(is, s, st.Job.ID, items)
+			f.explained(is, items, 1, st.Job.ID)
+			if after == 0 {
+				is.Equal(len(a.runs), 0)
+			}
+		})
+	}
+}
+
+// Guards against taking a chunk from a live holder because of a session that was read before the holder claimed it.
+func TestStaleObservation(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		seen job.Session
+		now  job.Session
+	}{
+		{name: "restarted", seen: job.Session{Instance: "a", Incarnation: "1", Counter: 4}, now: job.Session{Instance: "a", Incarnation: "2", Counter: 1}},
+		{name: "idle before", seen: job.Session{Instance: "a", Incarnation: "2", Counter: 4}, now: job.Session{Instance: "a", Incarnation: "2", Counter: 5}},
+	} {
+		bubble(t, c.name, func(is *is.I) {
+			f := newFleet("a", "b")
+			r := New(f.store, &node{self: "b", fleet: f}, f, "b", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+			put := func(key string, v any) {
+				value, err := json.Marshal(v)
+				is.NoErr(err)
+				_, err = f.store.Put(context.Background(), key, value, 0)
+				is.NoErr(err)
+			}
+			r.watcher.Observe("a", &c.seen, time.Now())
+			time.Sleep(16 * time.Second)
+			r.watcher.Observe("a", &c.seen, time.Now())
+			put(job.SessionKey("a"), c.now)
+			put(job.ClaimKey("j", 0), job.Claim{Holder: "a", Incarnation: c.now.Incarnation, Attempt: 1})
+			w := newWork(job.OpenJob{ID: "j", Chunks: 1})
+			w.file.Chunks = []job.ChunkInfo{{Items: 1}}
+			w.stop()
+			took, err := r.takeOver(context.Background(), w, 0)
+			is.NoErr(err)
+			r.chunks.Wait()
+			is.True(!took)
+		})
+	}
+}
+
 // Guards against a write that is repeated or given up when its answer is lost after it took effect.
 func TestLostAnswers(t *testing.T) {
 	for _, kind := range []string{"file/", "open/", "job/", "claim/", "part/", "result/", "session/", ""} {
--- a/core/batch/step.go
+++ b/core/batch/step.go
@@ -15,6 +15,14 @@
 // step visits the job that should be served next and reports whether there was one.
 func (r *Runner) step(ctx context.Context) bool {
 	now := r.now()
+	r.mu.Lock()
+	fresh := r.fresh(now)
+	r.mu.Unlock()
+	if !fresh {
+		r.watcher.Reset()
+
+		return false
+	}
 	w, claims := r.pick(now, r.capacities(now))
 	if w == nil {
 		return false
@@ -66,9 +74,6 @@
 func (r *Runner) pick(now time.Time, all map[string]capacity) (*work, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.fresh(now) {
-		return nil, false
-	}
 	var ws []*work
 	var cs []slack.Candidate
 	claims := make(map[*work]bool)
--- a/core/batch/visit.go
+++ b/core/batch/visit.go
@@ -164,7 +164,8 @@
 	if err != nil {
 		return false, err
 	}
-	if c.Holder != r.name && !c.Released && r.watcher.Due(c.Holder, r.now()) {
+	// The holder renews its session before it claims, so only a session that is read after the claim may condemn it.
+	if c.Holder != r.name && !c.Released && (r.watcher.Due(c.Holder, r.now()) || r.watcher.MayTake(c)) {
 		// The time is taken before the read, and an unchanged session counts from its first read on.
 		at := r.now()
 		var s job.Session
--- a/core/claim/watcher.go
+++ b/core/claim/watcher.go
@@ -76,6 +76,12 @@
 	return o.seenAt.Sub(o.changedAt) >= Expiry
 }
 
+// Reset drops all observations. A holder cannot renew its session in a store outage, so the time in which the store was
+// out of reach does not count, and neither does a pause of the observer.
+func (w *Watcher) Reset() {
+	clear(w.sessions)
+}
+
 // Forget drops observations that are older than a minute, which bounds the memory.
 func (w *Watcher) Forget(at time.Time) {
 	for n, o := range w.sessions {
