--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -97,7 +97,7 @@
 	}
 	launch(first)
 	var late <-chan time.Time
-	if first.class == inference.ClassOnline {
+	if first.class == inference.ClassOnline && !d.plain {
 		timer := time.NewTimer(d.hedgeAfter(s.request.Deployment, first.server))
 		defer timer.Stop()
 		late = timer.C
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -65,6 +65,7 @@
 	now           func() time.Time
 	queueWait     time.Duration
 	cancelSlots   chan struct{}
+	plain         bool
 
 	// mu guards all fields below.
 	mu        sync.Mutex
@@ -101,6 +102,7 @@
 	random *rand.Rand,
 	queueRequests, queueBytes int,
 	queueWait, silence time.Duration,
+	options ...func(*Dispatcher),
 ) *Dispatcher {
 	d := &Dispatcher{
 		engine:        e,
@@ -121,6 +123,9 @@
 		reported:      map[string]time.Time{},
 	}
 	d.router = routing.New(self.Zone, self.Region, d.usable, d.pace, d.onlineOn, random)
+	for _, o := range options {
+		o(d)
+	}
 
 	return d
 }
--- /dev/null
+++ b/core/experiment/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet runs stand-in engines and the dispatchers of several entry instances in one process.
+package fleet
--- /dev/null
+++ b/core/experiment/fleet/fleet.go
@@ -0,0 +1,280 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/dispatch"
+	"tarragonwalk/core/experiment/link"
+	"tarragonwalk/core/experiment/preset"
+	"tarragonwalk/core/experiment/relay"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/engine"
+	"tarragonwalk/io/peer"
+	standin "tarragonwalk/io/standin/engine"
+)
+
+const (
+	// Deployment is what the model workers run.
+	Deployment = "model"
+	// serviceDeployment is configured as in the preset and gets no load.
+	serviceDeployment = "service"
+
+	// The limits are those of an entry instance.
+	firstEventTime   = 5 * time.Second
+	eventTime        = time.Second
+	queueWait        = 2 * time.Second
+	queueRequests    = 1024
+	queueBytes       = 16 << 20
+	exchangeInterval = time.Second
+	cacheBlocks      = 1024
+)
+
+// Fleet is a set of engines and entry instances on loopback.
+type Fleet struct {
+	preset      preset.Preset
+	engines     map[string]*standin.Engine
+	names       []string
+	first       netip.AddrPort
+	relays      []*relay.Relay
+	clients     []*engine.Client
+	dispatchers []*dispatch.Dispatcher
+	zones       []preset.Zone
+	indexes     map[string]int
+	boxes       [][]*mailbox
+	table       *membership.Table
+	stop        chan struct{}
+	tasks       sync.WaitGroup
+	serving     sync.WaitGroup
+}
+
+type fixed struct {
+	configuration *configuration.Configuration
+}
+
+func (f fixed) Current() *configuration.Configuration {
+	return f.configuration
+}
+
+// New starts a fleet; options configure each dispatcher.
+func New(p preset.Preset, seed uint64, options ...func(*dispatch.Dispatcher)) (*Fleet, error) {
+	f := &Fleet{
+		preset:  p,
+		engines: map[string]*standin.Engine{},
+		indexes: map[string]int{},
+		table:   membership.New(),
+		stop:    make(chan struct{}),
+	}
+	servers, err := f.startEngines()
+	if err != nil {
+		f.Close()
+
+		return nil, err
+	}
+	configurations, err := f.connect(servers)
+	if err != nil {
+		f.Close()
+
+		return nil, err
+	}
+	f.first = servers[f.names[0]].Address
+	f.startInstances(configurations, seed, options)
+
+	return f, nil
+}
+
+// Dispatchers returns the dispatchers of all entry instances.
+func (f *Fleet) Dispatchers() []*dispatch.Dispatcher {
+	return f.dispatchers
+}
+
+// Direct streams a request from the first worker without a dispatcher.
+func (f *Fleet) Direct(ctx context.Context, r *inference.Request, on func(inference.Event) error) error {
+	return f.clients[0].Stream(ctx, f.first, r, on)
+}
+
+// Slow multiplies the step time of a worker, by its number from 0.
+func (f *Fleet) Slow(worker int, factor float64) {
+	f.engines[f.names[worker]].Slow(factor)
+}
+
+// Close stops everything; no request may be running.
+func (f *Fleet) Close() {
+	close(f.stop)
+	f.tasks.Wait()
+	for _, c := range f.clients {
+		c.Close()
+	}
+	for _, r := range f.relays {
+		r.Close()
+	}
+	for _, e := range f.engines {
+		e.Close()
+	}
+	f.serving.Wait()
+}
+
+func (f *Fleet) startEngines() (map[string]configuration.BackendServer, error) {
+	p := f.preset
+	servers := map[string]configuration.BackendServer{}
+	for _, z := range p.Zones {
+		for n := range z.Workers {
+			name := fmt.Sprintf("worker-%s-%d", z.Name, n)
+			e := standin.New(
+				standin.Steps(micros(p.StepMicros), micros(p.StreamMicros), p.Slots),
+				standin.Prefill(time.Duration(p.PrefillNanosPerByte)),
+				standin.CacheBlocks(cacheBlocks),
+			)
+			f.engines[name] = e
+			f.names = append(f.names, name)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return nil, fault.Wrap(err, fault.CodeUnavailable, "cannot listen for an engine")
+			}
+			f.serving.Go(func() { _ = e.Serve(l) }) // Close ends it.
+			servers[name] = server(z, Deployment, configuration.BackendKindEngine, p.Slots,
+				netip.MustParseAddrPort(l.Addr().String()))
+		}
+		for n := range z.Services {
+			servers[fmt.Sprintf("service-%s-%d", z.Name, n)] = server(z, serviceDeployment,
+				configuration.BackendKindService, p.Slots, netip.MustParseAddrPort("127.0.0.1:9"))
+		}
+	}
+
+	return servers, nil
+}
+
+// connect returns the configuration that instances in each zone use: their paths to other zones are delayed.
+func (f *Fleet) connect(servers map[string]configuration.BackendServer) (map[string]*configuration.Configuration, error) {
+	zones := map[string]preset.Zone{}
+	for _, z := range f.preset.Zones {
+		zones[z.Name] = z
+	}
+	links := map[string]*link.Link{}
+	between := func(a, b string) *link.Link {
+		if a == b {
+			return nil
+		}
+		if links[a+" "+b] == nil {
+			links[a+" "+b] = link.New(f.preset.LinkBytesPerSecond)
+		}
+
+		return links[a+" "+b]
+	}
+	configurations := map[string]*configuration.Configuration{}
+	for _, z := range f.preset.Zones {
+		c := &configuration.Configuration{
+			Version:        1,
+			BackendServers: configuration.ConfigurationBackendServers{},
+		}
+		for name, s := range servers {
+			delay := f.preset.Delay(z, zones[s.Zone])
+			if delay > 0 && s.Kind == configuration.BackendKindEngine {
+				r, err := relay.New(s.Address, delay, between(z.Region, s.Region), between(s.Region, z.Region))
+				if err != nil {
+					return nil, err
+				}
+				f.relays = append(f.relays, r)
+				s.Address = r.Address()
+			}
+			c.BackendServers[name] = s
+		}
+		configurations[z.Name] = c
+	}
+
+	return configurations, nil
+}
+
+func (f *Fleet) startInstances(
+	configurations map[string]*configuration.Configuration, seed uint64, options []func(*dispatch.Dispatcher),
+) {
+	var all []membership.Instance
+	for _, z := range f.preset.Zones {
+		for n := range z.Instances {
+			name := fmt.Sprintf("entry-%s-%d", z.Name, n)
+			f.indexes[name] = len(all)
+			f.zones = append(f.zones, z)
+			all = append(all, membership.Instance{
+				Name:   name,
+				Role:   membership.RoleEntry,
+				Zone:   z.Name,
+				Region: z.Region,
+				State:  membership.StateLive,
+			})
+		}
+	}
+	f.table.Observe(all, time.Now())
+	for n, self := range all {
+		client := engine.New(firstEventTime, eventTime)
+		f.clients = append(f.clients, client)
+		random := rand.New(rand.NewPCG(seed, uint64(n))) //nolint:gosec // spreads load only
+		f.dispatchers = append(f.dispatchers, dispatch.New(client, fixed{configurations[self.Zone]}, f.table, self,
+			func(feeder string, count peer.OnlineCount) { f.send(n, feeder, []peer.OnlineCount{count}) },
+			time.Now, random, queueRequests, queueBytes, queueWait, eventTime, options...))
+	}
+	for n, self := range all {
+		var row []*mailbox
+		for m := range all {
+			box := newMailbox()
+			f.tasks.Go(func() {
+				box.run(f.stop, func(counts []peer.OnlineCount) {
+					f.dispatchers[m].ObserveOnline(self.Name, counts, time.Now())
+				})
+			})
+			row = append(row, box)
+		}
+		f.boxes = append(f.boxes, row)
+		f.tasks.Go(func() { f.exchange(n, all) })
+	}
+}
+
+// exchange repeats all counts as the regular exchange between instances does.
+func (f *Fleet) exchange(n int, all []membership.Instance) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-ticker.C:
+		}
+		for m, other := range all {
+			if m != n {
+				f.send(n, other.Name, f.dispatchers[n].OnlineCounts(other.Name, time.Now()))
+			}
+		}
+	}
+}
+
+func (f *Fleet) send(from int, receiver string, counts []peer.OnlineCount) {
+	m, ok := f.indexes[receiver]
+	if !ok || len(counts) == 0 {
+		return
+	}
+	f.boxes[from][m].post(counts, time.Now().Add(f.preset.Delay(f.zones[from], f.zones[m])))
+}
+
+func server(
+	z preset.Zone, deployment string, kind configuration.BackendKind, slots int, a netip.AddrPort,
+) configuration.BackendServer {
+	return configuration.BackendServer{
+		Address:    a,
+		Deployment: deployment,
+		Kind:       kind,
+		Region:     z.Region,
+		Slots:      slots,
+		Zone:       z.Name,
+	}
+}
+
+func micros(n int) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
--- /dev/null
+++ b/core/experiment/recorder/doc.go
@@ -0,0 +1,2 @@
+// Package recorder collects the latencies of one load.
+package recorder
--- /dev/null
+++ b/core/experiment/recorder/recorder.go
@@ -0,0 +1,130 @@
+package recorder
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longest = time.Minute
+	digits  = 3
+)
+
+// Recorder holds histograms of online requests in a window of time; it is safe for concurrent use.
+type Recorder struct {
+	from, until time.Time
+
+	lock          sync.Mutex
+	first         *hdrhistogram.Histogram
+	whole         *hdrhistogram.Histogram
+	gaps          *hdrhistogram.Histogram
+	requests      int
+	failed        int
+	online, batch int
+}
+
+// New returns a recorder of requests that arrive, and tokens that are received, in [from, until).
+func New(from, until time.Time) *Recorder {
+	return &Recorder{
+		from:  from,
+		until: until,
+		first: histogram(),
+		whole: histogram(),
+		gaps:  histogram(),
+	}
+}
+
+// Request records an online request that was to arrive at a time, with its latencies from then on.
+func (r *Recorder) Request(arrival time.Time, first, whole time.Duration, err error) {
+	if !r.within(arrival) {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.requests++
+	if err != nil {
+		r.failed++
+	}
+	// A failed request counts with the time until its failure; its first token may be missing.
+	if first > 0 {
+		record(r.first, first)
+	}
+	record(r.whole, whole)
+}
+
+// Token records a received online token and the time since the one before, 0 for the first one.
+func (r *Recorder) Token(at time.Time, gap time.Duration) {
+	if !r.within(at) {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.online++
+	if gap > 0 {
+		record(r.gaps, gap)
+	}
+}
+
+// BatchToken counts a received batch token.
+func (r *Recorder) BatchToken(at time.Time) {
+	if !r.within(at) {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.batch++
+}
+
+// Counts returns the measured requests, and those that failed.
+func (r *Recorder) Counts() (requests, failed int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return r.requests, r.failed
+}
+
+// Rates returns the received tokens per second.
+func (r *Recorder) Rates() (online, batch float64) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	seconds := r.until.Sub(r.from).Seconds()
+
+	return float64(r.online) / seconds, float64(r.batch) / seconds
+}
+
+// First returns a percentile, from 0 to 100, of the time to first token.
+func (r *Recorder) First(percentile float64) time.Duration {
+	return r.value(r.first, percentile)
+}
+
+// Whole returns a percentile, from 0 to 100, of the time of whole requests.
+func (r *Recorder) Whole(percentile float64) time.Duration {
+	return r.value(r.whole, percentile)
+}
+
+// Gap returns a percentile, from 0 to 100, of the inter-token latency.
+func (r *Recorder) Gap(percentile float64) time.Duration {
+	return r.value(r.gaps, percentile)
+}
+
+func (r *Recorder) value(h *hdrhistogram.Histogram, percentile float64) time.Duration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return time.Duration(h.ValueAtQuantile(percentile)) * time.Microsecond
+}
+
+func (r *Recorder) within(at time.Time) bool {
+	return !at.Before(r.from) && at.Before(r.until)
+}
+
+func histogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longest.Microseconds(), digits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is within the bounds, which is the only cause of an error.
+	_ = h.RecordValue(min(longest, max(time.Microsecond, d)).Microseconds())
+}
--- /dev/null
+++ b/core/experiment/relay/doc.go
@@ -0,0 +1,2 @@
+// Package relay delays the connections between two places on loopback.
+package relay
--- /dev/null
+++ b/core/experiment/relay/relay.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/experiment/link"
+	"tarragonwalk/core/fault"
+)
+
+const (
+	bufferBytes = 16 << 10
+	// queued bounds the pieces under way on one connection and direction.
+	queued = 1024
+)
+
+// Relay forwards connections to a target with a delay in both directions.
+type Relay struct {
+	target    netip.AddrPort
+	delay     time.Duration
+	up, down  *link.Link
+	listener  net.Listener
+	pumps     sync.WaitGroup
+	lock      sync.Mutex
+	closed    bool
+	connected map[net.Conn]struct{}
+}
+
+type piece struct {
+	data []byte
+	due  time.Time
+}
+
+// New listens on a loopback port; up and down bound the rate to and from the target, and nil does not.
+func New(target netip.AddrPort, delay time.Duration, up, down *link.Link) (*Relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeUnavailable, "cannot listen for a relay")
+	}
+	r := &Relay{
+		target:    target,
+		delay:     delay,
+		up:        up,
+		down:      down,
+		listener:  l,
+		connected: map[net.Conn]struct{}{},
+	}
+	r.pumps.Go(r.accept)
+
+	return r, nil
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(r.listener.Addr().String())
+}
+
+// Close ends all connections and waits for them.
+func (r *Relay) Close() {
+	r.listener.Close()
+	r.lock.Lock()
+	r.closed = true
+	for c := range r.connected {
+		c.Close()
+	}
+	r.lock.Unlock()
+	r.pumps.Wait()
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target.String())
+		if err != nil {
+			near.Close()
+
+			continue
+		}
+		if !r.add(near, far) {
+			return
+		}
+		// The handshake of a connection takes a round trip before its first byte can be sent.
+		r.forward(near, far, r.up, 2*r.delay)
+		r.forward(far, near, r.down, 0)
+	}
+}
+
+func (r *Relay) add(conns ...net.Conn) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, c := range conns {
+		if r.closed {
+			c.Close()
+		} else {
+			r.connected[c] = struct{}{}
+		}
+	}
+
+	return !r.closed
+}
+
+func (r *Relay) remove(c net.Conn) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.connected, c)
+}
+
+func (r *Relay) forward(from, to net.Conn, rate *link.Link, handshake time.Duration) {
+	pieces := make(chan piece, queued)
+	r.pumps.Go(func() {
+		defer close(pieces)
+		buffer := make([]byte, bufferBytes)
+		established := time.Now().Add(handshake)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			at := time.Now()
+			if at.Before(established) {
+				at = established
+			}
+			if rate != nil {
+				at = rate.Reserve(n, at)
+			}
+			pieces <- piece{
+				data: append([]byte(nil), buffer[:n]...),
+				due:  at.Add(r.delay),
+			}
+		}
+	})
+	r.pumps.Go(func() {
+		broken := false
+		for p := range pieces {
+			time.Sleep(time.Until(p.due))
+			if !broken {
+				_, err := to.Write(p.data)
+				broken = err != nil
+			}
+		}
+		time.Sleep(r.delay)
+		to.Close()
+		r.remove(to)
+	})
+}
--- /dev/null
+++ b/core/experiment/runner.go
@@ -0,0 +1,172 @@
+package experiment
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"tarragonwalk/core/dispatch"
+	"tarragonwalk/core/experiment/fleet"
+	"tarragonwalk/core/experiment/preset"
+	"tarragonwalk/core/experiment/recorder"
+	"tarragonwalk/core/experiment/report"
+	"tarragonwalk/core/experiment/traffic"
+	"tarragonwalk/core/fault"
+)
+
+// Names of the scenarios, each with its own baselines.
+const (
+	Batch      = "batch"
+	Short      = "short"
+	Stragglers = "stragglers"
+	Hop        = "hop"
+)
+
+// Variants of the rows.
+const (
+	thisVersion   = "this version"
+	roundRobin    = "round-robin"
+	leastInFlight = "least-in-flight"
+	longFactor    = 20
+)
+
+// Runner runs scenarios one after the other, each arm on a fresh fleet.
+type Runner struct {
+	preset preset.Preset
+	seed   uint64
+	log    *slog.Logger
+	report report.Report
+	arms   map[string]*recorder.Recorder
+}
+
+// arm is one load on one fleet.
+type arm struct {
+	name       string
+	online     int
+	tokens     int
+	long       int
+	batch      bool
+	stragglers bool
+	options    []func(*dispatch.Dispatcher)
+}
+
+// New returns a runner.
+func New(p preset.Preset, seed uint64, log *slog.Logger) *Runner {
+	return &Runner{
+		preset: p,
+		seed:   seed,
+		log:    log,
+		arms:   map[string]*recorder.Recorder{},
+	}
+}
+
+// Run measures the scenarios with these names, or all of them without names.
+func (r *Runner) Run(ctx context.Context, names []string) (report.Report, error) {
+	r.report = report.Report{
+		Preset:    r.preset.Name,
+		Seed:      int(r.seed), //nolint:gosec // chosen by the operator, small
+		StartedAt: time.Now(),
+		Rows:      []report.Row{},
+		Arms:      []report.Arm{},
+	}
+	scenarios := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{Batch, r.batch},
+		{Short, r.short},
+		{Stragglers, r.stragglers},
+		{Hop, r.hop},
+	}
+	for _, s := range scenarios {
+		if len(names) > 0 && !slices.Contains(names, s.name) {
+			continue
+		}
+		r.log.Info("scenario started", "scenario", s.name)
+		if err := s.run(ctx); err != nil {
+			return r.report, err
+		}
+	}
+
+	return r.report, nil
+}
+
+// measure runs an arm unless it was run before.
+func (r *Runner) measure(ctx context.Context, a arm) (*recorder.Recorder, error) {
+	if done := r.arms[a.name]; done != nil {
+		return done, nil
+	}
+	p := r.preset
+	f, err := fleet.New(p, r.seed, a.options...)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	before := readCounters()
+	from := time.Now().Add(time.Duration(p.WarmMillis) * time.Millisecond)
+	until := from.Add(time.Duration(p.ArmMillis) * time.Millisecond)
+	rec := recorder.New(from, until)
+	s := traffic.New(f.Dispatchers(), r.seed, p.PromptBytes, until)
+	if a.batch {
+		s.Batch(ctx, p.BatchTokens, rec)
+	}
+	if a.online > 0 {
+		s.Online(ctx, "online", float64(a.online), a.tokens, rec)
+	}
+	if a.long > 0 {
+		s.Online(ctx, "long", float64(a.long), longFactor*a.tokens, nil)
+	}
+	if a.stragglers {
+		straggle(ctx, f, until)
+	}
+	s.Wait()
+	if ctx.Err() != nil {
+		return nil, fault.Wrap(ctx.Err(), fault.CodeCancelled, "experiment canceled")
+	}
+	r.arms[a.name] = rec
+	r.report.Arms = append(r.report.Arms, summary(a.name, rec, before))
+
+	return rec, nil
+}
+
+// straggle makes two workers of the first region ten times slower in bursts of two seconds that overlap by one.
+func straggle(ctx context.Context, f *fleet.Fleet, until time.Time) {
+	const factor, first, second = 10, 0, 5
+	slow := map[bool]float64{
+		true:  factor,
+		false: 1,
+	}
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for n := 0; time.Now().Before(until); n++ {
+		f.Slow(first, slow[n%4 < 2])
+		f.Slow(second, slow[n%4 == 1 || n%4 == 2])
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	f.Slow(first, 1)
+	f.Slow(second, 1)
+}
+
+func (r *Runner) add(measure, variant string, value float64, unit, target string, met bool) {
+	verdict := ""
+	switch {
+	case target == "":
+	case met:
+		verdict = "met"
+	default:
+		verdict = "missed"
+	}
+	r.report.Rows = append(r.report.Rows, report.Row{
+		Measure: measure,
+		Variant: variant,
+		Value:   value,
+		Unit:    unit,
+		Target:  target,
+		Verdict: verdict,
+	})
+}
--- /dev/null
+++ b/core/experiment/scenarios.go
@@ -0,0 +1,143 @@
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"tarragonwalk/core/dispatch"
+	"tarragonwalk/core/experiment/recorder"
+	"tarragonwalk/core/routing/leastinflight"
+	"tarragonwalk/core/routing/roundrobin"
+)
+
+// Bounds of the targets in section 1.3 of the design.
+const (
+	maxBatchTail     = 1.10
+	minBatchShare    = 0.90
+	maxShortTail     = 1.25
+	maxStragglerTail = 1.5
+	maxFirst         = 750 * time.Millisecond
+	maxGap           = 36 * time.Millisecond
+	tail             = 99
+	high             = 95
+)
+
+func (r *Runner) ordinary(name string) arm {
+	return arm{
+		name:   name,
+		online: r.preset.OnlinePerSecond,
+		tokens: r.preset.OnlineTokens,
+	}
+}
+
+func (r *Runner) batch(ctx context.Context) error {
+	alone, err := r.measure(ctx, r.ordinary("online"))
+	if err != nil {
+		return err
+	}
+	both := r.ordinary("online and batch")
+	both.batch = true
+	saturated, err := r.measure(ctx, both)
+	if err != nil {
+		return err
+	}
+	full, err := r.measure(ctx, arm{
+		name:  "batch",
+		batch: true,
+	})
+	if err != nil {
+		return err
+	}
+	first := ratio(saturated.First(tail), alone.First(tail))
+	r.add("Time to first token p99, saturated by batch / without batch", thisVersion, first, "ratio", "<= 1.10",
+		first <= maxBatchTail)
+	whole := ratio(saturated.Whole(tail), alone.Whole(tail))
+	r.add("Online request p99, saturated by batch / without batch", thisVersion, whole, "ratio", "<= 1.10",
+		whole <= maxBatchTail)
+	online, batch := saturated.Rates()
+	_, capacity := full.Rates()
+	share := batch / (capacity - online)
+	r.add("Batch throughput beside online load / capacity left over", thisVersion, share, "ratio", ">= 0.90",
+		share >= minBatchShare)
+	for _, v := range []struct {
+		name string
+		load *recorder.Recorder
+	}{
+		{thisVersion + ", without batch", alone},
+		{thisVersion + ", saturated by batch", saturated},
+	} {
+		r.add("Time to first token p95", v.name, millis(v.load.First(high)), "ms", "<= 750", v.load.First(high) <= maxFirst)
+		r.add("Inter-token latency p95", v.name, millis(v.load.Gap(high)), "ms", "<= 36", v.load.Gap(high) <= maxGap)
+	}
+
+	return nil
+}
+
+func (r *Runner) short(ctx context.Context) error {
+	load := arm{
+		name:   "short",
+		online: r.preset.ShortPerSecond,
+		tokens: r.preset.OnlineTokens,
+	}
+	alone, err := r.measure(ctx, load)
+	if err != nil {
+		return err
+	}
+	load.name, load.long = "short and long", r.preset.LongPerSecond
+	mixed, err := r.measure(ctx, load)
+	if err != nil {
+		return err
+	}
+	first := ratio(mixed.First(tail), alone.First(tail))
+	r.add("Short work, time to first token p99, mixed / alone", thisVersion, first, "ratio", "<= 1.25",
+		first <= maxShortTail)
+	whole := ratio(mixed.Whole(tail), alone.Whole(tail))
+	r.add("Short work, request p99, mixed / alone", thisVersion, whole, "ratio", "<= 1.25", whole <= maxShortTail)
+
+	return nil
+}
+
+func (r *Runner) stragglers(ctx context.Context) error {
+	for _, v := range []struct {
+		name, none string
+		options    []func(*dispatch.Dispatcher)
+	}{
+		{roundRobin, roundRobin, []func(*dispatch.Dispatcher){
+			dispatch.WithRouter(roundrobin.New),
+			dispatch.WithoutHedging(),
+		}},
+		{leastInFlight, leastInFlight, []func(*dispatch.Dispatcher){
+			dispatch.WithRouter(func(usable func(string, time.Time) bool, online func(string) int) *leastinflight.Router {
+				random := rand.New(rand.NewPCG(r.seed, 0)) //nolint:gosec // breaks ties only
+
+				return leastinflight.New(usable, online, random)
+			}),
+			dispatch.WithoutHedging(),
+		}},
+		{thisVersion, "online", nil},
+	} {
+		load := r.ordinary(v.none)
+		load.options = v.options
+		none, err := r.measure(ctx, load)
+		if err != nil {
+			return err
+		}
+		load.name, load.stragglers = v.name+", stragglers", true
+		slow, err := r.measure(ctx, load)
+		if err != nil {
+			return err
+		}
+		target := ""
+		if v.name == thisVersion {
+			target = "<= 1.5"
+		}
+		first := ratio(slow.First(tail), none.First(tail))
+		r.add("Time to first token p99, 2 of 12 workers slow / none", v.name, first, "ratio", target,
+			first <= maxStragglerTail)
+		whole := ratio(slow.Whole(tail), none.Whole(tail))
+		r.add("Online request p99, 2 of 12 workers slow / none", v.name, whole, "ratio", target, whole <= maxStragglerTail)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/core/experiment/traffic/doc.go
@@ -0,0 +1,2 @@
+// Package traffic drives dispatchers with online requests in an open loop and with batch items.
+package traffic
--- /dev/null
+++ b/core/experiment/traffic/source.go
@@ -0,0 +1,160 @@
+package traffic
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/dispatch"
+	"tarragonwalk/core/experiment/fleet"
+	"tarragonwalk/core/experiment/recorder"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/inference"
+	"tarragonwalk/io/openai"
+)
+
+const (
+	prefixes = 16
+	// onlineTime is the deadline of a request, well above the tail of a straggler.
+	onlineTime = 30 * time.Second
+	// maxRequests bounds one source in count as well as in time.
+	maxRequests = 20000
+	workspaces  = 4
+	// batchStreams keeps more items ready for each instance than the workers that it feeds can run.
+	batchStreams = 48
+)
+
+// Source sends requests to dispatchers until a time.
+type Source struct {
+	dispatchers []*dispatch.Dispatcher
+	seed        uint64
+	promptBytes int
+	until       time.Time
+	tasks       sync.WaitGroup
+}
+
+// New returns a source with the same arrivals and prompts for the same seed.
+func New(d []*dispatch.Dispatcher, seed uint64, promptBytes int, until time.Time) *Source {
+	return &Source{
+		dispatchers: d,
+		seed:        seed,
+		promptBytes: promptBytes,
+		until:       until,
+	}
+}
+
+// Wait returns when all requests have ended.
+func (s *Source) Wait() {
+	s.tasks.Wait()
+}
+
+// Online starts an open loop of online requests; latencies count from the intended arrival. A recorder may be nil.
+func (s *Source) Online(ctx context.Context, name string, perSecond float64, tokens int, r *recorder.Recorder) {
+	random := rand.New(rand.NewPCG(s.seed, uint64(tokens))) //nolint:gosec // reproducible arrivals
+	s.tasks.Go(func() {
+		arrival := time.Now()
+		for n := range maxRequests {
+			arrival = arrival.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			if !arrival.Before(s.until) {
+				return
+			}
+			d := s.dispatchers[random.IntN(len(s.dispatchers))]
+			q := Request(fmt.Sprintf("%s-%d", name, n), n, tokens, s.promptBytes, inference.ClassOnline)
+			time.Sleep(time.Until(arrival))
+			if ctx.Err() != nil {
+				return
+			}
+			at := arrival
+			s.tasks.Go(func() { runOnline(ctx, d, q, at, r) })
+		}
+	})
+}
+
+// Batch keeps every instance supplied with batch items.
+func (s *Source) Batch(ctx context.Context, tokens int, r *recorder.Recorder) {
+	ctx, cancel := context.WithDeadline(ctx, s.until)
+	s.tasks.Go(func() {
+		defer cancel()
+		<-ctx.Done()
+	})
+	for i, d := range s.dispatchers {
+		for j := range batchStreams {
+			s.tasks.Go(func() {
+				for n := 0; n < maxRequests && ctx.Err() == nil; n++ {
+					id := fmt.Sprintf("batch-%d-%d-%d", i, j, n)
+					q := Request(id, n*batchStreams+j, tokens, s.promptBytes, inference.ClassBatch)
+					// A stream that the end of the arm cuts short has delivered the tokens that count.
+					_ = d.Run(ctx, q, func(inference.Event) error {
+						r.BatchToken(time.Now())
+
+						return nil
+					})
+				}
+			})
+		}
+	}
+}
+
+// Request returns the n-th request of a load; its answer has between half of the tokens and all of them.
+func Request(id string, n, tokens, promptBytes int, class inference.Class) *inference.Request {
+	prefix := fmt.Sprintf("prefix-%d ", n%prefixes)
+	common := strings.Repeat(prefix, promptBytes*2/3/len(prefix))
+	prompt := common + strings.Repeat(fmt.Sprintf("%d ", n), 1)
+	prompt += strings.Repeat("x", max(0, promptBytes-len(prompt)))
+	// The body of strings and numbers can always be encoded.
+	body, _ := json.Marshal(openai.ChatRequest{
+		MaxTokens: tokens,
+		Messages: []openai.Message{{
+			Role:    "user",
+			Content: prompt,
+		}},
+		Model: fleet.Deployment,
+	})
+
+	return &inference.Request{
+		Body:        body,
+		Class:       class,
+		Deadline:    time.Now().Add(onlineTime),
+		Deployment:  fleet.Deployment,
+		ID:          id,
+		MaxTokens:   tokens,
+		Prefix:      prefix,
+		PromptBytes: len(prompt),
+		Stream:      id,
+		Workspace:   fmt.Sprintf("workspace-%d", n%workspaces),
+	}
+}
+
+func runOnline(
+	ctx context.Context, d *dispatch.Dispatcher, q *inference.Request, arrival time.Time, r *recorder.Recorder,
+) {
+	var first time.Duration
+	var last time.Time
+	finished := false
+	err := d.Run(ctx, q, func(e inference.Event) error {
+		at := time.Now()
+		if last.IsZero() {
+			first = at.Sub(arrival)
+		}
+		if r != nil {
+			gap := time.Duration(0)
+			if !last.IsZero() {
+				gap = at.Sub(last)
+			}
+			r.Token(at, gap)
+		}
+		last, finished = at, e.Finish != ""
+
+		return nil
+	})
+	if err == nil && !finished {
+		err = fault.New(fault.CodeStreamLost, "no last event")
+	}
+	if r != nil {
+		r.Request(arrival, first, time.Since(arrival), err)
+	}
+}
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -21,3 +21,5 @@
 generate peer io/peer
 generate settings io/settings
 generate instance core/instance
+generate preset core/experiment/preset
+generate report core/experiment/report
