--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -23,3 +23,5 @@
 generate instance core/instance
 generate lease core/lease
 generate burn core/burn
+generate preset core/experiment/preset
+generate report core/experiment/report
