Test TLS through a whole instance, a closed TLS caller included

Cause: TLS had been tested at the listener only. Checked: a stream by TLS; an untrusted certificate is refused by the client; a caller that closes TLS frees its slot within 3 s.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"tarragonwalk/core/instance"
 	"tarragonwalk/core/lease"
 	"tarragonwalk/core/membership"
+	"tarragonwalk/internal/selfsigned"
 	"tarragonwalk/io/apiclient"
 	storeclient "tarragonwalk/io/objectstore"
 	"tarragonwalk/io/settings"
@@ -108,15 +109,20 @@
 
 // StartInstance starts an entry instance and adds it to the instance list.
 func (f *Fleet) StartInstance(name, zone, region string) error {
-	return f.startInstance(name, zone, region, f.store)
+	return f.startInstance(name, zone, region, f.store, selfsigned.Pair{})
+}
+
+// StartSecureInstance starts an entry instance that serves callers and operators by TLS.
+func (f *Fleet) StartSecureInstance(name, zone, region string, p selfsigned.Pair) error {
+	return f.startInstance(name, zone, region, f.store, p)
 }
 
 // StartInstanceWithoutStore starts an entry instance that never reaches the store.
 func (f *Fleet) StartInstanceWithoutStore(name, zone, region string) error {
-	return f.startInstance(name, zone, region, netip.MustParseAddrPort(closedPort))
+	return f.startInstance(name, zone, region, netip.MustParseAddrPort(closedPort), selfsigned.Pair{})
 }
 
-func (f *Fleet) startInstance(name, zone, region string, store netip.AddrPort) error {
+func (f *Fleet) startInstance(name, zone, region string, store netip.AddrPort, p selfsigned.Pair) error {
 	s := &settings.Settings{
 		Instance: settings.InstanceSettings{
 			Name:   name,
@@ -127,6 +133,9 @@
 			Caller:   netip.MustParseAddrPort(anyPort),
 			Operator: netip.MustParseAddrPort(anyPort),
 			Peer:     netip.MustParseAddrPort(anyPort),
+
+			CertificateFile: p.CertificateFile,
+			KeyFile:         p.KeyFile,
 		},
 		Platform: settings.PlatformSettings{
 			Store:                store,
--- a/io/certificate/reloader_test.go
+++ b/io/certificate/reloader_test.go
@@ -1,65 +1,19 @@
 package certificate
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"log/slog"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/internal/selfsigned"
 )
 
-// writePair writes a new self-signed certificate with a name.
-func writePair(t *testing.T, folder, name string, modified time.Time) (certificateFile, keyFile string) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1),
-		Subject: pkix.Name{
-			CommonName: name,
-		},
-		NotAfter:    time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	secret, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificateFile, keyFile = filepath.Join(folder, "tls.crt"), filepath.Join(folder, "tls.key")
-	for path, block := range map[string]*pem.Block{
-		certificateFile: {Type: "CERTIFICATE", Bytes: der},
-		keyFile:         {Type: "EC PRIVATE KEY", Bytes: secret},
-	} {
-		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.Chtimes(path, modified, modified); err != nil {
-			t.Fatal(err)
-		}
-	}
-
-	return certificateFile, keyFile
-}
-
 func servedName(t *testing.T, address string) string {
 	t.Helper()
 	c, err := tls.Dial("tcp", address, &tls.Config{
@@ -77,9 +31,10 @@
 func TestReload(t *testing.T) {
 	is := is.New(t)
 	folder, now := t.TempDir(), time.Now()
-	certificateFile, keyFile := writePair(t, folder, "first", now)
+	p, err := selfsigned.Write(folder, "first", now)
+	is.NoErr(err)
 	clock := now
-	r, err := New(certificateFile, keyFile, func() time.Time { return clock }, slog.New(slog.DiscardHandler))
+	r, err := New(p.CertificateFile, p.KeyFile, func() time.Time { return clock }, slog.New(slog.DiscardHandler))
 	is.NoErr(err)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -97,11 +52,12 @@
 		}
 	}()
 	is.Equal(servedName(t, l.Addr().String()), "first")
-	writePair(t, folder, "second", now.Add(time.Second))
+	_, err = selfsigned.Write(folder, "second", now.Add(time.Second))
+	is.NoErr(err)
 	clock = clock.Add(checkInterval)
 	is.Equal(servedName(t, l.Addr().String()), "second")
-	is.NoErr(os.WriteFile(keyFile, []byte("broken"), 0o600))
-	is.NoErr(os.Chtimes(keyFile, now.Add(2*time.Second), now.Add(2*time.Second)))
+	is.NoErr(os.WriteFile(p.KeyFile, []byte("broken"), 0o600))
+	is.NoErr(os.Chtimes(p.KeyFile, now.Add(2*time.Second), now.Add(2*time.Second)))
 	clock = clock.Add(checkInterval)
 	is.Equal(servedName(t, l.Addr().String()), "second")
 }
