--- a/io/apiclient/stream.go
+++ b/io/apiclient/stream.go
@@ -42,7 +42,13 @@
 		return "", decodeError(response, answer)
 	}
 
-	return readEvents(response.BodyStream(), on)
+	finish, err := readEvents(response.BodyStream(), on)
+	if err != nil {
+		// The rest of the answer is still on its way, so the connection cannot carry another request.
+		response.SetConnectionClose()
+	}
+
+	return finish, err
 }
 
 func readEvents(r io.Reader, on func(offset int, text string) error) (string, error) {
@@ -60,6 +66,12 @@
 			failed = string(value) == "error"
 		case "data":
 			if string(value) == "[DONE]" {
+				// The end of the chunked body has to be read before the connection can carry another request.
+				_, err := io.Copy(io.Discard, io.LimitReader(r, maxEventBytes))
+				if err != nil {
+					return "", fault.Wrap(err, fault.CodeStreamLost, "the stream ended before its answer was complete")
+				}
+
 				return finish, nil
 			}
 			if failed {
