Keep the mark of a cancellation when a submission rewrites the index entry

Cause: ensureOpen wrote an existing index entry again with Cancelled false. A submission that was paused after it found no record, while another copy of it was accepted and canceled, cleared the mark. A runner that was cut off meanwhile then read an open entry and went on starting items of the canceled job until the entry was removed about a minute later. Ruled out: checking the record before the write (another read, and the cancellation can still come in between). The entry is read anyway, and the condition on its version decides the race with the mark. Before: TestSubmitAfterCancel fails, the entry is not marked. Remaining: an entry that is absent because it was removed is still created without a mark by a submission that was paused for more than a minute; a runner that has not loaded the job reads the record first and does not start it.

--- a/io/jobstore/store_test.go
+++ b/io/jobstore/store_test.go
@@ -92,6 +92,42 @@
 	}
 }
 
+// interrupted calls once after the first read of a job record, as if the process was paused there.
+type interrupted struct {
+	*fakestore.Store
+	once sync.Once
+	f    func()
+}
+
+func (i *interrupted) Get(ctx context.Context, key string) ([]byte, int64, error) {
+	value, version, err := i.Store.Get(ctx, key)
+	if strings.HasPrefix(key, "job/") {
+		i.once.Do(i.f)
+	}
+
+	return value, version, err
+}
+
+// Guards against a late submission that clears the mark of a cancellation, after which runners go on with the job.
+func TestSubmitAfterCancel(t *testing.T) {
+	is := is.New(t)
+	f, s, u := setup(is)
+	i := &interrupted{Store: f}
+	i.f = func() {
+		st, err := s.Submit(t.Context(), u)
+		is.NoErr(err)
+		_, err = s.Cancel(t.Context(), "w/x", st.Job.ID)
+		is.NoErr(err)
+	}
+	st, err := New(i, s.limits, time.Now).Submit(t.Context(), u)
+	is.NoErr(err)
+	is.Equal(st.Job.State, job.JobStateCancelled)
+	var o job.OpenJob
+	_, err = s.get(t.Context(), job.OpenKey(st.Job.ID), &o)
+	is.NoErr(err)
+	is.True(o.Cancelled)
+}
+
 // Guards against a view that stays behind, and against index entries that stay for ever without a record.
 func TestFollowOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/jobstore/submit.go
+++ b/io/jobstore/submit.go
@@ -100,7 +100,8 @@
 }
 
 // ensureOpen creates the index entry or writes it again. The new version restarts the time after which an entry
-// without a record is removed, and makes a removal that is under way fail.
+// without a record is removed, and makes a removal that is under way fail. An entry that is marked as canceled stays as
+// it is: another submission of the job was accepted and canceled meanwhile.
 func (s *Store) ensureOpen(ctx context.Context, j job.Job) error {
 	value := encodeOpen(j)
 	for {
@@ -108,11 +109,12 @@
 		if err != nil || created {
 			return err
 		}
-		_, version, err := s.objects.Get(ctx, job.OpenKey(j.ID))
+		var old job.OpenJob
+		version, err := s.get(ctx, job.OpenKey(j.ID), &old)
 		if fault.CodeOf(err) == fault.CodeNotFound {
 			continue
 		}
-		if err != nil {
+		if err != nil || old.Cancelled {
 			return err
 		}
 		_, err = s.objects.Put(ctx, job.OpenKey(j.ID), value, version)
