Decide resent patches by the version's key and copy versions from peers

Cause: two faults. Append compared the base with the holder, then read the holder again for the patch, and decided a refusal by the listing. A version that a peer delivered in between, or a listing that lags behind, made a resend of an accepted patch be refused as stale although it had taken effect. A version learned from a peer reached the holder only, never the copy on disk, so a restart in a store outage went back to an older version. Now the holder is read once, and the key of the version after the base decides. Followers watch the holder for the copy. Weighed: saving in core/exchange, which would need to know the store's folder; the holder already tells changes. The code writes the copy after the version is in effect, so a crash within that time still restarts lower.

--- a/io/configstore/store.go
+++ b/io/configstore/store.go
@@ -81,10 +81,23 @@
 	if _, err := s.refresh(ctx); err != nil {
 		return nil, err
 	}
-	if p.BaseVersion != s.version() {
+	// A listing may lag behind the version that the patch was made against, so that one is read by its key.
+	if p.BaseVersion > s.version() {
+		c, err := s.load(ctx, keyOf(p.BaseVersion))
+		if fault.CodeOf(err) == fault.CodeNotFound {
+			return nil, configuration.Stale(s.version())
+		}
+		if err != nil {
+			return nil, err
+		}
+		s.apply(c)
+	}
+	// Read once: the holder may change at any time, and a refusal is decided by earlier alone.
+	current := s.holder.Current()
+	if current != nil && p.BaseVersion < current.Version {
 		return s.earlier(ctx, p)
 	}
-	c, err := configuration.ApplyPatch(s.holder.Current(), p)
+	c, err := configuration.ApplyPatch(current, p)
 	if err != nil {
 		return nil, err
 	}
@@ -109,16 +122,18 @@
 	return c, nil
 }
 
-// earlier returns the version that the same operation created before, or the refusal of a stale patch.
+// earlier returns the version that the same operation created before, or the refusal of a stale patch. The version
+// after the patch's base decides; it is read by its key, as a listing may lag behind it.
 func (s *Store) earlier(ctx context.Context, p configuration.Patch) (*configuration.Configuration, error) {
-	if p.BaseVersion < s.version() {
-		c, err := s.load(ctx, keyOf(p.BaseVersion+1))
-		if err == nil && c.Operation == p.Operation {
+	c, err := s.load(ctx, keyOf(p.BaseVersion+1))
+	if err != nil && fault.CodeOf(err) != fault.CodeNotFound {
+		return nil, err
+	}
+	if err == nil {
+		s.apply(c)
+		if c.Operation == p.Operation {
 			return c, nil
 		}
-		if err != nil && fault.CodeOf(err) != fault.CodeNotFound {
-			return nil, err
-		}
 	}
 
 	return nil, configuration.Stale(s.version())
@@ -186,6 +201,7 @@
 		ready()
 	}
 	go s.follow(ctx, ready)
+	go s.copyChanges(ctx)
 	select {
 	case <-loaded:
 	case <-ctx.Done():
@@ -213,6 +229,23 @@
 	}
 }
 
+// copyChanges keeps the copy up to date with versions that reach the holder from a peer.
+func (s *Store) copyChanges(ctx context.Context) {
+	for {
+		changed := s.holder.Changed()
+		if c := s.holder.Current(); c != nil {
+			if err := s.save(c); err != nil {
+				s.log.Warn("configuration copy not written", "version", c.Version, "error", err)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (s *Store) restore() (*configuration.Configuration, error) {
 	if s.folder == "" {
 		return nil, os.ErrNotExist
--- a/io/configstore/store_test.go
+++ b/io/configstore/store_test.go
@@ -74,6 +74,56 @@
 	is.Equal(len(entries), 2)
 }
 
+// lagging hides all versions from listings.
+type lagging struct{ objects }
+
+func (lagging) List(context.Context, string, string, int) ([]objectstore.Entry, int64, error) {
+	return nil, 1, nil
+}
+
+// Guards against an accepted patch whose resend is refused because the listing lags behind.
+func TestResendWithLaggingListing(t *testing.T) {
+	is := is.New(t)
+	_, open := start(t)
+	s := open("")
+	for n, operation := range []string{"a", "b"} {
+		_, err := s.Append(t.Context(), patch(n, operation))
+		is.NoErr(err)
+	}
+	for n, operation := range []string{"a", "b"} {
+		behind := open("")
+		behind.objects = lagging{behind.objects}
+		c, err := behind.Append(t.Context(), patch(n, operation))
+		is.NoErr(err)
+		is.Equal(c.Version, n+1)
+		_, err = behind.Append(t.Context(), patch(n, "x"))
+		is.Equal(fault.CodeOf(err), fault.CodeStaleVersion)
+	}
+}
+
+// Guards against a restart in an outage that goes back below a version learned from a peer.
+func TestRestartAfterPeerUpdate(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	o, open := start(t)
+	first := open("")
+	c, err := first.Append(t.Context(), patch(0, "a"))
+	is.NoErr(err)
+	is.NoErr(o.SetRefused(true))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := open(folder)
+	go s.Follow(ctx)
+	s.holder.Apply(c) // as core/exchange does
+	restored := 0
+	for end := time.Now().Add(4 * time.Second); restored < 1 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if c, err := s.restore(); err == nil {
+			restored = c.Version
+		}
+	}
+	is.Equal(restored, 1)
+}
+
 // Guards against two winners of one version.
 func TestRace(t *testing.T) {
 	is := is.New(t)
