Divide the link between regions among the instances that share it

Cause: each instance allowed itself 1.9 MB/s of the 3.75 MB/s link, so that three instances of a region planned for 5.7 MB/s. Each instance now uses its part of one half, by the live entry instances of its region. A table test counts the bytes for 1, 3 and 8 instances.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -122,7 +122,7 @@
 		avoid:         map[string]time.Time{},
 		reported:      map[string]time.Time{},
 	}
-	d.router = routing.New(self.Zone, self.Region, d.usable, d.pace, d.onlineOn, random)
+	d.router = routing.New(self.Zone, self.Region, d.usable, d.pace, d.onlineOn, d.instances, random)
 	for _, o := range options {
 		o(d)
 	}
@@ -318,3 +318,10 @@
 func (d *Dispatcher) onlineOn(name string) int {
 	return d.admission.OnlineAll(name, d.now())
 }
+
+// instances returns the live entry instances of the own region.
+func (d *Dispatcher) instances(at time.Time) int {
+	d.feeders(d.configuration.Current(), at)
+
+	return d.feeding.regional
+}
--- a/core/dispatch/feeding.go
+++ b/core/dispatch/feeding.go
@@ -23,6 +23,8 @@
 	at            time.Time
 	live          []string
 	feeders       map[string]string
+	// regional is the number of live entry instances in the own region.
+	regional int
 }
 
 // feeders returns the feeder by backend server: in its own region if one is live, so that tokens stay off the link.
@@ -50,6 +52,7 @@
 		all = append(all, n...)
 	}
 	f.configuration, f.live, f.feeders = c, names, map[string]string{}
+	f.regional = len(regions[d.self.Region])
 	for name, b := range c.BackendServers {
 		candidates := regions[b.Region]
 		if len(candidates) == 0 {
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// Half of the 30 Mbit/s link is left to results, configuration and the other instances' requests.
-	linkBytesPerSecond = 1_900_000
+	// The 30 Mbit/s link carries the requests of all instances of the region; half of it is left to results and
+	// configuration.
+	linkBytesPerSecond = 3_750_000 / 2
 	// tokenBytes is the size of one event on the wire.
 	tokenBytes    = 200
 	defaultTokens = 512
@@ -38,18 +39,21 @@
 	usable    func(name string, at time.Time) bool
 	pace      pacer
 	online    func(name string) int
+	instances func(at time.Time) int
 	random    *rand.Rand
 	hints     map[string]hint
 	linkBytes float64
 	linkAt    time.Time
 }
 
-// New returns a router for an instance in a zone and region; online returns the online requests in flight on a server.
+// New returns a router for an instance in a zone and region; online returns the online requests in flight on a server,
+// and instances the live entry instances of the region, which share the link to other regions.
 func New(
 	zone, region string,
 	usable func(name string, at time.Time) bool,
 	pace pacer,
 	online func(name string) int,
+	instances func(at time.Time) int,
 	random *rand.Rand,
 ) *Router {
 	return &Router{
@@ -58,9 +62,9 @@
 		usable:    usable,
 		pace:      pace,
 		online:    online,
+		instances: instances,
 		random:    random,
 		hints:     map[string]hint{},
-		linkBytes: linkBytesPerSecond,
 	}
 }
 
@@ -182,14 +186,17 @@
 	return name
 }
 
+// linkAllows spends at most this instance's part of the link; up to one second of it is saved up.
 func (ro *Router) linkAllows(r *inference.Request, at time.Time) bool {
+	part := linkBytesPerSecond / float64(max(1, ro.instances(at)))
+	earned := part
 	if !ro.linkAt.IsZero() {
-		earned := at.Sub(ro.linkAt).Seconds() * linkBytesPerSecond
-		ro.linkBytes = min(linkBytesPerSecond, ro.linkBytes+max(0, earned))
+		earned = max(0, at.Sub(ro.linkAt).Seconds()*part)
 	}
+	ro.linkBytes = min(part, ro.linkBytes+earned)
 	ro.linkAt = at
 
-	return ro.linkBytes >= min(linkCost(r), linkBytesPerSecond)
+	return ro.linkBytes >= min(linkCost(r), part)
 }
 
 func linkCost(r *inference.Request) float64 {
--- /dev/null
+++ b/core/routing/router_test.go
@@ -0,0 +1,138 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/configuration"
+	"tarragonwalk/core/inference"
+)
+
+type fakePace struct {
+	slow   map[string]bool
+	probes map[string]bool
+	first  map[string]time.Duration
+}
+
+func (p *fakePace) Straggler(name string, _ time.Time) bool           { return p.slow[name] }
+func (p *fakePace) Probe(name string, _ time.Time) bool               { return p.probes[name] }
+func (p *fakePace) FirstToken(name string, _ time.Time) time.Duration { return p.first[name] }
+func usableBut(unusable map[string]bool) func(name string, _ time.Time) bool {
+	return func(name string, _ time.Time) bool { return !unusable[name] }
+}
+
+// fleet has a1 and a2 in the own zone, b1 in another zone of the region and c1 in another region, with 8 slots each.
+func fleet() *configuration.Configuration {
+	c := &configuration.Configuration{BackendServers: configuration.ConfigurationBackendServers{}}
+	for _, n := range []string{"a1", "a2", "b1", "c1"} {
+		region := "near"
+		if n[0] == 'c' {
+			region = "far"
+		}
+		c.BackendServers[n] = configuration.BackendServer{
+			Deployment: "d",
+			Region:     region,
+			Slots:      8,
+			Zone:       n[:1],
+		}
+	}
+
+	return c
+}
+
+// Guards against requests on servers that are unusable, full, slow or needlessly far away.
+func TestPick(t *testing.T) {
+	cases := []struct {
+		name     string
+		online   map[string]int
+		unusable map[string]bool
+		excluded map[string]bool
+		slow     map[string]bool
+		probes   map[string]bool
+		first    map[string]time.Duration
+		want     string // the servers that may be picked, empty for none
+	}{
+		{name: "own zone first", want: "a1 a2"},
+		{name: "other zone when the own is full", online: map[string]int{"a1": 8, "a2": 8}, want: "b1"},
+		{name: "unusable", unusable: map[string]bool{"a1": true}, want: "a2"},
+		{name: "excluded", excluded: map[string]bool{"a2": true}, want: "a1"},
+		{name: "straggler", slow: map[string]bool{"a1": true}, want: "a2"},
+		{name: "probe", slow: map[string]bool{"b1": true}, probes: map[string]bool{"b1": true}, want: "b1"},
+		{
+			name: "full stragglers", slow: map[string]bool{"a1": true, "a2": true, "b1": true},
+			online: map[string]int{"a1": 8, "a2": 8}, want: "b1",
+		},
+		{name: "slower first token", first: map[string]time.Duration{"a1": time.Second, "a2": time.Millisecond}, want: "a2"},
+		{name: "other region", unusable: map[string]bool{"a1": true, "a2": true, "b1": true}, want: "c1"},
+		{name: "full region waits", online: map[string]int{"a1": 8, "a2": 8, "b1": 8}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &fakePace{slow: c.slow, probes: c.probes, first: c.first}
+			ro := New("a", "near", usableBut(c.unusable), p, func(n string) int { return c.online[n] },
+				func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
+			for range 20 {
+				name, ok := ro.Pick(fleet(), &inference.Request{Deployment: "d", MaxTokens: 1}, c.excluded, time.Unix(1, 0))
+				is.Equal(ok, c.want != "")
+				is.True(ok == (name != ""))
+				is.True(name == "" || len(c.want) == 2 && c.want == name || c.want == "a1 a2" && name[0] == 'a')
+			}
+		})
+	}
+}
+
+// Guards against instances that each use the whole link between the regions.
+func TestLinkIsSharedByInstances(t *testing.T) {
+	for _, instances := range []int{1, 3, 8} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			is := is.New(t)
+			gone := map[string]bool{"a1": true, "a2": true, "b1": true}
+			ro := New("a", "near", usableBut(gone), &fakePace{}, func(string) int { return 0 },
+				func(time.Time) int { return instances }, rand.New(rand.NewPCG(1, 2)))
+			r := &inference.Request{Deployment: "d", MaxTokens: 100}
+			sent := 0.0
+			for n := range 10_000 {
+				if _, ok := ro.Pick(fleet(), r, nil, time.Unix(1, 0).Add(time.Duration(n)*time.Millisecond)); ok {
+					sent += linkCost(r)
+				}
+			}
+			// Ten seconds, and one saved up.
+			most := 11.0 * linkBytesPerSecond / float64(instances)
+			is.True(sent <= most+linkCost(r))
+			is.True(sent >= 0.9*most)
+		})
+	}
+}
+
+// Guards against a cache hint that outweighs more than one request in flight.
+func TestHintIsWorthOneRequest(t *testing.T) {
+	for load, want := range map[int]bool{1: true, 2: false} {
+		is := is.New(t)
+		online := map[string]int{}
+		ro := New("a", "near", usableBut(nil), &fakePace{}, func(n string) int { return online[n] },
+			func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
+		r := &inference.Request{Deployment: "d", Prefix: "p"}
+		first, _ := ro.Pick(fleet(), r, nil, time.Unix(1, 0))
+		online[first] = load
+		// With the hint, one request of difference is a tie at most, which the first choice wins.
+		if load == 1 {
+			other := map[string]string{"a1": "a2", "a2": "a1"}[first]
+			online[other] = 1
+		}
+		stayed := 0
+		for range 20 {
+			name, ok := ro.Pick(fleet(), r, nil, time.Unix(1, 0))
+			is.True(ok)
+			if name != first {
+				break
+			}
+			stayed++
+		}
+		is.Equal(stayed == 20, want)
+	}
+}
