Move online streams away from a worker that stalls after their first token

Cause: a request stayed on its worker after the first token, however slow the worker became, and the gaps of the last 2 s hid a burst for about as long as it lasted. Probes used up the hedging budget. Now a stream whose next token is 4 times later than the median gap is continued on a healthy worker of the region, within the retry budget, and takes over with its first token there; the late worker gets probes only. Hedges of probes also use the retry budget.

--- a/cmd/tarragonwalk/experiment.go
+++ b/cmd/tarragonwalk/experiment.go
@@ -23,6 +23,7 @@
 	Scenario []string `long:"scenario" choice:"batch" choice:"short" choice:"stragglers" choice:"hop" description:"Only this scenario; may be repeated"`
 	Seed     uint64   `long:"seed" default:"1" description:"Seed of arrivals and choices"`
 	Cores    int      `long:"cores" default:"4" description:"Cores to use at once"`
+	Own      bool     `long:"own" description:"Only this version, without the baseline routers"`
 	Output   string   `long:"output" description:"Write the figures as JSON to this file"`
 }
 
@@ -36,7 +37,7 @@
 	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer release()
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	r, err := experiment.New(p, c.Seed, log).Run(ctx, c.Scenario)
+	r, err := experiment.New(p, c.Seed, log).Run(ctx, c.Scenario, !c.Own)
 	if err != nil {
 		return err
 	}
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -32,58 +31,16 @@
 	failed bool
 }
 
-// race lets the first stream with a token answer and ends the others.
-type race struct {
-	mu     sync.Mutex
-	winner uint64
-	lanes  map[uint64]context.CancelFunc
-}
-
-func (ra *race) join(id uint64, cancel context.CancelFunc) bool {
-	ra.mu.Lock()
-	defer ra.mu.Unlock()
-	if ra.winner != 0 {
-		return false
-	}
-	ra.lanes[id] = cancel
-
-	return true
-}
-
-func (ra *race) claim(id uint64) bool {
-	ra.mu.Lock()
-	defer ra.mu.Unlock()
-	if ra.winner == 0 {
-		ra.winner = id
-		for other, cancel := range ra.lanes {
-			if other != id {
-				cancel()
-			}
-		}
-	}
-
-	return ra.winner == id
-}
-
-func (ra *race) decided() bool {
-	ra.mu.Lock()
-	defer ra.mu.Unlock()
-
-	return ra.winner != 0
-}
-
-// attempt streams on the ticket's server, and on a second one if the first token is late.
+// attempt streams on the ticket's server, and on a second one if the first token or a later one is late.
 func (d *Dispatcher) attempt(ctx context.Context, s *sequence, t *ticket) error {
-	ra := &race{lanes: map[uint64]context.CancelFunc{}}
+	ra := &race{lanes: map[uint64]entrant{}}
 	results := make(chan outcome, 2)
 	var group conc.WaitGroup
 	defer group.Wait()
-	launch := func(l lane) {
+	launch := func(l lane, winner uint64) {
 		laneCtx, cancel := context.WithCancel(ctx)
 		r := s.next()
-		if !ra.join(l.id, cancel) {
-			cancel()
-		}
+		ra.join(l, winner, cancel)
 		group.Go(func() {
 			defer cancel()
 			results <- d.stream(laneCtx, s, ra, l, r)
@@ -95,10 +52,11 @@
 		address: t.address,
 		class:   s.request.Class,
 	}
-	launch(first)
+	launch(first, 0)
 	var late <-chan time.Time
+	var timer *time.Timer
 	if first.class == inference.ClassOnline && !d.plain {
-		timer := time.NewTimer(d.hedgeAfter(s.request.Deployment, first.server))
+		timer = time.NewTimer(d.hedgeAfter(s.request.Deployment, first.server))
 		defer timer.Stop()
 		late = timer.C
 	}
@@ -113,14 +71,19 @@
 			} else {
 				s.ran.Store(true)
 			}
-		case <-late:
-			if ra.decided() || ctx.Err() != nil {
-				continue
+			if ra.leave(o.lane.id); s.finished() || s.sinkError() != nil {
+				ra.stop()
 			}
-			if l, ok := d.hedge(s, first); ok {
-				launch(l)
-				streams++
+		case <-late:
+			next := lateCheck
+			if l, winner, ok := ra.alone(); ok && ctx.Err() == nil {
+				l, ok, next = d.late(s, l, winner != 0)
+				if ok {
+					launch(l, winner)
+					streams++
+				}
 			}
+			timer.Reset(next)
 		}
 	}
 	if failure == nil {
@@ -180,46 +143,6 @@
 	}()
 }
 
-// hedgeAfter is earlier for a probe, so that probing a straggler does not raise the tail latency.
-func (d *Dispatcher) hedgeAfter(deployment, server string) time.Duration {
-	d.mu.Lock()
-	defer d.unlock()
-	at := d.now()
-	if median := d.pace.Median(deployment, at); median > 0 && d.pace.Straggler(server, at) {
-		return median
-	}
-
-	return d.pace.HedgeAfter(deployment)
-}
-
-// hedge takes a slot on another healthy server of the own region within the hedging budget.
-func (d *Dispatcher) hedge(s *sequence, first lane) (lane, bool) {
-	d.mu.Lock()
-	defer d.unlock()
-	at, c := d.now(), d.configuration.Current()
-	excluded := map[string]bool{first.server: true}
-	for name, b := range c.BackendServers {
-		if s.excluded[name] || b.Region != d.self.Region || d.pace.Straggler(name, at) {
-			excluded[name] = true
-		}
-	}
-	name, ok := d.router.Pick(c, s.request, excluded, at)
-	if !ok || !d.hedges.Allow() {
-		return lane{}, false
-	}
-	counters.Add("Hedged", 1)
-	d.lastID++
-	d.admission.Start(d.lastID, s.request, name)
-	d.rose(c, name, at)
-
-	return lane{
-		id:      d.lastID,
-		server:  name,
-		address: c.BackendServers[name].Address,
-		class:   inference.ClassOnline,
-	}, true
-}
-
 func (d *Dispatcher) begin(deployment string, l lane) {
 	d.mu.Lock()
 	defer d.unlock()
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -197,6 +198,56 @@
 	is.True(e.count() > 4) // some requests were hedged
 }
 
+// Guards against streams that stay on a worker that stalls after their first token, and against tokens that are lost,
+// repeated or mixed when they move.
+func TestLateStreamMoves(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEngine{step: 2 * time.Millisecond, tokens: 20}
+	d := newDispatcher(e, fleet(3, 8), 8)
+	for n := range 12 {
+		_, err := run(d, request(fmt.Sprintf("warm-%d", n), inference.ClassOnline))
+		is.NoErr(err)
+	}
+	e.mu.Lock()
+	e.stallAt = map[uint16]int{1: 5}
+	e.mu.Unlock()
+	var group sync.WaitGroup
+	for n := range 12 {
+		group.Go(func() {
+			id := fmt.Sprintf("q%d", n)
+			text, err := run(d, request(id, inference.ClassOnline))
+			if err != nil || text != answer(id, 20) {
+				t.Errorf("%q, %v", text, err)
+			}
+		})
+	}
+	group.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.True(slices.Max(e.offsets) >= 5) // a stream continued on another worker
+	online, _, _ := d.Snapshot()
+	is.Equal(len(online), 0)
+}
+
+// Guards against a slow caller that makes its stream look late, which would move it and distrust a healthy worker.
+func TestSlowCallerKeepsItsStream(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEngine{step: 2 * time.Millisecond, tokens: 8}
+	d := newDispatcher(e, fleet(2, 8), 8)
+	for n := range 12 {
+		_, err := run(d, request(fmt.Sprintf("warm-%d", n), inference.ClassOnline))
+		is.NoErr(err)
+	}
+	before := e.count()
+	err := d.Run(context.Background(), request("slow", inference.ClassOnline), func(inference.Event) error {
+		time.Sleep(60 * time.Millisecond)
+
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(e.count(), before+1)
+}
+
 // Guards against a non-idempotent call that is sent twice.
 func TestCallRunsOnce(t *testing.T) {
 	cases := []struct {
--- a/core/dispatch/fake_test.go
+++ b/core/dispatch/fake_test.go
@@ -21,9 +21,11 @@
 	step   time.Duration
 	tokens int
 	// dieAt fails the server of a port with a code after this offset.
-	dieAt   map[uint16]int
-	code    map[uint16]fault.Code
-	hang    map[uint16]bool
+	dieAt map[uint16]int
+	code  map[uint16]fault.Code
+	hang  map[uint16]bool
+	// stallAt stops the server of a port after this offset while the stream stays open.
+	stallAt map[uint16]int
 	started []string
 	offsets []int
 	ports   []uint16
@@ -36,12 +38,13 @@
 	e.ports = append(e.ports, a.Port())
 	dieAt, dies := e.dieAt[a.Port()]
 	code, hang := e.code[a.Port()], e.hang[a.Port()]
+	stallAt, stalls := e.stallAt[a.Port()]
 	e.mu.Unlock()
 	for n := r.Offset + 1; n <= e.tokens; n++ {
 		if dies && n > dieAt {
 			return fault.New(code, "fake failure")
 		}
-		if hang {
+		if hang || stalls && n > stallAt {
 			<-ctx.Done()
 		}
 		select {
--- a/core/dispatch/sequence.go
+++ b/core/dispatch/sequence.go
@@ -19,6 +19,8 @@
 	attempts int
 	streams  int
 	ran      atomic.Bool
+	// delivering is true while the caller takes an event, which delays the stream without a fault of its server.
+	delivering atomic.Bool
 
 	// mu keeps deliveries apart; it is taken before the dispatcher's lock, never after it.
 	mu     sync.Mutex
@@ -55,7 +57,10 @@
 	default:
 		return fault.New(fault.CodeStreamLost, fmt.Sprintf("token %d follows token %d", e.Offset, s.offset))
 	}
-	if err := s.on(e); err != nil {
+	s.delivering.Store(true)
+	err := s.on(e)
+	s.delivering.Store(false)
+	if err != nil {
 		s.sink = err
 
 		return err
--- a/core/experiment/runner.go
+++ b/core/experiment/runner.go
@@ -37,7 +37,9 @@
 	seed   uint64
 	log    *slog.Logger
 	report report.Report
-	arms   map[string]*recorder.Recorder
+	// baselines is false if only this version is measured.
+	baselines bool
+	arms      map[string]*recorder.Recorder
 }
 
 // arm is one load on one fleet.
@@ -61,8 +63,9 @@
 	}
 }
 
-// Run measures the scenarios with these names, or all of them without names.
-func (r *Runner) Run(ctx context.Context, names []string) (report.Report, error) {
+// Run measures the scenarios with these names, or all of them without names, with or without the baseline routers.
+func (r *Runner) Run(ctx context.Context, names []string, baselines bool) (report.Report, error) {
+	r.baselines = baselines
 	r.report = report.Report{
 		Preset:    r.preset.Name,
 		Seed:      int(r.seed), //nolint:gosec // chosen by the operator, small
--- a/core/experiment/scenarios.go
+++ b/core/experiment/scenarios.go
@@ -117,6 +117,9 @@
 		}},
 		{thisVersion, "online", nil},
 	} {
+		if v.name != thisVersion && !r.baselines {
+			continue
+		}
 		load := r.ordinary(v.none)
 		load.options = v.options
 		none, err := r.measure(ctx, load)
--- a/core/pace/tracker.go
+++ b/core/pace/tracker.go
@@ -15,6 +15,9 @@
 	// Below these values differences are scheduling noise, not a slow backend server.
 	firstTokenFloor = 20 * time.Millisecond
 	tokenFloor      = 5 * time.Millisecond
+	// A single late token has to be clearer than a median of several ones, as moving its stream costs a prefill.
+	lateFactor = 4
+	lateFloor  = 20 * time.Millisecond
 	// Each probe may cost a caller latency, so the interval doubles while probes fail.
 	probeInterval    = time.Second
 	maxProbeInterval = 8 * time.Second
@@ -132,6 +135,23 @@
 	}
 }
 
+// Late reports whether the next token of a stream is more than 4 times later than the deployment's median gap, and
+// else after which time it will be; a stream without its first token is never late.
+func (t *Tracker) Late(name string, id uint64, at time.Time) (late bool, after time.Duration) {
+	s := t.servers[name]
+	if s == nil || s.streams[id] == nil {
+		return false, lateFloor
+	}
+	d := t.summary(s.deployment, at)
+	st := s.streams[id]
+	if st.tokens == 0 || d.medianG == 0 {
+		return false, lateFloor
+	}
+	rest := max(lateFactor*d.medianG, lateFloor) - at.Sub(st.last)
+
+	return rest < 0, max(0, rest)
+}
+
 // Straggler reports whether a backend server is more than 3 times slower than its deployment's median or silent.
 func (t *Tracker) Straggler(name string, at time.Time) bool {
 	s := t.servers[name]
--- a/core/pace/tracker_test.go
+++ b/core/pace/tracker_test.go
@@ -106,3 +106,22 @@
 	}
 	is.Equal(p.HedgeAfter("d"), 96*time.Millisecond)
 }
+
+// Guards against streams that are moved because of one ordinary pause, or never.
+func TestLate(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(100, 0)
+	p := healthy(at)
+	p.StartStream("d", "w1", 99, at)
+	late, _ := p.Late("w1", 99, at.Add(time.Second))
+	is.Equal(late, false) // its first token is the business of hedging
+	at = at.Add(40 * time.Millisecond)
+	p.Token("w1", 99, at)
+	late, after := p.Late("w1", 99, at.Add(30*time.Millisecond))
+	is.Equal(late, false)
+	is.Equal(after, 10*time.Millisecond) // 4 times the median gap of 10 ms
+	late, _ = p.Late("w1", 99, at.Add(41*time.Millisecond))
+	is.Equal(late, true)
+	late, _ = p.Late("gone", 99, at)
+	is.Equal(late, false)
+}
