--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -175,7 +175,7 @@
 		delete(d.running, l.id)
 	} else {
 		d.admission.End(l.id)
-		d.reported[l.server] = at
+		d.report(d.configuration.Current(), l.server, at)
 	}
 	if failed {
 		switch fault.CodeOf(err) {
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -292,3 +293,26 @@
 	d.ObserveOnline("e2", []peer.OnlineCount{{BackendServer: "w1"}}, time.Now())
 	is.Equal(d.BatchSlots("d"), 7)
 }
+
+// Guards against a feeder that keeps a slot free for online work that has ended until the next exchange.
+func TestFeederLearnsOfRiseAndFall(t *testing.T) {
+	is := is.New(t)
+	f := pair{fakeFleet: fleet(6, 4)}
+	var lock sync.Mutex
+	counts := map[string][]int{}
+	d := New(&fakeEngine{tokens: 1}, f, f, f.Live(time.Time{})[0], func(feeder string, n peer.OnlineCount) {
+		lock.Lock()
+		defer lock.Unlock()
+		is.Equal(feeder, "e2")
+		counts[n.BackendServer] = append(counts[n.BackendServer], n.InFlight)
+	}, time.Now, rand.New(rand.NewPCG(1, 2)), 8, 1<<20, time.Second, time.Second)
+	for n := range 30 {
+		_, err := run(d, request(fmt.Sprint(n), inference.ClassOnline))
+		is.NoErr(err)
+	}
+	is.True(len(counts) > 0 && len(counts) < 6) // some workers are fed by this instance
+	for _, c := range counts {
+		is.Equal(c[0], 1)
+		is.Equal(c[len(c)-1], 0)
+	}
+}
--- a/core/dispatch/fake_test.go
+++ b/core/dispatch/fake_test.go
@@ -140,3 +140,15 @@
 		MaxTokens:  10,
 	}
 }
+
+// pair is a fleet with a second entry instance, which feeds some of the workers.
+type pair struct {
+	*fakeFleet
+}
+
+func (p pair) Live(at time.Time) []membership.Instance {
+	other := p.fakeFleet.Live(at)[0]
+	other.Name = "e2"
+
+	return append(p.fakeFleet.Live(at), other)
+}
--- a/core/dispatch/feeding.go
+++ b/core/dispatch/feeding.go
@@ -80,8 +80,14 @@
 
 // rose preempts batch streams after an online start, here if this instance is the feeder, else by a notice.
 func (d *Dispatcher) rose(c *configuration.Configuration, name string, at time.Time) {
-	d.reported[name] = at
 	d.preempt(c, name, at)
+	d.report(c, name, at)
+}
+
+// report tells the feeder, if it is another instance, of a changed count: after a rise it has to preempt, and after a
+// fall the regular exchange alone would leave the slot unused for up to a second.
+func (d *Dispatcher) report(c *configuration.Configuration, name string, at time.Time) {
+	d.reported[name] = at
 	if feeder := d.feeders(c, at)[name]; feeder != "" && feeder != d.self.Name {
 		d.outbox = append(d.outbox, notice{
 			feeder: feeder,
