--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -197,6 +199,56 @@
 	is.True(e.count() > 4) // some requests were hedged
 }
 
+// Guards against streams that stay on a worker that stalls after their first token, and against tokens that are lost,
+// repeated or mixed when they move.
+func TestLateStreamMoves(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEngine{step: 2 * time.Millisecond, tokens: 20}
+	d := newDispatcher(e, fleet(3, 8), 8)
+	for n := range 12 {
+		_, err := run(d, request(fmt.Sprintf("warm-%d", n), inference.ClassOnline))
+		is.NoErr(err)
+	}
+	e.mu.Lock()
+	e.stallAt = map[uint16]int{1: 5}
+	e.mu.Unlock()
+	var group sync.WaitGroup
+	for n := range 12 {
+		group.Go(func() {
+			id := fmt.Sprintf("q%d", n)
+			text, err := run(d, request(id, inference.ClassOnline))
+			if err != nil || text != answer(id, 20) {
+				t.Errorf("%q, %v", text, err)
+			}
+		})
+	}
+	group.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.True(slices.Max(e.offsets) >= 5) // a stream continued on another worker
+	online, _, _ := d.Snapshot()
+	is.Equal(len(online), 0)
+}
+
+// Guards against a slow caller that makes its stream look late, which would move it and distrust a healthy worker.
+func TestSlowCallerKeepsItsStream(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEngine{step: 2 * time.Millisecond, tokens: 8}
+	d := newDispatcher(e, fleet(2, 8), 8)
+	for n := range 12 {
+		_, err := run(d, request(fmt.Sprintf("warm-%d", n), inference.ClassOnline))
+		is.NoErr(err)
+	}
+	before := e.count()
+	err := d.Run(context.Background(), request("slow", inference.ClassOnline), func(inference.Event) error {
+		time.Sleep(60 * time.Millisecond)
+
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(e.count(), before+1)
+}
+
 // Guards against a non-idempotent call that is sent twice.
 func TestCallRunsOnce(t *testing.T) {
 	cases := []struct {
@@ -241,3 +293,26 @@
 	d.ObserveOnline("e2", []peer.OnlineCount{{BackendServer: "w1"}}, time.Now())
 	is.Equal(d.BatchSlots("d"), 7)
 }
+
+// Guards against a feeder that keeps a slot free for online work that has ended until the next exchange.
+func TestFeederLearnsOfRiseAndFall(t *testing.T) {
+	is := is.New(t)
+	f := pair{fakeFleet: fleet(6, 4)}
+	var lock sync.Mutex
+	counts := map[string][]int{}
+	d := New(&fakeEngine{tokens: 1}, f, f, f.Live(time.Time{})[0], func(feeder string, n peer.OnlineCount) {
+		lock.Lock()
+		defer lock.Unlock()
+		is.Equal(feeder, "e2")
+		counts[n.BackendServer] = append(counts[n.BackendServer], n.InFlight)
+	}, time.Now, rand.New(rand.NewPCG(1, 2)), 8, 1<<20, time.Second, time.Second)
+	for n := range 30 {
+		_, err := run(d, request(fmt.Sprint(n), inference.ClassOnline))
+		is.NoErr(err)
+	}
+	is.True(len(counts) > 0 && len(counts) < 6) // some workers are fed by this instance
+	for _, c := range counts {
+		is.Equal(c[0], 1)
+		is.Equal(c[len(c)-1], 0)
+	}
+}
--- a/core/dispatch/feeding.go
+++ b/core/dispatch/feeding.go
@@ -23,6 +23,8 @@
 	at            time.Time
 	live          []string
 	feeders       map[string]string
+	// regional is the number of live entry instances in the own region.
+	regional int
 }
 
 // feeders returns the feeder by backend server: in its own region if one is live, so that tokens stay off the link.
@@ -50,6 +52,7 @@
 		all = append(all, n...)
 	}
 	f.configuration, f.live, f.feeders = c, names, map[string]string{}
+	f.regional = len(regions[d.self.Region])
 	for name, b := range c.BackendServers {
 		candidates := regions[b.Region]
 		if len(candidates) == 0 {
@@ -77,8 +80,14 @@
 
 // rose preempts batch streams after an online start, here if this instance is the feeder, else by a notice.
 func (d *Dispatcher) rose(c *configuration.Configuration, name string, at time.Time) {
-	d.reported[name] = at
 	d.preempt(c, name, at)
+	d.report(c, name, at)
+}
+
+// report tells the feeder, if it is another instance, of a changed count: after a rise it has to preempt, and after a
+// fall the regular exchange alone would leave the slot unused for up to a second.
+func (d *Dispatcher) report(c *configuration.Configuration, name string, at time.Time) {
+	d.reported[name] = at
 	if feeder := d.feeders(c, at)[name]; feeder != "" && feeder != d.self.Name {
 		d.outbox = append(d.outbox, notice{
 			feeder: feeder,
