Add partitions of one node and longer jobs to the randomised faults

Jobs ended before most faults met them, so a runner without the freshness rule passed the cancellation check. With partitions, up to 60 items of 1 s and 400 runs that broken variant fails with "started 8.99s after its cancellation".

--- a/core/batch/faults_test.go
+++ b/core/batch/faults_test.go
@@ -29,6 +29,7 @@
 	faultCancel
 	faultPeerCancel
 	faultPeerConfirm
+	faultPartition
 	faultKinds
 )
 
@@ -58,7 +59,7 @@
 	}
 	for i := range rapid.IntRange(1, 4).Draw(rt, "jobs") {
 		s.subs = append(s.subs, sub{
-			items:       rapid.IntRange(1, 16).Draw(rt, "items"),
+			items:       rapid.IntRange(1, 60).Draw(rt, "items"),
 			deadline:    rapid.SampledFrom([]int{45, 3600, 3600}).Draw(rt, "deadline"),
 			workspace:   rapid.SampledFrom([]string{"w", "v"}).Draw(rt, "workspace"),
 			deploy:      rapid.SampledFrom([]string{"d", "e"}).Draw(rt, "deployment"),
@@ -118,6 +119,16 @@
 		if n.link.pause() {
 			time.AfterFunc(length, n.link.resume)
 		}
+	case faultPartition:
+		p.fleet.mu.Lock()
+		n.disturbed = true
+		p.fleet.mu.Unlock()
+		n.link.set(true)
+		time.AfterFunc(length, func() {
+			if !n.crashed.Load() {
+				n.link.set(false)
+			}
+		})
 	case faultOutage:
 		p.fleet.store.SetDown(true)
 		time.AfterFunc(length, func() { p.fleet.store.SetDown(false) })
@@ -163,6 +174,7 @@
 // run plays a scene to its end in virtual time and returns the violated invariants.
 func (s scene) run() []string {
 	f := newFleet([]string{"a", "b", "c"}[:s.count]...)
+	f.took = time.Second // jobs last longer than the faults that meet them
 	c := newChecker()
 	f.store.SetObserve(c.write)
 	f.started = c.start
--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,6 +146,7 @@
 	runs   map[string]int
 	// disturbed is true if a crash, pause or stop of this node explains a second run of its items elsewhere.
 	disturbed bool
+	crashed   atomic.Bool
 }
 
 func (f *fleet) Live(time.Time) []membership.Instance {
@@ -161,6 +163,7 @@
 	n.fleet.mu.Lock()
 	n.disturbed = true
 	n.fleet.mu.Unlock()
+	n.crashed.Store(true)
 	n.link.set(true)
 	n.stop()
 }
