--- a/core/batch/end.go
+++ b/core/batch/end.go
@@ -6,6 +6,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
+	"tarragonwalk/core/sweep"
 )
 
 // end records that all chunks are published and removes the job from the index.
@@ -45,6 +46,13 @@
 	}
 }
 
+// sweep deletes claims and unused parts of an ended job; what a failure leaves behind is not read by anyone.
+func (r *Runner) sweep(ctx context.Context, id string) {
+	if err := sweep.New(r.objects).Sweep(ctx, id); err != nil && ctx.Err() == nil {
+		r.log.Warn("sweep an ended job", "job", id, "error", err)
+	}
+}
+
 // failed counts the failed items of a job whose chunks are all published.
 func (r *Runner) failed(ctx context.Context, w *work) (int, error) {
 	sum := 0
@@ -66,6 +74,10 @@
 		_, version, err := r.objects.Get(ctx, job.OpenKey(w.open.ID))
 		if err == nil {
 			err = r.objects.Delete(ctx, job.OpenKey(w.open.ID), version)
+			if err == nil || fault.CodeOf(err) == fault.CodeOutcomeUnknown {
+				// Whoever removes the entry sweeps the job, so that usually one instance does.
+				r.chunks.Go(func() { r.sweep(ctx, w.open.ID) })
+			}
 		}
 		// A conflict or a lost answer needs no repeat here: the job store removes entries of ended jobs.
 		if c := fault.CodeOf(err); c != "" && c != fault.CodeNotFound && c != fault.CodeConflict && c != fault.CodeOutcomeUnknown {
--- /dev/null
+++ b/core/batch/sweep_test.go
@@ -0,0 +1,48 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/job"
+)
+
+// Guards against claims and unused parts that stay for ever, and against deleted parts that a result names.
+func TestSweep(t *testing.T) {
+	for _, how := range []string{"completed", "canceled"} {
+		bubble(t, how, func(is *is.I) {
+			f := newFleet("a", "b")
+			s, st := f.submit(is, 9, "x")
+			// An earlier holder lost its chunk after it had written a part.
+			_, err := f.store.Put(context.Background(), job.PartKey(st.Job.ID, 1, 7, 0), []byte("unused"), 0)
+			is.NoErr(err)
+			a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+			time.Sleep(1200 * time.Millisecond)
+			if how == "canceled" {
+				_, err := s.Cancel(context.Background(), "w", st.Job.ID)
+				is.NoErr(err)
+			}
+			time.Sleep(3 * time.Minute)
+			a.stop()
+			b.stop()
+			<-a.ended
+			<-b.ended
+			claims, _, err := f.store.List(context.Background(), job.ClaimsPrefix(st.Job.ID), "", 100)
+			is.NoErr(err)
+			is.Equal(len(claims), 0)
+			got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+			is.NoErr(err)
+			if how == "completed" {
+				results(is, s, st.Job.ID, 9)
+				parts, _, err := f.store.List(context.Background(), job.PartsPrefix(st.Job.ID), "", 100)
+				is.NoErr(err)
+				is.Equal(len(parts), 3)
+			} else {
+				is.Equal(got.Job.State, job.JobStateCancelled)
+			}
+		})
+	}
+}
--- a/core/job/key.go
+++ b/core/job/key.go
@@ -47,9 +47,14 @@
 	return fmt.Sprintf("%s%06d", ClaimsPrefix(job), chunk)
 }
 
+// PartsPrefix returns the prefix of a job's parts.
+func PartsPrefix(job string) string {
+	return "part/" + url.PathEscape(job) + "/"
+}
+
 // PartKey returns the key of part n, from 0, of a chunk's results in an attempt.
 func PartKey(job string, chunk, attempt, n int) string {
-	return fmt.Sprintf("part/%s/%06d/%d/%06d", url.PathEscape(job), chunk, attempt, n)
+	return fmt.Sprintf("%s%06d/%d/%06d", PartsPrefix(job), chunk, attempt, n)
 }
 
 // ResultsPrefix returns the prefix of a job's chunk results.
--- /dev/null
+++ b/core/sweep/doc.go
@@ -0,0 +1,2 @@
+// Package sweep deletes records of an ended job that nothing reads any more.
+package sweep
--- /dev/null
+++ b/core/sweep/sweeper.go
@@ -0,0 +1,145 @@
+package sweep
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/job"
+	"tarragonwalk/io/objectstore"
+)
+
+const (
+	// pageLimit is the number of keys asked for in one listing.
+	pageLimit = 1000
+	// pause bounds a sweep to 10 calls a second, a small part of the store's several hundred writes.
+	pause = 100 * time.Millisecond
+)
+
+// objects is the part of the object store's client that Sweeper uses.
+type objects interface {
+	Get(ctx context.Context, key string) (value []byte, version int64, err error)
+	Delete(ctx context.Context, key string, ifVersion int64) error
+	List(ctx context.Context, prefix, after string, limit int) (entries []objectstore.Entry, revision int64, err error)
+}
+
+// Sweeper deletes the claims of ended jobs and the parts that no result names.
+type Sweeper struct {
+	objects objects
+}
+
+// New returns a sweeper.
+func New(o objects) *Sweeper {
+	return &Sweeper{
+		objects: o,
+	}
+}
+
+// Sweep deletes the claims of an ended job and the parts of attempts that were not published; it makes O(chunks) calls
+// at a bounded rate. Parts of a chunk without a result stay: a late holder may still publish them.
+func (s *Sweeper) Sweep(ctx context.Context, id string) error {
+	if err := s.each(ctx, job.ClaimsPrefix(id), func(e objectstore.Entry) error { return s.remove(ctx, e) }); err != nil {
+		return err
+	}
+	chunk := ""
+	var parts []objectstore.Entry
+	err := s.each(ctx, job.PartsPrefix(id), func(e objectstore.Entry) error {
+		name, _ := split(id, e.Key)
+		var err error
+		if name != chunk {
+			err = s.chunk(ctx, id, chunk, parts)
+			chunk, parts = name, nil
+		}
+		parts = append(parts, e)
+
+		return err
+	})
+	if err != nil {
+		return err
+	}
+
+	return s.chunk(ctx, id, chunk, parts)
+}
+
+// split returns the chunk and the attempt of a part's key.
+func split(id, key string) (chunk, attempt string) {
+	chunk, rest, _ := strings.Cut(strings.TrimPrefix(key, job.PartsPrefix(id)), "/")
+	attempt, _, _ = strings.Cut(rest, "/")
+
+	return chunk, attempt
+}
+
+// chunk deletes the parts of a chunk whose attempt was not published. Parts of a single attempt are the published ones
+// if there is a result, so they need no call.
+func (s *Sweeper) chunk(ctx context.Context, id, chunk string, parts []objectstore.Entry) error {
+	several := false
+	for _, e := range parts {
+		_, first := split(id, parts[0].Key)
+		_, attempt := split(id, e.Key)
+		several = several || attempt != first
+	}
+	if !several {
+		return nil
+	}
+	value, _, err := s.objects.Get(ctx, job.ResultsPrefix(id)+chunk)
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return nil
+	}
+	var c job.ChunkResult
+	if err == nil {
+		err = json.Unmarshal(value, &c)
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, "read a result of an ended job")
+	}
+	for _, e := range parts {
+		if _, attempt := split(id, e.Key); attempt != strconv.Itoa(c.Attempt) {
+			if err := s.remove(ctx, e); err != nil {
+				return err
+			}
+		}
+	}
+
+	return nil
+}
+
+// each calls f for each key with the prefix, in order.
+func (s *Sweeper) each(ctx context.Context, prefix string, f func(e objectstore.Entry) error) error {
+	after := ""
+	for {
+		entries, _, err := s.objects.List(ctx, prefix, after, pageLimit)
+		if err != nil {
+			return err
+		}
+		for _, e := range entries {
+			if err := f(e); err != nil {
+				return err
+			}
+		}
+		if len(entries) < pageLimit {
+			return nil
+		}
+		after = entries[len(entries)-1].Key
+	}
+}
+
+// remove deletes an entry; one that has changed meanwhile stays.
+func (s *Sweeper) remove(ctx context.Context, e objectstore.Entry) error {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.CodeCancelled, "sweep ended")
+	}
+	err := s.objects.Delete(ctx, e.Key, int64(e.Version))
+	switch fault.CodeOf(err) {
+	case "", fault.CodeNotFound, fault.CodeConflict, fault.CodeOutcomeUnknown:
+		return nil
+	}
+
+	return err
+}
--- a/io/jobstore/follow.go
+++ b/io/jobstore/follow.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
+	"tarragonwalk/core/sweep"
 )
 
 const (
@@ -46,6 +48,8 @@
 	v := &view{
 		entries: make(map[string]*entry),
 	}
+	var sweeps conc.WaitGroup
+	defer sweeps.Wait()
 	for loaded := false; ctx.Err() == nil; {
 		var err error
 		if loaded {
@@ -64,7 +68,7 @@
 		}
 		loaded = true
 		on(v.jobs(), v.revision, v.at)
-		s.removeOrphans(ctx, v)
+		s.removeOrphans(ctx, v, &sweeps)
 	}
 }
 
@@ -175,8 +179,9 @@
 	return p.Wait()
 }
 
-// removeOrphans deletes at most one old entry without an open job per call, so that the next poll is not held up.
-func (s *Store) removeOrphans(ctx context.Context, v *view) {
+// removeOrphans deletes at most one old entry without an open job per call, so that the next poll is not held up. It
+// sweeps the ended job in the background, for instance a canceled one, whose entry no runner removes.
+func (s *Store) removeOrphans(ctx context.Context, v *view, sweeps *conc.WaitGroup) {
 	now := s.now()
 	for k, e := range v.entries {
 		if now.Sub(e.changedAt) < orphanAge || now.Sub(e.checkedAt) < orphanAge {
@@ -187,7 +192,9 @@
 		_, err := s.get(ctx, job.RecordKey(e.open.Workspace, jobOf(k)), &j)
 		if fault.CodeOf(err) == fault.CodeNotFound || (err == nil && j.State != job.JobStateOpen) {
 			// The version makes sure that an entry that a submission has just written again stays.
-			_ = s.objects.Delete(ctx, k, e.version)
+			if s.objects.Delete(ctx, k, e.version) == nil && j.ID != "" {
+				sweeps.Go(func() { _ = sweep.New(s.objects).Sweep(ctx, j.ID) })
+			}
 		}
 
 		return
