--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -476,7 +476,7 @@
 	bubble(t, "canceled while items wait", func(is *is.I) {
 		f := newFleet("a")
 		_, st := f.submit(is, 3, "x")
-		r := New(f.store, &node{self: "a", fleet: f, link: &link{Store: f.store}}, f, "a", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+		r := New(f.store, &node{self: "a", fleet: f, link: &link{Store: f.store}}, f, f, "a", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
 		w := newWork(job.OpenJob{ID: st.Job.ID, Workspace: "w", Deployment: "d", File: st.Job.File, Items: 3, Chunks: 1, Attempts: 3, Deadline: st.Job.Deadline})
 		w.file.Chunks = []job.ChunkInfo{{Items: 3}}
 		w.ctx = endedContext{context.Background()}
