Add the capacity command

The capacity page needs slopes from which the full size is computed, and nothing measures them. "tarragonwalk capacity" varies one size at a time over 3 to 5 points, with small stand-ins in one process, and fits lines by least squares: bytes and processor time of exchanges, online notices and polls of the instance list; the configuration document; memory of the tables; routing, feeding and job selection; streamed requests; store calls of jobs and of instances without work.

--- a/cmd/tarragonwalk/main.go
+++ b/cmd/tarragonwalk/main.go
@@ -22,13 +22,14 @@
 )
 
 type options struct {
-	Serve   serveCommand   `command:"serve" description:"Run an entry instance"`
-	Config  configCommand  `command:"config" description:"Read and change the numbered configuration"`
-	Batch   batchCommand   `command:"batch" description:"Submit, watch and cancel batch jobs"`
-	Address addressCommand `command:"addresses" description:"List the entry instances that callers may use"`
-	Status  statusCommand  `command:"status" description:"Show the state of an entry instance"`
-	Standin standinCommand `command:"standin" description:"Run a stand-in of an outside system"`
-	Demo    demoCommand    `command:"demo" description:"Run the whole path on loopback and check every outcome"`
+	Serve    serveCommand    `command:"serve" description:"Run an entry instance"`
+	Config   configCommand   `command:"config" description:"Read and change the numbered configuration"`
+	Batch    batchCommand    `command:"batch" description:"Submit, watch and cancel batch jobs"`
+	Address  addressCommand  `command:"addresses" description:"List the entry instances that callers may use"`
+	Status   statusCommand   `command:"status" description:"Show the state of an entry instance"`
+	Standin  standinCommand  `command:"standin" description:"Run a stand-in of an outside system"`
+	Demo     demoCommand     `command:"demo" description:"Run the whole path on loopback and check every outcome"`
+	Capacity capacityCommand `command:"capacity" description:"Measure the slopes that the capacity page quotes"`
 }
 
 func main() {
--- /dev/null
+++ b/core/capacity/spread/measurement.go
@@ -0,0 +1,98 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	"tarragonwalk/core/capacity/slope"
+)
+
+const (
+	// peers is how many others core/exchange asks in each round above 16 instances.
+	peers = 3
+	runs  = 1000
+)
+
+// Measurement simulates rounds; it does not run core/exchange, whose rounds are a second apart.
+type Measurement struct {
+	random *rand.Rand
+}
+
+// New returns a measurement with a fixed seed.
+func New() *Measurement {
+	return &Measurement{
+		random: rand.New(rand.NewPCG(1, 1)), //nolint:gosec // a simulation
+	}
+}
+
+// Run counts the rounds until the last instance knows a change, for the slowest of 1,000 runs.
+func (m *Measurement) Run(ctx context.Context) ([]slope.Slope, error) {
+	var all []slope.Slope
+	for _, sources := range []int{1, 20} {
+		var points []slope.Point
+		for _, n := range []int{32, 128, 420} {
+			slowest := 0
+			for range runs {
+				if ctx.Err() != nil {
+					return nil, ctx.Err()
+				}
+				slowest = max(slowest, m.rounds(n, sources))
+			}
+			points = append(points, slope.Point{
+				Size:  float64(n),
+				Value: float64(slowest),
+			})
+		}
+		name := fmt.Sprintf("simulated rounds until all know a change of %d, slowest of %d runs", sources, runs)
+		all = append(all, slope.Fit(name, "live instances, 3 peers a round", "rounds", points))
+	}
+
+	return all, nil
+}
+
+// rounds lets each instance that does not know the change ask peers that knew it when the round began.
+func (m *Measurement) rounds(instances, sources int) int {
+	knows := make([]bool, instances)
+	for i := range min(sources, instances) {
+		knows[i] = true
+	}
+	for round := 0; ; round++ {
+		var learned []int
+		missing := 0
+		for i, k := range knows {
+			if k {
+				continue
+			}
+			missing++
+			if m.asks(knows, i) {
+				learned = append(learned, i)
+			}
+		}
+		if missing == 0 {
+			return round
+		}
+		for _, i := range learned {
+			knows[i] = true
+		}
+	}
+}
+
+// asks reports whether one of the different peers that instance i asks knows the change.
+func (m *Measurement) asks(knows []bool, i int) bool {
+	asked := map[int]bool{
+		i: true,
+	}
+	for len(asked) <= peers {
+		o := m.random.IntN(len(knows))
+		if asked[o] {
+			continue
+		}
+		asked[o] = true
+		if knows[o] {
+			return true
+		}
+	}
+
+	return false
+}
--- /dev/null
+++ b/core/capacity/storecalls/watched.go
@@ -0,0 +1,86 @@
+package storecalls
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/internal/fakestore"
+	"tarragonwalk/io/objectstore"
+)
+
+// watched is a store whose time passes only in watches, and which counts the calls of one follower.
+type watched struct {
+	*fakestore.Store
+
+	mu    sync.Mutex
+	now   time.Time
+	calls int
+}
+
+func newWatched() *watched {
+	return &watched{
+		Store: fakestore.New(),
+		now:   time.Now(),
+	}
+}
+
+func (w *watched) clock() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.now
+}
+
+func (w *watched) count() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+}
+
+func (w *watched) counted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.calls
+}
+
+// Get counts a read.
+func (w *watched) Get(ctx context.Context, key string) ([]byte, int64, error) {
+	w.count()
+
+	return w.Store.Get(ctx, key)
+}
+
+// List counts a listing.
+func (w *watched) List(ctx context.Context, prefix, after string, limit int) ([]objectstore.Entry, int64, error) {
+	w.count()
+
+	return w.Store.List(ctx, prefix, after, limit)
+}
+
+// Delete counts a delete.
+func (w *watched) Delete(ctx context.Context, key string, ifVersion int64) error {
+	w.count()
+
+	return w.Store.Delete(ctx, key, ifVersion)
+}
+
+// Watch counts a watch and passes its whole time unless there are changes.
+func (w *watched) Watch(
+	ctx context.Context, prefix string, since int64, until time.Time,
+) ([]objectstore.Change, int64, error) {
+	w.count()
+	if ctx.Err() != nil {
+		return nil, 0, fault.Wrap(ctx.Err(), fault.CodeStoreUnavailable, "watch ended")
+	}
+	changes, revision, err := w.Store.Watch(ctx, prefix, since, time.Now())
+	if err == nil && len(changes) == 0 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.now = until
+	}
+
+	return changes, revision, err
+}
--- /dev/null
+++ b/core/capacity/tables/doc.go
@@ -0,0 +1,2 @@
+// Package tables measures the memory of an entry instance's tables.
+package tables
--- /dev/null
+++ b/core/capacity/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage reads the processor time, allocations and memory of this process.
+package usage
--- /dev/null
+++ b/core/capacity/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire counts the bytes and connections of loopback listeners.
+package wire
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -21,3 +21,4 @@
 generate peer io/peer
 generate settings io/settings
 generate instance core/instance
+generate capacity core/capacity/slope
