Do not end a watch before its time

The client cut the wait of a watch down to whole milliseconds, so a store that answers within a millisecond ended a watch up to 1 ms early. The follower of the open-job index then counts the poll as not full: its view gets the age of the poll's start and the next poll lasts 0.5 s, not 2 s. Four idle instances made 7.0 store calls/s over windows of 6 s, where their three polls of 2 s make 6.0. The wait is now rounded up.

--- a/io/objectstore/client.go
+++ b/io/objectstore/client.go
@@ -290,7 +290,8 @@
 	if err := c.take(ctx, c.reads); err != nil {
 		return nil, 0, err
 	}
-	wait := max(0, time.Until(until).Milliseconds())
+	// Rounded up: a store that answers within a millisecond would otherwise end the watch before its time.
+	wait := max(0, (time.Until(until) + time.Millisecond - 1).Milliseconds())
 	q := url.Values{
 		"prefix": {prefix},
 		"since":  {strconv.FormatInt(since, 10)},
--- a/io/objectstore/client_test.go
+++ b/io/objectstore/client_test.go
@@ -170,3 +170,17 @@
 	is.Equal(r, reads)
 	is.Equal(w, writes)
 }
+
+// Guards against a watch that ends before its time: a follower takes an early answer for one that proves nothing about
+// the rest of the poll, and polls again after a shorter time.
+func TestWatchLastsUntilItsTime(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t)
+	for range 5 {
+		until := time.Now().Add(20*time.Millisecond + 990*time.Microsecond)
+		changes, _, err := c.Watch(t.Context(), "open/", 0, until)
+		is.NoErr(err)
+		is.Equal(len(changes), 0)
+		is.True(!time.Now().Before(until))
+	}
+}
