Close expired connections to other entry instances

An outgoing connection expires after 60 s but was only closed when the same address was called again. Connections to replaced instances stayed open for good, one file descriptor each, and with 3 random peers a round every instance kept a connection to nearly all others. A new connection now closes those that expired at least 5 s ago, which is longer than any call.

The new test failed before: 2 != 1.

--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -18,6 +18,9 @@
 // connectionAge bounds the life of a pooled connection, so that one that a middlebox has forgotten is not kept for long.
 const connectionAge = 60 * time.Second
 
+// expiredGrace is longer than the time-out of any call, so that a call that began before its connection expired ends.
+const expiredGrace = 5 * time.Second
+
 // handler answers the messages of other entry instances.
 type handler interface {
 	HandleExchange(m *Exchange) *Exchange
@@ -201,6 +204,7 @@
 
 		return o.client, nil
 	}
+	n.closeExpired(now.Add(-expiredGrace))
 	n.outgoing[a] = &outgoing{
 		client:    client,
 		expiresAt: now.Add(connectionAge),
@@ -209,6 +213,16 @@
 	return client, nil
 }
 
+// closeExpired closes connections that expired before at, also to instances that are never called again. Lock is held.
+func (n *Node) closeExpired(at time.Time) {
+	for a, o := range n.outgoing {
+		if o.expiresAt.Before(at) {
+			delete(n.outgoing, a)
+			o.client.Close()
+		}
+	}
+}
+
 func (n *Node) drop(a netip.AddrPort, client *rpc.Client) {
 	n.lock.Lock()
 	if o := n.outgoing[a]; o != nil && o.client == client {
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -115,3 +115,24 @@
 	is.Equal(len(c.outgoing), 0)
 	close(h.block)
 }
+
+// Guards against connections to instances that are not called again, such as replaced ones, which would stay open until
+// the process has no file descriptors left.
+func TestNodeClosesExpiredConnections(t *testing.T) {
+	is := is.New(t)
+	h := &fakeHandler{}
+	now := time.Now()
+	c := New("client", []byte("secret-of-the-fleet"), func() time.Time { return now }, h)
+	defer c.Close()
+	for range 5 {
+		_, a := startNode(t, "secret-of-the-fleet", h)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := c.Exchange(ctx, a, &Exchange{
+			Sender: "client",
+		})
+		cancel()
+		is.NoErr(err)
+		is.Equal(len(c.outgoing), 1) // the connections to the instances before have expired
+		now = now.Add(2 * connectionAge)
+	}
+}
