--- a/core/capacity/storecalls/measurement.go
+++ b/core/capacity/storecalls/measurement.go
@@ -18,7 +18,7 @@
 
 const (
 	// idleTime covers several watches of 2 s.
-	idleTime = 4 * time.Second
+	idleTime = 6 * time.Second
 	// followTime on the simulated clock is many times the minute after which an entry is checked.
 	followTime = 20 * time.Minute
 )
@@ -42,8 +42,12 @@
 		return nil, err
 	}
 	changes, err := m.changes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	load, err := m.load(ctx)
 
-	return append(append(idle, open...), changes...), err
+	return append(append(append(idle, open...), changes...), load...), err
 }
 
 // idle varies whole instances without configuration, callers and jobs.
@@ -131,6 +135,26 @@
 	}, nil
 }
 
+// load varies the open jobs that an instance finds when it starts.
+func (m *Measurement) load(ctx context.Context) ([]slope.Slope, error) {
+	var points []slope.Point
+	for _, n := range []int{100, 500, 1500} {
+		w := newWatched()
+		if err := index(ctx, w, 0, n); err != nil {
+			return nil, err
+		}
+		m.follow(ctx, w, func(int) bool { return true })
+		points = append(points, slope.Point{
+			Size:  float64(n),
+			Value: float64(w.counted()),
+		})
+	}
+
+	return []slope.Slope{
+		slope.Fit("store calls until a started follower knows the open-job index", "open jobs", "calls", points),
+	}, nil
+}
+
 // follow follows the index until done is true after an answer.
 func (m *Measurement) follow(ctx context.Context, w *watched, done func(seen int) bool) {
 	ctx, cancel := context.WithCancel(ctx)
