--- a/core/capacity/suite.go
+++ b/core/capacity/suite.go
@@ -62,7 +62,7 @@
 		{name: "documents", measurement: documents.New(meter)},
 		{name: "peers", measurement: peers.New(meter)},
 		{name: "spread", measurement: spread.New()},
-		{name: "streams", measurement: streams.New(meter)},
+		{name: "streams", measurement: streams.New(usage.New(1))},
 		{name: "storecalls", measurement: storecalls.New()},
 	} {
 		started := time.Now()
