--- a/cmd/tarragonwalk/main.go
+++ b/cmd/tarragonwalk/main.go
@@ -32,6 +32,7 @@
 	Standin    standinCommand    `command:"standin" description:"Run a stand-in of an outside system"`
 	Demo       demoCommand       `command:"demo" description:"Run the whole path on loopback and check every outcome"`
 	Experiment experimentCommand `command:"experiment" description:"Measure latency and throughput targets on stand-in engines"`
+	Capacity   capacityCommand   `command:"capacity" description:"Measure the slopes that the capacity page quotes"`
 }
 
 func main() {
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -25,3 +25,4 @@
 generate burn core/burn
 generate preset core/experiment/preset
 generate report core/experiment/report
+generate capacity core/capacity/slope
