Send nothing for a request that is canceled while it is granted a slot

Cause: TestOverloadIsNotRun failed now and then with two calls of the engine instead of one. A queued request that was canceled at the moment when a slot became free was granted it and still sent its stream. Ruled out: a wrong count in the test's engine; the second call came with a context that had ended. Conclusion: the lane checks its context before it sends, and cancels only what it sent.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -96,7 +96,27 @@
 // stream runs one lane; failed is false if the lane was stopped by this instance or reached the end.
 func (d *Dispatcher) stream(ctx context.Context, s *sequence, ra *race, l lane, r *inference.Request) outcome {
 	d.begin(r.Deployment, l)
-	err := d.engine.Stream(ctx, l.address, r, func(e inference.Event) error {
+	sent, err := d.send(ctx, s, ra, l, r)
+	failed := err != nil && ctx.Err() == nil && s.sinkError() == nil && !s.finished() && !errors.Is(err, errStopped)
+	d.release(l, err, failed)
+	if sent && err != nil && !fault.NotRun(err) {
+		d.cancel(ctx, l.address, r.Stream)
+	}
+
+	return outcome{
+		lane:   l,
+		err:    err,
+		failed: failed,
+	}
+}
+
+// send streams from the backend server, unless the lane has ended before anything was sent: a request that is canceled
+// while it waits can be granted a slot at the same moment.
+func (d *Dispatcher) send(ctx context.Context, s *sequence, ra *race, l lane, r *inference.Request) (sent bool, err error) {
+	if ctx.Err() != nil {
+		return false, ended(ctx)
+	}
+	err = d.engine.Stream(ctx, l.address, r, func(e inference.Event) error {
 		if ctx.Err() != nil || !ra.claim(l.id) {
 			return errStopped
 		}
@@ -111,17 +131,8 @@
 	if err == nil && !s.finished() {
 		err = fault.New(fault.CodeStreamLost, "the stream ended before its last event")
 	}
-	failed := err != nil && ctx.Err() == nil && s.sinkError() == nil && !s.finished() && !errors.Is(err, errStopped)
-	d.release(l, err, failed)
-	if err != nil && !fault.NotRun(err) {
-		d.cancel(ctx, l.address, r.Stream)
-	}
 
-	return outcome{
-		lane:   l,
-		err:    err,
-		failed: failed,
-	}
+	return true, err
 }
 
 // cancel ends a stream on its backend server in the background; it is skipped when many cancellations are under way.
