Ask for a fresh view of open jobs right before a batch stream starts

The view was checked before the dispatcher's queue, so an item that waited there, or one that was preempted, could start on a cut-off instance after its job was canceled. Weighed: cancelling waiting items when the view grows old (loses their place and their tokens); a condition that the dispatcher asks before each grant was taken. TestInstancesShareSlots waited for grants and now waits for the sends, since a canceled request is not sent any more.

--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -81,6 +82,7 @@
 	digest      int64
 	revision    int64
 	confirmedAt time.Time
+	freshUntil  atomic.Int64 // Unix nanoseconds, read without mu
 	// running counts items in flight, and unfinished the items of held chunks that have no result, by deployment.
 	running    map[string]int
 	unfinished map[string]int
--- a/core/batch/view.go
+++ b/core/batch/view.go
@@ -63,6 +63,7 @@
 func (r *Runner) confirm(at time.Time) {
 	if at.After(r.confirmedAt) {
 		r.confirmedAt = at
+		r.freshUntil.Store(at.Add(viewAge).UnixNano())
 	}
 }
 
@@ -94,3 +95,10 @@
 
 	return len(r.jobs)
 }
+
+// MayStart reports whether the view is recent enough to start items at a time. The dispatcher asks it right before it
+// grants a slot, since an item can wait there for longer than the view stays valid. It takes no lock, because the
+// dispatcher holds its own.
+func (r *Runner) MayStart(at time.Time) bool {
+	return at.UnixNano() <= r.freshUntil.Load()
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -83,6 +83,8 @@
 	feeding   feeding
 	polled    time.Time
 	outbox    []notice
+	// mayStartBatch is set before use and keeps batch streams waiting while it is false.
+	mayStartBatch func(at time.Time) bool
 }
 
 type notice struct {
@@ -130,6 +132,12 @@
 	return d
 }
 
+// GateBatch sets a condition that is asked right before a batch stream starts or continues; it is called before use, and
+// the condition must not take a lock that is held while the dispatcher is called.
+func (d *Dispatcher) GateBatch(mayStart func(at time.Time) bool) {
+	d.mayStartBatch = mayStart
+}
+
 // Run streams a request to its end; on gets each event once and in order, and its error ends the request.
 func (d *Dispatcher) Run(ctx context.Context, r *inference.Request, on func(inference.Event) error) error {
 	ctx, cancel := withDeadline(ctx, r)
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -41,7 +41,7 @@
 	waitFor(t, "both started", func() bool {
 		online, _, queued := d.Snapshot()
 
-		return online["w1"] == 2 && queued == 0
+		return online["w1"] == 2 && queued == 0 && e.count() == 2
 	})
 	stop()
 	group.Wait()
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -167,6 +167,9 @@
 			d.rose(c, name, at)
 		}
 	}
+	if d.mayStartBatch != nil && !d.mayStartBatch(at) {
+		return
+	}
 	full := map[string]bool{}
 	d.batch = slices.DeleteFunc(d.batch, func(t *ticket) bool {
 		deployment := t.sequence.request.Deployment
