--- a/core/notice/notifier.go
+++ b/core/notice/notifier.go
@@ -16,6 +16,10 @@
 const (
 	callTimeout = 500 * time.Millisecond
 	maxWorkers  = 16
+	// repeatInterval is below the 10 s after which a feeder drops a count, with room for a message that is lost.
+	repeatInterval = 4 * time.Second
+	// allPeers is the number of other instances up to which the regular exchange repeats the counts to every feeder.
+	allPeers = 16
 )
 
 // sender is the transport to other entry instances.
@@ -26,6 +30,7 @@
 // online takes what the feeder knows of other instances.
 type online interface {
 	ObserveOthers(counts []peer.OnlineCount, at time.Time)
+	OnlineCounts(receiver string, at time.Time) []peer.OnlineCount
 }
 
 // members is the table of instances.
@@ -75,18 +80,37 @@
 	}
 }
 
-// Run sends queued counts until ctx ends.
+// Run sends queued counts until ctx ends, and repeats counts that do not change where the exchange does not.
 func (n *Notifier) Run(ctx context.Context) {
+	t := time.NewTicker(repeatInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.wake:
+		case <-t.C:
+			n.repeat()
 		}
 		n.flush(ctx)
 	}
 }
 
+// repeat queues the current counts for all feeders. In a large fleet two instances meet in the exchange about once a
+// minute only, and a long stream would be forgotten by the feeder, which would then run batch work in its slot.
+func (n *Notifier) repeat() {
+	now := n.clock()
+	live := n.members.Live(now)
+	if len(live) <= allPeers {
+		return
+	}
+	for _, i := range live {
+		for _, count := range n.online.OnlineCounts(i.Name, now) {
+			n.Notify(i.Name, count)
+		}
+	}
+}
+
 func (n *Notifier) flush(ctx context.Context) {
 	n.lock.Lock()
 	pending := n.pending
--- /dev/null
+++ b/core/notice/notifier_test.go
@@ -0,0 +1,108 @@
+package notice
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/membership"
+	"tarragonwalk/io/peer"
+)
+
+// fakeFleet records what is sent and answers that others have one request in flight.
+type fakeFleet struct {
+	lock     sync.Mutex
+	size     int
+	sent     []peer.OnlineCount
+	observed int
+	block    chan struct{}
+}
+
+func (f *fakeFleet) Online(_ context.Context, _ netip.AddrPort, counts []peer.OnlineCount) ([]peer.OnlineCount, error) {
+	if f.block != nil {
+		<-f.block
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.sent = append(f.sent, counts...)
+
+	return []peer.OnlineCount{{BackendServer: "w1", InFlight: 1}}, nil
+}
+
+func (f *fakeFleet) Live(time.Time) []membership.Instance {
+	list := []membership.Instance{}
+	for n := range f.size {
+		list = append(list, membership.Instance{Name: fmt.Sprintf("entry-%d", n)})
+	}
+
+	return list
+}
+
+func (f *fakeFleet) ObserveOthers([]peer.OnlineCount, time.Time) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.observed++
+}
+
+func (f *fakeFleet) OnlineCounts(receiver string, _ time.Time) []peer.OnlineCount {
+	if receiver != "entry-1" {
+		return nil
+	}
+
+	return []peer.OnlineCount{{BackendServer: "w1", InFlight: 2}}
+}
+
+// Guards against a burst that costs a message for each request, and against answers that are not used.
+func TestBurstCostsFewMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeFleet{size: 2, block: make(chan struct{})}
+		n := New(f, f, f, time.Now, slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(t.Context())
+		go n.Run(ctx)
+		for count := range 100 {
+			n.Notify("entry-1", peer.OnlineCount{BackendServer: "w1", InFlight: count + 1})
+		}
+		synctest.Wait()
+		close(f.block)
+		synctest.Wait()
+		is.True(len(f.sent) <= 2)
+		is.Equal(f.sent[len(f.sent)-1].InFlight, 100) // the last count is not lost
+		is.Equal(f.observed, len(f.sent))
+		stop()
+	})
+}
+
+// Guards against a feeder of a large fleet that forgets long streams, and against needless repeats in a small one.
+func TestRepeat(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		size int
+		want int
+	}{
+		{name: "small fleet", size: 8, want: 0},
+		{name: "large fleet", size: 40, want: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeFleet{size: c.size}
+				n := New(f, f, f, time.Now, slog.New(slog.DiscardHandler))
+				ctx, stop := context.WithCancel(t.Context())
+				go n.Run(ctx)
+				time.Sleep(2*repeatInterval + time.Millisecond)
+				synctest.Wait()
+				is.Equal(len(f.sent), c.want)
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
