Bound the store calls for jobs without free chunks

Cause: each claimant listed such a job every 20 s and read each of its claims. With 420 instances with free slots and 1,400 open jobs of 8 claimed chunks the runners made 3,990 calls a second, 2,000 reads a second is the limit.

Ruled out: longer pauses alone, which would delay the takeover from a lost instance by minutes.

An instance lists all sessions with one call, every 5 s to 21 s by the size of the fleet, and looks at a job at once if a holder is gone. Jobs are listed again every 20 s, with 1,400 open jobs every 7.5 minutes, and a claim is read again only if its listed version changed. The rank of an instance for a job is kept until the feeders change.

--- /dev/null
+++ b/core/batch/calls_test.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/job"
+)
+
+// Guards against a fleet at full size that spends the store's read limit on looking for free chunks: 420 instances with
+// free slots, 1,400 open jobs whose chunks are all claimed by living holders, at most 5% of 2,000 reads a second.
+func TestStoreCalls(t *testing.T) {
+	bubble(t, "full size", func(is *is.I) {
+		const instances, jobs, chunks, allowed = 420, 1400, 8, 100
+		var names []string
+		for i := range instances {
+			names = append(names, fmt.Sprint("n", i))
+		}
+		f := newFleet(names...)
+		put := func(key string, v any, version int64) int64 {
+			value, err := json.Marshal(v)
+			is.NoErr(err)
+			version, err = f.store.Put(context.Background(), key, value, version)
+			is.NoErr(err)
+
+			return version
+		}
+		infos := make([]job.ChunkInfo, chunks)
+		for n := range infos {
+			infos[n] = job.ChunkInfo{FirstItem: n, Items: 1, Bytes: 10}
+		}
+		put(job.FileKey("w", "f"), job.File{ID: "f", Workspace: "w", Bytes: 10 * chunks, Items: chunks, Model: "m", Chunks: infos}, 0)
+		var open []job.OpenJob
+		for i := range jobs {
+			o := job.OpenJob{ID: fmt.Sprint("j", i), Workspace: "w", Deployment: "d", File: "f", Items: chunks, Chunks: chunks, Attempts: 3, Deadline: time.Now().Add(10 * time.Hour)}
+			open = append(open, o)
+			put(job.RecordKey("w", o.ID), job.Job{ID: o.ID, Workspace: "w", File: "f", Deployment: "d", Model: "m", Items: chunks, Chunks: chunks, Attempts: 3, State: job.JobStateOpen, Deadline: o.Deadline}, 0)
+			for n := range chunks {
+				put(job.ClaimKey(o.ID, n), job.Claim{Holder: names[1+(i+n)%10], Incarnation: "1", Attempt: 1}, 0)
+			}
+		}
+		n := &node{self: "n0", fleet: f, link: &link{Store: f.store}}
+		r := New(n.link, n, f, "n0", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			r.Run(ctx)
+		}()
+		versions := make(map[string]int64)
+		before, own := 0, 0
+		const warm, total = 800, 2000
+		for second := range total {
+			r.ObserveOpen(open, int64(second), time.Now())
+			if second%5 == 0 {
+				for _, h := range names[1:11] {
+					versions[h] = put(job.SessionKey(h), job.Session{Instance: h, Incarnation: "1", Counter: second}, versions[h])
+					own++
+				}
+			}
+			if second == warm {
+				before, own = f.store.Calls(), 0
+			}
+			time.Sleep(time.Second)
+		}
+		calls := float64(f.store.Calls()-before-own) / (total - warm) * instances
+		cancel()
+		<-ended
+		t.Logf("%.0f calls a second by %d instances", calls, instances)
+		is.True(calls <= allowed)
+	})
+}
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -37,7 +37,7 @@
 		defer r.mu.Unlock()
 		if !done {
 			w.chunks[n] = stateTaken
-			w.delay(r.now())
+			w.delay(r.now(), visitLimit)
 		} else {
 			w.chunks[n] = stateDone
 			w.check = true
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -65,7 +65,10 @@
 	session     *session
 	// watcher is used by the main loop only.
 	watcher *claim.Watcher
-	chunks  conc.WaitGroup
+	// sessions and listAt, the time of the next listing, are used by the main loop only.
+	sessions map[string]sessionSeen
+	listAt   time.Time
+	chunks   conc.WaitGroup
 
 	// mu protects the fields below. It is never held during a call to the store or the dispatcher.
 	mu          sync.Mutex
@@ -106,6 +109,7 @@
 			turn:        make(chan struct{}, 1),
 		},
 		watcher:    claim.New(),
+		sessions:   make(map[string]sessionSeen),
 		random:     random,
 		jobs:       make(map[string]*work),
 		canceled:   make(map[string]time.Time),
--- a/core/batch/step.go
+++ b/core/batch/step.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"strconv"
 	"time"
 
 	"tarragonwalk/core/claim"
@@ -20,10 +22,13 @@
 	r.mu.Unlock()
 	if !fresh {
 		r.watcher.Reset()
+		clear(r.sessions)
 
 		return false
 	}
-	w, claims := r.pick(now, r.capacities(now))
+	all, live := r.capacities(now)
+	r.watchSessions(ctx, now, live)
+	w, claims := r.pick(now, all)
 	if w == nil {
 		return false
 	}
@@ -39,11 +44,14 @@
 	slots int
 	// names are the instances that may work on its jobs: its feeders, or all live ones if nobody feeds it.
 	names []string
+	// claimants is how many of them work on each job; digest identifies both.
+	claimants int
+	digest    uint64
 }
 
 // capacities reads the capacity of each deployment that has an open job.
-func (r *Runner) capacities(now time.Time) map[string]capacity {
-	all := make(map[string]capacity)
+func (r *Runner) capacities(now time.Time) (all map[string]capacity, count int) {
+	all = make(map[string]capacity)
 	r.mu.Lock()
 	for _, w := range r.jobs {
 		c := all[w.open.Deployment]
@@ -63,10 +71,17 @@
 		if len(c.names) == 0 {
 			c.names = live
 		}
+		c.claimants = max(claimants, claimants*len(c.names)/max(1, c.jobs))
+		h := fnv.New64a()
+		h.Write([]byte(strconv.Itoa(c.claimants)))
+		for _, n := range c.names {
+			h.Write([]byte("\x00" + n))
+		}
+		c.digest = h.Sum64()
 		all[d] = c
 	}
 
-	return all
+	return all, len(live)
 }
 
 // pick selects among the jobs that are due, that this instance works on and that have a use: slots that its held chunks
@@ -91,7 +106,11 @@
 		if !free && !w.check {
 			continue
 		}
-		if !claim.Among(id, r.name, c.names, max(claimants, claimants*len(c.names)/max(1, c.jobs))) {
+		// Ranking 420 names for each of 1,400 jobs at each step would cost more than the budget of a node.
+		if w.ranked != c.digest {
+			w.ranked, w.among = c.digest, claim.Among(id, r.name, c.names, c.claimants)
+		}
+		if !w.among {
 			continue
 		}
 		claims[w] = free
--- a/core/batch/visit.go
+++ b/core/batch/visit.go
@@ -102,6 +102,7 @@
 				// A held chunk changes its state when its own run ends.
 				if err == nil && n >= 0 && n < len(w.chunks) && w.chunks[n] != stateHeld {
 					w.chunks[n] = max(w.chunks[n], l.state)
+					w.list(n, l.state, int64(e.Version))
 				}
 			}
 			r.mu.Unlock()
@@ -130,7 +131,7 @@
 	}
 	w.check = false
 	if claims {
-		w.delay(r.now())
+		w.delay(r.now(), visitPause(len(r.jobs)))
 	}
 	r.mu.Unlock()
 	if remaining == 0 {
@@ -159,11 +160,11 @@
 
 // takeOver takes a claim whose holder is gone, or an own claim that is not held.
 func (r *Runner) takeOver(ctx context.Context, w *work, n int) (bool, error) {
-	var c job.Claim
-	version, err := r.get(ctx, job.ClaimKey(w.open.ID, n), &c)
-	if err != nil {
+	seen, err := r.claim(ctx, w, n)
+	if err != nil || r.renewing(seen, r.now()) {
 		return false, err
 	}
+	c, version := seen.claim, seen.version
 	// The holder renews its session before it claims, so only a session that is read after the claim may condemn it.
 	if c.Holder != r.name && !c.Released && (r.watcher.Due(c.Holder, r.now()) || r.watcher.MayTake(c)) {
 		// The time is taken before the read, and an unchanged session counts from its first read on.
@@ -188,6 +189,30 @@
 	return true, r.take(ctx, w, n, c.Attempt+1, version)
 }
 
+// claim returns the claim of a chunk and reads it if the listing shows another version than the known one.
+func (r *Runner) claim(ctx context.Context, w *work, n int) (claimSeen, error) {
+	r.mu.Lock()
+	c, ok := w.claims[n]
+	if ok && c.version == w.versions[n] {
+		c.visits++
+		w.claims[n] = c
+		r.mu.Unlock()
+
+		return c, nil
+	}
+	r.mu.Unlock()
+	c = claimSeen{}
+	var err error
+	if c.version, err = r.get(ctx, job.ClaimKey(w.open.ID, n), &c.claim); err != nil {
+		return c, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.claims[n] = c
+
+	return c, nil
+}
+
 // take writes the claim of a chunk over the given version and starts the chunk; a lost race marks it as taken.
 func (r *Runner) take(ctx context.Context, w *work, n, attempt int, over int64) error {
 	if err := r.session.ensure(ctx); err != nil {
--- a/core/batch/work.go
+++ b/core/batch/work.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// visitTime is the shortest time between two listings of a job without free chunks, visitLimit the longest.
+	// visitTime is the shortest time between two listings of a job without free chunks, visitLimit the longest with few
+	// open jobs.
 	visitTime  = 5 * time.Second
 	visitLimit = 20 * time.Second
 	// recordTime is the pause before a job without a record is looked at again: its submission may be under way.
@@ -38,21 +39,36 @@
 	loaded bool
 	ended  bool
 	chunks []state
+	// versions are the listed versions of claims, and claims the claims of other holders that were read.
+	versions map[int]int64
+	claims   map[int]claimSeen
+	// among is whether this instance works on the job if the candidates have the digest ranked.
+	among  bool
+	ranked uint64
 	// check asks for a visit even without free batch slots, as the job may be finished.
 	check   bool
 	visitAt time.Time
 	pause   time.Duration
 }
 
+// claimSeen is a claim as it was read, and how many visits have met it since.
+type claimSeen struct {
+	version int64
+	visits  int
+	claim   job.Claim
+}
+
 func newWork(o job.OpenJob) *work {
 	ctx, stop := context.WithCancel(context.Background())
 
 	return &work{
-		open:   o,
-		ctx:    ctx,
-		stop:   stop,
-		chunks: make([]state, o.Chunks),
-		pause:  visitTime,
+		open:     o,
+		ctx:      ctx,
+		stop:     stop,
+		chunks:   make([]state, o.Chunks),
+		versions: make(map[int]int64),
+		claims:   make(map[int]claimSeen),
+		pause:    visitTime,
 	}
 }
 
@@ -85,8 +101,18 @@
 	return n
 }
 
-// delay postpones the next visit, for longer each time.
-func (w *work) delay(now time.Time) {
+// delay postpones the next visit, for longer each time up to limit.
+func (w *work) delay(now time.Time, limit time.Duration) {
 	w.visitAt = now.Add(w.pause)
-	w.pause = min(2*w.pause, visitLimit)
+	w.pause = min(2*w.pause, limit)
+}
+
+// list records what a listing shows of a chunk.
+func (w *work) list(n int, s state, version int64) {
+	if s == stateTaken {
+		w.versions[n] = version
+	}
+	if w.chunks[n] != stateTaken {
+		delete(w.claims, n)
+	}
 }
--- a/core/job/key.go
+++ b/core/job/key.go
@@ -9,6 +9,8 @@
 const (
 	// OpenPrefix precedes the entries of the open-job index.
 	OpenPrefix = "open/"
+	// SessionsPrefix precedes the sessions of instances.
+	SessionsPrefix = "session/"
 )
 
 // FileKey returns the key of a file's metadata.
@@ -69,7 +71,7 @@
 
 // SessionKey returns the key of an instance's session.
 func SessionKey(instance string) string {
-	return "session/" + url.PathEscape(instance)
+	return SessionsPrefix + url.PathEscape(instance)
 }
 
 // OnceKey returns the key of a non-idempotent request.
