--- a/io/jobstore/store.go
+++ b/io/jobstore/store.go
@@ -26,11 +26,17 @@
 	writeTries = 3
 )
 
+// rates tells the recent rate of a deployment in items per second, false while it is unknown.
+type rates interface {
+	ItemRate(deployment string) (perSecond float64, known bool)
+}
+
 // Store reads and writes batch files, jobs and results.
 type Store struct {
 	objects objects
 	limits  func() configuration.BatchDefaults
 	now     func() time.Time
+	rates   rates
 }
 
 // New returns a store; limits returns the current batch limits and now the time.
@@ -42,6 +48,12 @@
 	}
 }
 
+// UseRates makes Submit refuse jobs that cannot end before their deadline at the rate of their deployment. It must be
+// called before the first Submit.
+func (s *Store) UseRates(r rates) {
+	s.rates = r
+}
+
 // get reads and decodes a record.
 func (s *Store) get(ctx context.Context, key string, into any) (int64, error) {
 	value, version, err := s.objects.Get(ctx, key)
--- a/io/jobstore/submit.go
+++ b/io/jobstore/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"tarragonwalk/core/fault"
@@ -35,6 +36,9 @@
 	}
 	j := s.record(u, id, f)
 	start := s.now()
+	if err := s.feasible(j, start); err != nil {
+		return job.Status{}, err
+	}
 	if err := s.ensureOpen(ctx, j); err != nil {
 		return job.Status{}, notRun(err)
 	}
@@ -65,6 +69,20 @@
 	}, nil
 }
 
+// feasible refuses a job whose items alone take longer than the time to its deadline at the measured rate.
+func (s *Store) feasible(j job.Job, at time.Time) error {
+	if s.rates == nil {
+		return nil
+	}
+	rate, known := s.rates.ItemRate(j.Deployment)
+	if seconds := j.Deadline.Sub(at).Seconds(); known && float64(j.Items) > rate*seconds {
+		return fault.New(fault.CodeNotRun, fmt.Sprintf("%d items cannot end in %.0f s at %.2f items a second of deployment %s",
+			j.Items, seconds, rate, j.Deployment))
+	}
+
+	return nil
+}
+
 // resubmitted returns the status of an existing job. It makes sure that an open job is indexed, as the submission that
 // wrote the record may have been paused for so long that its index entry was removed.
 func (s *Store) resubmitted(ctx context.Context, j job.Job) (job.Status, error) {
