Give leaving marks an end and pass news on once

Cause: a leaving mark travelled as a name only, so each message could start a new mark of 30 s, and nothing passed on what a peer had said: an instance that the origin did not reach learned of a leaving server or a cancellation from the platform only. ReportLeaving had no caller. A cancelled job that stays in the index was announced again at each answer of the watch.

Marks now carry their remaining time. A relayed mark never extends one and cannot come back for 30 s after its end. Instances newly listed as leaving are reported to peers; learned marks and cancelled jobs are passed on once.

Ruled out in tests, without a fault: a configuration with a lower number in force, a view confirmed by another digest or by a received message.

Not covered: core/dispatch does not mark a server after its own 503.

--- a/core/exchange/exchanger.go
+++ b/core/exchange/exchanger.go
@@ -25,6 +25,10 @@
 	maxWorkers   = 16
 	// cancelledFor is how long a cancelled job is repeated; it covers several rounds and the open index's own watch.
 	cancelledFor = 30 * time.Second
+	// markTime is how long a leaving mark lasts everywhere, as in core/membership.
+	markTime = 30 * time.Second
+	// heardFor is how long a cancelled job is remembered, so that it is passed on once only; it is far above cancelledFor.
+	heardFor = 10 * time.Minute
 	// maxConfigurationBytes bounds a configuration from a peer; the store's value limit is 1 MB.
 	maxConfigurationBytes = 1 << 20
 )
@@ -39,6 +43,7 @@
 type members interface {
 	Live(at time.Time) []membership.Instance
 	MarkLeaving(name string, at time.Time)
+	RelayLeaving(name string, until, at time.Time) bool
 }
 
 // configurations is the holder of the configuration in force.
@@ -74,6 +79,7 @@
 	leaving    map[string]time.Time // backend servers and instances to repeat until the time
 	ownLeaving bool
 	cancelled  map[string]time.Time
+	heard      map[string]time.Time // cancelled jobs to not pass on again until the time
 	openView   int64
 	openSeenAt time.Time
 }
@@ -92,6 +98,7 @@
 		log:            log,
 		leaving:        map[string]time.Time{},
 		cancelled:      map[string]time.Time{},
+		heard:          map[string]time.Time{},
 	}
 }
 
@@ -134,18 +141,24 @@
 	return e.ownLeaving
 }
 
-// ReportLeaving passes on that an instance was seen leaving.
+// ReportLeaving passes on a first-hand sign that an instance is leaving, for markTime.
 func (e *Exchanger) ReportLeaving(name string) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.leaving[name] = e.clock().Add(cancelledFor)
+	e.leaving[name] = e.clock().Add(markTime)
 }
 
-// ReportCancelled passes on that a job was cancelled.
+// ReportCancelled passes on that a job was cancelled, once.
 func (e *Exchanger) ReportCancelled(id string) {
+	now := e.clock()
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.cancelled[id] = e.clock().Add(cancelledFor)
+	prune(e.heard, now)
+	if _, ok := e.heard[id]; ok {
+		return
+	}
+	e.heard[id] = now.Add(heardFor)
+	e.cancelled[id] = now.Add(cancelledFor)
 }
 
 // ObserveOpen records the digest of this instance's view of open jobs and when the store confirmed it.
@@ -254,8 +267,13 @@
 
 func (e *Exchanger) learn(m *peer.Exchange) {
 	now := e.clock()
-	for _, name := range m.LeavingBackendServers {
-		e.members.MarkLeaving(name, now)
+	for _, k := range m.Marks {
+		until := now.Add(time.Duration(k.EndsInMillis) * time.Millisecond)
+		if k.Name != e.name && e.members.RelayLeaving(k.Name, until, now) {
+			e.lock.Lock()
+			e.leaving[k.Name] = until
+			e.lock.Unlock()
+		}
 	}
 	for _, name := range m.LeavingInstances {
 		if name != e.name {
@@ -264,6 +282,9 @@
 	}
 	if len(m.CancelledJobs) > 0 {
 		e.runner.CancelJobs(m.CancelledJobs)
+		for _, id := range m.CancelledJobs {
+			e.ReportCancelled(id)
+		}
 	}
 	e.online.ObserveOnline(m.Sender, m.Online, now)
 }
@@ -278,13 +299,20 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	m := &peer.Exchange{
-		Sender:                e.name,
-		ConfigurationVersion:  version,
-		JobsRevision:          int(e.openView),
-		JobsSeenAgoMillis:     int(now.Sub(e.openSeenAt).Milliseconds()),
-		LeavingBackendServers: prune(e.leaving, now),
-		CancelledJobs:         prune(e.cancelled, now),
-		Online:                counts,
+		Sender:               e.name,
+		ConfigurationVersion: version,
+		JobsRevision:         int(e.openView),
+		JobsSeenAgoMillis:    int(now.Sub(e.openSeenAt).Milliseconds()),
+		CancelledJobs:        prune(e.cancelled, now),
+		Online:               counts,
+	}
+	for _, name := range prune(e.leaving, now) {
+		if left := e.leaving[name].Sub(now).Milliseconds(); left > 0 {
+			m.Marks = append(m.Marks, peer.LeavingMark{
+				Name:         name,
+				EndsInMillis: int(min(left, markTime.Milliseconds())),
+			})
+		}
 	}
 	if e.openSeenAt.IsZero() {
 		m.JobsSeenAgoMillis = int(time.Hour.Milliseconds())
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -111,7 +111,7 @@
 	i.stopBatch = stopBatch
 	i.serve()
 	i.tasks.Go(func() { i.configs.Follow(ctx) })
-	i.tasks.Go(func() { i.list.Follow(ctx, i.table.Observe) })
+	i.tasks.Go(func() { i.list.Follow(ctx, i.observeList) })
 	i.tasks.Go(func() { i.jobs.FollowOpen(ctx, i.observeOpen) })
 	i.tasks.Go(func() { i.exchanger.Run(ctx) })
 	i.tasks.Go(func() { i.notifier.Run(ctx) })
@@ -260,6 +260,13 @@
 	}
 }
 
+// observeList tells peers of instances that the platform newly lists as leaving, as their own lists may lag.
+func (i *Instance) observeList(list []membership.Instance, at time.Time) {
+	for _, name := range i.table.Observe(list, at) {
+		i.exchanger.ReportLeaving(name)
+	}
+}
+
 func bootstrapKey(text string) ([sha256.Size]byte, error) {
 	key := [sha256.Size]byte{}
 	decoded, err := hex.DecodeString(text)
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -35,16 +35,21 @@
 	}
 }
 
-// Observe replaces the list of instances; an empty list is taken as a failure of the platform and ignored.
-func (t *Table) Observe(list []Instance, at time.Time) {
+// Observe replaces the list of instances and returns those that are newly listed as leaving; an empty list is taken as
+// a failure of the platform and ignored.
+func (t *Table) Observe(list []Instance, at time.Time) (leaving []string) {
 	if len(list) == 0 {
-		return
+		return nil
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	before := t.instances
 	t.instances = make(map[string]Instance, len(list))
 	for _, in := range list {
 		t.instances[in.Name] = in
+		if in.State == StateLeaving && before[in.Name].State != StateLeaving {
+			leaving = append(leaving, in.Name)
+		}
 		m, ok := t.marks[in.Name]
 		switch {
 		case !ok:
@@ -56,21 +61,43 @@
 		}
 	}
 	for n, m := range t.marks {
-		if !at.Before(m.until) {
+		if !at.Before(m.until.Add(markLifetime)) {
 			delete(t.marks, n)
 		}
 	}
+
+	return leaving
 }
 
-// MarkLeaving records a peer's update or a server's own 503; a repeated mark does not extend the first one.
+// MarkLeaving records a first-hand sign, such as a server's own 503; a repeated one does not extend the mark.
 func (t *Table) MarkLeaving(name string, at time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.marked(name, at) {
-		return
+	if !t.marked(name, at) {
+		t.mark(name, at.Add(markLifetime))
+	}
+}
+
+// RelayLeaving records a peer's mark with its end and reports whether it is new. A mark that has ended is remembered for
+// another lifetime, in which peers cannot set it again.
+func (t *Table) RelayLeaving(name string, until, at time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	m, known := t.marks[name]
+	if (known && at.Before(m.until.Add(markLifetime))) || !at.Before(until) {
+		return false
+	}
+	if last := at.Add(markLifetime); until.After(last) {
+		until = last
 	}
+	t.mark(name, until)
+
+	return true
+}
+
+func (t *Table) mark(name string, until time.Time) {
 	t.marks[name] = mark{
-		until:         at.Add(markLifetime),
+		until:         until,
 		listedLeaving: t.instances[name].State == StateLeaving,
 	}
 }
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -77,3 +77,30 @@
 	is.Equal(list.KeepUntil, start.Add(30*time.Second))
 	is.Equal(table.Addresses("z1", start), list) // stable order
 }
+
+// Guards against a mark that peers renew among themselves for ever, and against a relayed mark that outlives its end.
+func TestRelayedMarks(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	tables := []*Table{New(), New()}
+	tables[0].MarkLeaving("b", start)
+	ends := start.Add(markLifetime)
+	for i := range 200 {
+		at := start.Add(time.Duration(i) * time.Second)
+		for k, table := range tables {
+			// Each hop adds a second, as a message that was delayed does.
+			if until := ends.Add(time.Duration(i) * time.Second); table.Usable("b", at) == false {
+				tables[1-k].RelayLeaving("b", until, at)
+			}
+		}
+	}
+	for _, table := range tables {
+		is.True(table.Usable("b", start.Add(2*markLifetime)))
+	}
+	is.True(!tables[0].RelayLeaving("c", start, start))
+	is.True(tables[0].RelayLeaving("c", start.Add(time.Hour), start))
+	is.True(tables[0].Usable("c", start.Add(markLifetime)))
+	is.True(!tables[0].RelayLeaving("c", start.Add(40*time.Second), start.Add(31*time.Second)))
+	is.Equal(tables[0].Observe([]Instance{{Name: "d", State: StateLeaving}}, start), []string{"d"})
+	is.Equal(len(tables[0].Observe([]Instance{{Name: "d", State: StateLeaving}}, start)), 0)
+}
--- a/io/peer/peer_schema.go
+++ b/io/peer/peer_schema.go
@@ -107,12 +107,12 @@
 	// JobsSeenAgoMillis is the age of that view in milliseconds.
 	JobsSeenAgoMillis int `json:"JobsSeenAgoMillis"`
 
-	// LeavingBackendServers get no new work.
-	LeavingBackendServers []string `json:"LeavingBackendServers,omitempty,omitzero"`
-
 	// LeavingInstances are entry instances that stop.
 	LeavingInstances []string `json:"LeavingInstances,omitempty,omitzero"`
 
+	// Marks are of instances that get no new work.
+	Marks []LeavingMark `json:"Marks,omitempty,omitzero"`
+
 	// Online counts are for workers that the receiver feeds.
 	Online []OnlineCount `json:"Online,omitempty,omitzero"`
 
@@ -162,6 +162,48 @@
 	return nil
 }
 
+// LeavingMark says that an instance or backend server is leaving.
+type LeavingMark struct {
+	// EndsInMillis is when the mark ends; a relay does not make it longer.
+	EndsInMillis int `json:"EndsInMillis"`
+
+	// Name is the instance or backend server.
+	Name string `json:"Name"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *LeavingMark) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["EndsInMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field EndsInMillis in LeavingMark: required")
+	}
+	if _, ok := raw["Name"]; raw != nil && !ok {
+		return fmt.Errorf("field Name in LeavingMark: required")
+	}
+	type Plain LeavingMark
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 30000 < plain.EndsInMillis {
+		return fmt.Errorf("field %s: must be <= %v", "EndsInMillis", 30000)
+	}
+	if 1 > plain.EndsInMillis {
+		return fmt.Errorf("field %s: must be >= %v", "EndsInMillis", 1)
+	}
+	if utf8.RuneCountInString(string(plain.Name)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "Name", 1)
+	}
+	if utf8.RuneCountInString(string(plain.Name)) > 128 {
+		return fmt.Errorf("field %s length: must be <= %d", "Name", 128)
+	}
+	*j = LeavingMark(plain)
+	return nil
+}
+
 // OnlineCount is how many online requests the sender has in flight on a backend
 // server.
 type OnlineCount struct {
