Use another region's free slots before a request waits for the own region's

Cause: a full region queued and refused online requests while the other region was idle. A request crosses the link for some tens of kilobytes and 24 ms, where waiting costs up to the queue time of 2 s. Weighed: spilling at any load (pays for the link without need); only when the region is gone (the rule so far). TestLinkIsSharedByInstances also covers a full region: the budget bounds what crosses the link. Not measured: latency under a real two-region load.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -68,7 +68,9 @@
 	}
 }
 
-// Pick returns a backend server with a free slot that is not excluded; false if there is none.
+// Pick returns a backend server with a free slot that is not excluded; false if there is none. Other regions are used
+// only if the own one has no free slot and the link's budget allows it: a request that crosses the link costs tens of
+// kilobytes and 24 ms, one that waits for a slot costs up to the whole queue time.
 func (ro *Router) Pick(
 	c *configuration.Configuration,
 	r *inference.Request,
@@ -76,13 +78,23 @@
 	at time.Time,
 ) (string, bool) {
 	local, remote := ro.usableServers(c, r.Deployment, excluded, at)
-	names := local
-	if len(local) == 0 {
-		if !ro.linkAllows(r, at) {
-			return "", false
-		}
-		names = remote
+	if name, ok := ro.pickAmong(c, r, local, at); ok {
+		return name, true
+	}
+	if len(remote) == 0 || !ro.linkAllows(r, at) {
+		return "", false
 	}
+
+	return ro.pickAmong(c, r, remote, at)
+}
+
+// pickAmong returns one of the names that has a free slot.
+func (ro *Router) pickAmong(
+	c *configuration.Configuration,
+	r *inference.Request,
+	names []string,
+	at time.Time,
+) (string, bool) {
 	free := slices.DeleteFunc(names, func(n string) bool {
 		return ro.online(n) >= slots(c, n)
 	})
