Serve the HTTP stand-ins by one server with connection faults

Checked: go test -race of the stand-ins and their clients, core/instance. Conclusion: behavior as before.

--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -1,15 +1,13 @@
 package engine
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"tarragonwalk/core/inference"
-	"tarragonwalk/io/standin/listener"
+	"tarragonwalk/io/standin/faultserver"
 )
 
 // Engine runs all streams in one batch, one token for each stream at a step; it is safe for concurrent use.
@@ -42,8 +40,7 @@
 	loads    int
 	loadTime time.Duration
 
-	server   *http.Server
-	listener *listener.Listener
+	server *faultserver.Server
 }
 
 // sample is the load from a time on.
@@ -80,10 +77,7 @@
 	for _, o := range options {
 		o(e)
 	}
-	e.server = &http.Server{
-		Handler:           e.handler(),
-		ReadHeaderTimeout: 10 * time.Second,
-	}
+	e.server = faultserver.New(e.handler())
 	e.loop.Go(e.run)
 
 	return e
@@ -91,21 +85,7 @@
 
 // Serve answers requests on l until Close or Crash, and then returns nil.
 func (e *Engine) Serve(l net.Listener) error {
-	w := listener.New(l)
-	e.lock.Lock()
-	if e.stopped {
-		e.lock.Unlock()
-
-		return w.Close()
-	}
-	e.listener = w
-	e.lock.Unlock()
-	err := e.server.Serve(w)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-
-	return err
+	return e.server.Serve(l)
 }
 
 // Close closes the listener and all connections and ends the step loop.
@@ -115,13 +95,8 @@
 		e.stopped = true
 		close(e.stop)
 	}
-	w := e.listener
 	e.lock.Unlock()
-	if w != nil {
-		_ = w.Close()
-		w.Drop()
-	}
-	_ = e.server.Close() // The connections are closed already.
+	e.server.Close()
 	e.loop.Wait()
 }
 
--- a/io/standin/engine/faults.go
+++ b/io/standin/engine/faults.go
@@ -38,25 +38,17 @@
 
 // Silence makes all established connections silent for good; new ones work.
 func (e *Engine) Silence() {
-	if w := e.gate(); w != nil {
-		w.Silence()
-	}
+	e.server.Silence()
 }
 
 // Drop closes all established connections.
 func (e *Engine) Drop() {
-	if w := e.gate(); w != nil {
-		w.Drop()
-	}
+	e.server.Drop()
 }
 
 // Refuse makes new connections fail, established ones go on.
 func (e *Engine) Refuse(on bool) error {
-	if w := e.gate(); w != nil {
-		return w.Refuse(on)
-	}
-
-	return nil
+	return e.server.Refuse(on)
 }
 
 // Crash closes the listener and all connections at once.
@@ -71,20 +63,6 @@
 	e.notify()
 }
 
-func (e *Engine) gate() interface {
-	Silence()
-	Drop()
-	Refuse(bool) error
-} {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	if e.listener == nil {
-		return nil
-	}
-
-	return e.listener
-}
-
 // rejects reports whether a new stream fails, and whether because the engine is leaving.
 func (e *Engine) rejects() (failed, leaving bool) {
 	e.lock.Lock()
--- /dev/null
+++ b/io/standin/faultserver/doc.go
@@ -0,0 +1,2 @@
+// Package faultserver serves HTTP for a stand-in over a listener with connection faults.
+package faultserver
--- a/io/standin/instancelist/list.go
+++ b/io/standin/instancelist/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -10,7 +9,7 @@
 	"time"
 
 	"tarragonwalk/core/membership"
-	"tarragonwalk/io/standin/listener"
+	"tarragonwalk/io/standin/faultserver"
 )
 
 // List serves a table of instances; it is safe for concurrent use.
@@ -20,9 +19,7 @@
 	outage   bool
 	versions []version // by time; the first one may be shown
 	fetched  int
-	closed   bool
-	listener *listener.Listener
-	server   *http.Server
+	server   *faultserver.Server
 }
 
 // version is the table from a time on.
@@ -39,44 +36,19 @@
 	}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/instances", l.serve)
-	l.server = &http.Server{
-		Handler:           m,
-		ReadHeaderTimeout: 10 * time.Second,
-	}
+	l.server = faultserver.New(m)
 
 	return l
 }
 
 // Serve answers requests on n until Close, and then returns nil.
 func (l *List) Serve(n net.Listener) error {
-	w := listener.New(n)
-	l.lock.Lock()
-	if l.closed {
-		l.lock.Unlock()
-
-		return w.Close()
-	}
-	l.listener = w
-	l.lock.Unlock()
-	err := l.server.Serve(w)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-
-	return err
+	return l.server.Serve(n)
 }
 
 // Close closes the listener and all connections.
 func (l *List) Close() {
-	l.lock.Lock()
-	l.closed = true
-	w := l.listener
-	l.lock.Unlock()
-	if w != nil {
-		_ = w.Close()
-		w.Drop()
-	}
-	_ = l.server.Close() // The connections are closed already.
+	l.server.Close()
 }
 
 // Set adds an instance or replaces the one of the same name.
--- a/io/standin/service/service.go
+++ b/io/standin/service/service.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"errors"
 	"io"
 	"maps"
 	"net"
@@ -9,7 +8,7 @@
 	"sync"
 	"time"
 
-	"tarragonwalk/io/standin/listener"
+	"tarragonwalk/io/standin/faultserver"
 )
 
 // maxBody bounds a request body.
@@ -17,14 +16,12 @@
 
 // Service answers each call with its own body; it is safe for concurrent use.
 type Service struct {
-	lock     sync.Mutex
-	keys     map[string]int
-	paths    map[string]int
-	delay    time.Duration
-	lost     int
-	closed   bool
-	listener *listener.Listener
-	server   *http.Server
+	lock   sync.Mutex
+	keys   map[string]int
+	paths  map[string]int
+	delay  time.Duration
+	lost   int
+	server *faultserver.Server
 }
 
 // New returns a service without delay.
@@ -33,44 +30,19 @@
 		keys:  make(map[string]int),
 		paths: make(map[string]int),
 	}
-	s.server = &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
-		ReadHeaderTimeout: 10 * time.Second,
-	}
+	s.server = faultserver.New(http.HandlerFunc(s.serve))
 
 	return s
 }
 
 // Serve answers requests on l until Close or Crash, and then returns nil.
 func (s *Service) Serve(l net.Listener) error {
-	w := listener.New(l)
-	s.lock.Lock()
-	if s.closed {
-		s.lock.Unlock()
-
-		return w.Close()
-	}
-	s.listener = w
-	s.lock.Unlock()
-	err := s.server.Serve(w)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-
-	return err
+	return s.server.Serve(l)
 }
 
 // Close closes the listener and all connections.
 func (s *Service) Close() {
-	s.lock.Lock()
-	s.closed = true
-	w := s.listener
-	s.lock.Unlock()
-	if w != nil {
-		_ = w.Close()
-		w.Drop()
-	}
-	_ = s.server.Close() // The connections are closed already.
+	s.server.Close()
 }
 
 // Crash closes the listener and all connections at once.
@@ -94,15 +66,9 @@
 
 // Refuse makes new connections fail and closes established ones.
 func (s *Service) Refuse(on bool) error {
-	s.lock.Lock()
-	w := s.listener
-	s.lock.Unlock()
-	if w == nil {
-		return nil
-	}
-	err := w.Refuse(on)
+	err := s.server.Refuse(on)
 	if on {
-		w.Drop()
+		s.server.Drop()
 	}
 
 	return err
@@ -110,12 +76,7 @@
 
 // Silence makes all established connections silent for good; new ones work.
 func (s *Service) Silence() {
-	s.lock.Lock()
-	w := s.listener
-	s.lock.Unlock()
-	if w != nil {
-		w.Silence()
-	}
+	s.server.Silence()
 }
 
 // Keys returns how many calls ran for each Idempotency-Key.
