Drop a response that belongs to another request

Cause: the table of invariants had no test for answers that are swapped between requests, and nothing checked it. Weighed: a digest of the request in each event (no engine sends one); the stream's identity in the response header, which backend servers that trace requests return, was taken. Before: TestSwappedAnswers gives a caller somebody else's answer; after: the request is continued elsewhere, and a call of a plain service is outcome_unknown and is not sent again.

--- a/core/instance/failure_test.go
+++ b/core/instance/failure_test.go
@@ -374,3 +374,25 @@
 	// Each instance may have started one request that the others have not heard of.
 	is.True(most <= slots+instances)
 }
+
+// Guards against an answer that reaches the wrong caller when a backend server mixes up its requests.
+func TestSwappedAnswers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 2)
+	for _, e := range f.Engines {
+		e.Swap(1)
+	}
+	for n := range 4 {
+		r, body := newRequest(fmt.Sprintf("Note %d", n), 20)
+		text, err := stream(f.Caller("entry-1", keyA), body, fmt.Sprintf("r-%d", n), nil)
+		is.NoErr(err)
+		want, _, _ := engine.Answer(r)
+		is.Equal(text, want)
+	}
+	f.Services["s-1"].Swap(1)
+	header := map[string]string{"Idempotency-Key": "order-1"}
+	_, err := f.Caller("entry-1", keyA).Post("/v1/services/orders/sign", []byte("{}"), header)
+	is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
+	is.Equal(f.Services["s-1"].Keys()["order-1"], 1) // it is not sent again
+}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -43,6 +43,9 @@
 	c.transport.Close()
 }
 
+// streamHeader names the stream in a request and in its response.
+const streamHeader = "X-Stream-Id"
+
 // Stream runs r on the engine at a, from r.Offset on, and calls on for each event in order, the last one with Finish
 // set; an error of on ends the stream, is returned as it is, and closes the connection, which cancels the stream.
 func (c *Client) Stream(ctx context.Context, a netip.AddrPort, r *inference.Request,
@@ -58,7 +61,7 @@
 	q.SetRequestURI("/v1/chat/completions")
 	q.Header.SetContentType("application/json")
 	q.Header.Set("Accept", "text/event-stream")
-	q.Header.Set("X-Stream-Id", r.Stream)
+	q.Header.Set(streamHeader, r.Stream)
 	q.SetBodyRaw(body)
 	var stopped error
 	_, err = c.transport.Do(ctx, a, q, c.first, 0, func(p *fasthttp.Response, extend func(time.Duration)) error {
@@ -66,6 +69,10 @@
 			return err
 		}
 
+		// A proxy or an engine that mixes up connections must not give a caller somebody else's answer.
+		if id := p.Header.Peek(streamHeader); len(id) > 0 && string(id) != r.Stream {
+			return fault.New(fault.CodeStreamLost, "the response belongs to another stream")
+		}
 		if p.BodyStream() == nil {
 			return fault.New(fault.CodeStreamLost, "response without a body")
 		}
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -35,6 +35,9 @@
 	c.transport.Close()
 }
 
+// requestHeader names the request; services that return it are checked.
+const requestHeader = "X-Request-Id"
+
 // Call sends one request; path may hold a query. BackendUnreachable, Invalid and CodeCancelled state that nothing was sent;
 // after that, a missing or incomplete answer is OutcomeUnknown. Every status is an answer.
 func (c *Client) Call(ctx context.Context, address netip.AddrPort, method, path string, header map[string]string,
@@ -58,6 +61,10 @@
 	q.SetBodyRaw(body)
 	sent, err := c.transport.Do(ctx, address, q, c.wait, maxAnswer,
 		func(p *fasthttp.Response, _ func(time.Duration)) error {
+			// An answer to another request tells nothing of this one.
+			if id := p.Header.Peek(requestHeader); len(id) > 0 && string(id) != header[requestHeader] {
+				return fault.New(fault.CodeOutcomeUnknown, "the answer belongs to another request")
+			}
 			status = p.StatusCode()
 			answer = append([]byte{}, p.Body()...)
 
--- a/io/standin/engine/faults.go
+++ b/io/standin/engine/faults.go
@@ -9,6 +9,7 @@
 	leaving    bool
 	duplicates int
 	failure    float64
+	swaps      int
 }
 
 // Slow multiplies the time of each step by factor until it is called with 1.
@@ -36,6 +37,23 @@
 	e.set(func(f *faults) { f.failure = probability })
 }
 
+// Swap answers each of the next n streams with the answer of another request, under that request's identity.
+func (e *Engine) Swap(n int) {
+	e.set(func(f *faults) { f.swaps = n })
+}
+
+// swap reports whether the next stream gets another's answer.
+func (e *Engine) swap() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.faults.swaps == 0 {
+		return false
+	}
+	e.faults.swaps--
+
+	return true
+}
+
 // Silence makes all established connections silent for good; new ones work.
 func (e *Engine) Silence() {
 	e.server.Silence()
--- a/io/standin/engine/handler.go
+++ b/io/standin/engine/handler.go
@@ -61,8 +61,16 @@
 
 		return
 	}
+	id := q.Header.Get("X-Stream-Id")
+	if e.swap() {
+		id += "-other"
+		r.Messages[0].Content += " of somebody else"
+		r.ResumeOffset, r.ResumeText = 0, ""
+		a = newAnswer(&r)
+	}
+	w.Header().Set("X-Stream-Id", id)
 	s := &stream{
-		id:     q.Header.Get("X-Stream-Id"),
+		id:     id,
 		answer: a,
 		offset: r.ResumeOffset,
 		news:   make(chan struct{}, 1),
--- a/io/standin/service/service.go
+++ b/io/standin/service/service.go
@@ -21,6 +21,7 @@
 	paths  map[string]int
 	delay  time.Duration
 	lost   int
+	swaps  int
 	server *faultserver.Server
 }
 
@@ -64,6 +65,13 @@
 	s.lost = n
 }
 
+// Swap answers each of the next n calls, after they ran, with the answer of another request under its identity.
+func (s *Service) Swap(n int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.swaps = n
+}
+
 // Refuse makes new connections fail and closes established ones.
 func (s *Service) Refuse(on bool) error {
 	err := s.server.Refuse(on)
@@ -111,13 +119,21 @@
 		s.keys[k]++
 	}
 	s.paths[q.URL.Path]++
-	lose := s.lost > 0
+	lose, swap := s.lost > 0, s.swaps > 0
 	if lose {
 		s.lost--
 	}
+	if swap {
+		s.swaps--
+	}
 	s.lock.Unlock()
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	id := q.Header.Get("X-Request-Id")
+	if swap {
+		id, b = id+"-other", []byte("the answer to another request")
+	}
+	w.Header().Set("X-Request-Id", id)
 	_, _ = w.Write(b) // A broken connection ends the request anyway.
 }
