Keep hedges of probes within the hedging budget

The design bounds hedging to 2% of requests; paying for probes from the retry budget exceeded that (38 hedges for about 1140 requests). Conclusion: the bound of the design is kept; the burst of 8 hedges for each instance still allows more than 2% in a run of a few seconds.

--- a/core/dispatch/late.go
+++ b/core/dispatch/late.go
@@ -16,12 +16,7 @@
 	defer d.unlock()
 	at := d.now()
 	if !answers {
-		budget := d.hedges
-		if d.pace.Straggler(l.server, at) {
-			// Probes are bounded in number themselves; they must not use up what healthy servers' requests need.
-			budget = d.retries
-		}
-		next, ok := d.second(s, l, budget, at)
+		next, ok := d.second(s, l, d.hedges, at)
 		if ok {
 			counters.Add("Hedged", 1)
 		}
