--- a/core/batch/calls_test.go
+++ b/core/batch/calls_test.go
@@ -77,3 +77,54 @@
 		is.True(calls <= allowed)
 	})
 }
+
+// Guards against a lost holder that is found only at the next rare listing of its job, and against one that is judged
+// lost while it renews its session.
+func TestLostHolderAmongManyJobs(t *testing.T) {
+	bubble(t, "1000 open jobs", func(is *is.I) {
+		f := newFleet("a", "b")
+		f.slots = func(_, deployment string) int { return map[string]int{"d": 2}[deployment] }
+		_, st := f.submit(is, 3, "x")
+		j := st.Job
+		open := []job.OpenJob{{ID: j.ID, Workspace: "w", Deployment: "d", File: j.File, Items: 3, Chunks: 1, Attempts: 3, Deadline: time.Now().Add(time.Hour)}}
+		for i := range 1000 {
+			open = append(open, job.OpenJob{ID: fmt.Sprint("other", i), Workspace: "w", Deployment: "e", File: "f", Items: 1, Chunks: 1, Attempts: 3, Deadline: time.Now().Add(time.Hour)})
+		}
+		put := func(key string, v any, version int64) int64 {
+			value, err := json.Marshal(v)
+			is.NoErr(err)
+			version, err = f.store.Put(context.Background(), key, value, version)
+			is.NoErr(err)
+
+			return version
+		}
+		version := put(job.SessionKey("b"), job.Session{Instance: "b", Incarnation: "1", Counter: 1}, 0)
+		put(job.ClaimKey(j.ID, 0), job.Claim{Holder: "b", Incarnation: "1", Attempt: 1}, 0)
+		n := &node{self: "a", fleet: f, link: &link{Store: f.store}, runs: make(map[string]int)}
+		r := New(n.link, n, f, "a", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			r.Run(ctx)
+		}()
+		const lost, within = 1300, 60 // seconds
+		early := 0
+		for second := range lost + within {
+			r.ObserveOpen(open, int64(second), time.Now())
+			if second < lost && second%5 == 0 {
+				version = put(job.SessionKey("b"), job.Session{Instance: "b", Incarnation: "1", Counter: second}, version)
+			}
+			time.Sleep(time.Second)
+			if second < lost {
+				f.mu.Lock()
+				early += len(f.runs)
+				f.mu.Unlock()
+			}
+		}
+		cancel()
+		<-ended
+		is.Equal(early, 0)
+		is.Equal(len(f.runs), 3)
+	})
+}
