--- a/core/batch/calls_test.go
+++ b/core/batch/calls_test.go
@@ -101,7 +101,7 @@
 		version := put(job.SessionKey("b"), job.Session{Instance: "b", Incarnation: "1", Counter: 1}, 0)
 		put(job.ClaimKey(j.ID, 0), job.Claim{Holder: "b", Incarnation: "1", Attempt: 1}, 0)
 		n := &node{self: "a", fleet: f, link: &link{Store: f.store}, runs: make(map[string]int)}
-		r := New(n.link, n, f, "a", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+		r := New(n.link, n, f, f, "a", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
