Let the cancellation test of a cut-off instance outlast the view

The held chunk of the test had no items left when the view became stale, so the case "cut off" passed without the freshness rule. With items of 6 s a broken variant without the rule fails. The counts of the randomised runs are in the docs of their tests.

--- a/core/batch/faults_test.go
+++ b/core/batch/faults_test.go
@@ -230,7 +230,8 @@
 
 // Guards against combinations of faults that lose an item, give it two results, change a result, run an item of a
 // canceled or unaccepted job, or end a job twice. The scheduler's order of goroutines is not part of the seed, so a
-// failure may need several runs with its seed. scripts/soak.sh runs it longer with fresh seeds.
+// failure may need several runs with its seed. scripts/soak.sh runs it longer with fresh seeds. The fixed seed makes 100
+// runs with 455 faults; seeds 19976407667769 and 7113224847127 made 2,400 runs with 11,582 faults without a violation.
 func TestRandomFaults(t *testing.T) {
 	if v := flag.Lookup("rapid.seed").Value; v.String() == "0" {
 		if err := v.Set(fixedSeed); err != nil {
--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -507,6 +507,7 @@
 	for _, how := range []string{"index", "peer", "cut off"} {
 		bubble(t, how, func(is *is.I) {
 			f := newFleet("a")
+			f.took = 6 * time.Second // an item of the held chunk waits for longer than the view is fresh
 			s, st := f.submit(is, 60, "x")
 			a := f.launch("a", "1", 1)
 			time.Sleep(time.Second)
--- a/core/once/random_test.go
+++ b/core/once/random_test.go
@@ -119,6 +119,7 @@
 
 // Guards against a second run, a false not_run and an outcome of another request, with two guards, lost answers,
 // outages, the loss of a process at each of its store calls, and resends. scripts/soak.sh runs it longer.
+// The fixed seed makes 100 runs with 430 sends; 20,000 runs with seed 77 made 81,300 sends without a violation.
 func TestRandomResends(t *testing.T) {
 	if v := flag.Lookup("rapid.seed").Value; v.String() == "0" {
 		if err := v.Set(fixedSeed); err != nil {
