Refuse jobs that cannot end before their deadline

Cause: the check existed in the job store without a rate behind it. Checked: TestInfeasibleJob. Conclusion: a coarse check with a margin of two; rates are not shared between instances.

--- a/core/batch/view.go
+++ b/core/batch/view.go
@@ -102,3 +102,13 @@
 func (r *Runner) MayStart(at time.Time) bool {
 	return at.UnixNano() <= r.freshUntil.Load()
 }
+
+// ItemTime returns the recent mean time of an item of a deployment on this instance, waits for slots included; false
+// until one has ended.
+func (r *Runner) ItemTime(deployment string) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.itemTime[deployment]
+
+	return d, ok
+}
--- a/core/instance/adapters.go
+++ b/core/instance/adapters.go
@@ -41,3 +41,29 @@
 
 	return s, err
 }
+
+// itemRates estimates the rate of a whole deployment from the item times that this instance has measured.
+type itemRates struct {
+	holder currentHolder
+	runner *batch.Runner
+}
+
+// itemRateMargin keeps a peak from refusing a job that is due after it: measured item times include waits for slots, which
+// a peak makes longer, so a job is refused only if it could not end even at twice the measured rate.
+const itemRateMargin = 2
+
+// ItemRate returns items a second, false while no item of the deployment has ended here.
+func (i itemRates) ItemRate(deployment string) (perSecond float64, known bool) {
+	took, ok := i.runner.ItemTime(deployment)
+	if !ok || took <= 0 {
+		return 0, false
+	}
+	slots := 0
+	for _, b := range i.holder.Current().BackendServers {
+		if b.Deployment == deployment && !b.Leaving {
+			slots += b.Slots
+		}
+	}
+
+	return itemRateMargin * float64(slots) / took.Seconds(), slots > 0
+}
--- a/core/instance/failure_test.go
+++ b/core/instance/failure_test.go
@@ -396,3 +396,48 @@
 	is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
 	is.Equal(f.Services["s-1"].Keys()["order-1"], 1) // it is not sent again
 }
+
+// Guards against a job that is accepted although it cannot end before its deadline, and against one that is refused before
+// the rate of its deployment is known.
+func TestInfeasibleJob(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, 1)
+	c := f.Caller("entry-1", keyA)
+	submit := func(name string, items int, window string) (openai.Batch, error) {
+		c := f.Caller(name, keyA)
+		content := strings.Builder{}
+		for n := range items {
+			fmt.Fprintf(&content, `{"custom_id":"%d","method":"POST","url":"/v1/chat/completions","body":{"model":"drafting","messages":[{"role":"user","content":"sheet %d of %d"}],"max_tokens":100}}`+"\n", n, n, items)
+		}
+		file, err := c.Upload("x.jsonl", []byte(content.String()))
+		is.NoErr(err)
+		answer, err := c.Post("/v1/batches", []byte(`{"input_file_id":"`+file.ID+`","endpoint":"/v1/chat/completions","completion_window":"`+window+`"}`), nil)
+		batch := openai.Batch{}
+		if err == nil {
+			is.NoErr(apiclient.Decode(answer, &batch))
+		}
+
+		return batch, err
+	}
+	batch, err := submit("entry-1", 20, "1h")
+	is.NoErr(err)
+	is.NoErr(fleet.Await(func() bool {
+		answer, err := c.Get("/v1/batches/" + batch.ID)
+
+		return err == nil && apiclient.Decode(answer, &batch) == nil && batch.Status == "completed"
+	}))
+	// An item takes at least 0.1 s (50 tokens of 2 ms) and 8 run at once: at most 80 a second, 160 with the margin.
+	// Only the instance that feeds the engine has measured an item.
+	refused := 0
+	for _, name := range []string{"entry-1", "entry-2"} {
+		if _, err = submit(name, 1000, "3s"); fault.CodeOf(err) == fault.CodeNotRun {
+			refused++
+		}
+	}
+	is.Equal(refused, 1)
+	for _, name := range []string{"entry-1", "entry-2"} {
+		_, err = submit(name, 999, "1h")
+		is.NoErr(err)
+	}
+}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -205,6 +205,10 @@
 	i.recorder = recording.New(i.dispatcher, currentHolder{holder: i.holder}, name, i.clock)
 	i.runner = batch.New(i.objects, i.dispatcher, i.table, i.recorder, name, i.incarnation, i.clock, newRandom(), i.log)
 	i.dispatcher.GateBatch(i.runner.MayStart)
+	i.jobs.UseRates(itemRates{
+		holder: currentHolder{holder: i.holder},
+		runner: i.runner,
+	})
 	i.exchanger = exchange.New(name, i.clock, i.table, i.holder, i.runner, i.dispatcher, i.log)
 	i.node = peer.New(name, []byte(s.Peers.Secret), i.clock, i.exchanger)
 	i.exchanger.Attach(i.node)
