--- a/core/instance/failure_test.go
+++ b/core/instance/failure_test.go
@@ -408,7 +408,7 @@
 		c := f.Caller(name, keyA)
 		content := strings.Builder{}
 		for n := range items {
-			fmt.Fprintf(&content, `{"custom_id":"%d","method":"POST","url":"/v1/chat/completions","body":{"model":"drafting","messages":[{"role":"user","content":"sheet %d of %d"}],"max_tokens":100}}`+"\n", n, n, items)
+			fmt.Fprintf(&content, `{"custom_id":"%d","method":"POST","url":"/v1/chat/completions","body":{"model":"drafting","messages":[{"role":"user","content":"sheet %d of %d from %s"}],"max_tokens":100}}`+"\n", n, n, items, name)
 		}
 		file, err := c.Upload("x.jsonl", []byte(content.String()))
 		is.NoErr(err)
@@ -431,7 +431,8 @@
 	// Only the instance that feeds the engine has measured an item.
 	refused := 0
 	for _, name := range []string{"entry-1", "entry-2"} {
-		if _, err = submit(name, 1000, "3s"); fault.CodeOf(err) == fault.CodeNotRun {
+		_, err = submit(name, 1000, "3s")
+		if fault.CodeOf(err) == fault.CodeNotRun {
 			refused++
 		}
 	}
--- a/io/transport/transport.go
+++ b/io/transport/transport.go
@@ -66,6 +66,7 @@
 	p.SkipBody = q.Header.IsHead()
 	q.SetHost(a.String())
 	reusable, err := exchange(c, q, p, maxBody, use)
+	sent = c.started // read before the connection goes back to the pool, where the next request resets it
 	if !stop() {
 		reusable = false
 	}
@@ -78,7 +79,7 @@
 		c.Close()
 	}
 
-	return c.started, err
+	return sent, err
 }
 
 // Close closes all idle connections and keeps no further ones.
