--- a/core/experiment/fleet/fleet.go
+++ b/core/experiment/fleet/fleet.go
@@ -50,6 +50,7 @@
 	zones       []preset.Zone
 	indexes     map[string]int
 	boxes       [][]*mailbox
+	answers     [][]*mailbox // by receiver and feeder
 	table       *membership.Table
 	stop        chan struct{}
 	tasks       sync.WaitGroup
@@ -221,21 +222,32 @@
 			time.Now, random, queueRequests, queueBytes, queueWait, eventTime, options...))
 	}
 	for n, self := range all {
-		var row []*mailbox
+		var row, answers []*mailbox
 		for m := range all {
-			box := newMailbox()
-			f.tasks.Go(func() {
-				box.run(f.stop, func(counts []peer.OnlineCount) {
-					f.dispatchers[m].ObserveOnline(self.Name, counts, time.Now())
-				})
+			answer := f.open(func(counts []peer.OnlineCount) {
+				f.dispatchers[n].ObserveOthers(counts, time.Now())
 			})
-			row = append(row, box)
+			row = append(row, f.open(func(counts []peer.OnlineCount) {
+				now := time.Now()
+				f.dispatchers[m].ObserveOnline(self.Name, counts, now)
+				answer.post(f.dispatchers[m].OthersOnline(self.Name, counts, now), now.Add(f.preset.Delay(f.zones[m], f.zones[n])))
+			}))
+			answers = append(answers, answer)
 		}
 		f.boxes = append(f.boxes, row)
+		f.answers = append(f.answers, answers)
 		f.tasks.Go(func() { f.exchange(n, all) })
 	}
 }
 
+// open starts a mailbox that ends with the fleet.
+func (f *Fleet) open(deliver func([]peer.OnlineCount)) *mailbox {
+	box := newMailbox()
+	f.tasks.Go(func() { box.run(f.stop, deliver) })
+
+	return box
+}
+
 // exchange repeats all counts as the regular exchange between instances does.
 func (f *Fleet) exchange(n int, all []membership.Instance) {
 	ticker := time.NewTicker(exchangeInterval)
@@ -247,9 +259,13 @@
 		case <-ticker.C:
 		}
 		for m, other := range all {
-			if m != n {
-				f.send(n, other.Name, f.dispatchers[n].OnlineCounts(other.Name, time.Now()))
+			if m == n {
+				continue
 			}
+			now := time.Now()
+			f.send(n, other.Name, f.dispatchers[n].OnlineCounts(other.Name, now))
+			others := f.dispatchers[n].OthersOnline(other.Name, nil, now)
+			f.answers[m][n].post(others, now.Add(f.preset.Delay(f.zones[n], f.zones[m])))
 		}
 	}
 }
--- a/core/experiment/fleet/mailbox.go
+++ b/core/experiment/fleet/mailbox.go
@@ -9,23 +9,23 @@
 // mailLimit bounds the notices under way; further ones are dropped, and the regular exchange repeats their counts.
 const mailLimit = 4096
 
-type letter struct {
+type message struct {
 	counts []peer.OnlineCount
 	due    time.Time
 }
 
 // mailbox delivers the notices of one instance to another one in order, each after a delay.
 type mailbox struct {
-	letters chan letter
+	messages chan message
 }
 
 func newMailbox() *mailbox {
-	return &mailbox{letters: make(chan letter, mailLimit)}
+	return &mailbox{messages: make(chan message, mailLimit)}
 }
 
 func (m *mailbox) post(counts []peer.OnlineCount, due time.Time) {
 	select {
-	case m.letters <- letter{
+	case m.messages <- message{
 		counts: counts,
 		due:    due,
 	}:
@@ -38,9 +38,9 @@
 		select {
 		case <-stop:
 			return
-		case l := <-m.letters:
-			time.Sleep(time.Until(l.due))
-			deliver(l.counts)
+		case g := <-m.messages:
+			time.Sleep(time.Until(g.due))
+			deliver(g.counts)
 		}
 	}
 }
