Let a deployment choose the headroom that batch work leaves

Fewer batch streams meet the target at the cost of batch throughput, and the two users weigh the two differently. Weighed: one headroom for all (misses one user's measure); adapting it to latency (engines slow down by design with each stream, so it would settle at an arbitrary point). A ratio per deployment was taken, 1/8 by default.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -138,8 +139,8 @@
 }
 
 // StartBatch counts a batch stream if the backend server has a batch slot, and reports whether it had one.
-func (c *Controller) StartBatch(id uint64, name string, slots int, at time.Time) bool {
-	if c.BatchFree(name, slots, at) < 1 {
+func (c *Controller) StartBatch(id uint64, name string, room int, at time.Time) bool {
+	if c.BatchFree(name, room, at) < 1 {
 		return false
 	}
 	c.batch[name] = append(c.batch[name], id)
@@ -157,15 +158,16 @@
 	}
 }
 
-// BatchFree returns how many more batch streams this instance may start on a backend server that it feeds.
-func (c *Controller) BatchFree(name string, slots int, at time.Time) int {
-	return max(0, c.batchLimit(name, slots, at)-len(c.batch[name]))
+// BatchFree returns how many more batch streams this instance may start on a backend server that it feeds and that has
+// room for so many without online requests.
+func (c *Controller) BatchFree(name string, room int, at time.Time) int {
+	return max(0, c.batchLimit(name, room, at)-len(c.batch[name]))
 }
 
 // Preempt removes and returns the batch streams above the limit of a backend server, newest first.
-func (c *Controller) Preempt(name string, slots int, at time.Time) []uint64 {
+func (c *Controller) Preempt(name string, room int, at time.Time) []uint64 {
 	b := c.batch[name]
-	limit := c.batchLimit(name, slots, at)
+	limit := c.batchLimit(name, room, at)
 	if len(b) <= limit {
 		return nil
 	}
@@ -221,18 +223,27 @@
 	return len(c.batch[name])
 }
 
-// Headroom returns the slots that batch work leaves free: an eighth, at least one.
-func Headroom(slots int) int {
-	if slots == 1 {
-		// A backend server with one slot would otherwise never run batch work; an online request preempts it there.
-		return 0
+// DefaultHeadroomRatio is the part of the slots that batch work leaves free where a deployment names none.
+const DefaultHeadroomRatio = 0.125
+
+// Room returns the slots of a backend server that batch work may use while no online request runs there: all but the
+// headroom, which is a ratio of the slots and at least one. With one slot there is no headroom, since the backend server
+// would never run batch work; an online request preempts it there.
+func Room(slots int, headroomRatio float64) int {
+	if slots <= 1 {
+		return slots
+	}
+	if headroomRatio <= 0 {
+		headroomRatio = DefaultHeadroomRatio
 	}
+	// A ratio that does not divide the slots is rounded to the nearest slot.
+	headroom := int(math.Round(float64(slots) * headroomRatio))
 
-	return max(1, slots/8)
+	return max(0, slots-max(1, headroom))
 }
 
-func (c *Controller) batchLimit(name string, slots int, at time.Time) int {
-	return max(0, slots-Headroom(slots)-c.OnlineAll(name, at))
+func (c *Controller) batchLimit(name string, room int, at time.Time) int {
+	return max(0, room-c.OnlineAll(name, at))
 }
 
 func decrement(m map[string]int, key string) {
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -44,7 +44,7 @@
 			case op == 3 && len(queued) > 0:
 				queued, gone = drop(queued)
 				c.Abandon(gone)
-			case op == 4 && c.StartBatch(id, "w", slots, at):
+			case op == 4 && c.StartBatch(id, "w", Room(slots, 0), at):
 				batch = append(batch, id)
 			}
 			for {
@@ -61,13 +61,13 @@
 					}
 				}
 			}
-			for _, p := range c.Preempt("w", slots, at) {
+			for _, p := range c.Preempt("w", Room(slots, 0), at) {
 				if p != batch[len(batch)-1] {
 					t.Fatal("an older batch stream was preempted before a newer one")
 				}
 				batch = batch[:len(batch)-1]
 			}
-			if c.Batch("w") > max(0, slots-Headroom(slots)-c.Online("w")) || c.Batch("w") != len(batch) {
+			if c.Batch("w") > max(0, Room(slots, 0)-c.Online("w")) || c.Batch("w") != len(batch) {
 				t.Fatal("batch streams above the limit")
 			}
 			if c.Queued() > 0 && c.Online("w") < slots || c.Online("w") != len(online) || c.Queued() != len(queued) {
@@ -98,3 +98,22 @@
 	}
 	is.True(a >= 58 && a <= 62)
 }
+
+// Guards against a headroom that takes all slots, none, or another part than the deployment names.
+func TestRoom(t *testing.T) {
+	cases := []struct {
+		slots int
+		ratio float64
+		want  int
+	}{
+		{slots: 1, ratio: 0, want: 1},
+		{slots: 2, ratio: 0, want: 1},
+		{slots: 8, ratio: 0, want: 7},
+		{slots: 8, ratio: 0.375, want: 5},
+		{slots: 8, ratio: 1, want: 0},
+		{slots: 16, ratio: 0.01, want: 15},
+	}
+	for _, c := range cases {
+		is.New(t).Equal(Room(c.slots, c.ratio), c.want)
+	}
+}
--- a/core/configuration/configuration_schema.go
+++ b/core/configuration/configuration_schema.go
@@ -283,6 +283,10 @@
 	// the job's deadline, 0 to 1.
 	BatchRatio float64 `json:"BatchRatio,omitempty,omitzero"`
 
+	// HeadroomRatio is the part of each backend server's slots that batch work leaves
+	// free, 0 to 1; 0 takes the default.
+	HeadroomRatio float64 `json:"HeadroomRatio,omitempty,omitzero"`
+
 	// Model is the name of the base model.
 	Model string `json:"Model"`
 
@@ -316,6 +320,15 @@
 	if 0 > plain.BatchRatio {
 		return fmt.Errorf("field %s: must be >= %v", "BatchRatio", 0)
 	}
+	if v, ok := raw["HeadroomRatio"]; !ok || v == nil {
+		plain.HeadroomRatio = 0.125
+	}
+	if 1 < plain.HeadroomRatio {
+		return fmt.Errorf("field %s: must be <= %v", "HeadroomRatio", 1)
+	}
+	if 0 > plain.HeadroomRatio {
+		return fmt.Errorf("field %s: must be >= %v", "HeadroomRatio", 0)
+	}
 	if utf8.RuneCountInString(string(plain.Model)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "Model", 1)
 	}
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -58,6 +58,7 @@
 		r.name(name, path)
 		r.name(d.Model, path+".Model")
 		r.ratio(d.BatchRatio, path+".BatchRatio")
+		r.add(d.HeadroomRatio < 0 || d.HeadroomRatio > 1, path+".HeadroomRatio", "must be between 0 and 1")
 	}
 	for name, o := range c.Operators {
 		path := "Operators." + name
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -241,7 +241,7 @@
 	n := 0
 	for _, name := range d.fed(c, deployment, at) {
 		if d.usable(name, at) {
-			n += d.admission.BatchFree(name, c.BackendServers[name].Slots, at) + d.admission.Batch(name)
+			n += d.admission.BatchFree(name, batchRoom(c, name), at) + d.admission.Batch(name)
 		}
 	}
 
--- a/core/dispatch/feeding.go
+++ b/core/dispatch/feeding.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tarragonwalk/core/admission"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/core/rendezvous"
@@ -100,9 +101,16 @@
 }
 
 func (d *Dispatcher) preempt(c *configuration.Configuration, name string, at time.Time) {
-	for _, id := range d.admission.Preempt(name, c.BackendServers[name].Slots, at) {
+	for _, id := range d.admission.Preempt(name, batchRoom(c, name), at) {
 		if cancel := d.running[id]; cancel != nil {
 			cancel(errPreempted)
 		}
 	}
 }
+
+// batchRoom returns the slots of a backend server that batch work may use while no online request runs there.
+func batchRoom(c *configuration.Configuration, name string) int {
+	b := c.BackendServers[name]
+
+	return admission.Room(b.Slots, c.Deployments[b.Deployment].HeadroomRatio)
+}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -182,7 +182,7 @@
 
 			return false
 		}
-		d.admission.StartBatch(t.id, name, c.BackendServers[name].Slots, at)
+		d.admission.StartBatch(t.id, name, batchRoom(c, name), at)
 		d.running[t.id] = t.cancel
 		t.grant(c, name)
 
@@ -233,7 +233,7 @@
 		if !d.usable(name, at) {
 			continue
 		}
-		free := d.admission.BatchFree(name, c.BackendServers[name].Slots, at)
+		free := d.admission.BatchFree(name, batchRoom(c, name), at)
 		if s.excluded[name] || d.pace.Straggler(name, at) {
 			if free > avoidedMost {
 				avoided, avoidedMost = name, free
--- a/core/experiment/fleet/fleet.go
+++ b/core/experiment/fleet/fleet.go
@@ -174,6 +174,7 @@
 	for _, z := range f.preset.Zones {
 		c := &configuration.Configuration{
 			Version:        1,
+			Deployments:    configuration.ConfigurationDeployments{},
 			BackendServers: configuration.ConfigurationBackendServers{},
 		}
 		for name, s := range servers {
@@ -187,6 +188,10 @@
 				s.Address = r.Address()
 			}
 			c.BackendServers[name] = s
+			c.Deployments[s.Deployment] = configuration.Deployment{
+				Model:         s.Deployment,
+				HeadroomRatio: f.preset.HeadroomRatio,
+			}
 		}
 		configurations[z.Name] = c
 	}
--- a/core/experiment/preset/preset_schema.go
+++ b/core/experiment/preset/preset_schema.go
@@ -14,6 +14,9 @@
 	// BatchTokens bounds the answer of a batch item.
 	BatchTokens int `json:"BatchTokens"`
 
+	// HeadroomRatio is the part of the slots that batch work leaves free.
+	HeadroomRatio float64 `json:"HeadroomRatio,omitempty,omitzero"`
+
 	// LinkBytesPerSecond is the rate between regions in each direction, shared by all
 	// traffic.
 	LinkBytesPerSecond int `json:"LinkBytesPerSecond"`
@@ -130,6 +133,15 @@
 	if 2 > plain.BatchTokens {
 		return fmt.Errorf("field %s: must be >= %v", "BatchTokens", 2)
 	}
+	if v, ok := raw["HeadroomRatio"]; !ok || v == nil {
+		plain.HeadroomRatio = 0.125
+	}
+	if 1 < plain.HeadroomRatio {
+		return fmt.Errorf("field %s: must be <= %v", "HeadroomRatio", 1)
+	}
+	if 0 > plain.HeadroomRatio {
+		return fmt.Errorf("field %s: must be >= %v", "HeadroomRatio", 0)
+	}
 	if 1 > plain.LinkBytesPerSecond {
 		return fmt.Errorf("field %s: must be >= %v", "LinkBytesPerSecond", 1)
 	}
