Hand the rollout lease over when another instance becomes the candidate

Cause: the first count of store calls in steady state showed no lease renewals. The earlier holder, no candidate any more, stopped renewing and the new candidate waited out the term. Found on the way: the own record was recognized by its incarnation alone; it now needs the holder's name as well. Conclusion: an instance that is no candidate releases its lease.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -152,7 +152,7 @@
 	record, version := l.record, l.version
 	// An earlier process of the same name may still run while the platform replaces it, so only the own incarnation
 	// need not wait.
-	own := record.Incarnation == l.incarnation
+	own := record.Holder == l.holder && record.Incarnation == l.incarnation
 	may := version == 0 || record.Released || own || sentAt.Sub(l.seenAt) >= Term
 	// The time is kept even if the answer of the write is lost, since the next attempt finds the own record.
 	if may && version > 0 && !record.Released && !own {
--- a/core/rollout/manager.go
+++ b/core/rollout/manager.go
@@ -93,13 +93,7 @@
 
 // Step keeps the lease and sends the orders that are due now.
 func (m *Manager) Step(ctx context.Context) {
-	now := m.clock()
-	if m.candidate(now) && !now.Before(m.stepAt) {
-		m.stepAt = now.Add(lease.Renewal)
-		if err := m.lease.Step(ctx); err != nil {
-			m.log.Debug("lease not renewed", "error", err)
-		}
-	}
+	m.keepLease(ctx, m.clock())
 	token, held := m.lease.Held(m.clock())
 	c := m.holder.Current()
 	if !held || c == nil {
@@ -113,6 +107,25 @@
 	p.Wait()
 }
 
+// keepLease renews or acquires the lease as the zone's candidate. An instance that is the candidate no more releases it,
+// so that the new one need not wait for the end of the term.
+func (m *Manager) keepLease(ctx context.Context, now time.Time) {
+	if !m.candidate(now) {
+		if _, held := m.lease.Held(now); held {
+			m.release()
+		}
+
+		return
+	}
+	if now.Before(m.stepAt) {
+		return
+	}
+	m.stepAt = now.Add(lease.Renewal)
+	if err := m.lease.Step(ctx); err != nil {
+		m.log.Debug("lease not renewed", "error", err)
+	}
+}
+
 // candidate reports whether this instance is the one of its zone that should hold the lease; only it asks the store, so
 // that store calls do not grow with the instances. The lease decides when views differ.
 func (m *Manager) candidate(at time.Time) bool {
