Score servers by the instance's own requests, limit them by all

Since instances know of each other's requests, a straggler that others had left was the emptiest server, and attracted the instances that had not found out yet. Conclusion: slots are limited by all requests, servers are compared by the own ones.

--- a/core/capacity/decisions/measurement.go
+++ b/core/capacity/decisions/measurement.go
@@ -134,7 +134,7 @@
 		p.StartStream(fixture.Deployment, fixture.Worker(i), 1, at)
 		p.Token(fixture.Worker(i), 1, at.Add(time.Duration(i)*time.Microsecond))
 	}
-	ro := routing.New(fixture.Zone, fixture.Region, t.Usable, p, func(string) int { return 1 }, func(time.Time) int { return 1 }, fixture.Random())
+	ro := routing.New(fixture.Zone, fixture.Region, t.Usable, p, func(string) int { return 1 }, func(string) int { return 1 }, func(time.Time) int { return 1 }, fixture.Random())
 	r := fixture.Request("request", inference.ClassOnline, 1)
 
 	return func() error {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -124,7 +124,7 @@
 		avoid:         map[string]time.Time{},
 		reported:      map[string]time.Time{},
 	}
-	d.router = routing.New(self.Zone, self.Region, d.usable, d.pace, d.onlineOn, d.instances, random)
+	d.router = routing.New(self.Zone, self.Region, d.usable, d.pace, d.onlineOn, d.admission.Online, d.instances, random)
 	for _, o := range options {
 		o(d)
 	}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -39,6 +39,7 @@
 	usable    func(name string, at time.Time) bool
 	pace      pacer
 	online    func(name string) int
+	own       func(name string) int
 	instances func(at time.Time) int
 	random    *rand.Rand
 	hints     map[string]hint
@@ -46,13 +47,13 @@
 	linkAt    time.Time
 }
 
-// New returns a router for an instance in a zone and region; online returns the online requests in flight on a server,
-// and instances the live entry instances of the region, which share the link to other regions.
+// New returns a router for an instance in a zone and region; online returns all online requests in flight on a server,
+// own those of this instance, and instances the live entry instances of the region, which share the link to other regions.
 func New(
 	zone, region string,
 	usable func(name string, at time.Time) bool,
 	pace pacer,
-	online func(name string) int,
+	online, own func(name string) int,
 	instances func(at time.Time) int,
 	random *rand.Rand,
 ) *Router {
@@ -62,6 +63,7 @@
 		usable:    usable,
 		pace:      pace,
 		online:    online,
+		own:       own,
 		instances: instances,
 		random:    random,
 		hints:     map[string]hint{},
@@ -167,7 +169,9 @@
 	}
 	best, least := "", 0.0
 	for _, n := range choices {
-		load := float64(ro.online(n))
+		// Only the instance's own requests count here: a straggler that others have left is emptier than the rest, and
+		// would attract the instances that have not found out yet.
+		load := float64(ro.own(n))
 		if n == hinted {
 			load--
 		}
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -75,7 +75,7 @@
 			is := is.New(t)
 			p := &fakePace{slow: c.slow, probes: c.probes, first: c.first}
 			ro := New("a", "near", usableBut(c.unusable), p, func(n string) int { return c.online[n] },
-				func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
+				func(n string) int { return c.online[n] }, func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
 			for range 20 {
 				name, ok := ro.Pick(fleet(), &inference.Request{Deployment: "d", MaxTokens: 1}, c.excluded, time.Unix(1, 0))
 				is.Equal(ok, c.want != "")
@@ -103,7 +103,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			ro := New("a", "near", usableBut(c.gone), &fakePace{}, func(n string) int { return c.online[n] },
-				func(time.Time) int { return c.instances }, rand.New(rand.NewPCG(1, 2)))
+				func(n string) int { return c.online[n] }, func(time.Time) int { return c.instances }, rand.New(rand.NewPCG(1, 2)))
 			r := &inference.Request{Deployment: "d", MaxTokens: 100}
 			sent := 0.0
 			for n := range 10_000 {
@@ -125,7 +125,7 @@
 		is := is.New(t)
 		online := map[string]int{}
 		ro := New("a", "near", usableBut(nil), &fakePace{}, func(n string) int { return online[n] },
-			func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
+			func(n string) int { return online[n] }, func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
 		r := &inference.Request{Deployment: "d", Prefix: "p"}
 		first, _ := ro.Pick(fleet(), r, nil, time.Unix(1, 0))
 		online[first] = load
@@ -146,3 +146,18 @@
 		is.Equal(stayed == 20, want)
 	}
 }
+
+// Guards against a straggler that attracts requests because the instances that have found out have left it empty.
+func TestOthersRequestsDoNotAttract(t *testing.T) {
+	is := is.New(t)
+	all := map[string]int{"a1": 0, "a2": 3}
+	ro := New("a", "near", usableBut(nil), &fakePace{}, func(n string) int { return all[n] },
+		func(string) int { return 0 }, func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
+	picked := map[string]int{}
+	for range 200 {
+		name, ok := ro.Pick(fleet(), &inference.Request{Deployment: "d", MaxTokens: 1}, nil, time.Unix(1, 0))
+		is.True(ok)
+		picked[name]++
+	}
+	is.True(picked["a2"] > 50) // about half of 200
+}
