Prefer the own zone by the instance's own requests

Servers of the own zone below half load were preferred by the requests of all instances; with loaded healthy servers only a straggler that others had left remained in the choice. TestOthersRequestsDoNotAttract has the case and fails without the change in its second part.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -139,11 +139,12 @@
 	return local, remote
 }
 
-// zoneClass keeps the own zone's servers below half load; beyond that, a hop to another zone costs less than the load.
+// zoneClass keeps the own zone's servers below half load by the own requests; beyond that, a hop to another zone costs less
+// than the load. With the requests of all instances only a straggler that others have left would remain.
 func (ro *Router) zoneClass(c *configuration.Configuration, names []string) []string {
 	var near []string
 	for _, n := range names {
-		if c.BackendServers[n].Zone == ro.zone && 2*ro.online(n) < slots(c, n) {
+		if c.BackendServers[n].Zone == ro.zone && 2*ro.own(n) < slots(c, n) {
 			near = append(near, n)
 		}
 	}
--- a/core/routing/router_test.go
+++ b/core/routing/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -147,17 +148,22 @@
 	}
 }
 
-// Guards against a straggler that attracts requests because the instances that have found out have left it empty.
+// Guards against a straggler that attracts requests because the instances that have found out have left it empty, by its
+// score or as the only server of the zone below half load.
 func TestOthersRequestsDoNotAttract(t *testing.T) {
-	is := is.New(t)
-	all := map[string]int{"a1": 0, "a2": 3}
-	ro := New("a", "near", usableBut(nil), &fakePace{}, func(n string) int { return all[n] },
-		func(string) int { return 0 }, func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
-	picked := map[string]int{}
-	for range 200 {
-		name, ok := ro.Pick(fleet(), &inference.Request{Deployment: "d", MaxTokens: 1}, nil, time.Unix(1, 0))
-		is.True(ok)
-		picked[name]++
+	for _, others := range []int{3, 5} {
+		t.Run(strconv.Itoa(others), func(t *testing.T) {
+			is := is.New(t)
+			all := map[string]int{"a1": 0, "a2": others}
+			ro := New("a", "near", usableBut(nil), &fakePace{}, func(n string) int { return all[n] },
+				func(string) int { return 0 }, func(time.Time) int { return 1 }, rand.New(rand.NewPCG(1, 2)))
+			picked := map[string]int{}
+			for range 200 {
+				name, ok := ro.Pick(fleet(), &inference.Request{Deployment: "d", MaxTokens: 1}, nil, time.Unix(1, 0))
+				is.True(ok)
+				picked[name]++
+			}
+			is.True(picked["a2"] > 50) // about half of 200
+		})
 	}
-	is.True(picked["a2"] > 50) // about half of 200
 }
