--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -9,10 +9,12 @@
 
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/inference"
+	"tarragonwalk/internal/rapidseed"
 )
 
 // Guards against batch above its limit, online work queued beside a free slot, and leaks in the tables.
 func TestBounds(t *testing.T) {
+	rapidseed.Fix(t, "20261204")
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 12).Draw(t, "slots")
 		conf := &configuration.Configuration{}
--- a/core/burn/ledger_test.go
+++ b/core/burn/ledger_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"tarragonwalk/core/configuration"
+	"tarragonwalk/internal/rapidseed"
 )
 
 var start = time.Date(2026, 11, 30, 8, 0, 0, 0, time.UTC)
@@ -132,6 +133,7 @@
 
 // Guards against a ring that differs from a recount of all events: lost, doubled or kept counts and covered time.
 func TestLedgerEqualsRecount(t *testing.T) {
+	rapidseed.Fix(t, "20261204")
 	rapid.Check(t, func(t *rapid.T) {
 		l := New(start)
 		var events, covered []entry
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -10,6 +10,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/internal/fakestore"
+	"tarragonwalk/internal/rapidseed"
 )
 
 type fakeClock struct {
@@ -82,6 +83,7 @@
 
 // Guards against two holders at one time and against a token that does not grow, under pauses, outages and lost answers.
 func TestLeaseRandom(t *testing.T) {
+	rapidseed.Fix(t, "20261204")
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
 		store, clock := fakestore.New(), &fakeClock{now: time.Unix(1000, 0)}
