--- a/core/batch/view.go
+++ b/core/batch/view.go
@@ -11,12 +11,12 @@
 const canceledTime = 10 * time.Minute
 
 // ObserveOpen replaces the view of the open-job index by one that was current at a time on this instance's clock; an
-// older revision than the current one is ignored.
-func (r *Runner) ObserveOpen(jobs []job.OpenJob, revision int64, at time.Time) {
+// older revision than the current one is ignored. It returns the digest of the view that is in effect afterwards.
+func (r *Runner) ObserveOpen(jobs []job.OpenJob, revision int64, at time.Time) (digest int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.revision {
-		return
+		return r.digest
 	}
 	r.revision = revision
 	r.digest = job.Digest(jobs)
@@ -46,6 +46,8 @@
 		}
 	}
 	r.notify()
+
+	return r.digest
 }
 
 // ConfirmOpen records that a view with this digest (job.Digest) was the current one at a time on this instance's clock,
--- a/core/capacity/decisions/measurement.go
+++ b/core/capacity/decisions/measurement.go
@@ -82,7 +82,7 @@
 			build: live,
 		},
 		{
-			name:  "batch.Runner.ObserveOpen and job.Digest",
+			name:  "batch.Runner.ObserveOpen",
 			size:  "open jobs",
 			sizes: jobs,
 			calls: changes,
--- a/core/capacity/decisions/runner.go
+++ b/core/capacity/decisions/runner.go
@@ -66,8 +66,6 @@
 	return func() error {
 		revision++
 		r.ObserveOpen(jobs, revision, time.Now())
-		// The instance computes the digest a second time for its exchange.
-		job.Digest(jobs)
 
 		return nil
 	}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -294,8 +294,7 @@
 }
 
 func (i *Instance) observeOpen(jobs []job.OpenJob, revision int64, at time.Time) {
-	i.runner.ObserveOpen(jobs, revision, at)
-	i.exchanger.ObserveOpen(job.Digest(jobs), at)
+	i.exchanger.ObserveOpen(i.runner.ObserveOpen(jobs, revision, at), at)
 	for _, o := range jobs {
 		if o.Cancelled {
 			i.exchanger.ReportCancelled(o.ID)
