Check the store's state once in the fleet every 0.8 s

Ruled out: a lost connection (the watch was answered in the end), a decoding failure (none was logged). Change: the first live instance lists configuration and servers every 0.8 s; beats carry when and what, and the others check in turn only if none has. An instance whose table or list differs from a newer one copies it.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -237,15 +237,36 @@
 	return list
 }
 
-// Ahead returns the address of an instance that has a newer route table or server list, false if there is none.
-func (c *Cluster) Ahead(routeVersion, serverRevision int64) (netip.AddrPort, bool) {
+// Ahead returns the address of an instance that has a newer route table or a newer and different server list, false if
+// there is none.
+func (c *Cluster) Ahead(routeVersion, serverRevision int64, serverDigest uint64) (netip.AddrPort, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	for _, p := range c.peers {
-		if !p.gone && (int64(p.beat.RouteVersion) > routeVersion || int64(p.beat.ServerRevision) > serverRevision) {
+		newerList := int64(p.beat.ServerRevision) > serverRevision && p.beat.ServerDigest != int(serverDigest) //nolint:gosec // only compared
+		if !p.gone && (int64(p.beat.RouteVersion) > routeVersion || newerList) {
 			return p.beat.Sender.Peer, true
 		}
 	}
 
 	return netip.AddrPort{}, false
 }
+
+// CheckedAt returns when an instance with the same state as this one last knew that it was the store's newest, zero if none
+// did.
+func (c *Cluster) CheckedAt(routeVersion int64, serverDigest uint64) time.Time {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var last time.Time
+	for _, p := range c.peers {
+		same := int64(p.beat.RouteVersion) == routeVersion && p.beat.ServerDigest == int(serverDigest) //nolint:gosec // only compared
+		if p.gone || !same || p.beat.CheckedMillis < 0 {
+			continue
+		}
+		if at := p.heardAt.Add(-time.Duration(p.beat.CheckedMillis) * time.Millisecond); at.After(last) {
+			last = at
+		}
+	}
+
+	return last
+}
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -13,6 +13,10 @@
 	// Addresses of further instances, for a receiver that knows few.
 	Addresses []netip.AddrPort `json:"Addresses,omitempty,omitzero"`
 
+	// CheckedMillis is how long ago the sender knew that its route table and server
+	// list were the store's newest; -1 if never.
+	CheckedMillis int `json:"CheckedMillis,omitempty,omitzero"`
+
 	// Counts of backend servers with requests in flight.
 	Counts []Count `json:"Counts,omitempty,omitzero"`
 
@@ -31,12 +35,13 @@
 	// Sequence grows with each beat of a process.
 	Sequence int `json:"Sequence"`
 
+	// ServerDigest is a digest of the list of backend servers; two instances with the
+	// same one have the same list.
+	ServerDigest int `json:"ServerDigest,omitempty,omitzero"`
+
 	// ServerRevision is the store revision of the list of backend servers.
 	ServerRevision int `json:"ServerRevision,omitempty,omitzero"`
 
-	// StoreLost says that the instance does not reach the store.
-	StoreLost bool `json:"StoreLost,omitempty,omitzero"`
-
 	// Waiting tokens by batch route, of the jobs that the sender holds.
 	Waiting BeatWaiting `json:"Waiting,omitempty,omitzero"`
 }
@@ -61,15 +66,18 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["CheckedMillis"]; !ok || v == nil {
+		plain.CheckedMillis = 0
+	}
 	if v, ok := raw["RouteVersion"]; !ok || v == nil {
 		plain.RouteVersion = 0
 	}
+	if v, ok := raw["ServerDigest"]; !ok || v == nil {
+		plain.ServerDigest = 0
+	}
 	if v, ok := raw["ServerRevision"]; !ok || v == nil {
 		plain.ServerRevision = 0
 	}
-	if v, ok := raw["StoreLost"]; !ok || v == nil {
-		plain.StoreLost = false
-	}
 	*j = Beat(plain)
 	return nil
 }
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -41,6 +41,7 @@
 
 type roster interface {
 	Known() (list []backend.Server, revision int64)
+	Version() (revision int64, digest uint64)
 }
 
 type routes interface {
@@ -65,12 +66,16 @@
 	placer    placer
 	transport transport
 	released  func(id string)
+	checkedAt func() time.Time
 	now       func() time.Time
 	sequence  int
 }
 
-// New returns a pulse; released is called with jobs that another instance has given up, and must not block.
-func New(c cluster, l loads, j jobs, ro roster, rt routes, p placer, t transport, released func(id string), now func() time.Time) *Pulse {
+// New returns a pulse; released is called with jobs that another instance has given up, and must not block;
+// checkedAt returns when this instance last knew that its state was the store's newest.
+func New(c cluster, l loads, j jobs, ro roster, rt routes, p placer, t transport, released func(id string),
+	checkedAt func() time.Time, now func() time.Time,
+) *Pulse {
 	return &Pulse{
 		cluster:   c,
 		loads:     l,
@@ -80,6 +85,7 @@
 		placer:    p,
 		transport: t,
 		released:  released,
+		checkedAt: checkedAt,
 		now:       now,
 	}
 }
@@ -121,8 +127,13 @@
 	if table, _ := p.routes.Current(); table != nil {
 		b.RouteVersion = table.Version
 	}
-	_, revision := p.roster.Known()
+	revision, digest := p.roster.Version()
 	b.ServerRevision = int(revision)
+	b.ServerDigest = int(digest) //nolint:gosec // only compared
+	b.CheckedMillis = -1
+	if at := p.checkedAt(); !at.IsZero() {
+		b.CheckedMillis = int(p.now().Sub(at).Milliseconds())
+	}
 	b.Ended, b.Released, b.Waiting = p.jobs.News()
 	p.transport.Send(b, near)
 	if !all {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/rendezvous"
 )
 
 const (
@@ -38,6 +40,7 @@
 	lock     sync.Mutex
 	entries  map[string]*entry
 	revision int64
+	digest   uint64
 }
 
 // New returns an empty roster.
@@ -57,6 +60,7 @@
 		return
 	}
 	r.revision = revision
+	r.digest = digestOf(list)
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -128,6 +132,24 @@
 	return list, r.revision
 }
 
+// Version returns the revision of the list and a digest of its content.
+func (r *Roster) Version() (revision int64, digest uint64) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return r.revision, r.digest
+}
+
+// digestOf does not depend on the order of the list.
+func digestOf(list []backend.Server) uint64 {
+	sum := uint64(0)
+	for _, s := range list {
+		sum += rendezvous.Weight(s.ID, fmt.Sprint(s.Service, s.Address, s.Slots, s.Draining, s.StartedAt))
+	}
+
+	return sum
+}
+
 // Failed suspects a server for a time that grows with each failure in a row.
 func (r *Roster) Failed(id, reason string, at time.Time) {
 	r.lock.Lock()
