Let instances take turns at starting batch items, and call the store through peers

Instances that the store turned away could neither accept jobs nor list results, and the peer service was never registered because its argument types were not exported. Change: one instance at a time starts batch items on a server, the excess is shared, preempted items pause 350 ms; calls to the store go through a peer while the store does not answer; results are read from the holder of the job.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -4,11 +4,13 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/rendezvous"
 )
 
 const (
@@ -16,6 +18,10 @@
 	silentAfter = 1200 * time.Millisecond
 	// goneAfter is how long after its last beat an instance's jobs may be taken over.
 	goneAfter = 3 * time.Second
+	// turnWindow is longer than the time in which the counts of one instance reach all others; turnUse is the part of it
+	// in which the instance whose turn it is may start batch items.
+	turnWindow = 200 * time.Millisecond
+	turnUse    = 75 * time.Millisecond
 	// forgetAfter is how long beats are sent to an address that does not answer.
 	forgetAfter = 30 * time.Second
 )
@@ -270,3 +276,69 @@
 
 	return last
 }
+
+// Holder returns the address of a process, false if it is not known to live.
+func (c *Cluster) Holder(name, incarnation string) (netip.AddrPort, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	p := c.peers[name]
+	if p == nil || p.gone || p.beat.Sender.Incarnation != incarnation {
+		return netip.AddrPort{}, false
+	}
+
+	return p.beat.Sender.Peer, true
+}
+
+// StoreRelay returns the address of an instance that reaches the store, preferably of the own zone, false if there is none.
+func (c *Cluster) StoreRelay(at time.Time) (netip.AddrPort, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var best *peer
+	for _, p := range c.peers {
+		if p.beat.StoreLost || p.beat.Sender.Leaving || at.Sub(p.heardAt) > silentAfter {
+			continue
+		}
+		if best == nil || p.beat.Sender.Zone == c.self.Zone && best.beat.Sender.Zone != c.self.Zone {
+			best = p
+		}
+	}
+	if best == nil {
+		return netip.AddrPort{}, false
+	}
+
+	return best.beat.Sender.Peer, true
+}
+
+// Turn reports whether it is this instance's turn to start batch items on a backend server. Counts of other instances
+// arrive late; if all of them filled the same free places at once, most of the items would be preempted again. The turn
+// passes on at random; every other time only instances of the server's zone have it.
+func (c *Cluster) Turn(server, zone string, at time.Time) bool {
+	if at.Sub(at.Truncate(turnWindow)) > turnUse {
+		return false
+	}
+	window := at.UnixNano() / int64(turnWindow)
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var all, local []string
+	add := func(m gossip.Member) {
+		if m.Leaving {
+			return
+		}
+		all = append(all, m.Name)
+		if m.Zone == zone {
+			local = append(local, m.Name)
+		}
+	}
+	add(c.self)
+	for _, p := range c.peers {
+		if at.Sub(p.heardAt) <= silentAfter {
+			add(p.beat.Sender)
+		}
+	}
+	names := all
+	if window%2 == 0 && len(local) > 0 {
+		names = local
+	}
+
+	return rendezvous.Highest(server+strconv.FormatInt(window, 10), names) == c.self.Name
+}
--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -60,8 +60,8 @@
 		if p == nil {
 			return e.ended(ctx, fault.New(fault.CodeOverloaded, "no backend server of service "+e.service+" has a free place"))
 		}
-		if over := e.forwarder.placer.Over(p.server, e.forwarder.now()); over > 0 {
-			e.forwarder.batch.Preempt(p.server.ID, over)
+		if n := e.forwarder.placer.Excess(p.server, e.forwarder.now()); n > 0 {
+			e.forwarder.batch.Preempt(p.server.ID, n)
 		}
 		err := e.attempt(ctx, p)
 		e.forwarder.judge(ctx, p.server, err)
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -30,7 +30,7 @@
 type placer interface {
 	Point() float64
 	Online(service string, excluded map[string]bool, free bool, at time.Time) (s backend.Server, release func(), ok bool)
-	Over(s backend.Server, at time.Time) int
+	Excess(s backend.Server, at time.Time) int
 }
 
 type roster interface {
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -42,6 +42,9 @@
 	// ServerRevision is the store revision of the list of backend servers.
 	ServerRevision int `json:"ServerRevision,omitempty,omitzero"`
 
+	// StoreLost says that the sender does not reach the store.
+	StoreLost bool `json:"StoreLost,omitempty,omitzero"`
+
 	// Waiting tokens by batch route, of the jobs that the sender holds.
 	Waiting BeatWaiting `json:"Waiting,omitempty,omitzero"`
 }
@@ -78,6 +81,9 @@
 	if v, ok := raw["ServerRevision"]; !ok || v == nil {
 		plain.ServerRevision = 0
 	}
+	if v, ok := raw["StoreLost"]; !ok || v == nil {
+		plain.StoreLost = false
+	}
 	*j = Beat(plain)
 	return nil
 }
--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,28 +24,46 @@
 	Segment(ctx context.Context, id string, position int) ([]work.Result, error)
 }
 
+type holders interface {
+	Holder(name, incarnation string) (netip.AddrPort, bool)
+}
+
+// holderRead reads results from the holder of a job; false if it does not hold the job any more.
+type holderRead func(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error)
+
 // cached holds the listed results of one job, which never change.
 type cached struct {
 	job       *work.Job
 	results   []work.Result
 	expiresAt time.Time
+	// stale is set if the job may have another holder than its record says.
+	stale bool
 }
 
 // Reader is safe for concurrent use.
 type Reader struct {
-	log joblog
-	now func() time.Time
+	log     joblog
+	holders holders
+	ask     holderRead
+	logger  *slog.Logger
+	now     func() time.Time
 	// lock guards all fields below; it is not held during calls to the store.
 	lock sync.Mutex
 	jobs map[string]*cached
 }
 
-// New returns a reader without cached results.
-func New(l joblog, now func() time.Time) *Reader {
+// New returns a reader without cached results; ask reads from the holder of a job.
+func New(l joblog, h holders,
+	ask func(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error),
+	logger *slog.Logger, now func() time.Time,
+) *Reader {
 	return &Reader{
-		log:  l,
-		now:  now,
-		jobs: map[string]*cached{},
+		log:     l,
+		holders: h,
+		ask:     ask,
+		logger:  logger,
+		now:     now,
+		jobs:    map[string]*cached{},
 	}
 }
 
@@ -53,6 +73,9 @@
 	if err != nil {
 		return jobpage.Page{}, err
 	}
+	if page, ok := r.fromHolder(ctx, j, after, until); ok {
+		return page, nil
+	}
 	for {
 		results, err := r.extend(ctx, j, after)
 		if err != nil {
@@ -70,6 +93,36 @@
 	}
 }
 
+// fromHolder asks the instance that runs the job, which spares calls to the store and waits for results. Only results that
+// are in the store are ever returned, so an answer of a holder that was replaced meanwhile is true, but may lag.
+func (r *Reader) fromHolder(ctx context.Context, j *work.Job, after int, until time.Time) (jobpage.Page, bool) {
+	from, ok := r.holders.Holder(j.Holder, j.Incarnation)
+	if !ok {
+		r.forget(j.ID)
+
+		return jobpage.Page{}, false
+	}
+	page, held, err := r.ask(ctx, from, j.ID, after, until)
+	if err == nil && held {
+		return page, true
+	}
+	if err != nil {
+		r.logger.Warn("holder of a job did not answer", "job", j.ID, "holder", j.Holder, "error", err.Error())
+	}
+	r.forget(j.ID)
+
+	return jobpage.Page{}, false
+}
+
+// forget makes the next read look for the job's holder in the store.
+func (r *Reader) forget(id string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if c := r.jobs[id]; c != nil {
+		c.stale = true
+	}
+}
+
 // Body returns the body of an item; false if the job has no such item.
 func (r *Reader) Body(ctx context.Context, id, item string) ([]byte, bool, error) {
 	j, err := r.job(ctx, id)
@@ -93,7 +146,7 @@
 	r.lock.Lock()
 	c := r.jobs[id]
 	r.lock.Unlock()
-	if c != nil {
+	if c != nil && !c.stale {
 		return c.job, nil
 	}
 	j, _, err := r.log.Job(ctx, id)
@@ -108,12 +161,13 @@
 			delete(r.jobs, other)
 		}
 	}
-	if r.jobs[id] == nil {
-		r.jobs[id] = &cached{
-			job:       j,
-			expiresAt: at.Add(cacheLife),
-		}
+	if c = r.jobs[id]; c == nil {
+		c = &cached{}
+		r.jobs[id] = c
 	}
+	c.job = j
+	c.stale = false
+	c.expiresAt = at.Add(cacheLife)
 
 	return j, nil
 }
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -24,7 +24,9 @@
 	refusedPause = 100 * time.Millisecond
 	// failedPause is the pause after a failed attempt.
 	failedPause = 200 * time.Millisecond
-	readBytes   = 4 << 10
+	// preemptedPause lets the counts of other instances arrive before the place of an item is looked for again.
+	preemptedPause = 350 * time.Millisecond
+	readBytes      = 4 << 10
 )
 
 var (
@@ -53,6 +55,8 @@
 	code := fault.CodeOf(err)
 	switch {
 	case err == nil:
+		r.logger.Info("item completed", "job", j.ID, "item", it.ID, "server", s.ID, "run_ms", at.Sub(it.startedAt).Milliseconds(),
+			"age_ms", at.Sub(j.SubmittedAt).Milliseconds(), "events", it.last)
 		j.finish(it, work.StateCompleted, at)
 	case errors.Is(err, errInvalid):
 		j.finish(it, work.StateDead, at)
@@ -62,6 +66,8 @@
 		if it.failures >= max(1, rt.MaxAttempts) {
 			j.finish(it, work.StateDead, at)
 		}
+	case errors.Is(err, errPreempted):
+		it.notBefore = at.Add(preemptedPause)
 	case fault.NotRun(err):
 		it.notBefore = at.Add(refusedPause)
 	}
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -48,7 +48,7 @@
 
 type placer interface {
 	Point() float64
-	Batch(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool)
+	Batch(service string, excluded map[string]bool, urgent bool, at time.Time) (s backend.Server, release func(), ok bool)
 }
 
 type roster interface {
@@ -218,25 +218,38 @@
 // Read returns results of a job from a position on and waits for one until the given time; code not_found if there is no
 // such job, store_unavailable if that is not sure.
 func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+	page, held := r.ReadHeld(ctx, id, after, until)
+	if held {
+		return page, nil
+	}
+	if ctx.Err() != nil {
+		return jobpage.Page{}, ctx.Err()
+	}
+
+	return r.reader.Read(ctx, id, after, until)
+}
+
+// ReadHeld is Read for a job that this instance holds; false if it does not, or if ctx has ended.
+func (r *Runner) ReadHeld(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool) {
 	for {
 		r.lock.Lock()
 		j := r.jobs[id]
 		if j == nil {
 			r.lock.Unlock()
 
-			return r.reader.Read(ctx, id, after, until)
+			return jobpage.Page{}, false
 		}
 		total, results, changed := j.Items, j.results, j.changed
 		r.lock.Unlock()
 		wait := until.Sub(r.now())
 		if len(results) > after || len(results) >= total || wait <= 0 {
-			return jobpage.Cut(total, results, after), nil
+			return jobpage.Cut(total, results, after), true
 		}
 		select {
 		case <-changed:
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return jobpage.Page{}, ctx.Err()
+			return jobpage.Page{}, false
 		}
 	}
 }
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -15,6 +15,9 @@
 	listDelay = 300 * time.Millisecond
 	// writeTimeout bounds one write of results.
 	writeTimeout = 3 * time.Second
+	// urgentBefore is how long before a job is due its items use places that others leave free: twice the time that an
+	// item of ordinary length takes.
+	urgentBefore = 12 * time.Second
 	// retryPause is the pause after a failed write.
 	retryPause = 250 * time.Millisecond
 )
@@ -69,7 +72,8 @@
 		if full[service] {
 			continue
 		}
-		s, release, ok := r.placer.Batch(service, nil, at)
+		urgent := c.due.Sub(at) < urgentBefore
+		s, release, ok := r.placer.Batch(service, nil, urgent, at)
 		if !ok {
 			full[service] = true
 
--- a/core/load/table.go
+++ b/core/load/table.go
@@ -92,6 +92,14 @@
 	return online, batch
 }
 
+// OwnBatch returns the instance's own batch items in flight on a server.
+func (t *Table) OwnBatch(server string) int {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+
+	return t.own[server].Batch
+}
+
 // Own returns the instance's own counts, ordered by server.
 func (t *Table) Own() []gossip.Count {
 	t.lock.Lock()
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -1,7 +1,9 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +15,10 @@
 	defaultSlots = 4
 	// queueRatio bounds the online requests on a server, queued ones included, as a multiple of its slots.
 	queueRatio = 2.5
-	// batchHeadroom is how many slots of a server batch work leaves free for online requests.
-	batchHeadroom = 1
+	// headroomRatio is the part of a server's slots that batch work with time to spare leaves free for online requests.
+	headroomRatio = 0.25
+	// urgentHeadroom is how many slots batch work that is nearly due leaves free.
+	urgentHeadroom = 1
 )
 
 // Distances of a backend server from the instance.
@@ -32,6 +36,12 @@
 type loads interface {
 	Add(server string, online, batch int)
 	On(server string, at time.Time) (online, batch int)
+	OwnBatch(server string) int
+}
+
+// turns decides which instance may start batch items on a server.
+type turns interface {
+	Turn(server, zone string, at time.Time) bool
 }
 
 // Placer prefers the instance's own zone, then its region, and there the server with the fewest requests in flight.
@@ -40,18 +50,20 @@
 	regions map[string]string
 	roster  roster
 	loads   loads
+	turns   turns
 	// lock guards random and makes choosing and reserving one step.
 	lock   sync.Mutex
 	random *rand.Rand
 }
 
 // New returns a placer for an instance in zone; regions maps each zone to its region.
-func New(zone string, regions map[string]string, r roster, l loads, random *rand.Rand) *Placer {
+func New(zone string, regions map[string]string, r roster, l loads, t turns, random *rand.Rand) *Placer {
 	return &Placer{
 		zone:    zone,
 		regions: regions,
 		roster:  r,
 		loads:   l,
+		turns:   t,
 		random:  random,
 	}
 }
@@ -94,16 +106,19 @@
 	return backend.Server{}, nil, false
 }
 
-// Batch reserves a place for a batch item beside the headroom of a server.
-func (p *Placer) Batch(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool) {
+// Batch reserves a place for a batch item beside the headroom of a server, which is smaller for an urgent item.
+func (p *Placer) Batch(service string, excluded map[string]bool, urgent bool, at time.Time) (s backend.Server, release func(), ok bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	usable := p.roster.Usable(service, at)
+	usable := slices.DeleteFunc(p.roster.Usable(service, at), func(s backend.Server) bool { return !p.turns.Turn(s.ID, s.Zone, at) })
 	for distance := range distances {
 		s, ok := p.choose(usable, excluded, distance, at, func(slots, online, batch int) (float64, bool) {
-			room := max(1, slots-batchHeadroom)
+			headroom := urgentHeadroom
+			if !urgent {
+				headroom = max(urgentHeadroom, int(math.Round(headroomRatio*float64(slots))))
+			}
 
-			return float64(online+batch) / float64(slots), online+batch < room
+			return float64(online+batch) / float64(slots), online+batch < max(1, slots-headroom)
 		})
 		if ok {
 			p.loads.Add(s.ID, 0, 1)
@@ -115,11 +130,23 @@
 	return backend.Server{}, nil, false
 }
 
-// Over returns by how many requests a server is beyond its slots.
-func (p *Placer) Over(s backend.Server, at time.Time) int {
+// Excess returns how many of the instance's own batch items on a server have to go, because it has more requests than
+// slots. All instances with batch items there see the same counts and share the excess, so that they do not give up more
+// places than are needed; a share is rounded up or down at random.
+func (p *Placer) Excess(s backend.Server, at time.Time) int {
 	online, batch := p.loads.On(s.ID, at)
+	over := online + batch - slotsOf(s)
+	own := p.loads.OwnBatch(s.ID)
+	if over <= 0 || own == 0 {
+		return 0
+	}
+	share := float64(min(over, batch)) * float64(own) / float64(batch)
+	whole := math.Floor(share)
+	if p.Point() < share-whole {
+		whole++
+	}
 
-	return online + batch - slotsOf(s)
+	return int(whole)
 }
 
 // choose returns the allowed server with the lowest score at a distance, a random one of equals.
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -14,7 +14,7 @@
 	// nearPause is the least time between beats inside the availability zone, which carry changed counts at once.
 	nearPause = 20 * time.Millisecond
 	// farInterval is the time between beats to all instances.
-	farInterval = 300 * time.Millisecond
+	farInterval = 200 * time.Millisecond
 	// introduceBelow is how few peers an instance may know before others send it the addresses of all.
 	introduceBelow = 3
 )
@@ -49,7 +49,7 @@
 }
 
 type placer interface {
-	Over(s backend.Server, at time.Time) int
+	Excess(s backend.Server, at time.Time) int
 }
 
 type transport interface {
@@ -67,14 +67,16 @@
 	transport transport
 	released  func(id string)
 	checkedAt func() time.Time
+	storeLost func() bool
 	now       func() time.Time
 	sequence  int
 }
 
 // New returns a pulse; released is called with jobs that another instance has given up, and must not block;
-// checkedAt returns when this instance last knew that its state was the store's newest.
+// checkedAt returns when this instance last knew that its state was the store's newest, and
+// storeLost whether it does not reach the store.
 func New(c cluster, l loads, j jobs, ro roster, rt routes, p placer, t transport, released func(id string),
-	checkedAt func() time.Time, now func() time.Time,
+	checkedAt func() time.Time, storeLost func() bool, now func() time.Time,
 ) *Pulse {
 	return &Pulse{
 		cluster:   c,
@@ -86,6 +88,7 @@
 		transport: t,
 		released:  released,
 		checkedAt: checkedAt,
+		storeLost: storeLost,
 		now:       now,
 	}
 }
@@ -130,6 +133,7 @@
 	revision, digest := p.roster.Version()
 	b.ServerRevision = int(revision)
 	b.ServerDigest = int(digest) //nolint:gosec // only compared
+	b.StoreLost = p.storeLost()
 	b.CheckedMillis = -1
 	if at := p.checkedAt(); !at.IsZero() {
 		b.CheckedMillis = int(p.now().Sub(at).Milliseconds())
@@ -179,8 +183,8 @@
 		if !own[s.ID] {
 			continue
 		}
-		if over := p.placer.Over(s, at); over > 0 {
-			p.jobs.Preempt(s.ID, over)
+		if n := p.placer.Excess(s, at); n > 0 {
+			p.jobs.Preempt(s.ID, n)
 		}
 	}
 }
--- a/io/peersync/doc.go
+++ b/io/peersync/doc.go
@@ -1,3 +1,4 @@
-// Package peersync lets an entry instance that the store does not reach copy the route table and the list of backend
-// servers from another one, by net/rpc.
+// Package peersync carries the calls between entry instances that datagrams do not fit, by net/rpc: copying the route table
+// and the list of backend servers, reading results from the holder of a job, and calls to the store on behalf of an instance
+// that does not reach it.
 package peersync
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -2,46 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
+	"sync"
 	"time"
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
 	"tarragonwalk/io/tcp"
 )
 
-// callTimeout bounds a copy from another region.
+// callTimeout bounds a call beyond the time that its receiver may wait.
 const callTimeout = time.Second
 
-// snapshot is what one instance tells another.
-type snapshot struct {
-	Table    *route.Table
-	Servers  []backend.Server
-	Revision int64
-}
-
-type request struct{}
-
-// service answers calls; its methods are those of net/rpc.
-type service struct {
-	read func() (*route.Table, []backend.Server, int64)
-}
-
-// Snapshot copies the state of this instance.
-func (s *service) Snapshot(_ request, reply *snapshot) error {
-	reply.Table, reply.Servers, reply.Revision = s.read()
-
-	return nil
-}
-
-// Node is both ends of the copy.
+// Node is both ends of the calls; its methods may be called concurrently.
 type Node struct {
 	listener net.Listener
 	dialer   *net.Dialer
+	// lock guards clients; it is not held during calls.
+	lock    sync.Mutex
+	clients map[netip.AddrPort]*rpc.Client
 }
 
 // New listens for other instances; a failure has code unavailable.
@@ -54,13 +39,14 @@
 	return &Node{
 		listener: l,
 		dialer:   tcp.NewDialer(callTimeout / 2),
+		clients:  map[netip.AddrPort]*rpc.Client{},
 	}, nil
 }
 
-// Serve answers other instances with what read returns until the node is closed.
-func (n *Node) Serve(read func() (*route.Table, []backend.Server, int64)) error {
+// Serve answers other instances until the node is closed.
+func (n *Node) Serve(h handler) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName("Peer", &service{read: read}); err != nil {
+	if err := server.RegisterName("Peer", &service{handler: h}); err != nil {
 		return fault.Wrap(err, fault.CodeInternal, "cannot register the peer service")
 	}
 	for {
@@ -75,28 +61,138 @@
 	}
 }
 
-// Close ends Serve.
+// Close ends Serve and closes all connections to others.
 func (n *Node) Close() {
 	n.listener.Close()
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	for a, c := range n.clients {
+		c.Close()
+		delete(n.clients, a)
+	}
+}
+
+// Snapshot copies the state of another instance; a failure has code unavailable.
+func (n *Node) Snapshot(ctx context.Context, from netip.AddrPort) (*route.Table, []backend.Server, int64, error) {
+	reply := Snapshot{}
+	if _, err := n.call(ctx, from, "Peer.Snapshot", &Empty{}, &reply, time.Now().Add(callTimeout)); err != nil {
+		return nil, nil, 0, err
+	}
+	var table *route.Table
+	if len(reply.Table) > 0 {
+		table = &route.Table{}
+		if err := json.Unmarshal(reply.Table, table); err != nil {
+			return nil, nil, 0, fault.Wrap(err, fault.CodeInvalid, "unreadable route table of a peer")
+		}
+	}
+	var list []backend.Server
+	if err := json.Unmarshal(reply.Servers, &list); err != nil {
+		return nil, nil, 0, fault.Wrap(err, fault.CodeInvalid, "unreadable server list of a peer")
+	}
+
+	return table, list, int64(reply.Revision), nil
+}
+
+// Read reads results of a job from its holder; false if the other instance does not hold it.
+func (n *Node) Read(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error) {
+	reply := ReadReply{}
+	_, err := n.call(ctx, from, "Peer.Read", &ReadRequest{
+		Job:        id,
+		After:      after,
+		WaitMillis: max(0, int(time.Until(until).Milliseconds())),
+	}, &reply, until.Add(callTimeout))
+	if err != nil || !reply.Held {
+		return jobpage.Page{}, false, err
+	}
+	page := jobpage.Page{
+		Total: reply.Total,
+		Next:  reply.Next,
+	}
+	if err := json.Unmarshal(reply.Results, &page.Results); err != nil {
+		return jobpage.Page{}, false, fault.Wrap(err, fault.CodeInvalid, "unreadable results of a peer")
+	}
+
+	return page, true, nil
+}
+
+// CallStore makes a call to the store through another instance. Failures have code store_unavailable (nothing was done) or
+// outcome_unknown.
+func (n *Node) CallStore(ctx context.Context, through netip.AddrPort, method, path string, body []byte, until time.Time) (int, []byte, error) {
+	reply := StoreReply{}
+	sent, err := n.call(ctx, through, "Peer.Store", &StoreRequest{
+		Method:     method,
+		Path:       path,
+		Body:       body,
+		WaitMillis: max(1, int(time.Until(until).Milliseconds())),
+	}, &reply, until.Add(callTimeout/4))
+	switch {
+	case err != nil && !sent:
+		return 0, nil, fault.Wrap(err, fault.CodeStoreUnavailable, "no other instance can be asked")
+	case err != nil:
+		return 0, nil, fault.Wrap(err, fault.CodeOutcomeUnknown, "the other instance did not answer")
+	case reply.Code != "":
+		return reply.Status, nil, fault.New(fault.Code(reply.Code), "the other instance got no answer of the store")
+	default:
+		return reply.Status, reply.Body, nil
+	}
 }
 
-// Fetch copies the state of another instance; a failure has code unavailable.
-func (n *Node) Fetch(ctx context.Context, from netip.AddrPort) (*route.Table, []backend.Server, int64, error) {
-	c, err := n.dialer.DialContext(ctx, "tcp4", from.String())
+// call fails with code unavailable; sent reports whether the other instance may have got the request.
+func (n *Node) call(ctx context.Context, a netip.AddrPort, method string, request, reply any, until time.Time) (sent bool, err error) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	c, err := n.client(ctx, a)
 	if err != nil {
-		return nil, nil, 0, fault.Wrap(err, fault.CodeUnavailable, "peer cannot be reached")
+		return false, err
 	}
-	if err := c.SetDeadline(time.Now().Add(callTimeout)); err != nil {
-		c.Close()
+	call := c.Go(method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		n.drop(a, c)
+
+		return true, fault.Wrap(ctx.Err(), fault.CodeUnavailable, "peer did not answer in time")
+	}
+	if call.Error == nil {
+		return true, nil
+	}
+	var refused rpc.ServerError
+	if !errors.As(call.Error, &refused) {
+		n.drop(a, c)
+	}
+
+	return true, fault.Wrap(call.Error, fault.CodeUnavailable, "peer call failed")
+}
 
-		return nil, nil, 0, fault.Wrap(err, fault.CodeUnavailable, "peer connection failed")
+func (n *Node) client(ctx context.Context, a netip.AddrPort) (*rpc.Client, error) {
+	n.lock.Lock()
+	c := n.clients[a]
+	n.lock.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	conn, err := n.dialer.DialContext(ctx, "tcp4", a.String())
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeUnavailable, "peer cannot be reached")
 	}
-	client := rpc.NewClient(c)
-	defer client.Close()
-	reply := snapshot{}
-	if err := client.Call("Peer.Snapshot", request{}, &reply); err != nil {
-		return nil, nil, 0, fault.Wrap(err, fault.CodeUnavailable, "peer did not answer")
+	c = rpc.NewClient(conn)
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if other := n.clients[a]; other != nil {
+		c.Close()
+
+		return other, nil
 	}
+	n.clients[a] = c
 
-	return reply.Table, reply.Servers, reply.Revision, nil
+	return c, nil
+}
+
+func (n *Node) drop(a netip.AddrPort, c *rpc.Client) {
+	n.lock.Lock()
+	if n.clients[a] == c {
+		delete(n.clients, a)
+	}
+	n.lock.Unlock()
+	c.Close()
 }
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -31,3 +31,4 @@
 generate work core/work
 generate gossip core/gossip
 generate platform platform/settings
+generate sync io/peersync
