--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -41,6 +41,7 @@
 
 // runItem runs an item once on a server, from its last event on, and records the outcome.
 func (r *Runner) runItem(ctx context.Context, j *job, it *item, rt *route.Route, s backend.Server) {
+	first := it.last
 	err := r.attempt(ctx, j, it, s)
 	r.judge(ctx, s, err)
 	r.lock.Lock()
@@ -56,7 +57,7 @@
 	switch {
 	case err == nil:
 		r.logger.Info("item completed", "job", j.ID, "item", it.ID, "server", s.ID, "run_ms", at.Sub(it.startedAt).Milliseconds(),
-			"age_ms", at.Sub(j.SubmittedAt).Milliseconds(), "events", it.last)
+			"age_ms", at.Sub(j.SubmittedAt).Milliseconds(), "first_event", first, "last_event", it.last)
 		j.finish(it, work.StateCompleted, at)
 	case errors.Is(err, errInvalid):
 		j.finish(it, work.StateDead, at)
@@ -73,14 +74,14 @@
 	}
 	if err != nil {
 		r.logger.Info("item attempt ended", "job", j.ID, "item", it.ID, "server", s.ID, "code", string(code), "error", err.Error(),
-			"last_event", it.last, "failures", it.failures, "finished", it.state == done)
+			"run_ms", at.Sub(it.startedAt).Milliseconds(), "first_event", first, "last_event", it.last, "failures", it.failures, "finished", it.state == done)
 	}
 }
 
 func (r *Runner) judge(ctx context.Context, s backend.Server, err error) {
 	switch {
 	case err == nil:
-		r.roster.Succeeded(s.ID)
+		r.roster.Succeeded(s.ID, r.now())
 	case errors.Is(err, errSilent):
 		r.roster.Failed(s.ID, "silent", r.now())
 	case ctx.Err() != nil:
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,6 +31,7 @@
 
 type roster interface {
 	Usable(service string, at time.Time) []backend.Server
+	Chosen(id string, at time.Time)
 }
 
 type loads interface {
@@ -97,6 +98,7 @@
 			})
 			if ok {
 				p.loads.Add(s.ID, 1, 0)
+				p.roster.Chosen(s.ID, at)
 
 				return s, func() { p.loads.Add(s.ID, -1, 0) }, true
 			}
@@ -122,6 +124,7 @@
 		})
 		if ok {
 			p.loads.Add(s.ID, 0, 1)
+			p.roster.Chosen(s.ID, at)
 
 			return s, func() { p.loads.Add(s.ID, 0, -1) }, true
 		}
