--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -35,7 +35,7 @@
 
 type roster interface {
 	Failed(id, reason string, at time.Time)
-	Succeeded(id string, at time.Time)
+	Succeeded(id string)
 	Replaced(id string)
 }
 
@@ -107,7 +107,7 @@
 	var cause *fault.Error
 	switch {
 	case err == nil:
-		f.roster.Succeeded(s.ID, f.now())
+		f.roster.Succeeded(s.ID)
 	case errors.Is(err, errSilent):
 		f.roster.Failed(s.ID, "silent", f.now())
 	case ctx.Err() != nil, errors.Is(err, errSink):
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -45,10 +45,6 @@
 	// StoreLost says that the sender does not reach the store.
 	StoreLost bool `json:"StoreLost,omitempty,omitzero"`
 
-	// Suspected are backend servers that have failed the sender since they last
-	// answered it.
-	Suspected []string `json:"Suspected,omitempty,omitzero"`
-
 	// Waiting tokens by batch route, of the jobs that the sender holds.
 	Waiting BeatWaiting `json:"Waiting,omitempty,omitzero"`
 }
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -81,7 +81,7 @@
 func (r *Runner) judge(ctx context.Context, s backend.Server, err error) {
 	switch {
 	case err == nil:
-		r.roster.Succeeded(s.ID, r.now())
+		r.roster.Succeeded(s.ID)
 	case errors.Is(err, errSilent):
 		r.roster.Failed(s.ID, "silent", r.now())
 	case ctx.Err() != nil:
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -53,7 +53,7 @@
 
 type roster interface {
 	Failed(id, reason string, at time.Time)
-	Succeeded(id string, at time.Time)
+	Succeeded(id string)
 	Replaced(id string)
 }
 
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,7 +31,6 @@
 
 type roster interface {
 	Usable(service string, at time.Time) []backend.Server
-	Chosen(id string, at time.Time)
 }
 
 type loads interface {
@@ -98,7 +97,6 @@
 			})
 			if ok {
 				p.loads.Add(s.ID, 1, 0)
-				p.roster.Chosen(s.ID, at)
 
 				return s, func() { p.loads.Add(s.ID, -1, 0) }, true
 			}
@@ -124,7 +122,6 @@
 		})
 		if ok {
 			p.loads.Add(s.ID, 0, 1)
-			p.roster.Chosen(s.ID, at)
 
 			return s, func() { p.loads.Add(s.ID, 0, -1) }, true
 		}
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -42,8 +42,6 @@
 type roster interface {
 	Known() (list []backend.Server, revision int64)
 	Version() (revision int64, digest uint64)
-	Suspected(at time.Time) []string
-	Doubt(id, peer string, at time.Time)
 }
 
 type routes interface {
@@ -136,7 +134,6 @@
 	b.ServerRevision = int(revision)
 	b.ServerDigest = int(digest) //nolint:gosec // only compared
 	b.StoreLost = p.storeLost()
-	b.Suspected = p.roster.Suspected(p.now())
 	b.CheckedMillis = -1
 	if at := p.checkedAt(); !at.IsZero() {
 		b.CheckedMillis = int(p.now().Sub(at).Milliseconds())
@@ -161,9 +158,6 @@
 	}
 	p.cluster.Introduce(b.Addresses, at)
 	p.loads.Observe(b.Sender.Name, b.Counts, at)
-	for _, id := range b.Suspected {
-		p.roster.Doubt(id, b.Sender.Name, at)
-	}
 	for _, id := range b.Ended {
 		p.jobs.Ended(id)
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -17,12 +17,6 @@
 	firstSuspicion = 400 * time.Millisecond
 	// maxSuspicion bounds the delay until a server that works again is found.
 	maxSuspicion = 3 * time.Second
-	// probeInterval is the time between single requests to a server that failed before.
-	probeInterval = 500 * time.Millisecond
-	// hearsayDelay is how long a server is left alone because another instance suspects it.
-	hearsayDelay = 400 * time.Millisecond
-	// trustTime is how long an own success outweighs the suspicion of another instance.
-	trustTime = 300 * time.Millisecond
 	// relistDelay is how long servers that a store listed before its outage are used after its return, since entries
 	// that lapsed meanwhile are written again within two seconds.
 	relistDelay = 2 * time.Second
@@ -33,14 +27,8 @@
 	// strikes counts failures since the last success.
 	strikes        int
 	suspectedUntil time.Time
-	// probeAt is when a server that failed before gets its next single request, until one succeeds.
-	probeAt time.Time
 	// missingUntil is set for a server that an outage of the store removed from the list.
 	missingUntil time.Time
-	// hearsay is set while only another instance has seen a failure.
-	hearsay bool
-	// trustedUntil is how long an own success counts for more than the suspicion of another instance.
-	trustedUntil time.Time
 	// refused is set when another server answered at the address.
 	refused bool
 }
@@ -121,7 +109,7 @@
 
 			continue
 		}
-		if e.server.Service == service && !e.server.Draining && !e.refused && !at.Before(e.suspectedUntil) && !at.Before(e.probeAt) {
+		if e.server.Service == service && !e.server.Draining && !e.refused && !at.Before(e.suspectedUntil) {
 			list = append(list, e.server)
 		}
 	}
@@ -130,44 +118,6 @@
 	return list
 }
 
-// Chosen tells that a request is sent to a server; one that failed before gets no other until that succeeds or is late.
-func (r *Roster) Chosen(id string, at time.Time) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if e := r.entries[id]; e != nil && e.strikes > 0 {
-		e.probeAt = at.Add(probeInterval)
-	}
-}
-
-// Suspected returns the servers that have failed since their last success and are left alone now.
-func (r *Roster) Suspected(at time.Time) []string {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	var list []string
-	for id, e := range r.entries {
-		if e.strikes > 0 && at.Before(e.suspectedUntil) && !e.hearsay {
-			list = append(list, id)
-		}
-	}
-	slices.Sort(list)
-
-	return list
-}
-
-// Doubt takes the suspicion of another instance: the server gets single requests until one succeeds.
-func (r *Roster) Doubt(id, peer string, at time.Time) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	e := r.entries[id]
-	if e == nil || e.strikes > 0 || at.Before(e.trustedUntil) {
-		return
-	}
-	e.strikes = 1
-	e.hearsay = true
-	e.probeAt = at.Add(hearsayDelay)
-	r.log.Info("backend server doubted", "server", id, "service", e.server.Service, "peer", peer, "probe_at", e.probeAt)
-}
-
 // Known returns all listed servers and the revision of the list.
 func (r *Roster) Known() (list []backend.Server, revision int64) {
 	r.lock.Lock()
@@ -210,26 +160,18 @@
 	}
 	delay := min(maxSuspicion, firstSuspicion<<min(e.strikes, 4))
 	e.strikes++
-	e.hearsay = false
 	e.suspectedUntil = at.Add(delay)
 	r.log.Warn("backend server suspected", "server", id, "service", e.server.Service, "reason", reason,
 		"strikes", e.strikes, "until", e.suspectedUntil)
 }
 
 // Succeeded ends the suspicion of a server.
-func (r *Roster) Succeeded(id string, at time.Time) {
+func (r *Roster) Succeeded(id string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	e := r.entries[id]
-	if e == nil {
-		return
-	}
-	e.trustedUntil = at.Add(trustTime)
-	if e.strikes > 0 {
+	if e := r.entries[id]; e != nil && e.strikes > 0 {
 		e.strikes = 0
 		e.suspectedUntil = time.Time{}
-		e.probeAt = time.Time{}
-		e.hearsay = false
 		r.log.Info("backend server works again", "server", id, "service", e.server.Service)
 	}
 }
