Close finished jobs and take jobs over sooner

Cause: after all processes were killed, jobs were taken over one after the other from 1.5 s after the start, finished ones included, and items due soon came late; addresses of lost instances were given out for 1.2 s and kept for 1 s.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -15,7 +15,7 @@
 
 const (
 	// silentAfter is how long after its last beat an instance is no longer given to callers.
-	silentAfter = 1200 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
 	// goneAfter is how long after its last beat an instance's jobs may be taken over.
 	goneAfter = 3 * time.Second
 	// turnWindow is longer than the time in which the counts of one instance reach all others; turnUse is the part of it
--- a/core/joblog/log.go
+++ b/core/joblog/log.go
@@ -25,11 +25,11 @@
 type objects interface {
 	// Create fails with code conflict if the object exists, outcome_unknown if the store did not answer, and
 	// store_unavailable if nothing was done.
-	Create(ctx context.Context, kind, name string, value any) error
+	Create(ctx context.Context, kind, name string, value any) (revision int64, err error)
 	// Read fails with code not_found if there is no such object.
 	Read(ctx context.Context, kind, name string, value any) (revision int64, err error)
 	// Replace fails with code conflict if the object has another revision.
-	Replace(ctx context.Context, kind, name string, value any, revision int64) error
+	Replace(ctx context.Context, kind, name string, value any, revision int64) (newRevision int64, err error)
 	// List calls each with the names and values of all objects of a kind.
 	List(ctx context.Context, kind string, each func(name string, value json.RawMessage, revision int64)) error
 	Delete(ctx context.Context, kind, name string) error
@@ -47,15 +47,16 @@
 	}
 }
 
-// Accept creates the parts and then the record of a job. Code conflict means that the job was accepted before.
-func (l *Log) Accept(ctx context.Context, j *work.Job, items []work.Item) error {
+// Accept creates the parts and then the record of a job, and returns the record's revision. Code conflict means that the job
+// was accepted before.
+func (l *Log) Accept(ctx context.Context, j *work.Job, items []work.Item) (int64, error) {
 	parts := split(items)
 	j.Parts = len(parts)
 	for i, p := range parts {
 		// A part that exists was written by an earlier submission of the same job, whose items are the same.
-		err := l.objects.Create(ctx, partKind, partName(j.ID, i), p)
+		_, err := l.objects.Create(ctx, partKind, partName(j.ID, i), p)
 		if err != nil && fault.CodeOf(err) != fault.CodeConflict {
-			return err
+			return 0, err
 		}
 	}
 
@@ -86,11 +87,9 @@
 	return jobs, revisions, err
 }
 
-// Hold makes an instance the holder of a job whose record has a revision; code conflict if it has another one.
-func (l *Log) Hold(ctx context.Context, j work.Job, holder, incarnation string, revision int64) error {
-	j.Holder = holder
-	j.Incarnation = incarnation
-
+// Update changes the holder or the end of a job whose record has a revision and returns the new one; code conflict if it has
+// another one.
+func (l *Log) Update(ctx context.Context, j work.Job, revision int64) (int64, error) {
 	return l.objects.Replace(ctx, jobKind, j.ID, j, revision)
 }
 
@@ -121,15 +120,17 @@
 
 // Append lists results from a position on. Code conflict means that others were listed there.
 func (l *Log) Append(ctx context.Context, id string, position int, results []work.Result, writer string) error {
-	return l.objects.Create(ctx, segmentKind, segmentName(id, position), work.Segment{
+	_, err := l.objects.Create(ctx, segmentKind, segmentName(id, position), work.Segment{
 		Results: results,
 		Writer:  writer,
 	})
+
+	return err
 }
 
 // End records that the caller has ended a job; it succeeds if that was recorded before.
 func (l *Log) End(ctx context.Context, id string, at time.Time) error {
-	err := l.objects.Create(ctx, EndKind, id, map[string]time.Time{"EndedAt": at})
+	_, err := l.objects.Create(ctx, EndKind, id, map[string]time.Time{"EndedAt": at})
 	if fault.CodeOf(err) == fault.CodeConflict {
 		return nil
 	}
--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/rendezvous"
 	"tarragonwalk/core/work"
@@ -13,6 +16,8 @@
 const (
 	// turnDelay is how long the next instance in line waits before it takes a job over that the one before has left.
 	turnDelay = 2 * time.Second
+	// maxTakeovers bounds the jobs that are taken over at the same time.
+	maxTakeovers = 4
 	// adoptTimeout bounds the takeover of one job.
 	adoptTimeout = 4 * time.Second
 )
@@ -26,22 +31,30 @@
 	}
 	at := r.now()
 	seen := map[string]bool{}
+	var left atomic.Bool
+	takeovers := pool.New().WithMaxGoroutines(maxTakeovers)
 	for i := range jobs {
-		j := jobs[i]
-		if !r.orphan(&j, at) {
+		j, revision := jobs[i], revisions[i]
+		old := at.Sub(j.SubmittedAt) > r.keepFor+clockSkew
+		if !r.orphan(&j) || j.Finished && !old {
 			continue
 		}
 		seen[j.ID] = true
-		if !r.myTurn(j.ID, at) {
-			remain = true
-
-			continue
-		}
-		if err := r.takeOver(ctx, j, revisions[i]); err != nil {
-			r.logger.Warn("job not taken over", "job", j.ID, "error", err.Error())
-			remain = true
+		switch {
+		case !r.myTurn(j.ID, at):
+			left.Store(true)
+		case old:
+			takeovers.Go(func() { r.removeOld(ctx, &j) })
+		default:
+			takeovers.Go(func() {
+				if err := r.takeOver(ctx, j, revision); err != nil {
+					r.logger.Warn("job not taken over", "job", j.ID, "error", err.Error())
+					left.Store(true)
+				}
+			})
 		}
 	}
+	takeovers.Wait()
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for id := range r.orphans {
@@ -50,15 +63,29 @@
 		}
 	}
 
-	return remain, nil
+	return left.Load(), nil
+}
+
+// removeOld deletes the objects of a job that nobody holds and that is no longer readable.
+func (r *Runner) removeOld(ctx context.Context, j *work.Job) {
+	var starts []int
+	for position := 0; position < j.Items; {
+		segment, err := r.log.Segment(ctx, j.ID, position)
+		if err != nil || len(segment) == 0 {
+			break
+		}
+		starts = append(starts, position)
+		position += len(segment)
+	}
+	r.remove(ctx, j, starts)
 }
 
-func (r *Runner) orphan(j *work.Job, at time.Time) bool {
+func (r *Runner) orphan(j *work.Job) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	_, open := r.unsettled[j.ID]
 
-	return r.jobs[j.ID] == nil && !open && at.Sub(j.SubmittedAt) < r.keepFor && !r.cluster.Alive(j.Holder, j.Incarnation)
+	return r.jobs[j.ID] == nil && !open && !r.cluster.Alive(j.Holder, j.Incarnation)
 }
 
 // myTurn lets instances take a job over in the order of their rendezvous weight, each after a delay.
@@ -100,21 +127,23 @@
 	if j.ended, err = r.log.Ended(ctx, record.ID); err != nil {
 		return err
 	}
-	err = r.log.Hold(ctx, record, r.name, r.incarnation, revision)
+	from := record.Holder
+	record.Holder, record.Incarnation = r.name, r.incarnation
+	revision, err = r.log.Update(ctx, record, revision)
 	if fault.CodeOf(err) == fault.CodeConflict {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	j.Holder, j.Incarnation = r.name, r.incarnation
+	j.Holder, j.Incarnation, j.revision = r.name, r.incarnation, revision
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if _, ended := r.ended[record.ID]; ended {
 		j.ended = true
 	}
 	r.jobs[record.ID] = j
-	r.logger.Info("job taken over", "job", record.ID, "from", record.Holder, "listed", len(j.results), "items", record.Items,
+	r.logger.Info("job taken over", "job", record.ID, "from", from, "listed", len(j.results), "items", record.Items,
 		"ended", j.ended, "revision", revision)
 	r.signal()
 
@@ -133,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	if !r.orphan(record, r.now()) {
+	if record.Finished || !r.orphan(record) {
 		return nil
 	}
 
@@ -178,10 +207,11 @@
 func (r *Runner) release(ctx context.Context, j *job) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	finished := len(j.results) >= j.Items || j.ended
+	finished := j.complete() || j.ended
 	record, revision, err := r.log.Job(ctx, j.ID)
 	if err == nil && !finished && record.Holder == r.name && record.Incarnation == r.incarnation {
-		err = r.log.Hold(ctx, *record, "", "", revision)
+		record.Holder, record.Incarnation = "", ""
+		_, err = r.log.Update(ctx, *record, revision)
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -34,8 +34,10 @@
 // job is the state of one job that this instance holds; the runner's lock guards it.
 type job struct {
 	work.Job
-	items   []*item
-	results []work.Result
+	// revision is that of the job's record, 0 if unknown.
+	revision int64
+	items    []*item
+	results  []work.Result
 	// starts are the positions at which the job's segments begin.
 	starts []int
 	// pending are results that are not listed yet.
@@ -111,6 +113,11 @@
 	j.notify()
 }
 
+// complete reports whether all items are listed.
+func (j *job) complete() bool {
+	return len(j.results) >= j.Items
+}
+
 // finish queues the result of an item.
 func (j *job) finish(it *item, state work.State, at time.Time) {
 	r := work.Result{
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -30,10 +30,10 @@
 )
 
 type joblog interface {
-	Accept(ctx context.Context, j *work.Job, items []work.Item) error
+	Accept(ctx context.Context, j *work.Job, items []work.Item) (revision int64, err error)
 	Job(ctx context.Context, id string) (*work.Job, int64, error)
 	Jobs(ctx context.Context) ([]work.Job, []int64, error)
-	Hold(ctx context.Context, j work.Job, holder, incarnation string, revision int64) error
+	Update(ctx context.Context, j work.Job, revision int64) (newRevision int64, err error)
 	Items(ctx context.Context, j *work.Job) ([]work.Item, error)
 	Segment(ctx context.Context, id string, position int) ([]work.Result, error)
 	Append(ctx context.Context, id string, position int, results []work.Result, writer string) error
@@ -166,10 +166,11 @@
 	if rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || stopping {
 		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
 	}
-	err := r.log.Accept(ctx, &j, items)
+	revision, err := r.log.Accept(ctx, &j, items)
 	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
 		"waiting_peers", peers, "parts", j.Parts, "error", text(err))
 	n := newJob(j, items)
+	n.revision = revision
 	settled := n.changed
 	switch fault.CodeOf(err) {
 	case "":
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -46,12 +46,15 @@
 			pending := slices.Clone(j.pending)
 			position := len(j.results)
 			r.tasks.Go(func() { r.write(ctx, j, position, pending) })
+		case j.complete() && !j.Finished:
+			j.flushing = true
+			r.tasks.Go(func() { r.close(ctx, j) })
 		case r.stopping && j.runningItems() == 0 && len(j.pending) == 0:
 			j.flushing = true
 			r.tasks.Go(func() { r.release(ctx, j) })
 		case at.Sub(j.SubmittedAt) > r.keepFor+clockSkew:
 			delete(r.jobs, id)
-			r.tasks.Go(func() { r.remove(ctx, j) })
+			r.tasks.Go(func() { r.remove(ctx, &j.Job, j.starts) })
 		}
 	}
 	for id, j := range r.unsettled {
@@ -184,11 +187,11 @@
 		items = append(items, it.Item)
 	}
 	record := j.Job
-	err := r.log.Accept(ctx, &record, items)
+	revision, err := r.log.Accept(ctx, &record, items)
 	held := err == nil
 	if fault.CodeOf(err) == fault.CodeConflict {
 		var found *work.Job
-		found, _, err = r.log.Job(ctx, id)
+		found, revision, err = r.log.Job(ctx, id)
 		held = err == nil && found.Holder == r.name && found.Incarnation == r.incarnation
 	}
 	r.lock.Lock()
@@ -201,6 +204,7 @@
 	}
 	delete(r.unsettled, id)
 	j.Parts = record.Parts
+	j.revision = revision
 	if held {
 		r.jobs[id] = j
 	}
@@ -208,10 +212,36 @@
 	r.logger.Info("job submission settled", "job", id, "held", held)
 }
 
-func (r *Runner) remove(ctx context.Context, j *job) {
+// close records that all items of a job are listed.
+func (r *Runner) close(ctx context.Context, j *job) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if err := r.log.Remove(ctx, &j.Job, j.starts); err != nil {
-		r.logger.Warn("objects of an old job not deleted", "job", j.ID, "error", err.Error())
+	record, revision := j.Job, j.revision
+	record.Finished = true
+	var err error
+	if revision == 0 {
+		_, revision, err = r.log.Job(ctx, j.ID)
+	}
+	if err == nil {
+		revision, err = r.log.Update(ctx, record, revision)
 	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	j.flushing = false
+	switch fault.CodeOf(err) {
+	case "", fault.CodeConflict:
+		// After a conflict another instance holds the job and closes it.
+		j.Finished = true
+		j.revision = revision
+	default:
+		j.retryAt = r.now().Add(retryPause)
+		r.logger.Warn("job not closed", "job", j.ID, "error", err.Error())
+	}
+}
+
+func (r *Runner) remove(ctx context.Context, j *work.Job, starts []int) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := r.log.Remove(ctx, j, starts)
+	r.logger.Info("old job removed", "job", j.ID, "submitted_at", j.SubmittedAt, "error", text(err))
 }
--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -68,6 +68,10 @@
 // Job is the record whose creation accepts a job; Holder and Incarnation change
 // when another instance takes it over.
 type Job struct {
+	// Finished says that all items are listed, so that nobody has to take the job
+	// over.
+	Finished bool `json:"Finished,omitempty,omitzero"`
+
 	// Holder is the instance that runs the items.
 	Holder string `json:"Holder"`
 
@@ -132,6 +136,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["Finished"]; !ok || v == nil {
+		plain.Finished = false
+	}
 	if utf8.RuneCountInString(string(plain.ID)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "ID", 1)
 	}
