--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -20,7 +20,7 @@
 	goneAfter = 3 * time.Second
 	// turnWindow is longer than the time in which the counts of one instance reach all others; turnUse is the part of it
 	// in which the instance whose turn it is may start batch items.
-	turnWindow = 200 * time.Millisecond
+	turnWindow = 300 * time.Millisecond
 	turnUse    = 75 * time.Millisecond
 	// forgetAfter is how long beats are sent to an address that does not answer.
 	forgetAfter = 30 * time.Second
@@ -313,10 +313,10 @@
 // arrive late; if all of them filled the same free places at once, most of the items would be preempted again. The turn
 // passes on at random; every other time only instances of the server's zone have it.
 func (c *Cluster) Turn(server, zone string, at time.Time) bool {
-	if at.Sub(at.Truncate(turnWindow)) > turnUse {
+	window := at.UnixNano() / int64(turnWindow)
+	if at.UnixNano()%int64(turnWindow) > int64(turnUse) {
 		return false
 	}
-	window := at.UnixNano() / int64(turnWindow)
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	var all, local []string
--- /dev/null
+++ b/core/cluster/cluster_test.go
@@ -0,0 +1,134 @@
+package cluster
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/gossip"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func member(n int, incarnation string) gossip.Member {
+	return gossip.Member{
+		Name: fmt.Sprint("e", n), Incarnation: incarnation, Zone: []string{"a", "b"}[n%2], Region: "r", Ready: true,
+		Peer: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", n+1)),
+	}
+}
+
+func newCluster(n int) *Cluster {
+	return New(member(n, "1"), slog.New(slog.DiscardHandler))
+}
+
+// Guards against a late datagram that brings old state back, and against one of a former process.
+func TestOldBeats(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	is.True(c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 5}, start))
+	is.True(!c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 5}, start))
+	is.True(!c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 4}, start))
+	is.True(c.Alive("e1", "1"))
+	is.True(c.Observe(&gossip.Beat{Sender: member(1, "2"), Sequence: 1}, start))
+	is.True(!c.Alive("e1", "1")) // its jobs may be taken over at once
+	is.True(c.Alive("e1", "2"))
+}
+
+// Guards against callers that are sent to an instance that leaves, is silent or knows no configuration, and against jobs that
+// are taken from an instance that was silent for a moment only.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	names := func(at time.Time) []string {
+		list := []string{}
+		for _, m := range c.Serving("", at) {
+			list = append(list, m.Name)
+		}
+
+		return list
+	}
+	c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 1}, start)
+	unready := member(2, "1")
+	unready.Ready = false
+	c.Observe(&gossip.Beat{Sender: unready, Sequence: 1}, start)
+	changes := c.Expire(start)
+	is.Equal(names(start), []string{"e0", "e1"})
+	at := start.Add(silentAfter + time.Millisecond)
+	is.Equal(names(at), []string{"e0"})
+	is.Equal(c.Expire(at), changes)
+	is.True(c.Alive("e1", "1"))
+	at = start.Add(goneAfter + time.Millisecond)
+	is.True(c.Expire(at) > changes)
+	is.True(!c.Alive("e1", "1"))
+	leaving := member(1, "1")
+	leaving.Leaving = true
+	c.Observe(&gossip.Beat{Sender: leaving, Sequence: 2}, at)
+	is.Equal(names(at), []string{"e0"})
+	is.True(c.Alive("e1", "1")) // it still runs its items
+}
+
+// Guards against two instances that start batch items on one server at the same moment, and against a server that nobody
+// may use.
+func TestTurn(t *testing.T) {
+	is := is.New(t)
+	var members []*Cluster
+	for n := range 7 {
+		members = append(members, newCluster(n))
+	}
+	turns := map[int]int{}
+	begin := time.Unix(0, start.UnixNano()/int64(turnWindow)*int64(turnWindow))
+	for window := range 100 {
+		for _, c := range members {
+			for n := range members {
+				c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: window + 1}, begin.Add(time.Duration(window)*turnWindow))
+			}
+		}
+		for _, server := range []string{"s1", "s2"} {
+			at := begin.Add(time.Duration(window)*turnWindow + turnUse/2)
+			holders := 0
+			for n, c := range members {
+				if c.Turn(server, "a", at) {
+					holders++
+					turns[n]++
+				}
+				is.True(!c.Turn(server, "a", at.Add(turnUse)))
+			}
+			is.Equal(holders, 1)
+		}
+	}
+	is.True(len(turns) > 1)
+}
+
+// Guards against all instances that read the store because they do not believe the one that does.
+func TestCheckedAt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 1, RouteVersion: 7, ServerDigest: 9, CheckedMillis: 100}, start)
+	c.Observe(&gossip.Beat{Sender: member(2, "1"), Sequence: 1, RouteVersion: 8, ServerDigest: 9, CheckedMillis: 0}, start)
+	c.Observe(&gossip.Beat{Sender: member(3, "1"), Sequence: 1, RouteVersion: 7, ServerDigest: 9, CheckedMillis: -1}, start)
+	is.Equal(c.CheckedAt(7, 9), start.Add(-100*time.Millisecond))
+	is.True(c.CheckedAt(7, 8).IsZero()) // it has other servers
+	from, ahead := c.Ahead(7, 0, 9)
+	is.True(ahead)
+	is.Equal(from, member(2, "1").Peer)
+	_, ahead = c.Ahead(8, 0, 9)
+	is.True(!ahead)
+}
+
+// Guards against a call to the store through an instance that does not reach it either.
+func TestStoreRelay(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 1, StoreLost: true}, start)
+	_, ok := c.StoreRelay(start)
+	is.True(!ok)
+	c.Observe(&gossip.Beat{Sender: member(3, "1"), Sequence: 1}, start)
+	c.Observe(&gossip.Beat{Sender: member(2, "1"), Sequence: 1}, start)
+	through, ok := c.StoreRelay(start)
+	is.True(ok)
+	is.Equal(through, member(2, "1").Peer) // its own zone
+}
--- /dev/null
+++ b/core/eventstream/splitter_test.go
@@ -0,0 +1,123 @@
+package eventstream
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+)
+
+func collect(s *Splitter) (whole []byte, err error) {
+	for {
+		event, err := s.Next()
+		if err != nil || event == nil {
+			return whole, err
+		}
+		whole = append(whole, event...)
+	}
+}
+
+// Guards against events that are joined, cut or passed on before they are whole, whatever the size of the reads.
+func TestSplitter(t *testing.T) {
+	stream := []byte("id: 1\ndata: a\n\nx-version: 3\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n")
+	for size := 1; size <= len(stream); size++ {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			s := New(0)
+			var got []byte
+			for rest := stream; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+				s.Feed(rest[:min(size, len(rest))])
+				whole, err := collect(s)
+				is.NoErr(err)
+				got = append(got, whole...)
+			}
+			is.Equal(string(got), string(stream))
+			is.Equal(s.Last(), int64(3))
+			is.Equal(s.Pending(), 0)
+		})
+	}
+}
+
+// Guards against a gap, a repetition or the events of another run in a continued stream.
+func TestOrder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		last   int64
+		stream string
+		ok     bool
+	}{
+		{"first", 0, "id: 1\n\n", true},
+		{"starts late", 0, "id: 2\n\n", false},
+		{"continues", 7, "id: 8\n\nid: 9\n\n", true},
+		{"starts again", 7, "id: 1\n\n", false},
+		{"gap", 7, "id: 8\n\nid: 10\n\n", false},
+		{"twice", 7, "id: 8\n\nid: 8\n\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(c.last)
+			s.Feed([]byte(c.stream))
+			_, err := collect(s)
+			is.New(t).Equal(err == nil, c.ok)
+			if err != nil {
+				is.New(t).Equal(fault.CodeOf(err), fault.CodeStreamLost)
+			}
+		})
+	}
+}
+
+// Guards against half an event that is joined with the first one of the next attempt.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	s := New(0)
+	s.Feed([]byte("id: 1\ndata: a\n\nid: 2\nda"))
+	_, err := collect(s)
+	is.NoErr(err)
+	is.Equal(s.Pending(), 8)
+	s.Restart()
+	s.Feed([]byte("id: 2\ndata: b\n\n"))
+	whole, err := collect(s)
+	is.NoErr(err)
+	is.Equal(string(whole), "id: 2\ndata: b\n\n")
+}
+
+// Guards against data that is read wrongly where it has several lines or no space.
+func TestData(t *testing.T) {
+	for _, c := range []struct {
+		event, want string
+		ok          bool
+	}{
+		{"id: 1\ndata: a\n\n", "a", true},
+		{"data:a\ndata: b\n\n", "a\nb", true},
+		{"data:  a\r\n\r\n", " a", true},
+		{"id: 1\n\n", "", false},
+	} {
+		data, ok := Data([]byte(c.event))
+		is.New(t).Equal(string(data), c.want)
+		is.New(t).Equal(ok, c.ok)
+	}
+}
+
+// Guards against bytes of a backend server that crash the reader, or that are passed on changed.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"), 3)
+	f.Add([]byte("\n\n\r\n\r\nid:\n\n"), 1)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		size = max(1, size%64)
+		s := New(0)
+		var got []byte
+		for rest := stream; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+			s.Feed(rest[:min(size, len(rest))])
+			whole, err := collect(s)
+			got = append(got, whole...)
+			if err != nil {
+				return
+			}
+		}
+		if !bytes.HasPrefix(stream, got) || len(got)+s.Pending() != len(stream) {
+			t.Fatalf("%q became %q with %d bytes pending", stream, got, s.Pending())
+		}
+	})
+}
--- /dev/null
+++ b/core/forward/forwarder_test.go
@@ -0,0 +1,201 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/answer"
+	"tarragonwalk/core/backend"
+	"tarragonwalk/core/call"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/route"
+)
+
+// reply is what the fake backend server does with one attempt.
+type reply struct {
+	status int
+	body   string
+	err    error
+	// broken ends the body with an error, hung with silence until the attempt is given up.
+	broken, hung bool
+}
+
+type fake struct {
+	replies  []reply
+	after    []int64
+	servers  []string
+	released int
+	failed   []string
+	free     bool
+}
+
+func (f *fake) Send(ctx context.Context, s backend.Server, _ *call.Call, after int64) (*answer.Answer, error) {
+	r := f.replies[len(f.servers)]
+	f.servers = append(f.servers, s.ID)
+	f.after = append(f.after, after)
+	if r.err != nil {
+		return nil, r.err
+	}
+	h := http.Header{"Stamp": {s.ID}}
+	if strings.HasPrefix(r.body, "id:") {
+		h.Set("Content-Type", "text/event-stream")
+	}
+	body := io.Reader(strings.NewReader(r.body))
+	if r.broken {
+		body = io.MultiReader(body, errorReader{})
+	}
+	if r.hung {
+		body = io.MultiReader(body, hungReader{ctx: ctx})
+	}
+
+	return &answer.Answer{Status: r.status, Header: h, Length: -1, Body: io.NopCloser(body)}, nil
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+type hungReader struct{ ctx context.Context }
+
+func (h hungReader) Read([]byte) (int, error) {
+	<-h.ctx.Done()
+
+	return 0, h.ctx.Err()
+}
+
+func (f *fake) Point() float64 { return 0 }
+
+func (f *fake) Online(_ string, excluded map[string]bool, free bool, _ time.Time) (backend.Server, func(), bool) {
+	for _, id := range []string{"a", "b", "c"} {
+		if !excluded[id] && (!free || f.free) {
+			return backend.Server{ID: id}, func() { f.released++ }, true
+		}
+	}
+
+	return backend.Server{}, nil, false
+}
+
+func (f *fake) Excess(backend.Server, time.Time) int { return 0 }
+func (f *fake) Preempt(string, int)                  {}
+func (f *fake) Failed(id, _ string, _ time.Time)     { f.failed = append(f.failed, id) }
+func (f *fake) Succeeded(string)                     {}
+func (f *fake) Replaced(string)                      {}
+
+type recorder struct {
+	status int
+	stamp  string
+	body   bytes.Buffer
+	fail   bool
+}
+
+func (r *recorder) Begin(status int, h http.Header, _ int64) error {
+	r.status, r.stamp = status, h.Get("Stamp")
+
+	return nil
+}
+
+func (r *recorder) Write(p []byte) error {
+	if r.fail {
+		return io.ErrClosedPipe
+	}
+	r.body.Write(p)
+
+	return nil
+}
+
+const whole = "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n"
+
+var (
+	refused = fault.New(fault.CodeOverloaded, "full")
+	lost    = fault.New(fault.CodeOutcomeUnknown, "reset")
+)
+
+// Guards against requests that run twice, that are given up too early, that are answered with a false promise or with the
+// parts of two answers.
+func TestRun(t *testing.T) {
+	idempotent := route.Route{Kind: route.KindIdempotent, MaxAttempts: 2}
+	once := route.Route{Kind: route.KindOnce, MaxAttempts: 3}
+	stream := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40}
+	fixed := route.Route{Kind: route.KindStream, MaxAttempts: 2}
+	for _, c := range []struct {
+		name    string
+		route   route.Route
+		replies []reply
+		code    fault.Code
+		body    string
+		stamp   string
+		sends   int
+	}{
+		{"whole answer", once, []reply{{status: 200, body: "ok"}}, "", "ok", "a", 1},
+		{"refusal is tried elsewhere", once, []reply{{err: refused}, {status: 200, body: "ok"}}, "", "ok", "b", 2},
+		{"unknown outcome is not repeated", once, []reply{{err: lost}}, fault.CodeOutcomeUnknown, "", "", 1},
+		{"idempotent is repeated", idempotent, []reply{{err: lost}, {status: 200, body: "ok"}}, "", "ok", "b", 2},
+		{"attempts are bounded", idempotent, []reply{{err: lost}, {err: lost}}, fault.CodeOutcomeUnknown, "", "", 2},
+		{"cut answer is not passed on", idempotent, []reply{{status: 200, body: "o", broken: true}, {status: 200, body: "ok"}}, "", "ok", "b", 2},
+		{"failure is repeated if it may", idempotent, []reply{{status: 500, body: "no"}, {status: 200, body: "ok"}}, "", "ok", "b", 2},
+		{"last failure is passed on", idempotent, []reply{{status: 500, body: "no"}, {status: 500, body: "no"}}, "", "no", "b", 2},
+		{"failure of a request at most once", once, []reply{{status: 500, body: "no"}}, "", "no", "a", 1},
+		{"all refuse", once, []reply{{err: refused}, {err: refused}, {err: refused}}, fault.CodeOverloaded, "", "", 3},
+		{"refusal after an unknown outcome promises nothing", idempotent, []reply{{err: lost}, {err: refused}, {err: refused}}, fault.CodeOutcomeUnknown, "", "", 3},
+		{"whole stream", fixed, []reply{{status: 200, body: whole}}, "", whole, "a", 1},
+		{"stream is resumed", stream, []reply{{status: 200, body: whole[:20], broken: true}, {status: 200, body: whole[15:]}}, "", whole, "a", 2},
+		{"silent stream is moved", stream, []reply{{status: 200, body: whole[:20], hung: true}, {status: 200, body: whole[15:]}}, "", whole, "a", 2},
+		{"stream before its first event", stream, []reply{{status: 200, body: "id:", broken: true}, {status: 200, body: whole}}, "", whole, "b", 2},
+		{"stream that may not be resumed", fixed, []reply{{status: 200, body: whole[:20], broken: true}}, fault.CodeOutcomeUnknown, whole[:15], "a", 1},
+		{"stream that goes on wrongly", stream, []reply{{status: 200, body: whole[:20], broken: true}, {status: 200, body: whole}}, fault.CodeStreamLost, whole[:15], "a", 2},
+		{"half an event at the end", stream, []reply{{status: 200, body: whole[:20]}, {status: 200, body: whole[15:]}}, "", whole, "a", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fake{replies: c.replies, free: true}
+			out := &recorder{}
+			err := New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
+			is.Equal(fault.CodeOf(err), c.code)
+			is.Equal(out.body.String(), c.body)
+			is.Equal(out.stamp, c.stamp)
+			is.Equal(len(f.servers), c.sends)
+			is.True(f.released >= c.sends) // every place is given back
+		})
+	}
+}
+
+// Guards against a request that is held beyond the time-out of its route or the deadline of its caller.
+func TestDeadline(t *testing.T) {
+	is := is.New(t)
+	f := &fake{replies: []reply{{status: 200, body: "id: 1\ndata: x\n\n", hung: true}}}
+	r := route.Route{Kind: route.KindStream, TimeoutMillis: 30}
+	out := &recorder{}
+	err := New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
+	is.Equal(len(f.failed), 0) // the server is not to blame
+}
+
+// Guards against a stream that goes on at a backend server after its caller has left, and against a repetition for nobody.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	f := &fake{replies: []reply{{status: 200, body: whole}}, free: true}
+	r := route.Route{Kind: route.KindStream, Resumable: true, MaxAttempts: 2}
+	err := New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{fail: true})
+	is.Equal(fault.CodeOf(err), fault.CodeCancelled)
+	is.Equal(len(f.servers), 1)
+	is.Equal(len(f.failed), 0)
+}
+
+// Guards against a silent stream that is broken off while no other backend server has a free slot.
+func TestSilentStreamWaitsWithoutFreeSlot(t *testing.T) {
+	is := is.New(t)
+	f := &fake{replies: []reply{{status: 200, body: "id: 1\ndata: x\n\n", hung: true}}}
+	r := route.Route{Kind: route.KindStream, Resumable: true, MaxAttempts: 2, GapMillis: 10, TargetMillis: 10, TimeoutMillis: 200}
+	err := New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
+	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
+	is.Equal(len(f.servers), 1)
+}
--- /dev/null
+++ b/core/place/placer_test.go
@@ -0,0 +1,159 @@
+package place
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/backend"
+	"tarragonwalk/core/cluster"
+	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/load"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type servers []backend.Server
+
+func (s servers) Usable(string, time.Time) []backend.Server {
+	return append([]backend.Server(nil), s...)
+}
+
+// always gives every instance its turn.
+type always struct{}
+
+func (always) Turn(string, string, time.Time) bool { return true }
+
+var regions = map[string]string{"a": "north", "b": "north", "c": "south"}
+
+func fleet(zones ...string) servers {
+	list := servers{}
+	for n, z := range zones {
+		list = append(list, backend.Server{ID: fmt.Sprint("s", n), Service: "s", Zone: z, Slots: 8})
+	}
+
+	return list
+}
+
+func newPlacer(l *load.Table, t turns, list servers) *Placer {
+	return New("a", regions, list, l, t, rand.New(rand.NewPCG(1, 2)))
+}
+
+// Guards against requests that cross zones while the own zone has free slots, and against ones that wait there while
+// another zone is idle.
+func TestOnlinePrefersOwnZone(t *testing.T) {
+	is := is.New(t)
+	l := load.New()
+	p := newPlacer(l, always{}, fleet("c", "b", "a", "a"))
+	counts := map[string]int{}
+	for range 32 {
+		s, _, ok := p.Online("s", nil, false, start)
+		is.True(ok)
+		counts[s.Zone]++
+	}
+	is.Equal(counts, map[string]int{"a": 16, "b": 8, "c": 8})
+	_, _, ok := p.Online("s", nil, true, start)
+	is.True(!ok) // no slot is free
+	refused := 0
+	for range 100 {
+		if _, _, ok := p.Online("s", nil, false, start); !ok {
+			refused++
+		}
+	}
+	is.True(refused > 0) // the queues are bounded
+}
+
+// Guards against batch work that fills the slots that online requests need, and against urgent work that is held back.
+func TestBatchHeadroom(t *testing.T) {
+	is := is.New(t)
+	l := load.New()
+	p := newPlacer(l, always{}, fleet("a"))
+	place := func(urgent bool) int {
+		n := 0
+		for {
+			if _, _, ok := p.Batch("s", nil, urgent, start); !ok {
+				return n
+			}
+			n++
+		}
+	}
+	is.Equal(place(false), 6)
+	is.Equal(place(true), 1)
+}
+
+// Guards against many instances that fill the same free slots at once because they hear of each other late, the pattern of
+// the heaviest days: a backlog everywhere while online requests leave a few slots free. At most a few items may be beyond
+// the slots after one round of all instances.
+func TestInstancesTakeTurns(t *testing.T) {
+	is := is.New(t)
+	const instances = 8
+	list := fleet("a", "a", "b", "c")
+	var placers []*Placer
+	var loads []*load.Table
+	var members []*cluster.Cluster
+	for n := range instances {
+		self := gossip.Member{Name: fmt.Sprint("e", n), Incarnation: "1", Zone: []string{"a", "b", "c"}[n%3], Peer: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", n+1))}
+		members = append(members, cluster.New(self, slog.New(slog.DiscardHandler)))
+		loads = append(loads, load.New())
+	}
+	at := start
+	hear := func(sequence int) {
+		for _, m := range members {
+			for k, other := range members {
+				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: sequence, Counts: loads[k].Own()}, at)
+			}
+		}
+		for n := range loads {
+			for k := range loads {
+				if n != k {
+					loads[n].Observe(fmt.Sprint("e", k), loads[k].Own(), at)
+				}
+			}
+		}
+	}
+	hear(1)
+	for n := range instances {
+		placers = append(placers, New(members[n].Self().Zone, regions, list, loads[n], members[n], rand.New(rand.NewPCG(uint64(n), 2))))
+	}
+	used := map[string]int{}
+	for tick := range 400 {
+		at = at.Add(25 * time.Millisecond)
+		for _, p := range placers {
+			for {
+				s, _, ok := p.Batch("s", nil, true, at)
+				if !ok {
+					break
+				}
+				used[s.ID]++
+			}
+		}
+		if tick%8 == 7 {
+			hear(tick + 2)
+		}
+	}
+	for _, s := range list {
+		is.True(used[s.ID] > 0) // every server is used
+		is.True(used[s.ID] <= 8)
+	}
+}
+
+// Guards against instances that together give up many more places than an online request needs.
+func TestExcessIsShared(t *testing.T) {
+	is := is.New(t)
+	total := 0
+	for n := range 200 {
+		for i := range 4 {
+			l := load.New()
+			l.Add("s0", 0, 2)
+			l.Observe("others", []gossip.Count{{Server: "s0", Online: 2, Batch: 6}}, start)
+			p := New("a", regions, fleet("a"), l, always{}, rand.New(rand.NewPCG(uint64(n), uint64(i))))
+			total += p.Excess(fleet("a")[0], start)
+		}
+	}
+	is.True(total > 300 && total < 500) // two of ten requests are beyond the slots
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,103 @@
+package roster
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/backend"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func server(id string, started int) backend.Server {
+	return backend.Server{ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 8, StartedAt: started}
+}
+
+func usable(r *Roster, at time.Time) []string {
+	ids := []string{}
+	for _, s := range r.Usable("s", at) {
+		ids = append(ids, s.ID)
+	}
+
+	return ids
+}
+
+// Guards against a draining or removed server that still gets requests.
+func TestListDecides(t *testing.T) {
+	is := is.New(t)
+	r := New(slog.New(slog.DiscardHandler))
+	a, b := server("a", 1), server("b", 1)
+	r.Observe([]backend.Server{a, b}, 10, false, start)
+	is.Equal(usable(r, start), []string{"a", "b"})
+	a.Draining = true
+	r.Observe([]backend.Server{a, b}, 11, false, start)
+	is.Equal(usable(r, start), []string{"b"})
+	r.Observe([]backend.Server{server("a", 1), b}, 9, false, start)
+	is.Equal(usable(r, start), []string{"b"}) // an older list does not bring it back
+	r.Observe(nil, 12, false, start)
+	is.Equal(usable(r, start), []string{})
+}
+
+// Guards against an outage of the store that takes all servers away, and against one that keeps a lost server for good.
+func TestLapsedEntries(t *testing.T) {
+	is := is.New(t)
+	r := New(slog.New(slog.DiscardHandler))
+	r.Observe([]backend.Server{server("a", 1), server("b", 1)}, 10, false, start)
+	r.Observe(nil, 20, true, start)
+	is.Equal(usable(r, start.Add(time.Second)), []string{"a", "b"})
+	r.Observe([]backend.Server{server("b", 1)}, 21, true, start.Add(time.Second))
+	is.Equal(usable(r, start.Add(relistDelay)), []string{"b"})
+	list, _ := r.Known()
+	is.Equal(len(list), 1)
+}
+
+// Guards against requests that pile up at a server that does not answer, and against one that is left alone for good.
+func TestSuspicion(t *testing.T) {
+	is := is.New(t)
+	r := New(slog.New(slog.DiscardHandler))
+	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
+	r.Failed("a", "silent", start)
+	is.Equal(usable(r, start), []string{})
+	at := start.Add(firstSuspicion)
+	is.Equal(usable(r, at), []string{"a"})
+	r.Failed("a", "silent", at)
+	is.Equal(usable(r, at.Add(firstSuspicion)), []string{})
+	for range 10 {
+		at = at.Add(maxSuspicion)
+		r.Failed("a", "silent", at)
+	}
+	is.Equal(usable(r, at.Add(maxSuspicion)), []string{"a"})
+	r.Succeeded("a")
+	r.Failed("a", "silent", at.Add(maxSuspicion))
+	is.Equal(usable(r, at.Add(maxSuspicion+firstSuspicion)), []string{"a"})
+}
+
+// Guards against requests to an address that has passed to another server, until the server has started again.
+func TestReplacedServer(t *testing.T) {
+	is := is.New(t)
+	r := New(slog.New(slog.DiscardHandler))
+	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
+	r.Replaced("a")
+	r.Observe([]backend.Server{server("a", 1)}, 11, false, start)
+	is.Equal(usable(r, start), []string{})
+	r.Observe([]backend.Server{server("a", 2)}, 12, false, start)
+	is.Equal(usable(r, start), []string{"a"})
+}
+
+// Guards against two instances with the same servers that copy each other's list for ever.
+func TestDigest(t *testing.T) {
+	is := is.New(t)
+	one, two := New(slog.New(slog.DiscardHandler)), New(slog.New(slog.DiscardHandler))
+	one.Observe([]backend.Server{server("a", 1), server("b", 1)}, 10, false, start)
+	two.Observe([]backend.Server{server("b", 1), server("a", 1)}, 12, false, start)
+	_, x := one.Version()
+	_, y := two.Version()
+	is.Equal(x, y)
+	two.Observe([]backend.Server{server("b", 1), server("a", 2)}, 13, false, start)
+	_, y = two.Version()
+	is.True(x != y)
+}
--- /dev/null
+++ b/io/logline/writer_test.go
@@ -0,0 +1,53 @@
+package logline
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type blocked struct {
+	release chan struct{}
+	lock    sync.Mutex
+	out     bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.lock.Lock()
+	defer b.lock.Unlock()
+
+	return b.out.Write(p)
+}
+
+// Guards against a reader of the log that does not read and thereby stops requests; what is dropped has to be counted.
+func TestBlockedReader(t *testing.T) {
+	is := is.New(t)
+	b := &blocked{release: make(chan struct{})}
+	w := New(b)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 2 * maxBuffered / len(line) {
+			_, _ = w.Write(line)
+			time.Sleep(time.Microsecond)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a write was blocked")
+	}
+	close(b.release)
+	w.Flush()
+	w.Flush()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	is.True(strings.Contains(b.out.String(), `"msg":"log lines dropped"`))
+	is.True(b.out.Len() >= maxBuffered-len(line))
+}
