Decode beats with a codec that bounds what it allocates

Cause: fuzzing found a datagram of 12 bytes that made the former codec allocate 31 GB for a list whose length the datagram claims.

--- a/io/beat/node.go
+++ b/io/beat/node.go
@@ -1,21 +1,41 @@
 package beat
 
 import (
-	"bytes"
 	"errors"
 	"expvar"
 	"log/slog"
 	"net"
 	"net/netip"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/fxamacker/cbor/v2"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
 )
 
-// maxDatagram is the largest message over UDP.
-const maxDatagram = 64 << 10
+const (
+	// maxDatagram is the largest message over UDP.
+	maxDatagram = 64 << 10
+	// maxElements is above the backend servers, jobs and instances that one beat names at the largest size.
+	maxElements = 8192
+	maxNesting  = 8
+)
+
+// decoder bounds what a datagram of a stranger can make an instance allocate.
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err) // only limits that the library does not allow can cause it
+	}
+
+	return m
+}
 
 var counters = expvar.NewMap("Beats")
 
@@ -48,16 +68,14 @@
 	if len(to) == 0 {
 		return
 	}
-	var buffer bytes.Buffer
-	e := msgpack.NewEncoder(&buffer)
-	e.SetCustomStructTag("json")
-	if err := e.Encode(b); err != nil {
+	message, err := cbor.Marshal(b)
+	if err != nil {
 		n.log.Error("beat not encoded", "error", err.Error())
 
 		return
 	}
 	for _, a := range to {
-		if _, err := n.socket.WriteToUDPAddrPort(buffer.Bytes(), a); err != nil {
+		if _, err := n.socket.WriteToUDPAddrPort(message, a); err != nil {
 			counters.Add("SendFailed", 1)
 
 			continue
@@ -94,9 +112,7 @@
 // Decode reads a beat; a failure has code invalid.
 func Decode(p []byte) (*gossip.Beat, error) {
 	b := &gossip.Beat{}
-	d := msgpack.NewDecoder(bytes.NewReader(p))
-	d.SetCustomStructTag("json")
-	if err := d.Decode(b); err != nil {
+	if err := decoder.Unmarshal(p, b); err != nil {
 		return nil, fault.Wrap(err, fault.CodeInvalid, "unreadable beat")
 	}
 	if b.Sender.Name == "" || b.Sender.Incarnation == "" || !b.Sender.Peer.IsValid() {
