--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -43,8 +43,9 @@
 	// refused counts attempts that certainly have not run.
 	refused int
 	// began is set once the caller has got the status line.
-	began    bool
-	splitter *eventstream.Splitter
+	began     bool
+	startedAt time.Time
+	splitter  *eventstream.Splitter
 	// next is a place that the watchdog reserved before it ended an attempt.
 	next *reservation
 }
@@ -189,7 +190,7 @@
 	if a.Status >= http.StatusInternalServerError && e.route.Repeatable() && e.ran+1 < e.route.MaxAttempts {
 		return errStatus
 	}
-	e.began = true
+	e.begin()
 	if err := e.sink.Begin(a.Status, a.Header, int64(len(body))); err != nil {
 		return errSink
 	}
@@ -247,7 +248,7 @@
 		return nil
 	}
 	if !e.began {
-		e.began = true
+		e.begin()
 		if err := e.sink.Begin(a.Status, a.Header, -1); err != nil {
 			return errSink
 		}
@@ -259,6 +260,11 @@
 	return nil
 }
 
+func (e *exchange) begin() {
+	e.began = true
+	firstBytes.Record(e.forwarder.now().Sub(e.startedAt))
+}
+
 // resumedAfter returns the last event that the caller already has from an earlier attempt of its own.
 func (e *exchange) resumedAfter() int64 {
 	id, ok := eventstream.ID([]byte("id:" + e.call.Header.Get("Last-Event-Id")))
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"log/slog"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/histogram"
 	"tarragonwalk/core/route"
 )
 
@@ -21,6 +23,15 @@
 	defaultTimeout = 60 * time.Second
 )
 
+// Metrics of forwarded requests: their ends by kind and outcome, the time to the first event or whole answer, attempts that
+// failed by cause.
+var (
+	ends       = expvar.NewMap("ForwardEnds")
+	failures   = expvar.NewMap("ForwardFailures")
+	firstBytes = histogram.New("ForwardFirstByteMillis")
+	durations  = histogram.New("ForwardDurationMillis")
+)
+
 var errTimeout = fault.New(fault.CodeDeadlinePassed, "the time-out of the route or the caller's deadline has passed")
 
 type sender interface {
@@ -85,9 +96,17 @@
 		sink:      out,
 		service:   r.Service(f.placer.Point()),
 		tried:     map[string]bool{},
+		startedAt: f.now(),
 	}
+	err := e.run(ctx)
+	outcome := "answered"
+	if err != nil {
+		outcome = string(fault.CodeOf(err))
+	}
+	ends.Add(string(r.Kind)+" "+outcome, 1)
+	durations.Record(f.now().Sub(e.startedAt))
 
-	return e.run(ctx)
+	return err
 }
 
 func (f *Forwarder) deadline(r *route.Route, q *call.Call) time.Time {
@@ -104,10 +123,13 @@
 
 // judge updates what is believed of a server after an attempt on it.
 func (f *Forwarder) judge(ctx context.Context, s backend.Server, err error) {
-	var cause *fault.Error
-	switch {
-	case err == nil:
+	if err == nil {
 		f.roster.Succeeded(s.ID)
+
+		return
+	}
+	failures.Add(string(fault.CodeOf(err)), 1)
+	switch {
 	case errors.Is(err, errSilent):
 		f.roster.Failed(s.ID, "silent", f.now())
 	case ctx.Err() != nil, errors.Is(err, errSink):
@@ -115,7 +137,5 @@
 		f.roster.Replaced(s.ID)
 	case fault.CodeOf(err) == fault.CodeBackendUnreachable:
 		f.roster.Failed(s.ID, "unreachable", f.now())
-	case errors.As(err, &cause):
-		f.log.Debug("attempt failed", "server", s.ID, "error", err.Error())
 	}
 }
--- /dev/null
+++ b/core/histogram/histogram_test.go
@@ -0,0 +1,24 @@
+package histogram
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a duration beyond the bounds that is lost, and against text that is not JSON.
+func TestHistogram(t *testing.T) {
+	is := is.New(t)
+	h := New("TestHistogram")
+	for n := range 100 {
+		h.Record(time.Duration(n) * time.Millisecond)
+	}
+	h.Record(time.Hour)
+	values := map[string]int64{}
+	is.NoErr(json.Unmarshal([]byte(h.String()), &values))
+	is.Equal(values["Count"], int64(101))
+	is.Equal(values["P50"], int64(50))
+	is.True(values["Max"] >= maxMillis)
+}
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/eventstream"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/histogram"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -39,6 +41,20 @@
 	errInvalid   = fault.New(fault.CodeInvalid, "the item can never be done")
 )
 
+// Metrics of batch items: runs by outcome, and the age of items at their completion.
+var (
+	runs     = expvar.NewMap("ItemRuns")
+	itemAges = histogram.New("ItemAgeMillis")
+)
+
+func outcome(code fault.Code) string {
+	if code == "" {
+		return "completed"
+	}
+
+	return string(code)
+}
+
 // runItem runs an item once on a server, from its last event on, and records the outcome.
 func (r *Runner) runItem(ctx context.Context, j *job, it *item, rt *route.Route, s backend.Server) {
 	first := it.last
@@ -54,10 +70,12 @@
 	}
 	it.state = waiting
 	code := fault.CodeOf(err)
+	runs.Add(outcome(code), 1)
 	switch {
 	case err == nil:
 		r.logger.Info("item completed", "job", j.ID, "item", it.ID, "server", s.ID, "run_ms", at.Sub(it.startedAt).Milliseconds(),
 			"age_ms", at.Sub(j.SubmittedAt).Milliseconds(), "first_event", first, "last_event", it.last)
+		itemAges.Record(at.Sub(j.SubmittedAt))
 		j.finish(it, work.StateCompleted, at)
 	case errors.Is(err, errInvalid):
 		j.finish(it, work.StateDead, at)
@@ -113,12 +131,12 @@
 		return caused(ctx, err)
 	}
 	defer a.Body.Close()
-	switch {
-	case a.Status == http.StatusOK:
+	switch a.Status {
+	case http.StatusOK:
 		return caused(ctx, r.collect(it, a.Body, silence))
-	case a.Status == http.StatusUnprocessableEntity:
+	case http.StatusUnprocessableEntity:
 		return errInvalid
-	case a.Status == http.StatusInternalServerError:
+	case http.StatusInternalServerError:
 		return errFailed
 	default:
 		return fault.New(fault.CodeOverloaded, "the backend server answered an item with status "+http.StatusText(a.Status))
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -323,6 +323,28 @@
 	return current(r.ended, at), current(r.released, at), tokens
 }
 
+// Backlog returns how many jobs this instance holds, and their waiting and running items.
+func (r *Runner) Backlog() (jobs, waitingItems, runningItems int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, j := range r.jobs {
+		if j.ended {
+			continue
+		}
+		for _, it := range j.items {
+			switch it.state {
+			case waiting:
+				waitingItems++
+			case running:
+				runningItems++
+			case done:
+			}
+		}
+	}
+
+	return len(r.jobs), waitingItems, runningItems
+}
+
 // Preempt stops up to count of the newest items on a server; they are continued later after their last event.
 func (r *Runner) Preempt(server string, count int) {
 	r.lock.Lock()
--- a/io/beat/node.go
+++ b/io/beat/node.go
@@ -60,7 +60,9 @@
 
 // Close ends Receive.
 func (n *Node) Close() {
-	n.socket.Close()
+	if err := n.socket.Close(); err != nil {
+		n.log.Debug("socket not closed", "error", err.Error())
+	}
 }
 
 // Send sends a beat to all addresses; failures are counted, since the next beat repeats everything.
--- a/io/beat/node_test.go
+++ b/io/beat/node_test.go
@@ -29,8 +29,10 @@
 	got := make(chan *gossip.Beat, 1)
 	go to.Receive(func(b *gossip.Beat) { got <- b })
 	sent := &gossip.Beat{
-		Sender: gossip.Member{Name: "e1", Incarnation: "i", Zone: "z", Region: "r", Ready: true,
-			Caller: netip.MustParseAddrPort("10.0.0.1:1"), Peer: netip.MustParseAddrPort("10.0.0.1:2")},
+		Sender: gossip.Member{
+			Name: "e1", Incarnation: "i", Zone: "z", Region: "r", Ready: true,
+			Caller: netip.MustParseAddrPort("10.0.0.1:1"), Peer: netip.MustParseAddrPort("10.0.0.1:2"),
+		},
 		Sequence: 7, RouteVersion: 3, ServerRevision: 4, ServerDigest: -5, CheckedMillis: 20, StoreLost: true,
 		Counts: []gossip.Count{{Server: "s", Online: 1, Batch: 2}}, Waiting: gossip.BeatWaiting{"route": 9},
 		Ended: []string{"a"}, Released: []string{"b"}, Addresses: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:2")},
