Take a job over again whose takeover got no answer; accept jobs in one round trip

Change: a record that names this process for a job that it neither runs nor submits counts as one without a holder. The parts and the record of a job are written at the same time; a failure after which some of them may exist is an unknown outcome and is settled by writing them again.

--- a/core/joblog/log.go
+++ b/core/joblog/log.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/work"
 )
@@ -47,20 +49,46 @@
 	}
 }
 
-// Accept creates the parts and then the record of a job, and returns the record's revision. Code conflict means that the job
-// was accepted before.
+// Accept creates the parts and the record of a job at the same time, so that acceptance takes one round trip to a slow store,
+// and returns the record's revision. Code conflict means that the job was accepted before. A failure after which some of the
+// objects may exist has code outcome_unknown; calling Accept again settles it.
 func (l *Log) Accept(ctx context.Context, j *work.Job, items []work.Item) (int64, error) {
 	parts := split(items)
 	j.Parts = len(parts)
+	failures := make([]error, len(parts))
+	var group conc.WaitGroup
 	for i, p := range parts {
-		// A part that exists was written by an earlier submission of the same job, whose items are the same.
-		_, err := l.objects.Create(ctx, partKind, partName(j.ID, i), p)
-		if err != nil && fault.CodeOf(err) != fault.CodeConflict {
-			return 0, err
-		}
+		group.Go(func() {
+			_, err := l.objects.Create(ctx, partKind, partName(j.ID, i), p)
+			// A part that exists was written by an earlier submission of the same job, whose items are the same.
+			if fault.CodeOf(err) != fault.CodeConflict {
+				failures[i] = err
+			}
+		})
 	}
+	revision, err := l.objects.Create(ctx, jobKind, j.ID, j)
+	group.Wait()
+
+	return revision, combine(err, failures)
+}
 
-	return l.objects.Create(ctx, jobKind, j.ID, j)
+// combine returns the outcome of a submission from those of its record and its parts.
+func combine(record error, parts []error) error {
+	var failed error
+	for _, err := range parts {
+		if err != nil {
+			failed = err
+		}
+	}
+	switch {
+	case failed == nil:
+		return record
+	case fault.CodeOf(record) == fault.CodeStoreUnavailable:
+		// Without its record a job does not exist, whatever parts there are.
+		return record
+	default:
+		return fault.Wrap(failed, fault.CodeOutcomeUnknown, "the items of the job may not be in the store")
+	}
 }
 
 // Job returns the record of a job and its revision; code not_found if no such job was accepted.
--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -80,12 +80,17 @@
 	r.remove(ctx, j, starts)
 }
 
+// orphan reports whether no live process runs a job. That includes one whose record names this process though it does not
+// run it: the answer to its takeover was lost.
 func (r *Runner) orphan(j *work.Job) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	_, open := r.unsettled[j.ID]
+	if r.jobs[j.ID] != nil || r.unsettled[j.ID] != nil || r.submitting[j.ID] > 0 {
+		return false
+	}
+	mine := j.Holder == r.name && j.Incarnation == r.incarnation
 
-	return r.jobs[j.ID] == nil && !open && !r.cluster.Alive(j.Holder, j.Incarnation)
+	return mine || !r.cluster.Alive(j.Holder, j.Incarnation)
 }
 
 // myTurn lets instances take a job over in the order of their rendezvous weight, each after a delay.
@@ -142,6 +147,9 @@
 	if _, ended := r.ended[record.ID]; ended {
 		j.ended = true
 	}
+	if r.jobs[record.ID] != nil {
+		return nil
+	}
 	r.jobs[record.ID] = j
 	r.logger.Info("job taken over", "job", record.ID, "from", from, "listed", len(j.results), "items", record.Items,
 		"ended", j.ended, "revision", revision)
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -92,11 +92,13 @@
 	lock      sync.Mutex
 	jobs      map[string]*job
 	unsettled map[string]*job
-	ended     map[string]time.Time
-	released  map[string]time.Time
-	orphans   map[string]time.Time
-	stopping  bool
-	wake      chan struct{}
+	// submitting counts submissions whose objects are being written.
+	submitting map[string]int
+	ended      map[string]time.Time
+	released   map[string]time.Time
+	orphans    map[string]time.Time
+	stopping   bool
+	wake       chan struct{}
 }
 
 // New returns a runner for the instance name; jobs stay readable for keepFor after their submission.
@@ -118,6 +120,7 @@
 		logger:      logger,
 		jobs:        map[string]*job{},
 		unsettled:   map[string]*job{},
+		submitting:  map[string]int{},
 		ended:       map[string]time.Time{},
 		released:    map[string]time.Time{},
 		orphans:     map[string]time.Time{},
@@ -166,6 +169,8 @@
 	if rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || stopping {
 		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
 	}
+	r.countSubmission(j.ID, 1)
+	defer r.countSubmission(j.ID, -1)
 	revision, err := r.log.Accept(ctx, &j, items)
 	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
 		"waiting_peers", peers, "parts", j.Parts, "error", text(err))
@@ -175,9 +180,9 @@
 	switch fault.CodeOf(err) {
 	case "":
 		r.lock.Lock()
-		defer r.lock.Unlock()
 		r.jobs[j.ID] = n
 		r.signal()
+		r.lock.Unlock()
 
 		return nil
 	case fault.CodeConflict:
@@ -198,6 +203,15 @@
 	}
 }
 
+func (r *Runner) countSubmission(id string, n int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.submitting[id] += n
+	if r.submitting[id] == 0 {
+		delete(r.submitting, id)
+	}
+}
+
 // refuse answers a job that does not fit, unless it was accepted before.
 func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
 	_, _, err := r.log.Job(ctx, j.ID)
--- /dev/null
+++ b/core/jobrun/runner_test.go
@@ -0,0 +1,317 @@
+package jobrun
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/answer"
+	"tarragonwalk/core/backend"
+	"tarragonwalk/core/call"
+	"tarragonwalk/core/fault"
+	logs "tarragonwalk/core/joblog"
+	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/jobread"
+	"tarragonwalk/core/route"
+	"tarragonwalk/core/work"
+	"tarragonwalk/internal/fakeobjects"
+)
+
+const (
+	testEvents = 5
+	// testLimit bounds every wait, far above what the code needs.
+	testLimit = 20 * time.Second
+)
+
+var testRoute = route.Route{
+	Name: "jobs", Host: "h", Prefix: "/b/", Kind: route.KindBatch, MaxAttempts: 3, CompletionMillis: 18000,
+	MaxTokens: 1000, Shares: []route.Share{{Service: "s", Weight: 1}},
+}
+
+// fleet is what several runners share: a store, backend servers that fail at random, and who lives.
+type fleet struct {
+	lock    sync.Mutex
+	random  *rand.Rand
+	objects *fakeobjects.Store
+	alive   map[string]bool
+	used    int
+	// failing is the share of attempts that break off.
+	failing float64
+}
+
+func newFleet(seed uint64, failing float64) *fleet {
+	return &fleet{random: rand.New(rand.NewPCG(seed, 1)), objects: fakeobjects.New(), alive: map[string]bool{}, failing: failing}
+}
+
+func (f *fleet) chance(p float64) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+
+	return f.random.Float64() < p
+}
+
+func (f *fleet) Current() (*route.Table, int64) {
+	return &route.Table{Version: 1, Routes: []route.Route{testRoute}}, 1
+}
+
+func (f *fleet) Live() []string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	var names []string
+	for name, alive := range f.alive {
+		if alive {
+			names = append(names, name)
+		}
+	}
+
+	return names
+}
+
+func (f *fleet) Alive(name, _ string) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+
+	return f.alive[name]
+}
+
+func (f *fleet) Waiting(string) int                                { return 0 }
+func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool) { return a, false }
+func (f *fleet) Point() float64                                    { return 0 }
+func (f *fleet) Failed(string, string, time.Time)                  {}
+func (f *fleet) Succeeded(string)                                  {}
+func (f *fleet) Replaced(string)                                   {}
+
+func (f *fleet) Batch(string, map[string]bool, bool, time.Time) (backend.Server, func(), bool) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.used >= 6 {
+		return backend.Server{}, nil, false
+	}
+	f.used++
+
+	return backend.Server{ID: "w"}, func() {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		f.used--
+	}, true
+}
+
+// Send streams the events after one, and breaks off or refuses at random.
+func (f *fleet) Send(ctx context.Context, _ backend.Server, q *call.Call, after int64) (*answer.Answer, error) {
+	if f.chance(f.failing / 2) {
+		return nil, fault.New(fault.CodeOverloaded, "full")
+	}
+	if strings.Contains(q.Target, "poison") {
+		return &answer.Answer{Status: http.StatusUnprocessableEntity, Body: http.NoBody}, nil
+	}
+	r, w := io.Pipe()
+	go func() {
+		for n := after + 1; n <= testEvents; n++ {
+			select {
+			case <-time.After(time.Millisecond):
+			case <-ctx.Done():
+			}
+			if ctx.Err() != nil || f.chance(f.failing) {
+				_ = w.CloseWithError(io.ErrUnexpectedEOF)
+
+				return
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, q.ID, n)
+		}
+		_ = w.Close()
+	}()
+
+	return &answer.Answer{Status: http.StatusOK, Body: r}, nil
+}
+
+// start runs an instance until stop is called, which ends it as a kill does.
+func (f *fleet) start(name string) (r *Runner, stop func()) {
+	f.lock.Lock()
+	f.alive[name] = true
+	f.lock.Unlock()
+	logger := slog.New(slog.DiscardHandler)
+	l := logs.New(f.objects)
+	ask := func(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
+		return p, false, nil
+	}
+	r = New(l, f, f, f, f, f, jobread.New(l, f, ask, logger, time.Now), name, name, time.Hour, time.Now, logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+
+	return r, func() {
+		cancel()
+		<-done
+		f.lock.Lock()
+		f.alive[name] = false
+		f.lock.Unlock()
+	}
+}
+
+func newItems(job string, n int) []work.Item {
+	items := make([]work.Item, 0, n)
+	for i := range n {
+		target := "/b/1"
+		if i == 1 {
+			target = "/b/poison"
+		}
+		items = append(items, work.Item{ID: fmt.Sprintf("%s-%d", job, i), Target: target, Body: []byte("x"), Tokens: 10})
+	}
+
+	return items
+}
+
+// check reads all segments of a job and asserts that each item is listed once with its whole output.
+func check(t *testing.T, l *logs.Log, id string, items int) (whole bool) {
+	t.Helper()
+	var all []work.Result
+	for {
+		segment, err := l.Segment(t.Context(), id, len(all))
+		if err != nil || len(segment) == 0 {
+			break
+		}
+		all = append(all, segment...)
+	}
+	seen := map[string]bool{}
+	for _, r := range all {
+		if seen[r.Item] {
+			t.Fatalf("item %s is listed twice", r.Item)
+		}
+		seen[r.Item] = true
+		if strings.HasSuffix(r.Item, "-1") {
+			is.New(t).Equal(r.State, work.StateDead)
+
+			continue
+		}
+		var lines []string
+		for n := 1; n <= testEvents; n++ {
+			lines = append(lines, fmt.Sprintf("%s-%d", r.Item, n))
+		}
+		is.New(t).Equal(r.Text, strings.Join(lines, "\n"))
+	}
+
+	return len(all) == items
+}
+
+// Guards against items that are lost, listed twice or with a gap while writes fail, answers are lost, streams break off,
+// items are preempted and instances are killed, also while two instances believe to hold the same job.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(seed, 0.1)
+			f.objects.Choose(func(string) fault.Code {
+				switch {
+				case f.chance(0.1):
+					return fault.CodeOutcomeUnknown
+				case f.chance(0.1):
+					return fault.CodeStoreUnavailable
+				}
+
+				return ""
+			})
+			l := logs.New(f.objects)
+			first, stopFirst := f.start("e1")
+			second, stopSecond := f.start("e2")
+			accepted := []string{}
+			for n := range 6 {
+				id := fmt.Sprint("job", n)
+				j := work.Job{ID: id, Host: "h", Target: "/b/1", SubmittedAt: time.Now()}
+				for range 20 {
+					err := first.Submit(t.Context(), &testRoute, j, newItems(id, 4))
+					if err == nil {
+						accepted = append(accepted, id)
+
+						break
+					}
+				}
+				first.Preempt("w", 1)
+			}
+			time.Sleep(time.Duration(seed) * 20 * time.Millisecond)
+			// The second instance believes that the first one is gone while it still runs.
+			f.lock.Lock()
+			f.alive["e1"] = false
+			f.lock.Unlock()
+			_, _ = second.Adopt(t.Context())
+			stopFirst()
+			defer stopSecond()
+			for end := time.Now().Add(testLimit); ; time.Sleep(20 * time.Millisecond) {
+				left := 0
+				for _, id := range accepted {
+					if !check(t, l, id, 4) {
+						left++
+					}
+				}
+				if left == 0 {
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatalf("%d of %d jobs are not whole", left, len(accepted))
+				}
+				_, _ = second.Adopt(t.Context())
+			}
+			is.New(t).True(len(accepted) > 0)
+		})
+	}
+}
+
+// Guards against a stop that loses jobs: another instance takes them over with what was listed.
+func TestStopReleasesJobs(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	l := logs.New(f.objects)
+	first, stopFirst := f.start("e1")
+	second, stopSecond := f.start("e2")
+	defer stopSecond()
+	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 60)))
+	time.Sleep(60 * time.Millisecond)
+	first.Stop(t.Context(), time.Now().Add(testLimit))
+	_, released, _ := first.News()
+	is.Equal(released, []string{"j"})
+	stopFirst()
+	for end := time.Now().Add(testLimit); !check(t, l, "j", 60); time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(end))
+		is.NoErr(second.Released(t.Context(), "j"))
+	}
+	for end := time.Now().Add(testLimit); ; time.Sleep(10 * time.Millisecond) {
+		j, _, err := l.Job(t.Context(), "j")
+		is.NoErr(err)
+		is.Equal(j.Holder, "e2")
+		if j.Finished {
+			break
+		}
+		is.True(time.Now().Before(end)) // nobody would take a finished job over again
+	}
+}
+
+// Guards against tokens beyond the limit of a route, and against a refusal of a job that was accepted before.
+func TestTokenLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	f.used = 100 // nothing runs
+	first, stopFirst := f.start("e1")
+	defer stopFirst()
+	j := work.Job{ID: "a", Host: "h", Target: "/b/1", SubmittedAt: time.Now(), Tokens: 800}
+	items := []work.Item{{ID: "a-0", Target: "/b/1", Body: []byte("x"), Tokens: 800}}
+	is.NoErr(first.Submit(t.Context(), &testRoute, j, items))
+	other := j
+	other.ID = "b"
+	err := first.Submit(t.Context(), &testRoute, other, items)
+	is.Equal(fault.CodeOf(err), fault.CodeOverloaded)
+	is.NoErr(first.Submit(t.Context(), &testRoute, j, items))
+	is.NoErr(first.End(t.Context(), "a"))
+	is.NoErr(first.Submit(t.Context(), &testRoute, other, items))
+}
--- /dev/null
+++ b/internal/fakeobjects/store.go
@@ -0,0 +1,158 @@
+package fakeobjects
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"tarragonwalk/core/fault"
+)
+
+type object struct {
+	value    []byte
+	revision int64
+}
+
+// Store is safe for concurrent use.
+type Store struct {
+	// lock guards all fields below.
+	lock     sync.Mutex
+	objects  map[string]object
+	revision int64
+	fails    map[string]fault.Code
+	choose   func(kind string) fault.Code
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		objects: map[string]object{},
+		fails:   map[string]fault.Code{},
+	}
+}
+
+// FailNext makes the next write of a kind fail with a code; outcome_unknown carries the write out.
+func (s *Store) FailNext(kind string, code fault.Code) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.fails[kind] = code
+}
+
+// Choose makes each write fail with the code that choose returns for its kind, empty for success.
+func (s *Store) Choose(choose func(kind string) fault.Code) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.choose = choose
+}
+
+// Len returns the number of objects.
+func (s *Store) Len() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return len(s.objects)
+}
+
+// Largest returns the size of the largest object in bytes.
+func (s *Store) Largest() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n := 0
+	for _, o := range s.objects {
+		n = max(n, len(o.value))
+	}
+
+	return n
+}
+
+func (s *Store) failure(kind string) fault.Code {
+	code := s.fails[kind]
+	delete(s.fails, kind)
+	if code == "" && s.choose != nil {
+		code = s.choose(kind)
+	}
+
+	return code
+}
+
+// Create creates an object that must not exist.
+func (s *Store) Create(_ context.Context, kind, name string, value any) (int64, error) {
+	return s.write(kind, name, value, func(_ object, exists bool) bool { return !exists })
+}
+
+// Replace changes an object that has a revision.
+func (s *Store) Replace(_ context.Context, kind, name string, value any, revision int64) (int64, error) {
+	return s.write(kind, name, value, func(o object, exists bool) bool { return exists && o.revision == revision })
+}
+
+func (s *Store) write(kind, name string, value any, allowed func(o object, exists bool) bool) (int64, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	code := s.failure(kind)
+	if code == fault.CodeStoreUnavailable {
+		return 0, fault.New(code, "the store is down")
+	}
+	o, exists := s.objects[kind+"/"+name]
+	if !allowed(o, exists) {
+		return 0, fault.New(fault.CodeConflict, "the object exists or has another revision")
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return 0, err
+	}
+	s.revision++
+	s.objects[kind+"/"+name] = object{
+		value:    encoded,
+		revision: s.revision,
+	}
+	if code != "" {
+		return 0, fault.New(code, "the answer was lost")
+	}
+
+	return s.revision, nil
+}
+
+// Read decodes an object.
+func (s *Store) Read(_ context.Context, kind, name string, value any) (int64, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return 0, fault.New(fault.CodeNotFound, "no such object")
+	}
+
+	return o.revision, json.Unmarshal(o.value, value)
+}
+
+// List calls each with all objects of a kind in the order of their names.
+func (s *Store) List(_ context.Context, kind string, each func(name string, value json.RawMessage, revision int64)) error {
+	s.lock.Lock()
+	var names []string
+	for key := range s.objects {
+		if name, ok := strings.CutPrefix(key, kind+"/"); ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	found := make([]object, 0, len(names))
+	for _, name := range names {
+		found = append(found, s.objects[kind+"/"+name])
+	}
+	s.lock.Unlock()
+	for i, name := range names {
+		each(name, found[i].value, found[i].revision)
+	}
+
+	return nil
+}
+
+// Delete removes an object.
+func (s *Store) Delete(_ context.Context, kind, name string) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.objects, kind+"/"+name)
+
+	return nil
+}
