Do not suspect a busy server of silence

All callers returned at once, first events took over 150 ms, and each late one made its server a suspect for 400 ms, so that the load moved to ever fewer servers: 30 suspicions in one second, with no server at fault. Ruled out: lapsed entries (all servers were listed), takeover of jobs (16 items ran). Change: a server that has sent something for another request meanwhile is busy, not silent; the request still moves to a server with a free slot.

--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -45,7 +45,9 @@
 	// began is set once the caller has got the status line.
 	began     bool
 	startedAt time.Time
-	splitter  *eventstream.Splitter
+	// progressAt is when the current attempt was sent or last got something.
+	progressAt time.Time
+	splitter   *eventstream.Splitter
 	// next is a place that the watchdog reserved before it ended an attempt.
 	next *reservation
 }
@@ -65,7 +67,7 @@
 			e.forwarder.batch.Preempt(p.server.ID, n)
 		}
 		err := e.attempt(ctx, p)
-		e.forwarder.judge(ctx, p.server, err)
+		e.forwarder.judge(ctx, p.server, e.progressAt, err)
 		if err == nil {
 			e.dropNext()
 
@@ -148,6 +150,7 @@
 	defer cancel(nil)
 	w := e.watch(cancel)
 	defer w.stop()
+	e.progressAt = e.forwarder.now()
 	after := int64(0)
 	if e.splitter != nil {
 		after = e.splitter.Last()
@@ -159,7 +162,7 @@
 	}
 	defer a.Body.Close()
 	if a.Status == http.StatusOK && e.route.Kind == route.KindStream && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
-		return silent(ctx, e.stream(a, w))
+		return silent(ctx, e.stream(a, p.server, w))
 	}
 	if e.began {
 		return errStatus
@@ -202,7 +205,7 @@
 }
 
 // stream passes on whole events as they arrive.
-func (e *exchange) stream(a *answer.Answer, w *watchdog) error {
+func (e *exchange) stream(a *answer.Answer, s backend.Server, w *watchdog) error {
 	if e.splitter == nil {
 		e.splitter = eventstream.New(e.resumedAfter())
 	}
@@ -210,6 +213,8 @@
 	for {
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
+			e.progressAt = e.forwarder.now()
+			e.forwarder.roster.Progressed(s.ID, e.progressAt)
 			e.splitter.Feed(buffer[:n])
 			if err := e.deliver(a); err != nil {
 				return err
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -46,6 +46,8 @@
 
 type roster interface {
 	Failed(id, reason string, at time.Time)
+	Progressed(id string, at time.Time)
+	Silent(id string, since, at time.Time)
 	Succeeded(id string)
 	Replaced(id string)
 }
@@ -121,8 +123,8 @@
 	return limit
 }
 
-// judge updates what is believed of a server after an attempt on it.
-func (f *Forwarder) judge(ctx context.Context, s backend.Server, err error) {
+// judge updates what is believed of a server after an attempt on it that last made progress at progressAt.
+func (f *Forwarder) judge(ctx context.Context, s backend.Server, progressAt time.Time, err error) {
 	if err == nil {
 		f.roster.Succeeded(s.ID)
 
@@ -131,7 +133,7 @@
 	failures.Add(string(fault.CodeOf(err)), 1)
 	switch {
 	case errors.Is(err, errSilent):
-		f.roster.Failed(s.ID, "silent", f.now())
+		f.roster.Silent(s.ID, progressAt, f.now())
 	case ctx.Err() != nil, errors.Is(err, errSink):
 	case fault.CodeOf(err) == fault.CodeBackendLeaving:
 		f.roster.Replaced(s.ID)
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -87,6 +87,8 @@
 func (f *fake) Excess(backend.Server, time.Time) int { return 0 }
 func (f *fake) Preempt(string, int)                  {}
 func (f *fake) Failed(id, _ string, _ time.Time)     { f.failed = append(f.failed, id) }
+func (f *fake) Progressed(string, time.Time)         {}
+func (f *fake) Silent(id string, _, _ time.Time)     { f.failed = append(f.failed, id) }
 func (f *fake) Succeeded(string)                     {}
 func (f *fake) Replaced(string)                      {}
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -27,6 +27,8 @@
 	// strikes counts failures since the last success.
 	strikes        int
 	suspectedUntil time.Time
+	// progressAt is when the server last sent something for any request of this instance.
+	progressAt time.Time
 	// missingUntil is set for a server that an outage of the store removed from the list.
 	missingUntil time.Time
 	// refused is set when another server answered at the address.
@@ -150,6 +152,27 @@
 	return sum
 }
 
+// Progressed tells that a server has sent something.
+func (r *Roster) Progressed(id string, at time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if e := r.entries[id]; e != nil {
+		e.progressAt = at
+	}
+}
+
+// Silent suspects a server that has kept a request waiting since a moment, unless it has sent something for another one
+// meanwhile: it is busy then, and leaving it alone would only move the load to the others.
+func (r *Roster) Silent(id string, since, at time.Time) {
+	r.lock.Lock()
+	e := r.entries[id]
+	busy := e != nil && e.progressAt.After(since)
+	r.lock.Unlock()
+	if !busy {
+		r.Failed(id, "silent", at)
+	}
+}
+
 // Failed suspects a server for a time that grows with each failure in a row.
 func (r *Roster) Failed(id, reason string, at time.Time) {
 	r.lock.Lock()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -101,3 +101,15 @@
 	_, y = two.Version()
 	is.True(x != y)
 }
+
+// Guards against a burst that makes all busy servers suspects, so that the load moves to ever fewer of them.
+func TestBusyServerIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	r := New(slog.New(slog.DiscardHandler))
+	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
+	r.Progressed("a", start.Add(100*time.Millisecond))
+	r.Silent("a", start, start.Add(150*time.Millisecond))
+	is.Equal(usable(r, start.Add(150*time.Millisecond)), []string{"a"})
+	r.Silent("a", start.Add(150*time.Millisecond), start.Add(300*time.Millisecond))
+	is.Equal(usable(r, start.Add(300*time.Millisecond)), []string{})
+}
