--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -36,6 +36,8 @@
 	call      *call.Call
 	sink      sink
 	service   string
+	// queue is how many online requests a server may have for each slot.
+	queue float64
 	// tried holds the servers that have been asked.
 	tried map[string]bool
 	// ran counts attempts that may have run.
@@ -86,7 +88,7 @@
 		return p
 	}
 	at := e.forwarder.now()
-	s, release, ok := e.forwarder.placer.Online(e.service, e.tried, false, at)
+	s, release, ok := e.forwarder.placer.Online(e.service, e.tried, e.queue, at)
 	if !ok {
 		return nil
 	}
@@ -291,7 +293,7 @@
 	}
 
 	return newWatchdog(first, time.Duration(e.route.GapMillis)*time.Millisecond/2, func() bool {
-		s, release, ok := e.forwarder.placer.Online(e.service, e.tried, true, e.forwarder.now())
+		s, release, ok := e.forwarder.placer.Free(e.service, e.tried, e.forwarder.now())
 		if !ok {
 			return false
 		}
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -19,6 +19,11 @@
 const (
 	// maxRefusals bounds how many servers may refuse one request before the caller is told to come back.
 	maxRefusals = 4
+	// punctualQueue is how many online requests a server may have for each slot when a request comes that can still meet its
+	// objective. Behind a longer queue it would be late; its caller is told at once to come back instead.
+	punctualQueue = 1.25
+	// lateQueue is the same for a request that has missed its objective already, such as one that was sent again.
+	lateQueue = 2.5
 	// defaultTimeout bounds requests of routes and callers that name no time-out.
 	defaultTimeout = 60 * time.Second
 )
@@ -40,7 +45,8 @@
 
 type placer interface {
 	Point() float64
-	Online(service string, excluded map[string]bool, free bool, at time.Time) (s backend.Server, release func(), ok bool)
+	Online(service string, excluded map[string]bool, queue float64, at time.Time) (s backend.Server, release func(), ok bool)
+	Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool)
 	Excess(s backend.Server, at time.Time) int
 }
 
@@ -99,6 +105,7 @@
 		service:   r.Service(f.placer.Point()),
 		tried:     map[string]bool{},
 		startedAt: f.now(),
+		queue:     f.queue(r, q),
 	}
 	err := e.run(ctx)
 	outcome := "answered"
@@ -123,6 +130,20 @@
 	return limit
 }
 
+// queue returns how long a queue a request may join. A caller whose remaining time is shorter than the route's time-out by
+// more than the objective has tried before.
+func (f *Forwarder) queue(r *route.Route, q *call.Call) float64 {
+	if r.TimeoutMillis == 0 || q.Deadline.IsZero() {
+		return lateQueue
+	}
+	missed := time.Duration(r.TimeoutMillis-r.TargetMillis) * time.Millisecond
+	if q.Deadline.Sub(f.now()) < missed {
+		return lateQueue
+	}
+
+	return punctualQueue
+}
+
 // judge updates what is believed of a server after an attempt on it that last made progress at progressAt.
 func (f *Forwarder) judge(ctx context.Context, s backend.Server, progressAt time.Time, err error) {
 	if err == nil {
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -36,6 +36,7 @@
 	released int
 	failed   []string
 	free     bool
+	queues   []float64
 }
 
 func (f *fake) Send(ctx context.Context, s backend.Server, _ *call.Call, after int64) (*answer.Answer, error) {
@@ -74,9 +75,18 @@
 
 func (f *fake) Point() float64 { return 0 }
 
-func (f *fake) Online(_ string, excluded map[string]bool, free bool, _ time.Time) (backend.Server, func(), bool) {
+func (f *fake) Free(service string, excluded map[string]bool, at time.Time) (backend.Server, func(), bool) {
+	if !f.free {
+		return backend.Server{}, nil, false
+	}
+
+	return f.Online(service, excluded, 1, at)
+}
+
+func (f *fake) Online(_ string, excluded map[string]bool, queue float64, _ time.Time) (backend.Server, func(), bool) {
+	f.queues = append(f.queues, queue)
 	for _, id := range []string{"a", "b", "c"} {
-		if !excluded[id] && (!free || f.free) {
+		if !excluded[id] {
 			return backend.Server{ID: id}, func() { f.released++ }, true
 		}
 	}
@@ -201,3 +211,28 @@
 	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 	is.Equal(len(f.servers), 1)
 }
+
+// Guards against a burst that makes every request late: one that can still be on time joins short queues only, and one that
+// was refused before is not refused again for that.
+func TestQueue(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		want float64
+	}{
+		{"first attempt", 5 * time.Second, punctualQueue},
+		{"second attempt", 4 * time.Second, lateQueue},
+		{"no deadline", 0, lateQueue},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{replies: []reply{{status: 200, body: "ok"}}}
+			r := route.Route{Kind: route.KindIdempotent, TimeoutMillis: 5000, TargetMillis: 300}
+			q := &call.Call{ID: "1"}
+			if c.left > 0 {
+				q.Deadline = time.Now().Add(c.left)
+			}
+			is.New(t).NoErr(New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, q, &recorder{}))
+			is.New(t).Equal(f.queues, []float64{c.want})
+		})
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -13,8 +13,6 @@
 const (
 	// defaultSlots is used for servers that do not report their slots.
 	defaultSlots = 4
-	// queueRatio bounds the online requests on a server, queued ones included, as a multiple of its slots.
-	queueRatio = 2.5
 	// headroomRatio is the part of a server's slots that batch work with time to spare leaves free for online requests.
 	headroomRatio = 0.25
 	// urgentHeadroom is how many slots batch work that is nearly due leaves free.
@@ -76,24 +74,32 @@
 	return p.random.Float64()
 }
 
-// Online reserves a place for an online request; free demands a slot that no other request uses. The reservation ends
-// with a call of release.
-func (p *Placer) Online(service string, excluded map[string]bool, free bool, at time.Time) (s backend.Server, release func(), ok bool) {
+// Online reserves a place for an online request on a server where at most queue times its slots are taken by online
+// requests, free slots first. The reservation ends with a call of release.
+func (p *Placer) Online(service string, excluded map[string]bool, queue float64, at time.Time) (s backend.Server, release func(), ok bool) {
+	return p.place(service, excluded, []float64{1, queue}, func(slots, online, _ int, limit float64) bool {
+		return float64(online) < limit*float64(slots)
+	}, at)
+}
+
+// Free reserves a slot that no other request uses.
+func (p *Placer) Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool) {
+	return p.place(service, excluded, []float64{1}, func(slots, online, batch int, _ float64) bool {
+		return online+batch < slots
+	}, at)
+}
+
+// place tries each limit at each distance, and prefers servers with few requests, above all online ones.
+func (p *Placer) place(
+	service string, excluded map[string]bool, limits []float64, allowed func(slots, online, batch int, limit float64) bool, at time.Time,
+) (s backend.Server, release func(), ok bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	limits := []float64{1, queueRatio}
-	if free {
-		limits = limits[:1]
-	}
 	usable := p.roster.Usable(service, at)
 	for _, limit := range limits {
 		for distance := range distances {
 			s, ok := p.choose(usable, excluded, distance, at, func(slots, online, batch int) (float64, bool) {
-				if free && online+batch >= slots {
-					return 0, false
-				}
-
-				return float64(online+batch)/float64(slots) + float64(online)/float64(slots), float64(online) < limit*float64(slots)
+				return float64(2*online+batch) / float64(slots), allowed(slots, online, batch, limit)
 			})
 			if ok {
 				p.loads.Add(s.ID, 1, 0)
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -52,16 +52,16 @@
 	p := newPlacer(l, always{}, fleet("c", "b", "a", "a"))
 	counts := map[string]int{}
 	for range 32 {
-		s, _, ok := p.Online("s", nil, false, start)
+		s, _, ok := p.Online("s", nil, 1.25, start)
 		is.True(ok)
 		counts[s.Zone]++
 	}
 	is.Equal(counts, map[string]int{"a": 16, "b": 8, "c": 8})
-	_, _, ok := p.Online("s", nil, true, start)
+	_, _, ok := p.Free("s", nil, start)
 	is.True(!ok) // no slot is free
 	refused := 0
 	for range 100 {
-		if _, _, ok := p.Online("s", nil, false, start); !ok {
+		if _, _, ok := p.Online("s", nil, 1.25, start); !ok {
 			refused++
 		}
 	}
