Take over only jobs whose holder is known to be gone; show all results of a job

Ruled out: changed or lost segments (the positions in the store are whole), late writes (no write was without an answer). Change: a holder that was never heard of counts as alive for 3 s, unless another process of its instance was heard of; an instance that was paused gives the others that time again; one that hears nobody takes nothing over. A holder that others may have held for gone looks into the store before it answers that there is no further result.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -22,6 +22,10 @@
 	// in which the instance whose turn it is may start batch items.
 	turnWindow = 300 * time.Millisecond
 	turnUse    = 75 * time.Millisecond
+	// doubtAfter is how long an instance may be silent until it may hold this one for gone; it is shorter than goneAfter.
+	doubtAfter = 2 * time.Second
+	// pauseLimit is the time between two looks after which this process was paused.
+	pauseLimit = time.Second
 	// forgetAfter is how long beats are sent to an address that does not answer.
 	forgetAfter = 30 * time.Second
 )
@@ -44,15 +48,22 @@
 	// targets are addresses to which beats are sent, with the time at which they are forgotten.
 	targets map[netip.AddrPort]time.Time
 	changes int
+	// startedAt is when this instance began to listen, or went on after a pause.
+	startedAt time.Time
+	expiredAt time.Time
+	// doubtAt is when this instance last could not be sure that all others hear it.
+	doubtAt time.Time
 }
 
-// New returns a cluster of one.
-func New(self gossip.Member, log *slog.Logger) *Cluster {
+// New returns a cluster of one that listens from a moment on.
+func New(self gossip.Member, at time.Time, log *slog.Logger) *Cluster {
 	return &Cluster{
-		self:    self,
-		log:     log,
-		peers:   map[string]*peer{},
-		targets: map[netip.AddrPort]time.Time{},
+		self:      self,
+		log:       log,
+		peers:     map[string]*peer{},
+		startedAt: at,
+		doubtAt:   at,
+		targets:   map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -120,17 +131,28 @@
 	return true
 }
 
-// Expire marks instances that have fallen silent and returns a number that grows whenever the set of instances changes.
+// Expire marks instances that have fallen silent and returns a number that grows whenever the set of instances changes. It is
+// called several times a second.
 func (c *Cluster) Expire(at time.Time) int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.expiredAt.IsZero() || at.Sub(c.expiredAt) > pauseLimit {
+		// Beats that came during a pause are still to be read.
+		c.startedAt = at
+		c.doubtAt = at
+	}
+	c.expiredAt = at
 	for name, p := range c.peers {
-		if !p.gone && at.Sub(p.heardAt) > goneAfter {
+		silence := at.Sub(later(p.heardAt, c.startedAt))
+		if silence > doubtAfter {
+			c.doubtAt = at
+		}
+		if !p.gone && silence > goneAfter {
 			p.gone = true
 			c.changes++
 			c.log.Warn("instance gone", "peer", name, "incarnation", p.beat.Sender.Incarnation, "heard_at", p.heardAt)
 		}
-		if at.Sub(p.heardAt) > forgetAfter {
+		if silence > forgetAfter {
 			delete(c.peers, name)
 		}
 	}
@@ -143,6 +165,36 @@
 	return c.changes
 }
 
+// Doubted reports whether other instances may have held this one for gone since a moment, and may have taken its jobs over.
+func (c *Cluster) Doubted(since time.Time) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.doubtAt.After(since)
+}
+
+// Isolated reports whether this instance hears none of the several others that it knows, so that it is the one that is cut
+// off.
+func (c *Cluster) Isolated() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for _, p := range c.peers {
+		if !p.gone {
+			return false
+		}
+	}
+
+	return len(c.peers) > 1
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
 // Targets returns the addresses of other instances: those in the own zone, and all others.
 func (c *Cluster) Targets() (near, far []netip.AddrPort) {
 	c.lock.Lock()
@@ -182,16 +234,20 @@
 	return names
 }
 
-// Alive reports whether a process of an instance may still be running.
-func (c *Cluster) Alive(name, incarnation string) bool {
+// Alive reports whether a process of an instance may still be running. One that was never heard of may be, for as long as it
+// takes to hear of it; if another process of the same instance was heard of, the earlier one has ended.
+func (c *Cluster) Alive(name, incarnation string, at time.Time) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if name == c.self.Name {
 		return incarnation == c.self.Incarnation
 	}
 	p := c.peers[name]
+	if p == nil {
+		return name != "" && at.Sub(c.startedAt) <= goneAfter
+	}
 
-	return p != nil && !p.gone && p.beat.Sender.Incarnation == incarnation
+	return !p.gone && p.beat.Sender.Incarnation == incarnation
 }
 
 // Serving returns the instances that callers may use, those of a zone or, with an empty zone, all.
--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -25,6 +25,9 @@
 // Adopt looks for jobs without a live holder and takes over those whose turn it is for this instance; it reports whether
 // jobs without a holder remain.
 func (r *Runner) Adopt(ctx context.Context) (remain bool, err error) {
+	if r.cluster.Isolated() {
+		return true, nil
+	}
 	jobs, revisions, err := r.log.Jobs(ctx)
 	if err != nil {
 		return true, err
@@ -36,7 +39,15 @@
 	for i := range jobs {
 		j, revision := jobs[i], revisions[i]
 		old := at.Sub(j.SubmittedAt) > r.keepFor+clockSkew
-		if !r.orphan(&j) || j.Finished && !old {
+		if j.Finished && !old {
+			continue
+		}
+		if !r.orphan(&j) {
+			// Its holder may not have been heard of yet.
+			if !r.holds(j.ID) && !r.cluster.Alive(j.Holder, j.Incarnation, at.Add(time.Hour)) {
+				left.Store(true)
+			}
+
 			continue
 		}
 		seen[j.ID] = true
@@ -80,6 +91,13 @@
 	r.remove(ctx, j, starts)
 }
 
+func (r *Runner) holds(id string) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return r.jobs[id] != nil
+}
+
 // orphan reports whether no live process runs a job. That includes one whose record names this process though it does not
 // run it: the answer to its takeover was lost.
 func (r *Runner) orphan(j *work.Job) bool {
@@ -90,7 +108,7 @@
 	}
 	mine := j.Holder == r.name && j.Incarnation == r.incarnation
 
-	return mine || !r.cluster.Alive(j.Holder, j.Incarnation)
+	return mine || !r.cluster.Alive(j.Holder, j.Incarnation, r.now())
 }
 
 // myTurn lets instances take a job over in the order of their rendezvous weight, each after a delay.
@@ -142,6 +160,7 @@
 		return err
 	}
 	j.Holder, j.Incarnation, j.revision = r.name, r.incarnation, revision
+	j.doubtedUntil = r.now().Add(lateWrites)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if _, ended := r.ended[record.ID]; ended {
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -75,6 +75,7 @@
 	case err == nil:
 		r.logger.Info("item completed", "job", j.ID, "item", it.ID, "server", s.ID, "run_ms", at.Sub(it.startedAt).Milliseconds(),
 			"age_ms", at.Sub(j.SubmittedAt).Milliseconds(), "first_event", first, "last_event", it.last)
+		r.pace.observe(at.Sub(it.startedAt), it.last-first, it.last)
 		itemAges.Record(at.Sub(j.SubmittedAt))
 		j.finish(it, work.StateCompleted, at)
 	case errors.Is(err, errInvalid):
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
 
@@ -45,6 +46,10 @@
 	pendingSince time.Time
 	flushing     bool
 	retryAt      time.Time
+	// verifiedAt is when the store was last asked whether another instance has listed results, doubtedUntil how long that is
+	// likely.
+	verifiedAt   time.Time
+	doubtedUntil time.Time
 	ended        bool
 	released     bool
 	// changed is closed when results are listed or the job ends.
@@ -113,6 +118,11 @@
 	j.notify()
 }
 
+// due returns when the results of the job are due.
+func (j *job) due(rt *route.Route) time.Time {
+	return j.SubmittedAt.Add(time.Duration(rt.CompletionMillis) * time.Millisecond)
+}
+
 // complete reports whether all items are listed.
 func (j *job) complete() bool {
 	return len(j.results) >= j.Items
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -1,6 +1,7 @@
 package jobrun
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -25,6 +26,10 @@
 	acceptTimeout = 3500 * time.Millisecond
 	// newsLife is how long ended and released jobs are repeated to other instances.
 	newsLife = 4 * time.Second
+	// verifyInterval is how often the store is asked for results of one job that another instance may have listed.
+	verifyInterval = 400 * time.Millisecond
+	// lateWrites is how long after a takeover a write of the holder before may still take effect.
+	lateWrites = 8 * time.Second
 	// clockSkew is added before an item is given up by the time of another instance's clock.
 	clockSkew = 2 * time.Second
 )
@@ -63,7 +68,9 @@
 
 type cluster interface {
 	Live() []string
-	Alive(name, incarnation string) bool
+	Alive(name, incarnation string, at time.Time) bool
+	Doubted(since time.Time) bool
+	Isolated() bool
 	Waiting(route string) int
 }
 
@@ -98,6 +105,7 @@
 	released   map[string]time.Time
 	orphans    map[string]time.Time
 	stopping   bool
+	pace       estimate
 	wake       chan struct{}
 }
 
@@ -257,9 +265,12 @@
 		total, results, changed := j.Items, j.results, j.changed
 		r.lock.Unlock()
 		wait := until.Sub(r.now())
-		if len(results) > after || len(results) >= total || wait <= 0 {
+		if len(results) > after || len(results) >= total {
 			return jobpage.Cut(total, results, after), true
 		}
+		if wait <= 0 {
+			return r.readDoubted(ctx, j, after)
+		}
 		select {
 		case <-changed:
 		case <-time.After(wait):
@@ -269,6 +280,37 @@
 	}
 }
 
+// readDoubted answers a read for which there is no result in memory. If another instance may have listed results of the job, it
+// looks at the store first; false if that fails.
+func (r *Runner) readDoubted(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
+	at := r.now()
+	r.lock.Lock()
+	position := len(j.results)
+	doubted := r.cluster.Doubted(j.verifiedAt) || at.Before(j.doubtedUntil)
+	recent := at.Sub(j.verifiedAt) < verifyInterval
+	r.lock.Unlock()
+	if doubted && !recent {
+		found, err := r.log.Segment(ctx, j.ID, position)
+		if err != nil {
+			return jobpage.Page{}, false
+		}
+		if len(found) > 0 {
+			r.logger.Warn("results of another instance found", "job", j.ID, "position", position, "results", len(found))
+			r.checkHolder(ctx, j)
+		}
+		r.lock.Lock()
+		if len(j.results) == position {
+			j.list(found)
+		}
+		j.verifiedAt = at
+		r.lock.Unlock()
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return jobpage.Cut(j.Items, j.results, after), true
+}
+
 // Body returns the body of an item that is not listed yet; false if there is no such item.
 func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, bool, error) {
 	r.lock.Lock()
@@ -359,23 +401,36 @@
 	return len(r.jobs), waitingItems, runningItems
 }
 
-// Preempt stops up to count of the newest items on a server; they are continued later after their last event.
+// Preempt stops up to count items on a server, those that are late first and then those with the most time left; they are
+// continued later after their last event.
 func (r *Runner) Preempt(server string, count int) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	var list []*item
+	at := r.now()
+	var list []candidate
 	for _, j := range r.jobs {
+		rt := r.routeOf(&j.Job)
 		for _, it := range j.items {
-			if it.state == running && it.server == server && it.cancel != nil {
-				list = append(list, it)
+			if rt == nil || it.state != running || it.server != server || it.cancel == nil {
+				continue
 			}
+			due := j.due(rt)
+			list = append(list, candidate{
+				job:  j,
+				item: it,
+				due:  due,
+				late: r.late(it, due, at),
+			})
 		}
 	}
-	slices.SortFunc(list, func(a, b *item) int { return b.startedAt.Compare(a.startedAt) })
-	for _, it := range list[:min(count, len(list))] {
-		r.logger.Info("item preempted", "item", it.ID, "server", server, "last_event", it.last)
-		it.cancel(errPreempted)
-		it.cancel = nil
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(compareCandidates(b, a), b.item.startedAt.Compare(a.item.startedAt))
+	})
+	for _, c := range list[:min(count, len(list))] {
+		r.logger.Info("item preempted", "job", c.job.ID, "item", c.item.ID, "server", server, "last_event", c.item.last, "due", c.due,
+			"late", c.late)
+		c.item.cancel(errPreempted)
+		c.item.cancel = nil
 	}
 }
 
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -18,6 +18,8 @@
 	// urgentBefore is how long before a job is due its items use places that others leave free: twice the time that an
 	// item of ordinary length takes.
 	urgentBefore = 12 * time.Second
+	// shortItem is the part of the usual time that a short item takes.
+	shortItem = 0.6
 	// retryPause is the pause after a failed write.
 	retryPause = 250 * time.Millisecond
 )
@@ -28,6 +30,22 @@
 	item  *item
 	route *route.Route
 	due   time.Time
+	// late is set if the item cannot be done in time any more.
+	late bool
+}
+
+// compareCandidates puts the item that is due first at the front, but those that are late behind all others: when there is
+// more work than places, serving them first would make every item late by a little.
+func compareCandidates(a, b candidate) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+
+		return -1
+	}
+
+	return a.due.Compare(b.due)
 }
 
 // step starts what can start, lists what is due and settles submissions without an answer.
@@ -65,10 +83,10 @@
 	}
 }
 
-// start gives places to waiting items, those of the job that is due first going first.
+// start gives places to waiting items.
 func (r *Runner) start(ctx context.Context, at time.Time) {
 	list := r.candidates(at)
-	slices.SortStableFunc(list, func(a, b candidate) int { return a.due.Compare(b.due) })
+	slices.SortStableFunc(list, compareCandidates)
 	full := map[string]bool{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.Point())
@@ -117,11 +135,13 @@
 				r.logger.Info("item given up", "job", j.ID, "item", it.ID, "cause", "too old", "submitted_at", j.SubmittedAt)
 				j.finish(it, work.StateDead, at)
 			default:
+				due := j.due(rt)
 				list = append(list, candidate{
 					job:   j,
 					item:  it,
 					route: rt,
-					due:   j.SubmittedAt.Add(time.Duration(rt.CompletionMillis) * time.Millisecond),
+					due:   due,
+					late:  r.late(it, due, at),
 				})
 			}
 		}
@@ -130,6 +150,11 @@
 	return list
 }
 
+// late reports whether an item cannot be done in time even if it is much shorter than most.
+func (r *Runner) late(it *item, due, at time.Time) bool {
+	return at.Add(time.Duration(shortItem * float64(r.pace.left(it.last)))).After(due)
+}
+
 // write lists results; after a conflict it reads what another writer has listed.
 func (r *Runner) write(ctx context.Context, j *job, position int, results []work.Result) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- /dev/null
+++ b/core/jobrun/step_test.go
@@ -0,0 +1,57 @@
+package jobrun
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a backlog in which every item is late by a little: with places for 8 of 10 items in each deadline, and the
+// deadlines moving on, most items have to be in time. This is the pattern of the days on which the store was down and all
+// jobs came at once afterwards.
+func TestBacklogKeepsMostItemsInTime(t *testing.T) {
+	is := is.New(t)
+	const run, allowed = 5, 18 // seconds
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var waiting []candidate
+	inTime, late := 0, 0
+	for second := range 300 {
+		now := at.Add(time.Duration(second) * time.Second)
+		// A tenth more arrives than the places can do.
+		for range []int{2, 2, 2, 2, 1}[second%5] {
+			waiting = append(waiting, candidate{due: now.Add(allowed * time.Second)})
+		}
+		for i := range waiting {
+			waiting[i].late = now.Add(run * time.Second).After(waiting[i].due)
+		}
+		slices.SortStableFunc(waiting, compareCandidates)
+		// Eight places and runs of five seconds: 8 starts in 5 s.
+		for range []int{2, 2, 1, 2, 1}[second%5] {
+			if len(waiting) == 0 {
+				break
+			}
+			if waiting[0].late {
+				late++
+			} else {
+				inTime++
+			}
+			waiting = waiting[1:]
+		}
+	}
+	is.True(inTime > 9*(inTime+late)/10)
+}
+
+// Guards against an estimate that takes the progress of an item for nothing, or an item longer than most for done.
+func TestEstimate(t *testing.T) {
+	is := is.New(t)
+	e := estimate{}
+	is.Equal(e.left(0), time.Duration(0)) // nothing is known
+	e.observe(5*time.Second, 200, 200)
+	is.Equal(e.left(0), 5*time.Second)
+	is.Equal(e.left(100), 2500*time.Millisecond)
+	is.Equal(e.left(400), 500*time.Millisecond)
+	e.observe(time.Second, 0, 200) // a run without events says nothing
+	is.Equal(e.left(0), 5*time.Second)
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -14,9 +14,10 @@
 	// defaultSlots is used for servers that do not report their slots.
 	defaultSlots = 4
 	// headroomRatio is the part of a server's slots that batch work with time to spare leaves free for online requests.
-	headroomRatio = 0.25
-	// urgentHeadroom is how many slots batch work that is nearly due leaves free.
-	urgentHeadroom = 1
+	headroomRatio = 0.125
+	// urgentHeadroom is how many slots batch work that is nearly due leaves free. An online request that comes then takes the
+	// place of a batch item, which costs it a few milliseconds.
+	urgentHeadroom = 0
 )
 
 // Distances of a backend server from the instance.
@@ -121,7 +122,7 @@
 		s, ok := p.choose(usable, excluded, distance, at, func(slots, online, batch int) (float64, bool) {
 			headroom := urgentHeadroom
 			if !urgent {
-				headroom = max(urgentHeadroom, int(math.Round(headroomRatio*float64(slots))))
+				headroom = max(1, int(math.Round(headroomRatio*float64(slots))))
 			}
 
 			return float64(online+batch) / float64(slots), online+batch < max(1, slots-headroom)
