--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -219,10 +219,10 @@
 			t.Parallel()
 			f := newFleet(seed, 0.1)
 			f.objects.Choose(func(string) fault.Code {
-				switch {
-				case f.chance(0.1):
+				if f.chance(0.1) {
 					return fault.CodeOutcomeUnknown
-				case f.chance(0.1):
+				}
+				if f.chance(0.1) {
 					return fault.CodeStoreUnavailable
 				}
 
