Split long files and judge attempts in one place

What an attempt tells of a backend server was decided twice, for requests and for batch items; the roster decides it now. TestStopReleasesJobs failed once: its job of 60 items was finished before the stop began, as the traced timing shows (six places, some 6 ms an item, 60 ms until the stop). The job has 600 items now, so that it is always stopped in the middle.

--- /dev/null
+++ b/core/cluster/state.go
@@ -0,0 +1,124 @@
+package cluster
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/rendezvous"
+)
+
+// Waiting returns the waiting tokens of a batch route that all other instances report.
+func (c *Cluster) Waiting(route string) int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	n := 0
+	for _, p := range c.peers {
+		if !p.gone {
+			n += p.beat.Waiting[route]
+		}
+	}
+
+	return n
+}
+
+// Ahead returns the address of an instance that has a newer route table or a newer and different server list, false if
+// there is none.
+func (c *Cluster) Ahead(routeVersion, serverRevision int64, serverDigest uint64) (netip.AddrPort, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for _, p := range c.peers {
+		newerList := int64(p.beat.ServerRevision) > serverRevision && p.beat.ServerDigest != int(serverDigest) //nolint:gosec // only compared
+		if !p.gone && (int64(p.beat.RouteVersion) > routeVersion || newerList) {
+			return p.beat.Sender.Peer, true
+		}
+	}
+
+	return netip.AddrPort{}, false
+}
+
+// CheckedAt returns when an instance with the same state as this one last knew that it was the store's newest, zero if none
+// did.
+func (c *Cluster) CheckedAt(routeVersion int64, serverDigest uint64) time.Time {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var last time.Time
+	for _, p := range c.peers {
+		same := int64(p.beat.RouteVersion) == routeVersion && p.beat.ServerDigest == int(serverDigest) //nolint:gosec // only compared
+		if p.gone || !same || p.beat.CheckedMillis < 0 {
+			continue
+		}
+		if at := p.heardAt.Add(-time.Duration(p.beat.CheckedMillis) * time.Millisecond); at.After(last) {
+			last = at
+		}
+	}
+
+	return last
+}
+
+// Holder returns the address of a process, false if it is not known to live.
+func (c *Cluster) Holder(name, incarnation string) (netip.AddrPort, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	p := c.peers[name]
+	if p == nil || p.gone || p.beat.Sender.Incarnation != incarnation {
+		return netip.AddrPort{}, false
+	}
+
+	return p.beat.Sender.Peer, true
+}
+
+// StoreRelay returns the address of an instance that reaches the store, preferably of the own zone, false if there is none.
+func (c *Cluster) StoreRelay(at time.Time) (netip.AddrPort, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var best *peer
+	for _, p := range c.peers {
+		if p.beat.StoreLost || p.beat.Sender.Leaving || at.Sub(p.heardAt) > silentAfter {
+			continue
+		}
+		if best == nil || p.beat.Sender.Zone == c.self.Zone && best.beat.Sender.Zone != c.self.Zone {
+			best = p
+		}
+	}
+	if best == nil {
+		return netip.AddrPort{}, false
+	}
+
+	return best.beat.Sender.Peer, true
+}
+
+// Turn reports whether it is this instance's turn to start batch items on a backend server. Counts of other instances
+// arrive late; if all of them filled the same free places at once, most of the items would be preempted again. The turn
+// passes on at random; every other time only instances of the server's zone have it.
+func (c *Cluster) Turn(server, zone string, at time.Time) bool {
+	window := at.UnixNano() / int64(turnWindow)
+	if at.UnixNano()%int64(turnWindow) > int64(turnUse) {
+		return false
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	var all, local []string
+	add := func(m gossip.Member) {
+		if m.Leaving {
+			return
+		}
+		all = append(all, m.Name)
+		if m.Zone == zone {
+			local = append(local, m.Name)
+		}
+	}
+	add(c.self)
+	for _, p := range c.peers {
+		if at.Sub(p.heardAt) <= silentAfter {
+			add(p.beat.Sender)
+		}
+	}
+	names := all
+	if window%2 == 0 && len(local) > 0 {
+		names = local
+	}
+
+	return rendezvous.Highest(server+strconv.FormatInt(window, 10), names) == c.self.Name
+}
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -51,11 +51,8 @@
 }
 
 type roster interface {
-	Failed(id, reason string, at time.Time)
 	Progressed(id string, at time.Time)
-	Silent(id string, since, at time.Time)
-	Succeeded(id string)
-	Replaced(id string)
+	Judge(id string, err error, progressAt, at time.Time)
 }
 
 type preempter interface {
@@ -144,21 +141,13 @@
 	return punctualQueue
 }
 
-// judge updates what is believed of a server after an attempt on it that last made progress at progressAt.
+// judge lets the roster know how an attempt ended that last made progress at progressAt.
 func (f *Forwarder) judge(ctx context.Context, s backend.Server, progressAt time.Time, err error) {
-	if err == nil {
-		f.roster.Succeeded(s.ID)
-
-		return
+	if err != nil {
+		failures.Add(string(fault.CodeOf(err)), 1)
 	}
-	failures.Add(string(fault.CodeOf(err)), 1)
-	switch {
-	case errors.Is(err, errSilent):
-		f.roster.Silent(s.ID, progressAt, f.now())
-	case ctx.Err() != nil, errors.Is(err, errSink):
-	case fault.CodeOf(err) == fault.CodeBackendLeaving:
-		f.roster.Replaced(s.ID)
-	case fault.CodeOf(err) == fault.CodeBackendUnreachable:
-		f.roster.Failed(s.ID, "unreachable", f.now())
+	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil {
+		return
 	}
+	f.roster.Judge(s.ID, err, progressAt, f.now())
 }
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -96,11 +96,13 @@
 
 func (f *fake) Excess(backend.Server, time.Time) int { return 0 }
 func (f *fake) Preempt(string, int)                  {}
-func (f *fake) Failed(id, _ string, _ time.Time)     { f.failed = append(f.failed, id) }
 func (f *fake) Progressed(string, time.Time)         {}
-func (f *fake) Silent(id string, _, _ time.Time)     { f.failed = append(f.failed, id) }
-func (f *fake) Succeeded(string)                     {}
-func (f *fake) Replaced(string)                      {}
+
+func (f *fake) Judge(id string, err error, _, _ time.Time) {
+	if err != nil {
+		f.failed = append(f.failed, id)
+	}
+}
 
 type recorder struct {
 	status int
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -59,7 +59,9 @@
 func (r *Runner) runItem(ctx context.Context, j *job, it *item, rt *route.Route, s backend.Server) {
 	first := it.last
 	err := r.attempt(ctx, j, it, s)
-	r.judge(ctx, s, err)
+	if err == nil || ctx.Err() == nil {
+		r.roster.Judge(s.ID, err, r.now(), r.now())
+	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	defer r.signal()
@@ -97,20 +99,6 @@
 	}
 }
 
-func (r *Runner) judge(ctx context.Context, s backend.Server, err error) {
-	switch {
-	case err == nil:
-		r.roster.Succeeded(s.ID)
-	case errors.Is(err, errSilent):
-		r.roster.Failed(s.ID, "silent", r.now())
-	case ctx.Err() != nil:
-	case fault.CodeOf(err) == fault.CodeBackendLeaving:
-		r.roster.Replaced(s.ID)
-	case fault.CodeOf(err) == fault.CodeBackendUnreachable:
-		r.roster.Failed(s.ID, "unreachable", r.now())
-	}
-}
-
 func (r *Runner) attempt(ctx context.Context, j *job, it *item, s backend.Server) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- /dev/null
+++ b/core/jobrun/list.go
@@ -0,0 +1,124 @@
+package jobrun
+
+import (
+	"context"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/work"
+)
+
+// write lists results; after a conflict it reads what another writer has listed.
+func (r *Runner) write(ctx context.Context, j *job, position int, results []work.Result) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := r.log.Append(ctx, j.ID, position, results, r.incarnation)
+	if fault.CodeOf(err) == fault.CodeConflict {
+		results, err = r.log.Segment(ctx, j.ID, position)
+		if err == nil {
+			r.checkHolder(ctx, j)
+		}
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	j.flushing = false
+	if err != nil {
+		j.retryAt = r.now().Add(retryPause)
+		r.logger.Warn("results not listed", "job", j.ID, "position", position, "results", len(results), "error", err.Error())
+
+		return
+	}
+	j.list(results)
+	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items)
+}
+
+// checkHolder gives a job up if another instance has taken it over.
+func (r *Runner) checkHolder(ctx context.Context, j *job) {
+	record, revision, err := r.log.Job(ctx, j.ID)
+	if err != nil || record.Holder == r.name && record.Incarnation == r.incarnation {
+		return
+	}
+	r.logger.Warn("job lost to another instance", "job", j.ID, "holder", record.Holder, "revision", revision)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.drop(j)
+}
+
+// drop stops the items of a job that this instance no longer holds.
+func (r *Runner) drop(j *job) {
+	delete(r.jobs, j.ID)
+	j.released = true
+	for _, it := range j.items {
+		if it.cancel != nil {
+			it.cancel(errReleased)
+		}
+	}
+	j.notify()
+}
+
+// settle repeats a submission whose answer was lost until its outcome is known.
+func (r *Runner) settle(ctx context.Context, id string, j *job) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	items := make([]work.Item, 0, len(j.items))
+	for _, it := range j.items {
+		items = append(items, it.Item)
+	}
+	record := j.Job
+	revision, err := r.log.Accept(ctx, &record, items)
+	held := err == nil
+	if fault.CodeOf(err) == fault.CodeConflict {
+		var found *work.Job
+		found, revision, err = r.log.Job(ctx, id)
+		held = err == nil && found.Holder == r.name && found.Incarnation == r.incarnation
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	j.flushing = false
+	if err != nil {
+		j.retryAt = r.now().Add(retryPause)
+
+		return
+	}
+	delete(r.unsettled, id)
+	j.Parts = record.Parts
+	j.revision = revision
+	if held {
+		r.jobs[id] = j
+	}
+	j.notify()
+	r.logger.Info("job submission settled", "job", id, "held", held)
+}
+
+// close records that all items of a job are listed.
+func (r *Runner) close(ctx context.Context, j *job) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	record, revision := j.Job, j.revision
+	record.Finished = true
+	var err error
+	if revision == 0 {
+		_, revision, err = r.log.Job(ctx, j.ID)
+	}
+	if err == nil {
+		revision, err = r.log.Update(ctx, record, revision)
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	j.flushing = false
+	switch fault.CodeOf(err) {
+	case "", fault.CodeConflict:
+		// After a conflict another instance holds the job and closes it.
+		j.Finished = true
+		j.revision = revision
+	default:
+		j.retryAt = r.now().Add(retryPause)
+		r.logger.Warn("job not closed", "job", j.ID, "error", err.Error())
+	}
+}
+
+func (r *Runner) remove(ctx context.Context, j *work.Job, starts []int) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := r.log.Remove(ctx, j, starts)
+	r.logger.Info("old job removed", "job", j.ID, "submitted_at", j.SubmittedAt, "error", text(err))
+}
--- /dev/null
+++ b/core/jobrun/read.go
@@ -0,0 +1,99 @@
+package jobrun
+
+import (
+	"context"
+	"time"
+
+	"tarragonwalk/core/jobpage"
+)
+
+// Read returns results of a job from a position on and waits for one until the given time; code not_found if there is no
+// such job, store_unavailable if that is not sure.
+func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+	page, held := r.ReadHeld(ctx, id, after, until)
+	if held {
+		return page, nil
+	}
+	if ctx.Err() != nil {
+		return jobpage.Page{}, ctx.Err()
+	}
+
+	return r.reader.Read(ctx, id, after, until)
+}
+
+// ReadHeld is Read for a job that this instance holds; false if it does not, or if ctx has ended.
+func (r *Runner) ReadHeld(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool) {
+	for {
+		r.lock.Lock()
+		j := r.jobs[id]
+		if j == nil {
+			r.lock.Unlock()
+
+			return jobpage.Page{}, false
+		}
+		total, results, changed := j.Items, j.results, j.changed
+		r.lock.Unlock()
+		wait := until.Sub(r.now())
+		if len(results) > after || len(results) >= total {
+			return jobpage.Cut(total, results, after), true
+		}
+		if wait <= 0 {
+			return r.readDoubted(ctx, j, after)
+		}
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return jobpage.Page{}, false
+		}
+	}
+}
+
+// readDoubted answers a read for which there is no result in memory. If another instance may have listed results of the job, it
+// looks at the store first; false if that fails.
+func (r *Runner) readDoubted(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
+	at := r.now()
+	r.lock.Lock()
+	position := len(j.results)
+	doubted := r.cluster.Doubted(j.verifiedAt) || at.Before(j.doubtedUntil)
+	recent := at.Sub(j.verifiedAt) < verifyInterval
+	r.lock.Unlock()
+	if doubted && !recent {
+		found, err := r.log.Segment(ctx, j.ID, position)
+		if err != nil {
+			return jobpage.Page{}, false
+		}
+		if len(found) > 0 {
+			r.logger.Warn("results of another instance found", "job", j.ID, "position", position, "results", len(found))
+			r.checkHolder(ctx, j)
+		}
+		r.lock.Lock()
+		if len(j.results) == position {
+			j.list(found)
+		}
+		j.verifiedAt = at
+		r.lock.Unlock()
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return jobpage.Cut(j.Items, j.results, after), true
+}
+
+// Body returns the body of an item that is not listed yet; false if there is no such item.
+func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, bool, error) {
+	r.lock.Lock()
+	if j := r.jobs[id]; j != nil {
+		for _, it := range j.items {
+			if it.ID == name && it.Body != nil {
+				body := it.Body
+				r.lock.Unlock()
+
+				return body, true, nil
+			}
+		}
+	}
+	r.lock.Unlock()
+
+	return r.reader.Body(ctx, id, name)
+}
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -13,7 +13,6 @@
 	"tarragonwalk/core/answer"
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
-	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
@@ -57,9 +56,7 @@
 }
 
 type roster interface {
-	Failed(id, reason string, at time.Time)
-	Succeeded(id string)
-	Replaced(id string)
+	Judge(id string, err error, progressAt, at time.Time)
 }
 
 type routes interface {
@@ -153,182 +150,6 @@
 	}
 }
 
-// Submit accepts a job. Code overloaded: its tokens do not fit the route's limit; store_unavailable: nothing was done;
-// outcome_unknown: the job may have been accepted. A job that was accepted before is accepted again.
-func (r *Runner) Submit(ctx context.Context, rt *route.Route, j work.Job, items []work.Item) error {
-	j.Holder = r.name
-	j.Incarnation = r.incarnation
-	j.Items = len(items)
-	r.lock.Lock()
-	held := r.jobs[j.ID] != nil
-	_, open := r.unsettled[j.ID]
-	tokens := r.waitingTokens(rt.Name)
-	stopping := r.stopping
-	r.lock.Unlock()
-	if held {
-		return nil
-	}
-	if open {
-		return fault.New(fault.CodeOutcomeUnknown, "an earlier submission of the job is not settled yet")
-	}
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	peers := r.cluster.Waiting(rt.Name)
-	if rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || stopping {
-		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
-	}
-	r.countSubmission(j.ID, 1)
-	defer r.countSubmission(j.ID, -1)
-	revision, err := r.log.Accept(ctx, &j, items)
-	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
-		"waiting_peers", peers, "parts", j.Parts, "error", text(err))
-	n := newJob(j, items)
-	n.revision = revision
-	settled := n.changed
-	switch fault.CodeOf(err) {
-	case "":
-		r.lock.Lock()
-		r.jobs[j.ID] = n
-		r.signal()
-		r.lock.Unlock()
-
-		return nil
-	case fault.CodeConflict:
-		return nil
-	case fault.CodeOutcomeUnknown:
-		r.lock.Lock()
-		r.unsettled[j.ID] = n
-		r.signal()
-		r.lock.Unlock()
-		select {
-		case <-settled:
-			return nil
-		case <-ctx.Done():
-			return err
-		}
-	default:
-		return err
-	}
-}
-
-func (r *Runner) countSubmission(id string, n int) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.submitting[id] += n
-	if r.submitting[id] == 0 {
-		delete(r.submitting, id)
-	}
-}
-
-// refuse answers a job that does not fit, unless it was accepted before.
-func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
-	_, _, err := r.log.Job(ctx, j.ID)
-	if err == nil {
-		return nil
-	}
-	if fault.CodeOf(err) != fault.CodeNotFound {
-		return err
-	}
-	r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "tokens", j.Tokens, "waiting", tokens, "limit", rt.MaxTokens,
-		"stopping", stopping)
-	if stopping {
-		return fault.New(fault.CodeNotRun, "the instance is stopping")
-	}
-
-	return fault.New(fault.CodeOverloaded, "the job does not fit the tokens that may wait on its route")
-}
-
-// Read returns results of a job from a position on and waits for one until the given time; code not_found if there is no
-// such job, store_unavailable if that is not sure.
-func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
-	page, held := r.ReadHeld(ctx, id, after, until)
-	if held {
-		return page, nil
-	}
-	if ctx.Err() != nil {
-		return jobpage.Page{}, ctx.Err()
-	}
-
-	return r.reader.Read(ctx, id, after, until)
-}
-
-// ReadHeld is Read for a job that this instance holds; false if it does not, or if ctx has ended.
-func (r *Runner) ReadHeld(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool) {
-	for {
-		r.lock.Lock()
-		j := r.jobs[id]
-		if j == nil {
-			r.lock.Unlock()
-
-			return jobpage.Page{}, false
-		}
-		total, results, changed := j.Items, j.results, j.changed
-		r.lock.Unlock()
-		wait := until.Sub(r.now())
-		if len(results) > after || len(results) >= total {
-			return jobpage.Cut(total, results, after), true
-		}
-		if wait <= 0 {
-			return r.readDoubted(ctx, j, after)
-		}
-		select {
-		case <-changed:
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return jobpage.Page{}, false
-		}
-	}
-}
-
-// readDoubted answers a read for which there is no result in memory. If another instance may have listed results of the job, it
-// looks at the store first; false if that fails.
-func (r *Runner) readDoubted(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
-	at := r.now()
-	r.lock.Lock()
-	position := len(j.results)
-	doubted := r.cluster.Doubted(j.verifiedAt) || at.Before(j.doubtedUntil)
-	recent := at.Sub(j.verifiedAt) < verifyInterval
-	r.lock.Unlock()
-	if doubted && !recent {
-		found, err := r.log.Segment(ctx, j.ID, position)
-		if err != nil {
-			return jobpage.Page{}, false
-		}
-		if len(found) > 0 {
-			r.logger.Warn("results of another instance found", "job", j.ID, "position", position, "results", len(found))
-			r.checkHolder(ctx, j)
-		}
-		r.lock.Lock()
-		if len(j.results) == position {
-			j.list(found)
-		}
-		j.verifiedAt = at
-		r.lock.Unlock()
-	}
-	r.lock.Lock()
-	defer r.lock.Unlock()
-
-	return jobpage.Cut(j.Items, j.results, after), true
-}
-
-// Body returns the body of an item that is not listed yet; false if there is no such item.
-func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, bool, error) {
-	r.lock.Lock()
-	if j := r.jobs[id]; j != nil {
-		for _, it := range j.items {
-			if it.ID == name && it.Body != nil {
-				body := it.Body
-				r.lock.Unlock()
-
-				return body, true, nil
-			}
-		}
-	}
-	r.lock.Unlock()
-
-	return r.reader.Body(ctx, id, name)
-}
-
 // End ends a job for good; it fails if the store does not record that.
 func (r *Runner) End(ctx context.Context, id string) error {
 	err := r.log.End(ctx, id, r.now())
@@ -434,19 +255,6 @@
 	}
 }
 
-func (r *Runner) waitingTokens(name string) int {
-	n := 0
-	for _, jobs := range []map[string]*job{r.jobs, r.unsettled} {
-		for _, j := range jobs {
-			if rt := r.routeOf(&j.Job); rt != nil && rt.Name == name {
-				n += j.waitingTokens()
-			}
-		}
-	}
-
-	return n
-}
-
 func (r *Runner) routeOf(j *work.Job) *route.Route {
 	table, _ := r.routes.Current()
 	if table == nil {
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -92,9 +92,7 @@
 func (f *fleet) Waiting(string) int                                { return 0 }
 func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool) { return a, false }
 func (f *fleet) Point() float64                                    { return 0 }
-func (f *fleet) Failed(string, string, time.Time)                  {}
-func (f *fleet) Succeeded(string)                                  {}
-func (f *fleet) Replaced(string)                                   {}
+func (f *fleet) Judge(string, error, time.Time, time.Time)         {}
 
 func (f *fleet) Batch(string, map[string]bool, bool, time.Time) (backend.Server, func(), bool) {
 	f.lock.Lock()
@@ -281,13 +279,13 @@
 	first, stopFirst := f.start("e1")
 	second, stopSecond := f.start("e2")
 	defer stopSecond()
-	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 60)))
+	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 600)))
 	time.Sleep(60 * time.Millisecond)
 	first.Stop(t.Context(), time.Now().Add(testLimit))
 	_, released, _ := first.News()
 	is.Equal(released, []string{"j"})
 	stopFirst()
-	for end := time.Now().Add(testLimit); !check(t, l, "j", 60); time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(testLimit); !check(t, l, "j", 600); time.Sleep(10 * time.Millisecond) {
 		is.True(time.Now().Before(end))
 		is.NoErr(second.Released(t.Context(), "j"))
 	}
--- /dev/null
+++ b/core/jobrun/submit.go
@@ -0,0 +1,107 @@
+package jobrun
+
+import (
+	"context"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/route"
+	"tarragonwalk/core/work"
+)
+
+// Submit accepts a job. Code overloaded: its tokens do not fit the route's limit; store_unavailable: nothing was done;
+// outcome_unknown: the job may have been accepted. A job that was accepted before is accepted again.
+func (r *Runner) Submit(ctx context.Context, rt *route.Route, j work.Job, items []work.Item) error {
+	j.Holder = r.name
+	j.Incarnation = r.incarnation
+	j.Items = len(items)
+	r.lock.Lock()
+	held := r.jobs[j.ID] != nil
+	_, open := r.unsettled[j.ID]
+	tokens := r.waitingTokens(rt.Name)
+	stopping := r.stopping
+	r.lock.Unlock()
+	if held {
+		return nil
+	}
+	if open {
+		return fault.New(fault.CodeOutcomeUnknown, "an earlier submission of the job is not settled yet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	peers := r.cluster.Waiting(rt.Name)
+	if rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || stopping {
+		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
+	}
+	r.countSubmission(j.ID, 1)
+	defer r.countSubmission(j.ID, -1)
+	revision, err := r.log.Accept(ctx, &j, items)
+	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
+		"waiting_peers", peers, "parts", j.Parts, "error", text(err))
+	n := newJob(j, items)
+	n.revision = revision
+	settled := n.changed
+	switch fault.CodeOf(err) {
+	case "":
+		r.lock.Lock()
+		r.jobs[j.ID] = n
+		r.signal()
+		r.lock.Unlock()
+
+		return nil
+	case fault.CodeConflict:
+		return nil
+	case fault.CodeOutcomeUnknown:
+		r.lock.Lock()
+		r.unsettled[j.ID] = n
+		r.signal()
+		r.lock.Unlock()
+		select {
+		case <-settled:
+			return nil
+		case <-ctx.Done():
+			return err
+		}
+	default:
+		return err
+	}
+}
+
+func (r *Runner) countSubmission(id string, n int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.submitting[id] += n
+	if r.submitting[id] == 0 {
+		delete(r.submitting, id)
+	}
+}
+
+// refuse answers a job that does not fit, unless it was accepted before.
+func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
+	_, _, err := r.log.Job(ctx, j.ID)
+	if err == nil {
+		return nil
+	}
+	if fault.CodeOf(err) != fault.CodeNotFound {
+		return err
+	}
+	r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "tokens", j.Tokens, "waiting", tokens, "limit", rt.MaxTokens,
+		"stopping", stopping)
+	if stopping {
+		return fault.New(fault.CodeNotRun, "the instance is stopping")
+	}
+
+	return fault.New(fault.CodeOverloaded, "the job does not fit the tokens that may wait on its route")
+}
+
+func (r *Runner) waitingTokens(name string) int {
+	n := 0
+	for _, jobs := range []map[string]*job{r.jobs, r.unsettled} {
+		for _, j := range jobs {
+			if rt := r.routeOf(&j.Job); rt != nil && rt.Name == name {
+				n += j.waitingTokens()
+			}
+		}
+	}
+
+	return n
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/rendezvous"
 )
 
@@ -152,6 +153,23 @@
 	return sum
 }
 
+// Judge updates what is believed of a server after an attempt on it that ended with err and last got something at
+// progressAt. Attempts that ended for a reason of their caller's are not judged.
+func (r *Roster) Judge(id string, err error, progressAt, at time.Time) {
+	switch fault.CodeOf(err) {
+	case "":
+		r.Succeeded(id)
+	case fault.CodeBackendSilent:
+		r.Silent(id, progressAt, at)
+	case fault.CodeBackendLeaving:
+		r.Replaced(id)
+	case fault.CodeBackendUnreachable:
+		r.Failed(id, "unreachable", at)
+	default:
+		// The server has answered, or broke one answer off; others may be in order.
+	}
+}
+
 // Progressed tells that a server has sent something.
 func (r *Roster) Progressed(id string, at time.Time) {
 	r.lock.Lock()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/fault"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -113,3 +114,29 @@
 	r.Silent("a", start.Add(150*time.Millisecond), start.Add(300*time.Millisecond))
 	is.Equal(usable(r, start.Add(300*time.Millisecond)), []string{})
 }
+
+// Guards against a belief that does not follow from how an attempt ended.
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		code   fault.Code
+		usable bool
+	}{
+		{fault.CodeBackendSilent, false},
+		{fault.CodeBackendUnreachable, false},
+		{fault.CodeBackendLeaving, false},
+		{fault.CodeOverloaded, true},
+		{fault.CodeOutcomeUnknown, true},
+	} {
+		t.Run(string(c.code), func(t *testing.T) {
+			is := is.New(t)
+			r := New(slog.New(slog.DiscardHandler))
+			r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
+			r.Judge("a", fault.New(c.code, "x"), start, start)
+			is.Equal(len(usable(r, start)) == 1, c.usable)
+			if c.code != fault.CodeBackendLeaving {
+				r.Judge("a", nil, start, start)
+				is.Equal(usable(r, start), []string{"a"})
+			}
+		})
+	}
+}
