Give a job up on a doubted read if its record names another holder

The code asked the store once whether others had listed results, found none yet, and took that for all time, though the job had another holder that listed them later. Change: the record's holder decides; if it is another one, the job is given up and read from there or from the store.

--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -15,7 +15,7 @@
 	if fault.CodeOf(err) == fault.CodeConflict {
 		results, err = r.log.Segment(ctx, j.ID, position)
 		if err == nil {
-			r.checkHolder(ctx, j)
+			_, err = r.checkHolder(ctx, j)
 		}
 	}
 	r.lock.Lock()
@@ -31,16 +31,22 @@
 	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items)
 }
 
-// checkHolder gives a job up if another instance has taken it over.
-func (r *Runner) checkHolder(ctx context.Context, j *job) {
+// checkHolder gives a job up if another instance has taken it over, and reports whether this one still holds it; an error means
+// that it is not known.
+func (r *Runner) checkHolder(ctx context.Context, j *job) (held bool, err error) {
 	record, revision, err := r.log.Job(ctx, j.ID)
-	if err != nil || record.Holder == r.name && record.Incarnation == r.incarnation {
-		return
+	if err != nil {
+		return false, err
+	}
+	if record.Holder == r.name && record.Incarnation == r.incarnation {
+		return true, nil
 	}
 	r.logger.Warn("job lost to another instance", "job", j.ID, "holder", record.Holder, "revision", revision)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.drop(j)
+
+	return false, nil
 }
 
 // drop stops the items of a job that this instance no longer holds.
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -59,14 +59,15 @@
 	recent := at.Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
 	if doubted && !recent {
+		// Whoever has taken the job over lists further results later, also if there are none yet.
+		held, err := r.checkHolder(ctx, j)
+		if err != nil || !held {
+			return jobpage.Page{}, false
+		}
 		found, err := r.log.Segment(ctx, j.ID, position)
 		if err != nil {
 			return jobpage.Page{}, false
 		}
-		if len(found) > 0 {
-			r.logger.Warn("results of another instance found", "job", j.ID, "position", position, "results", len(found))
-			r.checkHolder(ctx, j)
-		}
 		r.lock.Lock()
 		if len(j.results) == position {
 			j.list(found)
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -334,3 +334,29 @@
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
+
+// Guards against a replaced holder that finds no further results once and never asks again, so that what the new holder lists
+// later is missing from its answers.
+func TestReplacedHolderGivesJobUp(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	f.used = 100 // nothing runs
+	l := logs.New(f.objects)
+	first, stopFirst := f.start("e1")
+	defer stopFirst()
+	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+	record, revision, err := l.Job(t.Context(), "j")
+	is.NoErr(err)
+	record.Holder = "e2"
+	_, err = l.Update(t.Context(), *record, revision)
+	is.NoErr(err)
+	f.doubted = true
+	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 0)
+	f.doubted = false // all instances hear each other again
+	is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
+	page, err = first.Read(t.Context(), "j", 0, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+}
