--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -360,3 +360,28 @@
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
+
+// Guards against a result that is listed twice in memory, once by a read that found it in the store and once by the write that
+// put it there and had no answer yet.
+func TestReadDuringWriteListsOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	f.used = 100 // nothing runs
+	l := logs.New(f.objects)
+	first, stopFirst := f.start("e1")
+	defer stopFirst()
+	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+	results := []work.Result{{Item: "j-1", State: work.StateDead}}
+	is.NoErr(l.Append(t.Context(), "j", 0, results, "e1"))
+	f.doubted = true
+	first.lock.Lock()
+	j := first.jobs["j"]
+	first.lock.Unlock()
+	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	first.write(t.Context(), j, 0, results)
+	page, err = first.Read(t.Context(), "j", 0, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+}
