Let a job ignore results of a position that it has listed

A field of the cluster's peers that nothing reads is removed. Behaviour is unchanged; the tests of the packages pass.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -27,11 +27,10 @@
 )
 
 type peer struct {
-	beat      gossip.Beat
-	heardAt   time.Time
-	gone      bool
-	sequence  int
-	firstSeen time.Time
+	beat     gossip.Beat
+	heardAt  time.Time
+	gone     bool
+	sequence int
 }
 
 // Cluster is safe for concurrent use.
@@ -103,9 +102,7 @@
 	p := c.peers[s.Name]
 	switch {
 	case p == nil || p.beat.Sender.Incarnation != s.Incarnation:
-		p = &peer{
-			firstSeen: at,
-		}
+		p = &peer{}
 		c.peers[s.Name] = p
 		c.changes++
 		c.log.Info("instance joined", "peer", s.Name, "incarnation", s.Incarnation, "address", s.Peer.String(), "zone", s.Zone)
--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -145,7 +145,7 @@
 		if len(segment) == 0 {
 			break
 		}
-		j.list(segment)
+		j.list(len(j.results), segment)
 	}
 	if j.ended, err = r.log.Ended(ctx, record.ID); err != nil {
 		return err
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -86,9 +86,10 @@
 	return n
 }
 
-// list appends results that are in the store and drops them from the pending ones.
-func (j *job) list(results []work.Result) {
-	if len(results) == 0 {
+// list appends the results that the store has at a position and drops them from the pending ones. Results of a position that
+// is listed already are ignored: a read may find them in the store before the write that put them there has its answer.
+func (j *job) list(position int, results []work.Result) {
+	if len(results) == 0 || position != len(j.results) {
 		return
 	}
 	j.starts = append(j.starts, len(j.results))
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -27,10 +27,7 @@
 
 		return
 	}
-	// A doubted read may have found them in the store before this write had its answer.
-	if len(j.results) == position {
-		j.list(results)
-	}
+	j.list(position, results)
 	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items)
 }
 
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -69,9 +69,7 @@
 			return jobpage.Page{}, false
 		}
 		r.lock.Lock()
-		if len(j.results) == position {
-			j.list(found)
-		}
+		j.list(position, found)
 		j.verifiedAt = at
 		r.lock.Unlock()
 	}
