--- a/core/batch/sweep_test.go
+++ b/core/batch/sweep_test.go
@@ -20,10 +20,12 @@
 			_, err := f.store.Put(context.Background(), job.PartKey(st.Job.ID, 1, 7, 0), []byte("unused"), 0)
 			is.NoErr(err)
 			a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
-			time.Sleep(1200 * time.Millisecond)
+			// The last of three rounds of items of 400 ms ends at 1.2 s; at 1 s it is under way.
+			time.Sleep(time.Second)
 			if how == "canceled" {
-				_, err := s.Cancel(context.Background(), "w", st.Job.ID)
+				cancelled, err := s.Cancel(context.Background(), "w", st.Job.ID)
 				is.NoErr(err)
+				is.Equal(cancelled.Job.State, job.JobStateCancelled)
 			}
 			time.Sleep(3 * time.Minute)
 			a.stop()
