Announce the end of a job only where it was learned

An instance that heard of an end in a beat announced it again for 4 s, and dropped its own note after that; the next beat of another instance then made it announce the end once more. Between two instances an end never died out, so that beats grew with every job that had ever ended, up to the largest datagram.

Only the instance at which the caller ended the job and those that read the end in the store announce it now. An announced end is still remembered for a takeover that has already read the store. Both tests fail without the change.

--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -163,9 +163,9 @@
 	j.doubtedUntil = r.now().Add(lateWrites)
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if _, ended := r.ended[record.ID]; ended {
-		j.ended = true
-	}
+	_, ended := r.ended[record.ID]
+	_, heard := r.heardEnds[record.ID]
+	j.ended = j.ended || ended || heard
 	if r.jobs[record.ID] != nil {
 		return nil
 	}
--- /dev/null
+++ b/core/jobrun/news_test.go
@@ -0,0 +1,69 @@
+package jobrun
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	logs "tarragonwalk/core/joblog"
+	"tarragonwalk/core/jobread"
+	"tarragonwalk/core/work"
+)
+
+// Guards against announcements of ended jobs that instances repeat to each other for good, so that beats grow with every job
+// that has ever ended. On a grown fleet they were most of the bytes between zones and regions.
+func TestAnnouncedEndsExpire(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	now := func() time.Time { return at }
+	log := logs.New(f.objects)
+	quiet := slog.New(slog.DiscardHandler)
+	var runners []*Runner
+	for _, name := range []string{"a", "b", "c"} {
+		runners = append(runners, New(log, f, f, f, f, f, jobread.New(log, f, nil, quiet, now), name, "1", time.Minute, now, quiet))
+	}
+	runners[0].Ended("j")
+	ended, _, _ := runners[0].News()
+	is.Equal(ended, []string{"j"})
+	for at.Before(time.Date(2026, 1, 1, 0, 0, 30, 0, time.UTC)) {
+		at = at.Add(200 * time.Millisecond)
+		for n, from := range runners {
+			ended, _, _ := from.News()
+			for k, to := range runners {
+				for _, id := range ended {
+					if n != k {
+						to.HeardEnd(id)
+					}
+				}
+			}
+		}
+	}
+	for _, r := range runners {
+		ended, _, _ := r.News()
+		is.Equal(len(ended), 0)
+		is.Equal(len(r.ended), 0)
+	}
+}
+
+// Guards against a job that goes on at its new holder because its end was announced while the takeover was under way, after
+// the store was read.
+func TestTakeoverSeesAnnouncedEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	f.used = 100 // nothing runs
+	first, stopFirst := f.start("e1")
+	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+	stopFirst()
+	second, stopSecond := f.start("e2")
+	defer stopSecond()
+	second.HeardEnd("j")
+	_, err := second.Adopt(t.Context())
+	is.NoErr(err)
+	second.lock.Lock()
+	defer second.lock.Unlock()
+	is.True(second.jobs["j"] != nil)
+	is.True(second.jobs["j"].ended)
+}
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -98,12 +98,15 @@
 	unsettled map[string]*job
 	// submitting counts submissions whose objects are being written.
 	submitting map[string]int
-	ended      map[string]time.Time
-	released   map[string]time.Time
-	orphans    map[string]time.Time
-	stopping   bool
-	pace       estimate
-	wake       chan struct{}
+	// ended are announced ends, and heardEnds those that others announce: a takeover that has read the store already has to
+	// see them.
+	ended     map[string]time.Time
+	heardEnds map[string]time.Time
+	released  map[string]time.Time
+	orphans   map[string]time.Time
+	stopping  bool
+	pace      estimate
+	wake      chan struct{}
 }
 
 // New returns a runner for the instance name; jobs stay readable for keepFor after their submission.
@@ -127,6 +130,7 @@
 		unsettled:   map[string]*job{},
 		submitting:  map[string]int{},
 		ended:       map[string]time.Time{},
+		heardEnds:   map[string]time.Time{},
 		released:    map[string]time.Time{},
 		orphans:     map[string]time.Time{},
 		wake:        make(chan struct{}, 1),
@@ -162,13 +166,27 @@
 	return nil
 }
 
-// Ended stops a job that its caller has ended.
+// Ended stops a job whose end this instance has learned from the caller or the store, and announces the end.
 func (r *Runner) Ended(id string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if _, known := r.ended[id]; !known {
 		r.ended[id] = r.now().Add(newsLife)
 	}
+	r.stopJob(id)
+}
+
+// HeardEnd stops a job that another instance announces as ended. It does not announce the end again: instances would repeat
+// it to each other for good.
+func (r *Runner) HeardEnd(id string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.heardEnds[id] = r.now().Add(newsLife)
+	r.stopJob(id)
+}
+
+// stopJob needs the lock.
+func (r *Runner) stopJob(id string) {
 	j := r.jobs[id]
 	if j == nil || j.ended {
 		return
@@ -197,6 +215,8 @@
 		}
 	}
 
+	current(r.heardEnds, at)
+
 	return current(r.ended, at), current(r.released, at), tokens
 }
 
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -35,7 +35,7 @@
 
 type jobs interface {
 	News() (ended, released []string, tokens map[string]int)
-	Ended(id string)
+	HeardEnd(id string)
 	Preempt(server string, count int)
 }
 
@@ -159,7 +159,7 @@
 	p.cluster.Introduce(b.Addresses, at)
 	p.loads.Observe(b.Sender.Name, b.Counts, at)
 	for _, id := range b.Ended {
-		p.jobs.Ended(id)
+		p.jobs.HeardEnd(id)
 	}
 	for _, id := range b.Released {
 		p.released(id)
