Let two instances of a zone watch the store for all others there

The two instances with the lowest names that are heard of in a zone, reach the store and do not leave watch configuration, servers and ends. The others learn versions from their beats and copy the state from their own zone at once; ends are announced in beats anyway.

Ruled out: the regular check of the store, 2.5 calls a second in the whole fleet, and the calls of jobs, about ten each.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -20,6 +20,8 @@
 	turnUse    = 75 * time.Millisecond
 	// doubtAfter is how long an instance may be silent until it may hold this one for gone; it is shorter than goneAfter.
 	doubtAfter = 2 * time.Second
+	// zoneWatchers is how many instances of a zone watch the store. With two, the loss of one delays nothing.
+	zoneWatchers = 2
 	// pauseLimit is the time between two looks after which this process was paused.
 	pauseLimit = time.Second
 	// forgetAfter is how long beats are sent to an address that does not answer.
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -172,3 +172,53 @@
 	c.Observe(&gossip.Beat{Sender: member(1, "1"), Sequence: 2}, at)
 	is.True(!c.Isolated())
 }
+
+// Guards against a change that costs as many calls of the store as there are instances, and against a zone in which nobody
+// watches the store because its watchers are lost, leave or do not reach it.
+func TestWatchers(t *testing.T) {
+	beat := func(n, sequence int, leaving, storeLost bool) *gossip.Beat {
+		m := member(n, "1")
+		m.Leaving = leaving
+		return &gossip.Beat{Sender: m, Sequence: sequence, StoreLost: storeLost}
+	}
+	for _, c := range []struct {
+		name  string
+		beats []*gossip.Beat
+		at    time.Duration
+		want  bool
+	}{
+		{"alone", nil, 0, true},
+		{"one ahead", []*gossip.Beat{beat(2, 1, false, false)}, 0, true},
+		{"two ahead", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, 0, false},
+		{"two ahead in another zone", []*gossip.Beat{beat(1, 1, false, false), beat(3, 1, false, false)}, 0, true},
+		{"two behind", []*gossip.Beat{beat(8, 1, false, false), beat(80, 1, false, false)}, 0, true},
+		{"one leaves", []*gossip.Beat{beat(2, 1, true, false), beat(4, 1, false, false)}, 0, true},
+		{"one without the store", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, true)}, 0, true},
+		{"silent", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, silentAfter + 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(6)
+			for _, b := range c.beats {
+				cl.Observe(b, start)
+			}
+			is.Equal(cl.Watcher(start.Add(c.at)), c.want)
+		})
+	}
+}
+
+// Guards against copies of newer state across zones while an instance of the own zone has it as well.
+func TestAheadPrefersOwnZone(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	for n := 1; n <= 9; n++ {
+		c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: 1, RouteVersion: 7}, start)
+	}
+	for range 20 {
+		from, ok := c.Ahead(6, 0, 0)
+		is.True(ok)
+		is.True(from == member(2, "").Peer || from == member(4, "").Peer || from == member(6, "").Peer || from == member(8, "").Peer)
+	}
+	_, ok := c.Ahead(7, 0, 0)
+	is.True(!ok)
+}
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -23,19 +23,26 @@
 	return n
 }
 
-// Ahead returns the address of an instance that has a newer route table or a newer and different server list, false if
-// there is none.
+// Ahead returns the address of an instance that has a newer route table or a newer and different server list, preferably one
+// of the own zone, false if there is none.
 func (c *Cluster) Ahead(routeVersion, serverRevision int64, serverDigest uint64) (netip.AddrPort, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	var best *peer
 	for _, p := range c.peers {
 		newerList := int64(p.beat.ServerRevision) > serverRevision && p.beat.ServerDigest != int(serverDigest) //nolint:gosec // only compared
-		if !p.gone && (int64(p.beat.RouteVersion) > routeVersion || newerList) {
-			return p.beat.Sender.Peer, true
+		if p.gone || int64(p.beat.RouteVersion) <= routeVersion && !newerList {
+			continue
+		}
+		if best == nil || p.beat.Sender.Zone == c.self.Zone && best.beat.Sender.Zone != c.self.Zone {
+			best = p
 		}
 	}
+	if best == nil {
+		return netip.AddrPort{}, false
+	}
 
-	return netip.AddrPort{}, false
+	return best.beat.Sender.Peer, true
 }
 
 // CheckedAt returns when an instance with the same state as this one last knew that it was the store's newest, zero if none
@@ -69,6 +76,22 @@
 	return p.beat.Sender.Peer, true
 }
 
+// Watcher reports whether this instance is one of those in its zone that watch the store for all others there. With a watch
+// of each instance, a change would cost as many calls as there are instances.
+func (c *Cluster) Watcher(at time.Time) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	ahead := 0
+	for name, p := range c.peers {
+		s := p.beat.Sender
+		if s.Zone == c.self.Zone && name < c.self.Name && !s.Leaving && !p.beat.StoreLost && at.Sub(p.heardAt) <= silentAfter {
+			ahead++
+		}
+	}
+
+	return ahead < zoneWatchers
+}
+
 // StoreRelay returns the address of an instance that reaches the store, preferably of the own zone, false if there is none.
 func (c *Cluster) StoreRelay(at time.Time) (netip.AddrPort, bool) {
 	c.lock.Lock()
