--- a/core/load/table.go
+++ b/core/load/table.go
@@ -19,18 +19,24 @@
 // Table holds the counts by backend server; it is safe for concurrent use.
 type Table struct {
 	// lock guards all fields below.
-	lock    sync.Mutex
-	own     map[string]gossip.Count
-	peers   map[string]report
-	changed chan struct{}
+	lock  sync.Mutex
+	own   map[string]gossip.Count
+	peers map[string]report
+	// reported are the sums of the peers' counts by server. They are kept up to date with each report, since a request that
+	// added up the reports of a large fleet for each server would take longer than its place is worth.
+	reported map[string]gossip.Count
+	// expiresAt is when the first of the reports expires.
+	expiresAt time.Time
+	changed   chan struct{}
 }
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		own:     map[string]gossip.Count{},
-		peers:   map[string]report{},
-		changed: make(chan struct{}, 1),
+		own:      map[string]gossip.Count{},
+		peers:    map[string]report{},
+		reported: map[string]gossip.Count{},
+		changed:  make(chan struct{}, 1),
 	}
 }
 
@@ -66,30 +72,57 @@
 	}
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	t.sum(t.peers[peer].counts, -1)
+	t.sum(m, 1)
+	expiresAt := at.Add(reportLife)
 	t.peers[peer] = report{
 		counts:    m,
-		expiresAt: at.Add(reportLife),
+		expiresAt: expiresAt,
+	}
+	if t.expiresAt.IsZero() || expiresAt.Before(t.expiresAt) {
+		t.expiresAt = expiresAt
 	}
 }
 
-// On returns the requests in flight on a server, of this instance and of its peers.
-func (t *Table) On(server string, at time.Time) (online, batch int) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	c := t.own[server]
-	online, batch = c.Online, c.Batch
+// sum needs the lock.
+func (t *Table) sum(counts map[string]gossip.Count, sign int) {
+	for server, c := range counts {
+		s := t.reported[server]
+		s.Online += sign * c.Online
+		s.Batch += sign * c.Batch
+		if s.Online == 0 && s.Batch == 0 {
+			delete(t.reported, server)
+		} else {
+			t.reported[server] = s
+		}
+	}
+}
+
+// expire drops reports that are too old; it needs the lock.
+func (t *Table) expire(at time.Time) {
+	if t.expiresAt.IsZero() || !at.After(t.expiresAt) {
+		return
+	}
+	t.expiresAt = time.Time{}
 	for name, p := range t.peers {
-		if at.After(p.expiresAt) {
+		switch {
+		case at.After(p.expiresAt):
+			t.sum(p.counts, -1)
 			delete(t.peers, name)
-
-			continue
+		case t.expiresAt.IsZero() || p.expiresAt.Before(t.expiresAt):
+			t.expiresAt = p.expiresAt
 		}
-		c := p.counts[server]
-		online += c.Online
-		batch += c.Batch
 	}
+}
+
+// On returns the requests in flight on a server, of this instance and of its peers.
+func (t *Table) On(server string, at time.Time) (online, batch int) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.expire(at)
+	own, reported := t.own[server], t.reported[server]
 
-	return online, batch
+	return own.Online + reported.Online, own.Batch + reported.Batch
 }
 
 // OwnBatch returns the instance's own batch items in flight on a server.
