Pass beats of other zones on through speakers

Every instance sent its beat to every other one five times a second: with 55 instances 0.34 GB between regions and 0.24 GB between zones in a minute, half of it the addresses of all instances in each beat, and a quarter of a thousand messages a second at each instance.

With more than 16 others, beats now go directly to the own zone only. The two instances of a zone with the lowest names pass its beats on to their counterparts in the other zones every 100 ms, and those pass them on to their own zones. Relayed beats keep their sequence and age, so that a beat of a former process cannot replace a newer one. Each regular beat also goes to two far instances in turn and to all that have not been heard of lately; a zone whose speaker is cut off, and regions that meet again, need no speaker for that. Addresses are read from the store again every 30 s: they are forgotten after 30 s of silence, and regions that were apart for longer never found each other. Messages above 1 KB are compressed.

Ruled out: one speaker a zone (a speaker that only its own zone hears makes the others take its zone for gone, TestLossOfSpeakers), 250 ms between relayed beats (counts arrive later than turns allow for), and no compression (45 beats of 350 bytes ten times a second to each member of a zone).

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -22,6 +22,14 @@
 	doubtAfter = 2 * time.Second
 	// zoneWatchers is how many instances of a zone watch the store. With two, the loss of one delays nothing.
 	zoneWatchers = 2
+	// directLimit is how many other instances all hear each other's beats directly. Above it, beats of other zones come
+	// through speakers: with direct beats, messages would grow with the square of the instances.
+	directLimit = 16
+	// speakerLimit is how many other instances there are when speakers begin to pass beats on. It is lower than directLimit,
+	// so that instances which count a few more or less all get the beats.
+	speakerLimit = 12
+	// zoneSpeakers is how many instances of a zone pass beats on.
+	zoneSpeakers = 2
 	// pauseLimit is the time between two looks after which this process was paused.
 	pauseLimit = time.Second
 	// forgetAfter is how long beats are sent to an address that does not answer.
@@ -93,7 +101,8 @@
 	}
 }
 
-// Observe takes a beat and reports whether it is news: older ones of the same process are dropped.
+// Observe takes a beat that was sent, or heard by another instance, at a moment, and reports whether it is news: older ones of
+// the same process and those of a former process are dropped.
 func (c *Cluster) Observe(b *gossip.Beat, at time.Time) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -103,6 +112,8 @@
 	}
 	p := c.peers[s.Name]
 	switch {
+	case p != nil && p.beat.Sender.Incarnation != s.Incarnation && at.Before(p.heardAt):
+		return false
 	case p == nil || p.beat.Sender.Incarnation != s.Incarnation:
 		p = &peer{}
 		c.peers[s.Name] = p
@@ -118,6 +129,7 @@
 		c.log.Info("instance leaving", "peer", s.Name, "leaving", s.Leaving)
 	}
 	p.beat = *b
+	p.beat.Addresses, p.beat.Relayed = nil, nil
 	p.sequence = b.Sequence
 	p.heardAt = at
 	p.gone = false
@@ -125,38 +137,3 @@
 
 	return true
 }
-
-// Targets returns the addresses of other instances: those in the own zone, and all others.
-func (c *Cluster) Targets() (near, far []netip.AddrPort) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	local := map[netip.AddrPort]bool{}
-	for _, p := range c.peers {
-		if p.beat.Sender.Zone == c.self.Zone {
-			local[p.beat.Sender.Peer] = true
-		}
-	}
-	for a := range c.targets {
-		if local[a] {
-			near = append(near, a)
-		} else {
-			far = append(far, a)
-		}
-	}
-
-	return near, far
-}
-
-// Addresses returns the addresses of all known instances, for one that knows few.
-func (c *Cluster) Addresses() []netip.AddrPort {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	list := make([]netip.AddrPort, 0, len(c.peers))
-	for _, p := range c.peers {
-		if !p.gone {
-			list = append(list, p.beat.Sender.Peer)
-		}
-	}
-
-	return list
-}
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -10,7 +10,7 @@
 // Beat is the regular message of an instance; it holds its whole state, so that a
 // lost one does no harm.
 type Beat struct {
-	// Addresses of further instances, for a receiver that knows few.
+	// Addresses of further instances, which the receiver may not know.
 	Addresses []netip.AddrPort `json:"Addresses,omitempty,omitzero"`
 
 	// CheckedMillis is how long ago the sender knew that its route table and server
@@ -23,6 +23,9 @@
 	// Ended are jobs whose end was acknowledged in the last seconds.
 	Ended []string `json:"Ended,omitempty,omitzero"`
 
+	// Relayed beats of other instances, of which the receiver does not hear directly.
+	Relayed []Relay `json:"Relayed,omitempty,omitzero"`
+
 	// Released are jobs that the sender has given up in the last seconds.
 	Released []string `json:"Released,omitempty,omitzero"`
 
@@ -192,3 +195,36 @@
 	*j = Member(plain)
 	return nil
 }
+
+// Relay is a beat that another instance passes on.
+type Relay struct {
+	// AgeMillis is how long ago the instance that passes the beat on heard it.
+	AgeMillis int `json:"AgeMillis"`
+
+	// Beat as its sender sent it, without addresses and relayed beats.
+	Beat Beat `json:"Beat"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Relay) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["AgeMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field AgeMillis in Relay: required")
+	}
+	if _, ok := raw["Beat"]; raw != nil && !ok {
+		return fmt.Errorf("field Beat in Relay: required")
+	}
+	type Plain Relay
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
+	}
+	*j = Relay(plain)
+	return nil
+}
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonwalk/core/backend"
@@ -15,15 +19,26 @@
 	nearPause = 20 * time.Millisecond
 	// farInterval is the time between beats to all instances.
 	farInterval = 200 * time.Millisecond
-	// introduceBelow is how few peers an instance may know before others send it the addresses of all.
+	// relayInterval is the time between beats with which speakers pass on those of their zone and of the others. Counts have
+	// to reach all instances within 225 ms, the part of a turn in core/cluster that is not used: they wait for nearPause and
+	// twice for this interval at most.
+	relayInterval = 100 * time.Millisecond
+	// introduceBelow is how few peers an instance may know before others send it addresses.
 	introduceBelow = 3
+	// maxAddresses is how many addresses a beat names at most.
+	maxAddresses = 32
+	// sampleSize is how many of the instances that do not hear every beat directly get each regular one, in turn. Beats thus
+	// reach every instance, and zones find each other again, without any speaker.
+	sampleSize = 2
 )
 
 type cluster interface {
 	Self() gossip.Member
 	Observe(b *gossip.Beat, at time.Time) bool
-	Targets() (near, far []netip.AddrPort)
-	Addresses() []netip.AddrPort
+	Targets(at time.Time) (near, direct, others []netip.AddrPort)
+	Speakers(at time.Time) []netip.AddrPort
+	ZoneBeats(at time.Time) []gossip.Relay
+	Addresses(limit int) []netip.AddrPort
 	Introduce(addresses []netip.AddrPort, at time.Time)
 }
 
@@ -56,6 +71,12 @@
 	Send(b *gossip.Beat, to []netip.AddrPort)
 }
 
+// heard is a beat and when its sender was heard.
+type heard struct {
+	beat gossip.Beat
+	at   time.Time
+}
+
 // Pulse is safe for concurrent use.
 type Pulse struct {
 	cluster   cluster
@@ -69,7 +90,10 @@
 	checkedAt func() time.Time
 	storeLost func() bool
 	now       func() time.Time
-	sequence  int
+	sequence  atomic.Int64
+	// lock guards pending, the beats from other zones that have not been passed on yet, by sender.
+	lock    sync.Mutex
+	pending map[string]heard
 }
 
 // New returns a pulse; released is called with jobs that another instance has given up, and must not block;
@@ -90,24 +114,30 @@
 		checkedAt: checkedAt,
 		storeLost: storeLost,
 		now:       now,
+		pending:   map[string]heard{},
 	}
 }
 
 // Run sends beats until ctx ends: to the own zone when counts change, to all at a fixed interval.
 func (p *Pulse) Run(ctx context.Context) {
-	t := time.NewTicker(farInterval)
-	defer t.Stop()
-	p.send(true)
+	regular := time.NewTicker(farInterval)
+	defer regular.Stop()
+	relay := time.NewTicker(relayInterval)
+	defer relay.Stop()
+	p.send()
 	for {
 		select {
 		case <-ctx.Done():
-			p.send(true)
+			p.send()
 
 			return
-		case <-t.C:
-			p.send(true)
+		case <-regular.C:
+			p.send()
+		case <-relay.C:
+			p.relay()
 		case <-p.loads.Changed():
-			p.send(false)
+			near, _, _ := p.cluster.Targets(p.now())
+			p.transport.Send(p.beat(), near)
 			select {
 			case <-time.After(nearPause):
 			case <-ctx.Done():
@@ -116,15 +146,11 @@
 	}
 }
 
-func (p *Pulse) send(all bool) {
-	near, far := p.cluster.Targets()
-	if !all && len(near) == 0 {
-		return
-	}
-	p.sequence++
+// beat returns the state of the instance.
+func (p *Pulse) beat() *gossip.Beat {
 	b := &gossip.Beat{
 		Sender:   p.cluster.Self(),
-		Sequence: p.sequence,
+		Sequence: int(p.sequence.Add(1)),
 		Counts:   p.loads.Own(),
 	}
 	if table, _ := p.routes.Current(); table != nil {
@@ -139,20 +165,73 @@
 		b.CheckedMillis = int(p.now().Sub(at).Milliseconds())
 	}
 	b.Ended, b.Released, b.Waiting = p.jobs.News()
+
+	return b
+}
+
+// send sends the regular beat to the own zone and to all that have to hear it directly, with addresses of further instances
+// for newcomers that do not have the same seeds.
+func (p *Pulse) send() {
+	near, direct, others := p.cluster.Targets(p.now())
+	b := p.beat()
 	p.transport.Send(b, near)
-	if !all {
-		return
+	for n := range min(sampleSize, len(others)) {
+		direct = append(direct, others[(b.Sequence*sampleSize+n)%len(others)])
+	}
+	if len(near)+len(direct) > introduceBelow {
+		b.Addresses = p.cluster.Addresses(maxAddresses)
+	}
+	p.transport.Send(b, direct)
+}
+
+// relay passes the beats of the own zone on to the speakers of the others, if this instance is a speaker, and those that it
+// has got as a speaker on to its own zone.
+func (p *Pulse) relay() {
+	at := p.now()
+	if speakers := p.cluster.Speakers(at); len(speakers) > 0 {
+		b := p.beat()
+		b.Relayed = p.cluster.ZoneBeats(at)
+		p.transport.Send(b, speakers)
 	}
-	if len(near)+len(far) > introduceBelow {
-		// Other instances learn of newcomers that do not have the same seeds.
-		b.Addresses = p.cluster.Addresses()
+	if relayed := p.takePending(at); len(relayed) > 0 {
+		near, _, _ := p.cluster.Targets(at)
+		b := p.beat()
+		b.Relayed = relayed
+		p.transport.Send(b, near)
 	}
-	p.transport.Send(b, far)
 }
 
-// HandleBeat takes a message of another instance.
+func (p *Pulse) takePending(at time.Time) []gossip.Relay {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := make([]gossip.Relay, 0, len(p.pending))
+	for _, h := range p.pending {
+		list = append(list, gossip.Relay{
+			AgeMillis: max(0, int(at.Sub(h.at).Milliseconds())),
+			Beat:      h.beat,
+		})
+	}
+	clear(p.pending)
+	slices.SortFunc(list, func(a, b gossip.Relay) int { return strings.Compare(a.Beat.Sender.Name, b.Beat.Sender.Name) })
+
+	return list
+}
+
+// HandleBeat takes a message of another instance. Beats that come from another zone's speaker are noted for the own zone.
 func (p *Pulse) HandleBeat(b *gossip.Beat) {
 	at := p.now()
+	relayed := b.Relayed
+	foreign := len(relayed) > 0 && b.Sender.Zone != p.cluster.Self().Zone
+	p.take(b, at, foreign)
+	for i := range relayed {
+		r := &relayed[i]
+		p.take(&r.Beat, at.Add(-time.Duration(r.AgeMillis)*time.Millisecond), foreign)
+	}
+	p.yield(at)
+}
+
+// take takes one beat that was heard at a moment, and keeps it for the own zone if it has to be passed on.
+func (p *Pulse) take(b *gossip.Beat, at time.Time, passOn bool) {
 	if !p.cluster.Observe(b, at) {
 		return
 	}
@@ -164,7 +243,17 @@
 	for _, id := range b.Released {
 		p.released(id)
 	}
-	p.yield(at)
+	if !passOn {
+		return
+	}
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	h := heard{
+		beat: *b,
+		at:   at,
+	}
+	h.beat.Addresses, h.beat.Relayed = nil, nil
+	p.pending[b.Sender.Name] = h
 }
 
 // yield gives up batch places on servers that have more requests than slots.
--- /dev/null
+++ b/core/pulse/pulse_test.go
@@ -0,0 +1,273 @@
+package pulse_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/backend"
+	"tarragonwalk/core/cluster"
+	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/load"
+	"tarragonwalk/core/pulse"
+	"tarragonwalk/core/route"
+)
+
+// network delivers beats between the instances of a test at once, unless a link is cut.
+type network struct {
+	lock  sync.Mutex
+	nodes map[netip.AddrPort]*instance
+	cut   func(from, to *instance) bool
+	sent  map[string]int
+}
+
+// instance is one member of a fleet whose other parts are stand-ins.
+type instance struct {
+	network *network
+	cluster *cluster.Cluster
+	loads   *load.Table
+	pulse   *pulse.Pulse
+	stop    context.CancelFunc
+}
+
+func (i *instance) Send(b *gossip.Beat, to []netip.AddrPort) {
+	for _, a := range to {
+		i.network.lock.Lock()
+		other := i.network.nodes[a]
+		lost := other == nil || i.network.cut != nil && i.network.cut(i, other)
+		i.network.sent[i.name()]++
+		i.network.lock.Unlock()
+		if !lost {
+			c := *b
+			c.Relayed = append([]gossip.Relay(nil), b.Relayed...)
+			other.pulse.HandleBeat(&c)
+		}
+	}
+}
+
+func (i *instance) name() string                           { return i.cluster.Self().Name }
+func (*instance) News() (a, b []string, m map[string]int)  { return nil, nil, nil }
+func (*instance) HeardEnd(string)                          {}
+func (*instance) Preempt(string, int)                      {}
+func (*instance) Known() (list []backend.Server, r int64)  { return nil, 0 }
+func (*instance) Version() (revision int64, digest uint64) { return 0, 0 }
+func (*instance) Current() (*route.Table, int64)           { return nil, 0 }
+func (*instance) Excess(backend.Server, time.Time) (n int) { return 0 }
+
+func newNetwork() *network {
+	return &network{nodes: map[netip.AddrPort]*instance{}, sent: map[string]int{}}
+}
+
+// start adds an instance that is told of the first one regularly, as the store does, and of no other.
+func (n *network) start(name, zone, incarnation string) *instance {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(n.nodes) + 1)}), 7000)
+	for a, i := range n.nodes {
+		if i.name() == name {
+			address = a
+		}
+	}
+	self := gossip.Member{Name: name, Incarnation: incarnation, Zone: zone, Region: "r", Peer: address, Ready: true}
+	i := &instance{network: n, cluster: cluster.New(self, time.Now(), slog.New(slog.DiscardHandler)), loads: load.New()}
+	i.pulse = pulse.New(i.cluster, i.loads, i, i, i, i, i, func(string) {}, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
+	n.lock.Lock()
+	n.nodes[address] = i
+	n.lock.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		i.pulse.Run(ctx)
+	}()
+	go func() {
+		introducedAt := time.Time{}
+		for ctx.Err() == nil {
+			if time.Since(introducedAt) > 30*time.Second {
+				introducedAt = time.Now()
+				i.cluster.Introduce([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7000")}, introducedAt)
+			}
+			i.cluster.Expire(time.Now())
+			time.Sleep(250 * time.Millisecond)
+		}
+	}()
+	i.stop = func() {
+		n.lock.Lock()
+		delete(n.nodes, address)
+		n.lock.Unlock()
+		cancel()
+		<-done
+	}
+
+	return i
+}
+
+const testZones = 6
+
+// fleet starts count instances in six zones.
+func (n *network) fleet(count int) []*instance {
+	var list []*instance
+	for k := range count {
+		list = append(list, n.start(fmt.Sprintf("e%02d", k), fmt.Sprint("z", k%testZones), "1"))
+	}
+
+	return list
+}
+
+func stopAll(list []*instance) {
+	for _, i := range list {
+		i.stop()
+	}
+	time.Sleep(time.Second)
+}
+
+// Guards against messages that grow with the square of the instances, against instances of a large fleet that do not hear of
+// each other, and against counts that reach other zones later than turns allow for.
+func TestLargeFleetHearsThroughSpeakers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count = 60
+		n := newNetwork()
+		list := n.fleet(count)
+		defer stopAll(list)
+		time.Sleep(3 * time.Second)
+		for _, i := range list {
+			is.Equal(len(i.cluster.Live()), count)
+			is.Equal(len(i.cluster.Serving("", time.Now())), count)
+		}
+		n.lock.Lock()
+		clear(n.sent)
+		n.lock.Unlock()
+		time.Sleep(10 * time.Second)
+		most, total := 0, 0
+		for _, sent := range n.sent {
+			most = max(most, sent)
+			total += sent
+		}
+		// Direct beats to all would be 295 a second for each instance.
+		is.True(total/count/10 < 100)
+		is.True(most/10 < 220)
+		for range 20 {
+			list[1].loads.Add("w", 1, 0)
+			time.Sleep(225 * time.Millisecond)
+			online, _ := list[1].loads.On("w", time.Now())
+			for _, i := range list {
+				got, _ := i.loads.On("w", time.Now())
+				is.Equal(got, online)
+			}
+		}
+		for _, i := range list {
+			is.True(!i.cluster.Doubted(time.Now().Add(-10 * time.Second)))
+		}
+	})
+}
+
+// Guards against jobs that are taken from live instances because the speakers of their zone are lost, all at once, or hear
+// nothing of other zones while their own zone hears them.
+func TestLossOfSpeakers(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprint("cut ", cut), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const count = 60
+				n := newNetwork()
+				list := n.fleet(count)
+				defer stopAll(list)
+				time.Sleep(3 * time.Second)
+				// The speakers of zone z0 are e00 and e06.
+				if cut {
+					n.lock.Lock()
+					n.cut = func(from, to *instance) bool {
+						return from == list[0] && to.cluster.Self().Zone != "z0" || to == list[0] && from.cluster.Self().Zone != "z0"
+					}
+					n.lock.Unlock()
+				} else {
+					list[0].stop()
+					list[6].stop()
+				}
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					for k, i := range list {
+						if k == 0 || k == 6 {
+							continue
+						}
+						for other := range count {
+							if other != k && other != 0 && other != 6 {
+								is.True(i.cluster.Alive(fmt.Sprintf("e%02d", other), "1", time.Now()))
+							}
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a relayed beat of a former process that makes the new one look lost, so that its jobs are taken over.
+func TestRestartIsSeenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count = 30
+		n := newNetwork()
+		list := n.fleet(count)
+		defer func() { stopAll(list) }()
+		time.Sleep(3 * time.Second)
+		list[7].stop()
+		time.Sleep(50 * time.Millisecond)
+		list[7] = n.start("e07", "z1", "2")
+		seen := map[string]bool{}
+		for range 200 {
+			time.Sleep(20 * time.Millisecond)
+			for _, i := range list {
+				if i == list[7] {
+					continue
+				}
+				alive := i.cluster.Alive("e07", "2", time.Now())
+				is.True(alive || !seen[i.name()]) // the old process came back
+				seen[i.name()] = seen[i.name()] || alive
+			}
+		}
+		is.Equal(len(list[7].cluster.Live()), count)
+	})
+}
+
+// Guards against regions that never hear of each other again after they were apart, for seconds or for longer than addresses
+// are remembered.
+func TestRegionsMeetAgain(t *testing.T) {
+	for _, c := range []struct{ apart, meet time.Duration }{
+		{20 * time.Second, 2 * time.Second},
+		{5 * time.Minute, 33 * time.Second},
+	} {
+		t.Run(c.apart.String(), func(t *testing.T) { splitRegions(t, c.apart, c.meet) })
+	}
+}
+
+func splitRegions(t *testing.T, apart, meet time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count = 30
+		n := newNetwork()
+		list := n.fleet(count)
+		defer stopAll(list)
+		time.Sleep(3 * time.Second)
+		north := func(i *instance) bool { return i.cluster.Self().Zone < "z3" }
+		n.lock.Lock()
+		n.cut = func(from, to *instance) bool { return north(from) != north(to) }
+		n.lock.Unlock()
+		time.Sleep(apart)
+		is.Equal(len(list[0].cluster.Live()), count/2)
+		n.lock.Lock()
+		n.cut = nil
+		n.lock.Unlock()
+		time.Sleep(meet)
+		for _, i := range list {
+			is.Equal(len(i.cluster.Live()), count)
+		}
+	})
+}
--- a/io/beat/node.go
+++ b/io/beat/node.go
@@ -7,35 +7,12 @@
 	"net"
 	"net/netip"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
 )
 
-const (
-	// maxDatagram is the largest message over UDP.
-	maxDatagram = 64 << 10
-	// maxElements is above the backend servers, jobs and instances that one beat names at the largest size.
-	maxElements = 8192
-	maxNesting  = 8
-)
-
-// decoder bounds what a datagram of a stranger can make an instance allocate.
-var decoder = newDecoder()
-
-func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  maxNesting,
-	}.DecMode()
-	if err != nil {
-		panic(err) // only limits that the library does not allow can cause it
-	}
-
-	return m
-}
+// maxDatagram is the largest message over UDP.
+const maxDatagram = 64 << 10
 
 var counters = expvar.NewMap("Beats")
 
@@ -70,7 +47,7 @@
 	if len(to) == 0 {
 		return
 	}
-	message, err := cbor.Marshal(b)
+	message, err := encode(b)
 	if err != nil {
 		n.log.Error("beat not encoded", "error", err.Error())
 
@@ -110,16 +87,3 @@
 		handle(b)
 	}
 }
-
-// Decode reads a beat; a failure has code invalid.
-func Decode(p []byte) (*gossip.Beat, error) {
-	b := &gossip.Beat{}
-	if err := decoder.Unmarshal(p, b); err != nil {
-		return nil, fault.Wrap(err, fault.CodeInvalid, "unreadable beat")
-	}
-	if b.Sender.Name == "" || b.Sender.Incarnation == "" || !b.Sender.Peer.IsValid() {
-		return nil, fault.New(fault.CodeInvalid, "beat without a sender")
-	}
-
-	return b, nil
-}
--- a/io/beat/node_test.go
+++ b/io/beat/node_test.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -46,10 +47,41 @@
 	}
 }
 
+// Guards against relayed beats that are lost on the way, and against messages of a zone of the largest fleet, 42 instances,
+// that do not fit a datagram or take so many bytes that they crowd small links.
+func TestRelayedBeatsAreCompressed(t *testing.T) {
+	is := is.New(t)
+	sent := &gossip.Beat{Sender: gossip.Member{Name: "e0", Incarnation: "i", Peer: netip.MustParseAddrPort("10.0.0.1:2")}}
+	for n := range 420 {
+		sent.Relayed = append(sent.Relayed, gossip.Relay{AgeMillis: n, Beat: gossip.Beat{
+			Sender: gossip.Member{
+				Name: fmt.Sprint("edge-", n), Incarnation: fmt.Sprintf("1b4e28ba-2fa1-11d2-883f-%012d", n), Zone: "zone-a", Region: "north",
+				Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n / 256), byte(n)}), 8080),
+				Peer:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n / 256), byte(n)}), 7000), Ready: true,
+			},
+			Sequence: 1000 + n, RouteVersion: 17, ServerRevision: 23456, ServerDigest: -559038737, CheckedMillis: 3 * n,
+			Counts: []gossip.Count{{Server: fmt.Sprint("worker-", n), Online: 3}, {Server: fmt.Sprint("worker-", n+1), Batch: 2}},
+		}})
+	}
+	message, err := encode(sent)
+	is.NoErr(err)
+	is.True(len(message) < maxDatagram)
+	is.True(len(message) < 420*100)
+	got, err := Decode(message)
+	is.NoErr(err)
+	is.Equal(got, sent)
+	got.Relayed[3].Beat.Sender.Name = ""
+	message, err = encode(got)
+	is.NoErr(err)
+	_, err = Decode(message)
+	is.Equal(fault.CodeOf(err), fault.CodeInvalid)
+}
+
 // Guards against bytes of a stranger that crash an instance or make it believe in one without a name.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x80})
 	f.Add([]byte("garbage"))
+	f.Add([]byte{compressedMark, 0x01, 0x00})
 	f.Fuzz(func(t *testing.T, p []byte) {
 		b, err := Decode(p)
 		if err != nil && fault.CodeOf(err) != fault.CodeInvalid {
