Give turns to instances whose batch items wait

Places for batch items are filled in turns, so that instances that hear of each other late do not fill the same one. A turn went to any live instance. With 55 instances and some 40 open jobs, most turns went to instances without items, and the places stayed idle until the next turn, 300 ms later. The loads left no room for that: batch and online work take 97% of the slots of the grown site.

Beats now carry how many items found no place, and turns go to instances with such items. A random half of the turns is still for the server's zone.

The test of turns fails without the change.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -87,7 +87,7 @@
 	for window := range 100 {
 		for _, c := range members {
 			for n := range members {
-				c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: window + 1}, begin.Add(time.Duration(window)*turnWindow))
+				c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: window + 1, Queue: gossip.Queue{InTime: 1}}, begin.Add(time.Duration(window)*turnWindow))
 			}
 		}
 		for _, server := range []string{"s1", "s2"} {
@@ -222,3 +222,38 @@
 	_, ok := c.Ahead(7, 0, 0)
 	is.True(!ok)
 }
+
+// Guards against places that stay idle because the turn goes to instances that have no items, the pattern of the grown sites:
+// more instances than jobs.
+func TestTurnGoesToInstancesWithItems(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	observe := func(queued int) {
+		for n := 1; n < 40; n++ {
+			b := &gossip.Beat{Sender: member(n, "1"), Sequence: queued + 1}
+			if n == 1 {
+				b.Queue.InTime = queued
+			}
+			c.Observe(b, start)
+		}
+	}
+	turns := func() int {
+		n := 0
+		for w := range 200 {
+			if c.Turn("s", "a", start.Add(time.Duration(w)*turnWindow)) {
+				n++
+			}
+			start := start.Add(time.Duration(w) * turnWindow)
+			for k := range c.peers {
+				c.peers[k].heardAt = start
+			}
+		}
+
+		return n
+	}
+	observe(0)
+	is.Equal(turns(), 200) // nobody else has items
+	observe(1)
+	got := turns()
+	is.True(got > 120 && got < 180) // half of all turns are for the zone of e0 only, and half of the rest
+}
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -112,9 +112,10 @@
 	return best.beat.Sender.Peer, true
 }
 
-// Turn reports whether it is this instance's turn to start batch items on a backend server. Counts of other instances
-// arrive late; if all of them filled the same free places at once, most of the items would be preempted again. The turn
-// passes on at random; every other time only instances of the server's zone have it.
+// Turn reports whether it is this instance's turn to start batch items on a backend server; it is asked by one that has some.
+// Counts of other instances arrive late; if all of them filled the same free places at once, most of the items would be
+// preempted again. The turn passes on at random among the instances whose items wait, since places stay idle while one
+// without items has it; every other time only those of the server's zone have it.
 func (c *Cluster) Turn(server, zone string, at time.Time) bool {
 	window := at.UnixNano() / int64(turnWindow)
 	if at.UnixNano()%int64(turnWindow) > int64(turnUse) {
@@ -124,9 +125,6 @@
 	defer c.lock.Unlock()
 	var all, local []string
 	add := func(m gossip.Member) {
-		if m.Leaving {
-			return
-		}
 		all = append(all, m.Name)
 		if m.Zone == zone {
 			local = append(local, m.Name)
@@ -134,7 +132,7 @@
 	}
 	add(c.self)
 	for _, p := range c.peers {
-		if at.Sub(p.heardAt) <= silentAfter {
+		if p.beat.Queue.InTime+p.beat.Queue.Late > 0 && !p.beat.Sender.Leaving && at.Sub(p.heardAt) <= silentAfter {
 			add(p.beat.Sender)
 		}
 	}
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -13,6 +13,7 @@
 	"tarragonwalk/core/answer"
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
+	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
@@ -102,11 +103,13 @@
 	// see them.
 	ended     map[string]time.Time
 	heardEnds map[string]time.Time
-	released  map[string]time.Time
-	orphans   map[string]time.Time
-	stopping  bool
-	pace      estimate
-	wake      chan struct{}
+	// queue counts the items that found no place when they were last offered one.
+	queue    gossip.Queue
+	released map[string]time.Time
+	orphans  map[string]time.Time
+	stopping bool
+	pace     estimate
+	wake     chan struct{}
 }
 
 // New returns a runner for the instance name; jobs stay readable for keepFor after their submission.
@@ -220,6 +223,14 @@
 	return current(r.ended, at), current(r.released, at), tokens
 }
 
+// Queue returns the items that found no place when they were last offered one.
+func (r *Runner) Queue() gossip.Queue {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return r.queue
+}
+
 // Backlog returns how many jobs this instance holds, and their waiting and running items.
 func (r *Runner) Backlog() (jobs, waitingItems, runningItems int) {
 	r.lock.Lock()
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -86,16 +87,20 @@
 func (r *Runner) start(ctx context.Context, at time.Time) {
 	list := r.candidates(at)
 	slices.SortStableFunc(list, compareCandidates)
+	r.queue = gossip.Queue{}
 	full := map[string]bool{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.Point())
 		if full[service] {
+			r.enqueue(c)
+
 			continue
 		}
 		urgent := c.due.Sub(at) < urgentBefore
 		s, release, ok := r.placer.Batch(service, nil, urgent, at)
 		if !ok {
 			full[service] = true
+			r.enqueue(c)
 
 			continue
 		}
@@ -112,6 +117,15 @@
 	}
 }
 
+// enqueue counts an item that did not get a place.
+func (r *Runner) enqueue(c candidate) {
+	if c.late {
+		r.queue.Late++
+	} else {
+		r.queue.InTime++
+	}
+}
+
 // candidates returns the waiting items and ends those that can no longer run.
 func (r *Runner) candidates(at time.Time) []candidate {
 	table, _ := r.routes.Current()
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -105,7 +105,7 @@
 	hear := func(sequence int) {
 		for _, m := range members {
 			for k, other := range members {
-				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: sequence, Counts: loads[k].Own()}, at)
+				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: sequence, Counts: loads[k].Own(), Queue: gossip.Queue{InTime: 1}}, at)
 			}
 		}
 		for n := range loads {
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -50,6 +50,7 @@
 
 type jobs interface {
 	News() (ended, released []string, tokens map[string]int)
+	Queue() gossip.Queue
 	HeardEnd(id string)
 	Preempt(server string, count int)
 }
@@ -165,6 +166,7 @@
 		b.CheckedMillis = int(p.now().Sub(at).Milliseconds())
 	}
 	b.Ended, b.Released, b.Waiting = p.jobs.News()
+	b.Queue = p.jobs.Queue()
 
 	return b
 }
