Watch the store once a zone, and ends of jobs twice a region

The first two instances of each zone watched everything. Servers renew their entries one by one, about six a second on a grown site, and each renewal returned a waiting call of twelve instances; ends did so once a job.

One instance of a zone now watches configuration and servers; if it falls silent, the next one goes on from the revision that it has seen. Ends are announced in beats anyway, so that two instances of a region are enough.

Ruled out: a watch of two instances of a region for everything. All others would copy each change of the list from another zone, whose bytes are priced as well.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -20,8 +20,11 @@
 	turnUse    = 75 * time.Millisecond
 	// doubtAfter is how long an instance may be silent until it may hold this one for gone; it is shorter than goneAfter.
 	doubtAfter = 2 * time.Second
-	// zoneWatchers is how many instances of a zone watch the store. With two, the loss of one delays nothing.
-	zoneWatchers = 2
+	// zoneWatchers is how many instances of a zone watch the store. Each pays a call for each renewed entry of a server. If
+	// the only one is lost, another one watches as soon as it is silent, and its watch goes on from the revision last seen.
+	zoneWatchers = 1
+	// endWatchers is how many instances of a region watch the ends of jobs.
+	endWatchers = 2
 	// directLimit is how many other instances all hear each other's beats directly. Above it, beats of other zones come
 	// through speakers: with direct beats, messages would grow with the square of the instances.
 	directLimit = 16
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -185,16 +185,19 @@
 		name  string
 		beats []*gossip.Beat
 		at    time.Duration
-		want  bool
+		zone  bool
+		ends  bool
 	}{
-		{"alone", nil, 0, true},
-		{"one ahead", []*gossip.Beat{beat(2, 1, false, false)}, 0, true},
-		{"two ahead", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, 0, false},
-		{"two ahead in another zone", []*gossip.Beat{beat(1, 1, false, false), beat(3, 1, false, false)}, 0, true},
-		{"two behind", []*gossip.Beat{beat(8, 1, false, false), beat(80, 1, false, false)}, 0, true},
-		{"one leaves", []*gossip.Beat{beat(2, 1, true, false), beat(4, 1, false, false)}, 0, true},
-		{"one without the store", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, true)}, 0, true},
-		{"silent", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, silentAfter + 1, true},
+		{"alone", nil, 0, true, true},
+		{"one ahead", []*gossip.Beat{beat(2, 1, false, false)}, 0, false, true},
+		{"two ahead", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, 0, false, false},
+		{"two ahead in another zone", []*gossip.Beat{beat(1, 1, false, false), beat(3, 1, false, false)}, 0, true, false},
+		{"two behind", []*gossip.Beat{beat(8, 1, false, false), beat(80, 1, false, false)}, 0, true, true},
+		{"one leaves", []*gossip.Beat{beat(2, 1, true, false)}, 0, true, true},
+		{"one of two leaves", []*gossip.Beat{beat(2, 1, true, false), beat(4, 1, false, false)}, 0, false, true},
+		{"one without the store", []*gossip.Beat{beat(2, 1, false, true)}, 0, true, true},
+		{"one of two without the store", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, true)}, 0, false, true},
+		{"silent", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, silentAfter + 1, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -202,7 +205,8 @@
 			for _, b := range c.beats {
 				cl.Observe(b, start)
 			}
-			is.Equal(cl.Watcher(start.Add(c.at)), c.want)
+			is.Equal(cl.Watcher(start.Add(c.at)), c.zone)
+			is.Equal(cl.EndWatcher(start.Add(c.at)), c.ends)
 		})
 	}
 }
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -76,20 +76,31 @@
 	return p.beat.Sender.Peer, true
 }
 
-// Watcher reports whether this instance is one of those in its zone that watch the store for all others there. With a watch
+// Watcher reports whether this instance watches the store for all others in its zone. With a watch
 // of each instance, a change would cost as many calls as there are instances.
 func (c *Cluster) Watcher(at time.Time) bool {
+	return c.rank(at, func(m gossip.Member) bool { return m.Zone == c.self.Zone }) < zoneWatchers
+}
+
+// EndWatcher reports whether this instance is one of those in its region that watch the ends of jobs. Ends are as many as jobs
+// and are announced in beats by the instance that recorded them; a watch is needed only if that instance is lost at once.
+func (c *Cluster) EndWatcher(at time.Time) bool {
+	return c.rank(at, func(m gossip.Member) bool { return m.Region == c.self.Region }) < endWatchers
+}
+
+// rank returns how many instances of a group with lower names could watch the store.
+func (c *Cluster) rank(at time.Time, inGroup func(m gossip.Member) bool) int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	ahead := 0
 	for name, p := range c.peers {
 		s := p.beat.Sender
-		if s.Zone == c.self.Zone && name < c.self.Name && !s.Leaving && !p.beat.StoreLost && at.Sub(p.heardAt) <= silentAfter {
+		if name < c.self.Name && inGroup(s) && !s.Leaving && !p.beat.StoreLost && at.Sub(p.heardAt) <= silentAfter {
 			ahead++
 		}
 	}
 
-	return ahead < zoneWatchers
+	return ahead
 }
 
 // StoreRelay returns the address of an instance that reaches the store, preferably of the own zone, false if there is none.
