Let limits on callers' headers and idle connections follow the configuration

Header size, header time and idle time were constants of the entry instance: 64 KiB, 5 s and 15 s. A configuration with other limits was accepted and only its body limit applied. A connection was closed after 15 s although the configuration let it idle for longer, so that a caller's next request on it could be reset.

The limits of http.Server are read without a lock and cannot change while it serves, so that io/idleconn notes the state of each connection and closes those beyond the current limits; one whose first headers are late gets 408, which promises that nothing ran.

Ruled out: a new listener for each configuration (it would close connections in use).

--- /dev/null
+++ b/io/idleconn/limiter.go
@@ -0,0 +1,112 @@
+package idleconn
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// sweepInterval is the time between looks at all connections; limits are seconds.
+	sweepInterval = 250 * time.Millisecond
+	// writeTimeout bounds the answer to a caller whose headers are late.
+	writeTimeout = 100 * time.Millisecond
+	// lateHeaders is the answer on a connection whose first request has not arrived in time. It says that nothing was run.
+	lateHeaders = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+var closed = expvar.NewMap("CallerConnectionsClosed")
+
+type watched struct {
+	state http.ConnState
+	since time.Time
+}
+
+// Limiter is safe for concurrent use.
+type Limiter struct {
+	limits func() (header, idle time.Duration)
+	now    func() time.Time
+	// lock guards connections.
+	lock        sync.Mutex
+	connections map[net.Conn]watched
+}
+
+// New returns a limiter; limits returns the current limits, 0 for none.
+func New(limits func() (header, idle time.Duration), now func() time.Time) *Limiter {
+	return &Limiter{
+		limits:      limits,
+		now:         now,
+		connections: map[net.Conn]watched{},
+	}
+}
+
+// Observe notes the state of a connection; it is the ConnState of an http.Server.
+func (l *Limiter) Observe(c net.Conn, state http.ConnState) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if state != http.StateNew && state != http.StateIdle {
+		delete(l.connections, c)
+
+		return
+	}
+	l.connections[c] = watched{
+		state: state,
+		since: l.now(),
+	}
+}
+
+// Run closes connections beyond the limits until ctx ends.
+func (l *Limiter) Run(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			l.sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Limiter) sweep() {
+	header, idle := l.limits()
+	at := l.now()
+	for c, state := range l.expired(header, idle, at) {
+		if state == http.StateNew {
+			closed.Add("LateHeaders", 1)
+			answerLate(c, at)
+		} else {
+			closed.Add("Idle", 1)
+		}
+		_ = c.Close() // the caller may have closed it
+	}
+}
+
+// expired removes and returns the connections beyond the limits.
+func (l *Limiter) expired(header, idle time.Duration, at time.Time) map[net.Conn]http.ConnState {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	found := map[net.Conn]http.ConnState{}
+	for c, w := range l.connections {
+		limit := idle
+		if w.state == http.StateNew {
+			limit = header
+		}
+		if limit > 0 && at.Sub(w.since) > limit {
+			found[c] = w.state
+			delete(l.connections, c)
+		}
+	}
+
+	return found
+}
+
+func answerLate(c net.Conn, at time.Time) {
+	if c.SetWriteDeadline(at.Add(writeTimeout)) == nil {
+		_, _ = c.Write([]byte(lateHeaders)) // the caller may have gone
+	}
+}
