Read results from the holder that beats announce

An instance that is asked for a job's results and does not hold the job read its record from the store to find the holder. While the store was down, results could be read at the holder only.

A holder that does not answer, is gone or does not hold the job any more is forgotten and looked up in the store as before.

Ruled out: longer caching of records. Each instance would still read each job once.

--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -23,6 +23,9 @@
 	// Ended are jobs whose end was acknowledged in the last seconds.
 	Ended []string `json:"Ended,omitempty,omitzero"`
 
+	// Held are jobs that the sender has accepted or taken over in the last seconds.
+	Held []string `json:"Held,omitempty,omitzero"`
+
 	// Queue counts the sender's batch items that wait for a place.
 	Queue Queue `json:"Queue"`
 
--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -14,6 +14,10 @@
 const (
 	// pollInterval is the pause between looks at the store while a reader waits for the next result.
 	pollInterval = 450 * time.Millisecond
+	// hintLife is how long an announced holder is remembered; results are read for as long after a job was accepted.
+	hintLife = 2 * time.Minute
+	// sweepInterval is the time between looks for holders to forget.
+	sweepInterval = 10 * time.Second
 	// cacheLife is how long results of a job are kept after they were last read.
 	cacheLife = 20 * time.Second
 )
@@ -40,6 +44,13 @@
 	stale bool
 }
 
+// hint is the holder of a job as it was announced.
+type hint struct {
+	holder      string
+	incarnation string
+	expiresAt   time.Time
+}
+
 // Reader is safe for concurrent use.
 type Reader struct {
 	log     joblog
@@ -50,6 +61,9 @@
 	// lock guards all fields below; it is not held during calls to the store.
 	lock sync.Mutex
 	jobs map[string]*cached
+	// hints spare a call to the store for each job at each instance that is asked for its results.
+	hints   map[string]hint
+	sweptAt time.Time
 }
 
 // New returns a reader without cached results; ask reads from the holder of a job.
@@ -64,11 +78,51 @@
 		logger:  logger,
 		now:     now,
 		jobs:    map[string]*cached{},
+		hints:   map[string]hint{},
+	}
+}
+
+// Note remembers the announced holder of a job.
+func (r *Reader) Note(id, holder, incarnation string) {
+	at := r.now()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.hints[id] = hint{
+		holder:      holder,
+		incarnation: incarnation,
+		expiresAt:   at.Add(hintLife),
+	}
+	if at.Sub(r.sweptAt) < sweepInterval {
+		return
+	}
+	r.sweptAt = at
+	for other, h := range r.hints {
+		if at.After(h.expiresAt) {
+			delete(r.hints, other)
+		}
 	}
 }
 
+// hinted returns a job with its announced holder, false if none was announced.
+func (r *Reader) hinted(id string) (*work.Job, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	h, ok := r.hints[id]
+
+	return &work.Job{
+		ID:          id,
+		Holder:      h.holder,
+		Incarnation: h.incarnation,
+	}, ok
+}
+
 // Read returns results from a position on. It waits for one until the given time; code not_found if there is no such job.
 func (r *Reader) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+	if j, ok := r.hinted(id); ok {
+		if page, ok := r.fromHolder(ctx, j, after, until); ok {
+			return page, nil
+		}
+	}
 	j, err := r.job(ctx, id)
 	if err != nil {
 		return jobpage.Page{}, err
@@ -114,13 +168,14 @@
 	return jobpage.Page{}, false
 }
 
-// forget makes the next read look for the job's holder in the store.
+// forget makes the next read look for the job's holder in the store, whatever was announced.
 func (r *Reader) forget(id string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if c := r.jobs[id]; c != nil {
 		c.stale = true
 	}
+	delete(r.hints, id)
 }
 
 // Body returns the body of an item; false if the job has no such item.
--- /dev/null
+++ b/core/jobread/reader_test.go
@@ -0,0 +1,115 @@
+package jobread
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/work"
+)
+
+// store holds one job of two results and counts calls; while it is down, it answers none.
+type store struct {
+	down  bool
+	calls int
+}
+
+func (s *store) Job(context.Context, string) (*work.Job, int64, error) {
+	s.calls++
+	if s.down {
+		return nil, 0, fault.New(fault.CodeStoreUnavailable, "down")
+	}
+
+	return &work.Job{ID: "j", Items: 2, Holder: "e2", Incarnation: "1"}, 1, nil
+}
+
+func (s *store) Items(context.Context, *work.Job) ([]work.Item, error) { return nil, nil }
+
+func (s *store) Segment(_ context.Context, _ string, position int) ([]work.Result, error) {
+	s.calls++
+	if position > 0 {
+		return nil, nil
+	}
+
+	return []work.Result{{Item: "a"}, {Item: "b"}}, nil
+}
+
+// fleet says which holders live and which of them still hold the job.
+type fleet map[string]bool
+
+func (f fleet) Holder(name, _ string) (netip.AddrPort, bool) {
+	_, ok := f[name]
+
+	return netip.MustParseAddrPort("10.0.0.1:1"), ok
+}
+
+// Guards against a call to the store for each job at each instance that is asked for its results, against results that cannot
+// be read while the store is down although their holder lives, and against a holder that is believed after it was replaced.
+func TestReadFromAnnouncedHolder(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		announced bool
+		fleet     fleet
+		down      bool
+		asked     int
+		calls     int
+		code      fault.Code
+	}{
+		{"announced", true, fleet{"e1": true}, false, 1, 0, ""},
+		{"announced, store down", true, fleet{"e1": true}, true, 1, 0, ""},
+		{"not announced", false, fleet{"e2": true}, false, 1, 1, ""},
+		{"not announced, store down", false, fleet{"e2": true}, true, 0, 1, fault.CodeStoreUnavailable},
+		{"announced holder replaced", true, fleet{"e1": false, "e2": true}, false, 2, 1, ""},
+		{"announced holder lost", true, fleet{"e2": true}, false, 1, 1, ""},
+		{"all holders lost", true, fleet{}, false, 0, 2, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &store{down: c.down}
+			at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			asked := 0
+			held := []bool{}
+			for _, name := range []string{"e1", "e2"} {
+				if h, ok := c.fleet[name]; ok {
+					held = append(held, h)
+				}
+			}
+			ask := func(context.Context, netip.AddrPort, string, int, time.Time) (jobpage.Page, bool, error) {
+				asked++
+				if !held[min(asked, len(held))-1] {
+					return jobpage.Page{}, false, nil
+				}
+
+				return jobpage.Page{Total: 2, Results: []work.Result{{Item: "a"}, {Item: "b"}}}, true, nil
+			}
+			r := New(s, c.fleet, ask, slog.New(slog.DiscardHandler), func() time.Time { return at })
+			if c.announced {
+				r.Note("j", "e1", "1")
+			}
+			page, err := r.Read(t.Context(), "j", 0, at)
+			is.Equal(fault.CodeOf(err), c.code)
+			is.Equal(asked, c.asked)
+			is.Equal(s.calls, c.calls)
+			if c.code == "" {
+				is.Equal(len(page.Results), 2)
+			}
+		})
+	}
+}
+
+// Guards against announced holders that are remembered for good.
+func TestAnnouncedHoldersExpire(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := New(&store{}, fleet{}, nil, slog.New(slog.DiscardHandler), func() time.Time { return at })
+	r.Note("old", "e1", "1")
+	at = at.Add(hintLife + sweepInterval)
+	r.Note("new", "e1", "1")
+	is.Equal(len(r.hints), 1)
+}
--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -169,7 +169,7 @@
 	if r.jobs[record.ID] != nil {
 		return nil
 	}
-	r.jobs[record.ID] = j
+	r.hold(record.ID, j)
 	r.logger.Info("job taken over", "job", record.ID, "from", from, "listed", len(j.results), "items", record.Items,
 		"ended", j.ended, "revision", revision)
 	r.signal()
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -89,7 +89,7 @@
 	j.Parts = record.Parts
 	j.revision = revision
 	if held {
-		r.jobs[id] = j
+		r.hold(id, j)
 	}
 	j.notify()
 	r.logger.Info("job submission settled", "job", id, "held", held)
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -73,6 +73,7 @@
 }
 
 type reader interface {
+	Note(id, holder, incarnation string)
 	Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error)
 	Body(ctx context.Context, id, item string) ([]byte, bool, error)
 }
@@ -103,6 +104,8 @@
 	// see them.
 	ended     map[string]time.Time
 	heardEnds map[string]time.Time
+	// held are jobs that this instance announces as its own.
+	held map[string]time.Time
 	// queue counts the items that found no place when they were last offered one.
 	queue    gossip.Queue
 	released map[string]time.Time
@@ -134,6 +137,7 @@
 		submitting:  map[string]int{},
 		ended:       map[string]time.Time{},
 		heardEnds:   map[string]time.Time{},
+		held:        map[string]time.Time{},
 		released:    map[string]time.Time{},
 		orphans:     map[string]time.Time{},
 		wake:        make(chan struct{}, 1),
@@ -231,6 +235,25 @@
 	return r.queue
 }
 
+// NewlyHeld returns the jobs that this instance has accepted or taken over a short while ago.
+func (r *Runner) NewlyHeld() []string {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	return current(r.held, r.now())
+}
+
+// HeardHeld notes that another instance announces a job as its own, so that its results are read there.
+func (r *Runner) HeardHeld(id, holder, incarnation string) {
+	r.reader.Note(id, holder, incarnation)
+}
+
+// hold adds a job to those that this instance runs; it needs the lock.
+func (r *Runner) hold(id string, j *job) {
+	r.jobs[id] = j
+	r.held[id] = r.now().Add(newsLife)
+}
+
 // Backlog returns how many jobs this instance holds, and their waiting and running items.
 func (r *Runner) Backlog() (jobs, waitingItems, runningItems int) {
 	r.lock.Lock()
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -43,7 +43,7 @@
 	switch fault.CodeOf(err) {
 	case "":
 		r.lock.Lock()
-		r.jobs[j.ID] = n
+		r.hold(j.ID, n)
 		r.signal()
 		r.lock.Unlock()
 
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -51,6 +51,8 @@
 type jobs interface {
 	News() (ended, released []string, tokens map[string]int)
 	Queue() gossip.Queue
+	NewlyHeld() []string
+	HeardHeld(id, holder, incarnation string)
 	HeardEnd(id string)
 	Preempt(server string, count int)
 }
@@ -167,6 +169,7 @@
 	}
 	b.Ended, b.Released, b.Waiting = p.jobs.News()
 	b.Queue = p.jobs.Queue()
+	b.Held = p.jobs.NewlyHeld()
 
 	return b
 }
@@ -245,6 +248,9 @@
 	for _, id := range b.Released {
 		p.released(id)
 	}
+	for _, id := range b.Held {
+		p.jobs.HeardHeld(id, b.Sender.Name, b.Sender.Incarnation)
+	}
 	if !passOn {
 		return
 	}
--- a/core/pulse/pulse_test.go
+++ b/core/pulse/pulse_test.go
@@ -55,6 +55,8 @@
 func (i *instance) name() string                           { return i.cluster.Self().Name }
 func (*instance) News() (a, b []string, m map[string]int)  { return nil, nil, nil }
 func (*instance) Queue() gossip.Queue                      { return gossip.Queue{} }
+func (*instance) NewlyHeld() []string                      { return nil }
+func (*instance) HeardHeld(id, holder, incarnation string) {}
 func (*instance) HeardEnd(string)                          {}
 func (*instance) Preempt(string, int)                      {}
 func (*instance) Known() (list []backend.Server, r int64)  { return nil, 0 }
