Log every answer, routine ones at a level that gives way

A request that was answered left no line unless an attempt had failed, so that a caller's complaint about a slow stream could not be explained from the logs. Every answer now leaves one line with the server, the times and the attempts: at level info if it missed the route's objective for the first event or for pauses or needed several attempts, else at level debug. Debug lines may fill half of the buffer only, so that refusals, failures and changes of belief are kept when the log's reader is slow.

Ruled out: a sample of the ordinary answers by ID. An instance answers about ten requests a second, also at the size that docs/CAPACITY.md is about.

--- a/cmd/tarragonwalk/platform.go
+++ b/cmd/tarragonwalk/platform.go
@@ -63,7 +63,9 @@
 
 func platformStart() (*settings.Settings, *slog.Logger, func(), error) {
 	w := logline.New(os.Stdout)
-	log := slog.New(slog.NewJSONHandler(w, nil))
+	log := slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{
+		Level: slog.LevelDebug,
+	}))
 	s, err := settings.Load()
 
 	return s, log, w.Flush, err
--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -45,8 +45,10 @@
 	// refused counts attempts that certainly have not run.
 	refused int
 	// began is set once the caller has got the status line.
-	began     bool
-	startedAt time.Time
+	began  bool
+	timing timing
+	// server is the one that was asked last.
+	server string
 	// progressAt is when the current attempt was sent or last got something.
 	progressAt time.Time
 	splitter   *eventstream.Splitter
@@ -148,6 +150,7 @@
 func (e *exchange) attempt(ctx context.Context, p *reservation) error {
 	defer p.release()
 	e.tried[p.server.ID] = true
+	e.server = p.server.ID
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := e.watch(cancel)
@@ -202,6 +205,7 @@
 	if err := e.sink.Write(body); err != nil {
 		return errSink
 	}
+	e.timing.deliver(e.forwarder.now())
 
 	return nil
 }
@@ -263,13 +267,14 @@
 	if err := e.sink.Write(ready); err != nil {
 		return errSink
 	}
+	e.timing.deliver(e.forwarder.now())
 
 	return nil
 }
 
 func (e *exchange) begin() {
 	e.began = true
-	firstBytes.Record(e.forwarder.now().Sub(e.startedAt))
+	firstBytes.Record(e.forwarder.now().Sub(e.timing.startedAt))
 }
 
 // resumedAfter returns the last event that the caller already has from an earlier attempt of its own.
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -101,8 +101,10 @@
 		sink:      out,
 		service:   r.Service(f.placer.Point()),
 		tried:     map[string]bool{},
-		startedAt: f.now(),
-		queue:     f.queue(r, q),
+		timing: timing{
+			startedAt: f.now(),
+		},
+		queue: f.queue(r, q),
 	}
 	err := e.run(ctx)
 	outcome := "answered"
@@ -110,11 +112,28 @@
 		outcome = string(fault.CodeOf(err))
 	}
 	ends.Add(string(r.Kind)+" "+outcome, 1)
-	durations.Record(f.now().Sub(e.startedAt))
+	at := f.now()
+	durations.Record(at.Sub(e.timing.startedAt))
+	if err == nil {
+		f.logAnswer(e, at)
+	}
 
 	return err
 }
 
+// logAnswer logs an answer; an ordinary one at a level whose lines give way when the log's reader is slow. Failures are logged
+// by the side of the caller.
+func (f *Forwarder) logAnswer(e *exchange, at time.Time) {
+	level := slog.LevelInfo
+	late := e.timing.late(e.route)
+	if !late && e.ran+e.refused == 0 {
+		level = slog.LevelDebug
+	}
+	f.log.Log(context.Background(), level, "request answered", "request", e.call.ID, "route", e.route.Name, "server", e.server, "late", late,
+		"first_ms", e.timing.first().Milliseconds(), "pause_ms", e.timing.pause.Milliseconds(),
+		"after_ms", at.Sub(e.timing.startedAt).Milliseconds(), "target_ms", e.route.TargetMillis, "ran", e.ran, "refused", e.refused)
+}
+
 func (f *Forwarder) deadline(r *route.Route, q *call.Call) time.Time {
 	limit := f.now().Add(defaultTimeout)
 	if r.TimeoutMillis > 0 {
--- a/io/logline/writer.go
+++ b/io/logline/writer.go
@@ -12,10 +12,18 @@
 const (
 	// maxBuffered bounds the lines that wait for a slow reader, in bytes.
 	maxBuffered = 1 << 20
+	// maxRoutine is the part of the buffer that routine lines may fill, so that refusals, failures and changes of belief are
+	// kept when the reader is slow.
+	maxRoutine = maxBuffered / 2
+	// headBytes is the part of a line in which its time and level are.
+	headBytes = 96
 	// flushInterval collects lines into one write.
 	flushInterval = 50 * time.Millisecond
 )
 
+// routineMark is in the lines that slog.NewJSONHandler writes at level debug.
+var routineMark = []byte(`"level":"DEBUG"`)
+
 var dropped = expvar.NewInt("LogLinesDropped")
 
 // Writer hands lines to a slower writer in the background and drops what does not fit its buffer; it is safe for concurrent
@@ -42,7 +50,11 @@
 func (w *Writer) Write(line []byte) (int, error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if w.buffer.Len()+len(line) > maxBuffered {
+	limit := maxBuffered
+	if bytes.Contains(line[:min(len(line), headBytes)], routineMark) {
+		limit = maxRoutine
+	}
+	if w.buffer.Len()+len(line) > limit {
 		w.lost++
 		dropped.Add(1)
 
--- a/io/logline/writer_test.go
+++ b/io/logline/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -51,3 +52,27 @@
 	is.True(strings.Contains(b.out.String(), `"msg":"log lines dropped"`))
 	is.True(b.out.Len() >= maxBuffered-len(line))
 }
+
+// Guards against routine lines that fill the buffer of a slow reader, so that the lines of refusals and failures are dropped.
+func TestRoutineLinesGiveWay(t *testing.T) {
+	is := is.New(t)
+	b := &blocked{release: make(chan struct{})}
+	w := New(b)
+	log := slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	go w.Flush()
+	time.Sleep(100 * time.Millisecond) // the flush is blocked
+	const count = 3 * maxBuffered / 150
+	for n := range count {
+		log.Debug("request answered", "request", n, "filler", strings.Repeat("x", 50))
+	}
+	const important = 20
+	for n := range important {
+		log.Warn("backend server suspected", "server", n)
+	}
+	close(b.release)
+	w.Flush()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	is.Equal(strings.Count(b.out.String(), "backend server suspected"), important)
+	is.True(strings.Contains(b.out.String(), "log lines dropped"))
+}
