Cancel the two requests of the overload test one after the other

One context was canceled for the running and the queued request. Its children end one by one: when the running request ended first, its slot was granted to the queued one, whose own context had not ended yet, so that it was sent and ended right after.

Ruled out: a request that is sent after its own caller has left; send checks the context of the request for that.

Each request now has a context of its own and the queued one is canceled first; the check is unchanged.

--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -156,24 +156,35 @@
 	is := is.New(t)
 	e := &fakeEngine{tokens: 1, hang: map[uint16]bool{1: true}}
 	d := newDispatcher(e, fleet(1, 1), 1)
-	ctx, stop := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	for range 2 {
-		group.Go(func() {
+	start := func() (stop func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
 			err := d.Run(ctx, request("a", inference.ClassOnline), nil)
 			if fault.CodeOf(err) != fault.CodeCancelled {
 				t.Errorf("canceled request: %v", err)
 			}
-		})
+		}()
+
+		return func() {
+			cancel()
+			<-ended
+		}
 	}
+	stopRunning := start()
+	waitFor(t, "running request", func() bool { return e.count() == 1 })
+	stopQueued := start()
 	waitFor(t, "full queue", func() bool { _, _, queued := d.Snapshot(); return queued == 1 })
 	_, err := run(d, request("b", inference.ClassOnline))
 	is.Equal(fault.CodeOf(err), fault.CodeOverloaded)
 	is.True(fault.NotRun(err))
 	var f *fault.Error
 	is.True(errors.As(err, &f) && f.RetryAt.After(time.Now()))
-	stop()
-	group.Wait()
+	// The queued one is canceled first: one context for both ends the running one first at times, and the other one is then
+	// granted its slot before its own context has ended.
+	stopQueued()
+	stopRunning()
 	is.Equal(e.count(), 1)
 
 	s := newSequence(request("c", inference.ClassOnline), nil)
