Move the messages between instances below core

core/dispatch, core/notice and core/exchange imported io/peer for the types of its messages, so that the product's core depended on a transport. The types are now generated into core/message, which io/peer carries.

--- a/core/capacity/peers/measurement.go
+++ b/core/capacity/peers/measurement.go
@@ -8,7 +8,7 @@
 	"tarragonwalk/core/capacity/fixture"
 	"tarragonwalk/core/capacity/slope"
 	"tarragonwalk/core/capacity/usage"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 const (
@@ -220,9 +220,9 @@
 	p.rounds(warmRounds)
 	own := p.nodes[len(p.nodes)-1]
 	to := netip.MustParseAddrPort(p.listeners[0].Addr().String())
-	var counts []peer.OnlineCount
+	var counts []message.OnlineCount
 	for n := range workers {
-		counts = append(counts, peer.OnlineCount{
+		counts = append(counts, message.OnlineCount{
 			BackendServer: fixture.Worker(n),
 			InFlight:      1,
 		})
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -12,10 +12,10 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/membership"
+	"tarragonwalk/core/message"
 	"tarragonwalk/core/pace"
 	"tarragonwalk/core/retry"
 	"tarragonwalk/core/routing"
-	"tarragonwalk/io/peer"
 )
 
 const (
@@ -61,7 +61,7 @@
 	configuration holder
 	members       members
 	self          membership.Instance
-	notify        func(feeder string, count peer.OnlineCount)
+	notify        func(feeder string, count message.OnlineCount)
 	now           func() time.Time
 	queueWait     time.Duration
 	cancelSlots   chan struct{}
@@ -89,7 +89,7 @@
 
 type notice struct {
 	feeder string
-	count  peer.OnlineCount
+	count  message.OnlineCount
 }
 
 // New returns a dispatcher for the entry instance self. notify must not block; queueWait bounds the time in the queue,
@@ -99,7 +99,7 @@
 	c holder,
 	m members,
 	self membership.Instance,
-	notify func(feeder string, count peer.OnlineCount),
+	notify func(feeder string, count message.OnlineCount),
 	now func() time.Time,
 	random *rand.Rand,
 	queueRequests, queueBytes int,
@@ -249,7 +249,7 @@
 }
 
 // ObserveOnline takes the online requests that another instance has in flight on workers fed by this one.
-func (d *Dispatcher) ObserveOnline(sender string, counts []peer.OnlineCount, at time.Time) {
+func (d *Dispatcher) ObserveOnline(sender string, counts []message.OnlineCount, at time.Time) {
 	d.mu.Lock()
 	defer d.unlock()
 	c := d.configuration.Current()
@@ -261,11 +261,11 @@
 }
 
 // OnlineCounts returns this instance's online requests in flight on the workers that the receiver feeds.
-func (d *Dispatcher) OnlineCounts(receiver string, at time.Time) []peer.OnlineCount {
+func (d *Dispatcher) OnlineCounts(receiver string, at time.Time) []message.OnlineCount {
 	d.mu.Lock()
 	defer d.unlock()
 	feeders := d.feeders(d.configuration.Current(), at)
-	var counts []peer.OnlineCount
+	var counts []message.OnlineCount
 	for name, last := range d.reported {
 		n := d.admission.Online(name)
 		if n == 0 && at.Sub(last) > reportZeroFor {
@@ -274,7 +274,7 @@
 			continue
 		}
 		if feeders[name] == receiver {
-			counts = append(counts, peer.OnlineCount{
+			counts = append(counts, message.OnlineCount{
 				BackendServer: name,
 				InFlight:      n,
 			})
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -16,7 +16,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 func answer(id string, tokens int) string {
@@ -299,9 +299,9 @@
 	is := is.New(t)
 	d := newDispatcher(&fakeEngine{}, fleet(1, 8), 4)
 	is.Equal(d.BatchSlots("d"), 7)
-	d.ObserveOnline("e2", []peer.OnlineCount{{BackendServer: "w1", InFlight: 3}}, time.Now())
+	d.ObserveOnline("e2", []message.OnlineCount{{BackendServer: "w1", InFlight: 3}}, time.Now())
 	is.Equal(d.BatchSlots("d"), 4)
-	d.ObserveOnline("e2", []peer.OnlineCount{{BackendServer: "w1"}}, time.Now())
+	d.ObserveOnline("e2", []message.OnlineCount{{BackendServer: "w1"}}, time.Now())
 	is.Equal(d.BatchSlots("d"), 7)
 }
 
@@ -311,7 +311,7 @@
 	f := pair{fakeFleet: fleet(6, 4)}
 	var lock sync.Mutex
 	counts := map[string][]int{}
-	d := New(&fakeEngine{tokens: 1}, f, f, f.Live(time.Time{})[0], func(feeder string, n peer.OnlineCount) {
+	d := New(&fakeEngine{tokens: 1}, f, f, f.Live(time.Time{})[0], func(feeder string, n message.OnlineCount) {
 		lock.Lock()
 		defer lock.Unlock()
 		is.Equal(feeder, "e2")
--- a/core/dispatch/fake_test.go
+++ b/core/dispatch/fake_test.go
@@ -12,7 +12,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/membership"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 // fakeEngine streams tokens "<id>:<offset> " at a step and can be told to fail a server.
@@ -125,7 +125,7 @@
 func newDispatcher(e *fakeEngine, f *fakeFleet, queue int) *Dispatcher {
 	self := f.Live(time.Time{})[0]
 
-	return New(e, f, f, self, func(string, peer.OnlineCount) {}, time.Now, rand.New(rand.NewPCG(1, 2)),
+	return New(e, f, f, self, func(string, message.OnlineCount) {}, time.Now, rand.New(rand.NewPCG(1, 2)),
 		queue, 1<<20, 2*time.Second, 5*time.Second)
 }
 
--- a/core/dispatch/feeding.go
+++ b/core/dispatch/feeding.go
@@ -8,8 +8,8 @@
 	"tarragonwalk/core/admission"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/membership"
+	"tarragonwalk/core/message"
 	"tarragonwalk/core/rendezvous"
-	"tarragonwalk/io/peer"
 )
 
 const (
@@ -92,7 +92,7 @@
 	if feeder := d.feeders(c, at)[name]; feeder != "" && feeder != d.self.Name {
 		d.outbox = append(d.outbox, notice{
 			feeder: feeder,
-			count: peer.OnlineCount{
+			count: message.OnlineCount{
 				BackendServer: name,
 				InFlight:      d.admission.Online(name),
 			},
--- a/core/dispatch/others.go
+++ b/core/dispatch/others.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 // othersSender stands for all other instances in the table of peers' counts. One name for all feeders lets a new
@@ -15,7 +15,7 @@
 // OthersOnline returns, for the backend servers that the receiver asks about (nil for all that this instance feeds), the
 // online requests that all instances but the receiver have in flight. Only the feeder hears of all of them, so it tells
 // the others; without that each instance would fill the slots of a backend server on its own.
-func (d *Dispatcher) OthersOnline(receiver string, asked []peer.OnlineCount, at time.Time) []peer.OnlineCount {
+func (d *Dispatcher) OthersOnline(receiver string, asked []message.OnlineCount, at time.Time) []message.OnlineCount {
 	d.mu.Lock()
 	defer d.unlock()
 	names := make([]string, 0, len(asked))
@@ -25,9 +25,9 @@
 	if asked == nil {
 		names = d.fedAll(at)
 	}
-	counts := make([]peer.OnlineCount, 0, len(names))
+	counts := make([]message.OnlineCount, 0, len(names))
 	for _, name := range names {
-		counts = append(counts, peer.OnlineCount{
+		counts = append(counts, message.OnlineCount{
 			BackendServer: name,
 			InFlight:      d.admission.OnlineExcept(receiver, name, at),
 		})
@@ -37,7 +37,7 @@
 }
 
 // ObserveOthers takes a feeder's account of the online requests that other instances have in flight.
-func (d *Dispatcher) ObserveOthers(counts []peer.OnlineCount, at time.Time) {
+func (d *Dispatcher) ObserveOthers(counts []message.OnlineCount, at time.Time) {
 	if len(counts) > 0 {
 		d.ObserveOnline(othersSender, counts, at)
 	}
@@ -72,7 +72,7 @@
 		}
 		d.outbox = append(d.outbox, notice{
 			feeder: feeder,
-			count: peer.OnlineCount{
+			count: message.OnlineCount{
 				BackendServer: name,
 				InFlight:      d.admission.Online(name),
 			},
--- a/core/dispatch/others_test.go
+++ b/core/dispatch/others_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/inference"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 // Guards against instances that each fill the slots of a worker on their own, which queues requests inside the engine,
@@ -19,7 +19,7 @@
 	f := fleet(1, 3)
 	d := newDispatcher(e, f, 8)
 	account := func(n int) {
-		d.ObserveOthers([]peer.OnlineCount{
+		d.ObserveOthers([]message.OnlineCount{
 			{
 				BackendServer: "w1",
 				InFlight:      n,
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	d := newDispatcher(&fakeEngine{tokens: 1}, fleet(1, 8), 8)
 	report := func(sender string, n int) {
-		d.ObserveOnline(sender, []peer.OnlineCount{
+		d.ObserveOnline(sender, []message.OnlineCount{
 			{
 				BackendServer: "w1",
 				InFlight:      n,
--- a/core/exchange/exchanger.go
+++ b/core/exchange/exchanger.go
@@ -14,7 +14,7 @@
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/membership"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 const (
@@ -35,8 +35,8 @@
 
 // peers is the transport to other entry instances.
 type peers interface {
-	Exchange(ctx context.Context, a netip.AddrPort, m *peer.Exchange) (*peer.Exchange, error)
-	Configuration(ctx context.Context, a netip.AddrPort, version int) (*peer.ConfigurationReply, error)
+	Exchange(ctx context.Context, a netip.AddrPort, m *message.Exchange) (*message.Exchange, error)
+	Configuration(ctx context.Context, a netip.AddrPort, version int) (*message.ConfigurationReply, error)
 }
 
 // members is the table of instances.
@@ -60,10 +60,10 @@
 
 // online takes and gives in-flight counts of online requests.
 type online interface {
-	ObserveOnline(sender string, counts []peer.OnlineCount, at time.Time)
-	OnlineCounts(receiver string, at time.Time) []peer.OnlineCount
-	ObserveOthers(counts []peer.OnlineCount, at time.Time)
-	OthersOnline(receiver string, asked []peer.OnlineCount, at time.Time) []peer.OnlineCount
+	ObserveOnline(sender string, counts []message.OnlineCount, at time.Time)
+	OnlineCounts(receiver string, at time.Time) []message.OnlineCount
+	ObserveOthers(counts []message.OnlineCount, at time.Time)
+	OthersOnline(receiver string, asked []message.OnlineCount, at time.Time) []message.OnlineCount
 }
 
 // Exchanger sends and answers the regular message. Its lock guards its own tables and is never held while a dependency is called.
@@ -174,14 +174,14 @@
 }
 
 // HandleExchange answers a peer's regular message.
-func (e *Exchanger) HandleExchange(m *peer.Exchange) *peer.Exchange {
+func (e *Exchanger) HandleExchange(m *message.Exchange) *message.Exchange {
 	e.learn(m)
 
 	return e.message(m.Sender)
 }
 
 // HandleConfiguration answers with the configuration in force.
-func (e *Exchanger) HandleConfiguration(m *peer.ConfigurationRequest) (*peer.ConfigurationReply, error) {
+func (e *Exchanger) HandleConfiguration(m *message.ConfigurationRequest) (*message.ConfigurationReply, error) {
 	c := e.configurations.Current()
 	if c == nil || c.Version < m.Version {
 		return nil, fault.New(fault.CodeNotFound, "this instance does not have that configuration")
@@ -191,13 +191,13 @@
 		return nil, fault.Wrap(err, fault.CodeInternal, "cannot encode the configuration")
 	}
 
-	return &peer.ConfigurationReply{
+	return &message.ConfigurationReply{
 		Configuration: encoded,
 	}, nil
 }
 
 // HandleOnline takes changed in-flight counts and returns those of the other instances on the same backend servers.
-func (e *Exchanger) HandleOnline(m *peer.OnlineNotice) []peer.OnlineCount {
+func (e *Exchanger) HandleOnline(m *message.OnlineNotice) []message.OnlineCount {
 	now := e.clock()
 	e.online.ObserveOnline(m.Sender, m.Online, now)
 
@@ -270,7 +270,7 @@
 	}
 }
 
-func (e *Exchanger) learn(m *peer.Exchange) {
+func (e *Exchanger) learn(m *message.Exchange) {
 	now := e.clock()
 	for _, k := range m.Marks {
 		until := now.Add(time.Duration(k.EndsInMillis) * time.Millisecond)
@@ -295,7 +295,7 @@
 	e.online.ObserveOthers(m.Others, now)
 }
 
-func (e *Exchanger) message(receiver string) *peer.Exchange {
+func (e *Exchanger) message(receiver string) *message.Exchange {
 	now := e.clock()
 	version := 0
 	if c := e.configurations.Current(); c != nil {
@@ -305,7 +305,7 @@
 	others := e.online.OthersOnline(receiver, nil, now)
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	m := &peer.Exchange{
+	m := &message.Exchange{
 		Sender:               e.name,
 		ConfigurationVersion: version,
 		JobsRevision:         int(e.openView),
@@ -316,7 +316,7 @@
 	}
 	for _, name := range prune(e.leaving, now) {
 		if left := e.leaving[name].Sub(now).Milliseconds(); left > 0 {
-			m.Marks = append(m.Marks, peer.LeavingMark{
+			m.Marks = append(m.Marks, message.LeavingMark{
 				Name:         name,
 				EndsInMillis: int(min(left, markTime.Milliseconds())),
 			})
--- a/core/exchange/exchanger_test.go
+++ b/core/exchange/exchanger_test.go
@@ -13,7 +13,7 @@
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/membership"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 // world stands for all dependencies of one exchanger; its peers answer through the exchangers of other worlds.
@@ -31,22 +31,22 @@
 
 func (w *world) clock() time.Time { return w.now }
 
-func (w *world) Exchange(_ context.Context, a netip.AddrPort, m *peer.Exchange) (*peer.Exchange, error) {
+func (w *world) Exchange(_ context.Context, a netip.AddrPort, m *message.Exchange) (*message.Exchange, error) {
 	reply := w.others[a].HandleExchange(m)
 	w.now = w.now.Add(w.delay)
 
 	return reply, nil
 }
 
-func (w *world) Configuration(_ context.Context, a netip.AddrPort, version int) (*peer.ConfigurationReply, error) {
+func (w *world) Configuration(_ context.Context, a netip.AddrPort, version int) (*message.ConfigurationReply, error) {
 	w.fetches++
 	if w.forged != nil {
 		encoded, err := json.Marshal(w.forged)
 
-		return &peer.ConfigurationReply{Configuration: encoded}, err
+		return &message.ConfigurationReply{Configuration: encoded}, err
 	}
 
-	return w.others[a].HandleConfiguration(&peer.ConfigurationRequest{Sender: "x", Version: version})
+	return w.others[a].HandleConfiguration(&message.ConfigurationRequest{Sender: "x", Version: version})
 }
 
 func (w *world) ConfirmOpen(digest int64, at time.Time) {
@@ -57,13 +57,15 @@
 
 func (w *world) CancelJobs(ids []string) { w.canceled = append(w.canceled, ids...) }
 
-func (w *world) ObserveOnline(string, []peer.OnlineCount, time.Time) {}
+func (w *world) ObserveOnline(string, []message.OnlineCount, time.Time) {}
 
-func (w *world) ObserveOthers([]peer.OnlineCount, time.Time) {}
+func (w *world) ObserveOthers([]message.OnlineCount, time.Time) {}
 
-func (w *world) OthersOnline(string, []peer.OnlineCount, time.Time) []peer.OnlineCount { return nil }
+func (w *world) OthersOnline(string, []message.OnlineCount, time.Time) []message.OnlineCount {
+	return nil
+}
 
-func (w *world) OnlineCounts(string, time.Time) []peer.OnlineCount { return nil }
+func (w *world) OnlineCounts(string, time.Time) []message.OnlineCount { return nil }
 
 func address(name string) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name[0]))
@@ -117,7 +119,7 @@
 	ws["a"].forged = version(4) // an older one in place of the promised one
 	es["a"].round(t.Context())
 	is.Equal(ws["a"].holder.Current().Version, 5)
-	_, err := es["a"].HandleConfiguration(&peer.ConfigurationRequest{Sender: "b", Version: 6})
+	_, err := es["a"].HandleConfiguration(&message.ConfigurationRequest{Sender: "b", Version: 6})
 	is.Equal(fault.CodeOf(err), fault.CodeNotFound)
 }
 
--- a/core/experiment/fleet/fleet.go
+++ b/core/experiment/fleet/fleet.go
@@ -17,8 +17,8 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/membership"
+	"tarragonwalk/core/message"
 	"tarragonwalk/io/engine"
-	"tarragonwalk/io/peer"
 	standin "tarragonwalk/io/standin/engine"
 )
 
@@ -223,16 +223,16 @@
 		f.clients = append(f.clients, client)
 		random := rand.New(rand.NewPCG(seed, uint64(n))) //nolint:gosec // spreads load only
 		f.dispatchers = append(f.dispatchers, dispatch.New(client, fixed{configurations[self.Zone]}, f.table, self,
-			func(feeder string, count peer.OnlineCount) { f.send(n, feeder, []peer.OnlineCount{count}) },
+			func(feeder string, count message.OnlineCount) { f.send(n, feeder, []message.OnlineCount{count}) },
 			time.Now, random, queueRequests, queueBytes, queueWait, eventTime, options...))
 	}
 	for n, self := range all {
 		var row, answers []*mailbox
 		for m := range all {
-			answer := f.open(func(counts []peer.OnlineCount) {
+			answer := f.open(func(counts []message.OnlineCount) {
 				f.dispatchers[n].ObserveOthers(counts, time.Now())
 			})
-			row = append(row, f.open(func(counts []peer.OnlineCount) {
+			row = append(row, f.open(func(counts []message.OnlineCount) {
 				now := time.Now()
 				f.dispatchers[m].ObserveOnline(self.Name, counts, now)
 				answer.post(f.dispatchers[m].OthersOnline(self.Name, counts, now), now.Add(f.preset.Delay(f.zones[m], f.zones[n])))
@@ -246,7 +246,7 @@
 }
 
 // open starts a mailbox that ends with the fleet.
-func (f *Fleet) open(deliver func([]peer.OnlineCount)) *mailbox {
+func (f *Fleet) open(deliver func([]message.OnlineCount)) *mailbox {
 	box := newMailbox()
 	f.tasks.Go(func() { box.run(f.stop, deliver) })
 
@@ -275,7 +275,7 @@
 	}
 }
 
-func (f *Fleet) send(from int, receiver string, counts []peer.OnlineCount) {
+func (f *Fleet) send(from int, receiver string, counts []message.OnlineCount) {
 	m, ok := f.indexes[receiver]
 	if !ok || len(counts) == 0 {
 		return
--- a/core/experiment/fleet/mailbox.go
+++ b/core/experiment/fleet/mailbox.go
@@ -3,29 +3,29 @@
 import (
 	"time"
 
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 // mailLimit bounds the notices under way; further ones are dropped, and the regular exchange repeats their counts.
 const mailLimit = 4096
 
-type message struct {
-	counts []peer.OnlineCount
+type notice struct {
+	counts []message.OnlineCount
 	due    time.Time
 }
 
 // mailbox delivers the notices of one instance to another one in order, each after a delay.
 type mailbox struct {
-	messages chan message
+	messages chan notice
 }
 
 func newMailbox() *mailbox {
-	return &mailbox{messages: make(chan message, mailLimit)}
+	return &mailbox{messages: make(chan notice, mailLimit)}
 }
 
-func (m *mailbox) post(counts []peer.OnlineCount, due time.Time) {
+func (m *mailbox) post(counts []message.OnlineCount, due time.Time) {
 	select {
-	case m.messages <- message{
+	case m.messages <- notice{
 		counts: counts,
 		due:    due,
 	}:
@@ -33,7 +33,7 @@
 	}
 }
 
-func (m *mailbox) run(stop <-chan struct{}, deliver func([]peer.OnlineCount)) {
+func (m *mailbox) run(stop <-chan struct{}, deliver func([]message.OnlineCount)) {
 	for {
 		select {
 		case <-stop:
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -21,6 +21,7 @@
 	"tarragonwalk/core/job"
 	"tarragonwalk/core/lease"
 	"tarragonwalk/core/membership"
+	"tarragonwalk/core/message"
 	"tarragonwalk/core/notice"
 	"tarragonwalk/core/once"
 	"tarragonwalk/core/recording"
@@ -279,7 +280,7 @@
 	}
 }
 
-func (i *Instance) notify(feeder string, count peer.OnlineCount) {
+func (i *Instance) notify(feeder string, count message.OnlineCount) {
 	i.notifier.Notify(feeder, count)
 }
 
--- a/core/notice/notifier.go
+++ b/core/notice/notifier.go
@@ -10,7 +10,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/membership"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 const (
@@ -24,13 +24,13 @@
 
 // sender is the transport to other entry instances.
 type sender interface {
-	Online(ctx context.Context, a netip.AddrPort, counts []peer.OnlineCount) (others []peer.OnlineCount, err error)
+	Online(ctx context.Context, a netip.AddrPort, counts []message.OnlineCount) (others []message.OnlineCount, err error)
 }
 
 // online takes what the feeder knows of other instances.
 type online interface {
-	ObserveOthers(counts []peer.OnlineCount, at time.Time)
-	OnlineCounts(receiver string, at time.Time) []peer.OnlineCount
+	ObserveOthers(counts []message.OnlineCount, at time.Time)
+	OnlineCounts(receiver string, at time.Time) []message.OnlineCount
 }
 
 // members is the table of instances.
@@ -65,7 +65,7 @@
 }
 
 // Notify queues a count for a feeder and returns at once.
-func (n *Notifier) Notify(feeder string, count peer.OnlineCount) {
+func (n *Notifier) Notify(feeder string, count message.OnlineCount) {
 	n.lock.Lock()
 	counts := n.pending[feeder]
 	if counts == nil {
@@ -133,9 +133,9 @@
 func (n *Notifier) send(ctx context.Context, feeder string, a netip.AddrPort, counts map[string]int) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list := make([]peer.OnlineCount, 0, len(counts))
+	list := make([]message.OnlineCount, 0, len(counts))
 	for name, count := range counts {
-		list = append(list, peer.OnlineCount{
+		list = append(list, message.OnlineCount{
 			BackendServer: name,
 			InFlight:      count,
 		})
--- a/core/notice/notifier_test.go
+++ b/core/notice/notifier_test.go
@@ -13,19 +13,19 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/membership"
-	"tarragonwalk/io/peer"
+	"tarragonwalk/core/message"
 )
 
 // fakeFleet records what is sent and answers that others have one request in flight.
 type fakeFleet struct {
 	lock     sync.Mutex
 	size     int
-	sent     []peer.OnlineCount
+	sent     []message.OnlineCount
 	observed int
 	block    chan struct{}
 }
 
-func (f *fakeFleet) Online(_ context.Context, _ netip.AddrPort, counts []peer.OnlineCount) ([]peer.OnlineCount, error) {
+func (f *fakeFleet) Online(_ context.Context, _ netip.AddrPort, counts []message.OnlineCount) ([]message.OnlineCount, error) {
 	if f.block != nil {
 		<-f.block
 	}
@@ -33,7 +33,7 @@
 	defer f.lock.Unlock()
 	f.sent = append(f.sent, counts...)
 
-	return []peer.OnlineCount{{BackendServer: "w1", InFlight: 1}}, nil
+	return []message.OnlineCount{{BackendServer: "w1", InFlight: 1}}, nil
 }
 
 func (f *fakeFleet) Live(time.Time) []membership.Instance {
@@ -45,18 +45,18 @@
 	return list
 }
 
-func (f *fakeFleet) ObserveOthers([]peer.OnlineCount, time.Time) {
+func (f *fakeFleet) ObserveOthers([]message.OnlineCount, time.Time) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.observed++
 }
 
-func (f *fakeFleet) OnlineCounts(receiver string, _ time.Time) []peer.OnlineCount {
+func (f *fakeFleet) OnlineCounts(receiver string, _ time.Time) []message.OnlineCount {
 	if receiver != "entry-1" {
 		return nil
 	}
 
-	return []peer.OnlineCount{{BackendServer: "w1", InFlight: 2}}
+	return []message.OnlineCount{{BackendServer: "w1", InFlight: 2}}
 }
 
 // Guards against a burst that costs a message for each request, and against answers that are not used.
@@ -68,7 +68,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		go n.Run(ctx)
 		for count := range 100 {
-			n.Notify("entry-1", peer.OnlineCount{BackendServer: "w1", InFlight: count + 1})
+			n.Notify("entry-1", message.OnlineCount{BackendServer: "w1", InFlight: count + 1})
 		}
 		synctest.Wait()
 		close(f.block)
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/message"
 )
 
 // connectionAge bounds the life of a pooled connection, so that one that a middlebox has forgotten is not kept for long.
@@ -23,9 +24,9 @@
 
 // handler answers the messages of other entry instances.
 type handler interface {
-	HandleExchange(m *Exchange) *Exchange
-	HandleConfiguration(m *ConfigurationRequest) (*ConfigurationReply, error)
-	HandleOnline(m *OnlineNotice) []OnlineCount
+	HandleExchange(m *message.Exchange) *message.Exchange
+	HandleConfiguration(m *message.ConfigurationRequest) (*message.ConfigurationReply, error)
+	HandleOnline(m *message.OnlineNotice) []message.OnlineCount
 }
 
 // Node is both ends of the messages between entry instances. The lock guards the connection table only and is never held during a call.
@@ -91,16 +92,16 @@
 }
 
 // Exchange sends the regular message and returns the peer's.
-func (n *Node) Exchange(ctx context.Context, a netip.AddrPort, m *Exchange) (*Exchange, error) {
-	reply := &Exchange{}
+func (n *Node) Exchange(ctx context.Context, a netip.AddrPort, m *message.Exchange) (*message.Exchange, error) {
+	reply := &message.Exchange{}
 
 	return reply, n.call(ctx, a, "Peer.Exchange", m, reply)
 }
 
 // Configuration asks a peer for a configuration of at least version.
-func (n *Node) Configuration(ctx context.Context, a netip.AddrPort, version int) (*ConfigurationReply, error) {
-	reply := &ConfigurationReply{}
-	request := &ConfigurationRequest{
+func (n *Node) Configuration(ctx context.Context, a netip.AddrPort, version int) (*message.ConfigurationReply, error) {
+	reply := &message.ConfigurationReply{}
+	request := &message.ConfigurationRequest{
 		Sender:  n.name,
 		Version: version,
 	}
@@ -109,13 +110,13 @@
 }
 
 // Online tells the feeder of backend servers about changed in-flight counts and returns those of all other instances.
-func (n *Node) Online(ctx context.Context, a netip.AddrPort, counts []OnlineCount) (others []OnlineCount, err error) {
-	notice := &OnlineNotice{
+func (n *Node) Online(ctx context.Context, a netip.AddrPort, counts []message.OnlineCount) (others []message.OnlineCount, err error) {
+	notice := &message.OnlineNotice{
 		Sender: n.name,
 		Online: counts,
 	}
 
-	ack := &Ack{}
+	ack := &message.Ack{}
 	err = n.call(ctx, a, "Peer.Online", notice, ack)
 
 	return ack.Others, err
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/message"
 )
 
 type fakeHandler struct {
@@ -18,25 +19,25 @@
 	block  chan struct{}
 }
 
-func (f *fakeHandler) HandleExchange(m *Exchange) *Exchange {
+func (f *fakeHandler) HandleExchange(m *message.Exchange) *message.Exchange {
 	if f.block != nil {
 		<-f.block
 	}
 
-	return &Exchange{
+	return &message.Exchange{
 		Sender:               "server",
 		ConfigurationVersion: m.ConfigurationVersion + 1,
 	}
 }
 
-func (f *fakeHandler) HandleConfiguration(*ConfigurationRequest) (*ConfigurationReply, error) {
+func (f *fakeHandler) HandleConfiguration(*message.ConfigurationRequest) (*message.ConfigurationReply, error) {
 	return nil, fault.New(fault.CodeNotFound, "no configuration")
 }
 
-func (f *fakeHandler) HandleOnline(m *OnlineNotice) []OnlineCount {
+func (f *fakeHandler) HandleOnline(m *message.OnlineNotice) []message.OnlineCount {
 	f.online.Add(int64(m.Online[0].InFlight))
 
-	return []OnlineCount{
+	return []message.OnlineCount{
 		{
 			BackendServer: m.Online[0].BackendServer,
 			InFlight:      9,
@@ -68,13 +69,13 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	reply, err := c.Exchange(ctx, a, &Exchange{
+	reply, err := c.Exchange(ctx, a, &message.Exchange{
 		Sender:               "client",
 		ConfigurationVersion: 7,
 	})
 	is.NoErr(err)
 	is.Equal(reply.ConfigurationVersion, 8)
-	others, err := c.Online(ctx, a, []OnlineCount{
+	others, err := c.Online(ctx, a, []message.OnlineCount{
 		{
 			BackendServer: "w1",
 			InFlight:      3,
@@ -97,7 +98,7 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	_, err := c.Online(ctx, a, []OnlineCount{
+	_, err := c.Online(ctx, a, []message.OnlineCount{
 		{
 			BackendServer: "w1",
 			InFlight:      3,
@@ -118,7 +119,7 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := c.Exchange(ctx, a, &Exchange{
+	_, err := c.Exchange(ctx, a, &message.Exchange{
 		Sender: "client",
 	})
 	is.Equal(fault.CodeOf(err), fault.CodeUnavailable)
@@ -137,7 +138,7 @@
 	for range 5 {
 		_, a := startNode(t, "secret-of-the-fleet", h)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		_, err := c.Exchange(ctx, a, &Exchange{
+		_, err := c.Exchange(ctx, a, &message.Exchange{
 			Sender: "client",
 		})
 		cancel()
--- a/io/peer/service.go
+++ b/io/peer/service.go
@@ -1,19 +1,21 @@
 package peer
 
+import "tarragonwalk/core/message"
+
 // service has the method set that net/rpc requires.
 type service struct {
 	node *Node
 }
 
 // Exchange answers the regular message.
-func (s *service) Exchange(m *Exchange, reply *Exchange) error {
+func (s *service) Exchange(m *message.Exchange, reply *message.Exchange) error {
 	*reply = *s.node.handler.HandleExchange(m)
 
 	return nil
 }
 
 // Configuration answers with the configuration in force.
-func (s *service) Configuration(m *ConfigurationRequest, reply *ConfigurationReply) error {
+func (s *service) Configuration(m *message.ConfigurationRequest, reply *message.ConfigurationReply) error {
 	r, err := s.node.handler.HandleConfiguration(m)
 	if err != nil {
 		return err
@@ -24,7 +26,7 @@
 }
 
 // Online takes changed in-flight counts and answers with those of the other instances.
-func (s *service) Online(m *OnlineNotice, reply *Ack) error {
+func (s *service) Online(m *message.OnlineNotice, reply *message.Ack) error {
 	reply.Sender = s.node.name
 	reply.Others = s.node.handler.HandleOnline(m)
 
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -18,7 +18,7 @@
 generate job core/job
 generate openai io/openai
 generate objectstore io/objectstore
-generate peer io/peer
+generate peer core/message
 generate settings io/settings
 generate instance core/instance
 generate lease core/lease
