Split the announcements and the passing on of beats into files of their own

core/jobrun/news.go and core/pulse/relay.go are moved code. The channel of latest.Holder that tells of changes had no reader and is removed. No behaviour changes.

--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -24,8 +24,6 @@
 	tick = 25 * time.Millisecond
 	// acceptTimeout bounds the writes that accept a job.
 	acceptTimeout = 3500 * time.Millisecond
-	// newsLife is how long ended and released jobs are repeated to other instances.
-	newsLife = 4 * time.Second
 	// verifyInterval is how often the store is asked for results of one job that another instance may have listed.
 	verifyInterval = 400 * time.Millisecond
 	// lateWrites is how long after a takeover a write of the holder before may still take effect.
@@ -173,87 +171,6 @@
 	return nil
 }
 
-// Ended stops a job whose end this instance has learned from the caller or the store, and announces the end.
-func (r *Runner) Ended(id string) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if _, known := r.ended[id]; !known {
-		r.ended[id] = r.now().Add(newsLife)
-	}
-	r.stopJob(id)
-}
-
-// HeardEnd stops a job that another instance announces as ended. It does not announce the end again: instances would repeat
-// it to each other for good.
-func (r *Runner) HeardEnd(id string) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.heardEnds[id] = r.now().Add(newsLife)
-	r.stopJob(id)
-}
-
-// stopJob needs the lock.
-func (r *Runner) stopJob(id string) {
-	j := r.jobs[id]
-	if j == nil || j.ended {
-		return
-	}
-	j.ended = true
-	n := 0
-	for _, it := range j.items {
-		if it.cancel != nil {
-			it.cancel(errEnded)
-			n++
-		}
-	}
-	j.notify()
-	r.logger.Info("job ended", "job", id, "listed", len(j.results), "items", j.Items, "stopped", n)
-}
-
-// News returns the jobs that were ended or released a short while ago, and the waiting tokens by route.
-func (r *Runner) News() (ended, released []string, tokens map[string]int) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	at := r.now()
-	tokens = map[string]int{}
-	for _, j := range r.jobs {
-		if rt := r.routeOf(&j.Job); rt != nil {
-			tokens[rt.Name] += j.waitingTokens()
-		}
-	}
-
-	current(r.heardEnds, at)
-
-	return current(r.ended, at), current(r.released, at), tokens
-}
-
-// Queue returns the items that found no place when they were last offered one.
-func (r *Runner) Queue() gossip.Queue {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-
-	return r.queue
-}
-
-// NewlyHeld returns the jobs that this instance has accepted or taken over a short while ago.
-func (r *Runner) NewlyHeld() []string {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-
-	return current(r.held, r.now())
-}
-
-// HeardHeld notes that another instance announces a job as its own, so that its results are read there.
-func (r *Runner) HeardHeld(id, holder, incarnation string) {
-	r.reader.Note(id, holder, incarnation)
-}
-
-// hold adds a job to those that this instance runs; it needs the lock.
-func (r *Runner) hold(id string, j *job) {
-	r.jobs[id] = j
-	r.held[id] = r.now().Add(newsLife)
-}
-
 // Backlog returns how many jobs this instance holds, and their waiting and running items.
 func (r *Runner) Backlog() (jobs, waitingItems, runningItems int) {
 	r.lock.Lock()
@@ -329,21 +246,6 @@
 	}
 }
 
-// current drops what has expired and returns the rest.
-func current(m map[string]time.Time, at time.Time) []string {
-	var list []string
-	for id, until := range m {
-		if at.After(until) {
-			delete(m, id)
-		} else {
-			list = append(list, id)
-		}
-	}
-	slices.Sort(list)
-
-	return list
-}
-
 func text(err error) string {
 	if err == nil {
 		return ""
--- a/core/latest/holder.go
+++ b/core/latest/holder.go
@@ -8,14 +8,11 @@
 	lock     sync.Mutex
 	value    *T
 	revision int64
-	changed  chan struct{}
 }
 
 // New returns an empty holder.
 func New[T any]() *Holder[T] {
-	return &Holder[T]{
-		changed: make(chan struct{}),
-	}
+	return &Holder[T]{}
 }
 
 // Apply takes a value with a higher revision than the current one and reports whether it did.
@@ -27,8 +24,6 @@
 	}
 	h.value = value
 	h.revision = revision
-	close(h.changed)
-	h.changed = make(chan struct{})
 
 	return true
 }
@@ -40,11 +35,3 @@
 
 	return h.value, h.revision
 }
-
-// Changed returns a channel that is closed at the next accepted Apply.
-func (h *Holder[T]) Changed() <-chan struct{} {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-
-	return h.changed
-}
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,10 +17,6 @@
 	nearPause = 20 * time.Millisecond
 	// farInterval is the time between beats to all instances.
 	farInterval = 200 * time.Millisecond
-	// relayInterval is the time between beats with which speakers pass on those of their zone and of the others. Counts have
-	// to reach all instances within 225 ms, the part of a turn in core/cluster that is not used: they wait for nearPause and
-	// twice for this interval at most.
-	relayInterval = 100 * time.Millisecond
 	// introduceBelow is how few peers an instance may know before others send it addresses.
 	introduceBelow = 3
 	// maxAddresses is how many addresses a beat names at most.
@@ -74,12 +68,6 @@
 	Send(b *gossip.Beat, to []netip.AddrPort)
 }
 
-// heard is a beat and when its sender was heard.
-type heard struct {
-	beat gossip.Beat
-	at   time.Time
-}
-
 // Pulse is safe for concurrent use.
 type Pulse struct {
 	cluster   cluster
@@ -192,39 +180,6 @@
 	p.transport.Send(b, direct)
 }
 
-// relay passes the beats of the own zone on to the speakers of the others, if this instance is a speaker, and those that it
-// has got as a speaker on to its own zone.
-func (p *Pulse) relay() {
-	at := p.now()
-	if speakers := p.cluster.Speakers(at); len(speakers) > 0 {
-		b := p.beat()
-		b.Relayed = p.cluster.ZoneBeats(at)
-		p.transport.Send(b, speakers)
-	}
-	if relayed := p.takePending(at); len(relayed) > 0 {
-		near, _, _ := p.cluster.Targets(at)
-		b := p.beat()
-		b.Relayed = relayed
-		p.transport.Send(b, near)
-	}
-}
-
-func (p *Pulse) takePending(at time.Time) []gossip.Relay {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	list := make([]gossip.Relay, 0, len(p.pending))
-	for _, h := range p.pending {
-		list = append(list, gossip.Relay{
-			AgeMillis: max(0, int(at.Sub(h.at).Milliseconds())),
-			Beat:      h.beat,
-		})
-	}
-	clear(p.pending)
-	slices.SortFunc(list, func(a, b gossip.Relay) int { return strings.Compare(a.Beat.Sender.Name, b.Beat.Sender.Name) })
-
-	return list
-}
-
 // HandleBeat takes a message of another instance. Beats that come from another zone's speaker are noted for the own zone.
 func (p *Pulse) HandleBeat(b *gossip.Beat) {
 	at := p.now()
@@ -254,17 +209,9 @@
 	for _, id := range b.Held {
 		p.jobs.HeardHeld(id, b.Sender.Name, b.Sender.Incarnation)
 	}
-	if !passOn {
-		return
-	}
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	h := heard{
-		beat: *b,
-		at:   at,
+	if passOn {
+		p.keep(b, at)
 	}
-	h.beat.Addresses, h.beat.Relayed = nil, nil
-	p.pending[b.Sender.Name] = h
 }
 
 // yield gives up batch places on servers that have more requests than slots.
