Name what a peer's silence means once in core/cluster

"Heard of lately" and "heard of lately and not leaving" stood in seven places, and the choice of an instance that fits, the own zone first, in two; they are methods now. The sequence of a peer is that of its last beat and is no longer kept beside it. No behaviour changes; the tests are as they were.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -46,7 +46,16 @@
 	heardAt  time.Time
 	joinedAt time.Time
 	gone     bool
-	sequence int
+}
+
+// heard reports whether the instance has been heard of lately.
+func (p *peer) heard(at time.Time) bool {
+	return at.Sub(p.heardAt) <= silentAfter
+}
+
+// live reports whether the instance has been heard of lately and does not leave.
+func (p *peer) live(at time.Time) bool {
+	return p.heard(at) && !p.beat.Sender.Leaving
 }
 
 // Cluster is safe for concurrent use.
@@ -127,7 +136,7 @@
 		c.peers[s.Name] = p
 		c.changes++
 		c.log.Info("instance joined", "peer", s.Name, "incarnation", s.Incarnation, "address", s.Peer.String(), "zone", s.Zone)
-	case b.Sequence <= p.sequence:
+	case b.Sequence <= p.beat.Sequence:
 		return false
 	case p.gone:
 		c.changes++
@@ -138,7 +147,6 @@
 	}
 	p.beat = *b
 	p.beat.Addresses, p.beat.Relayed = nil, nil
-	p.sequence = b.Sequence
 	p.heardAt = at
 	p.gone = false
 	c.targets[s.Peer] = at.Add(forgetAfter)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -118,7 +118,7 @@
 	}
 	add(c.self)
 	for _, p := range c.peers {
-		if at.Sub(p.heardAt) <= silentAfter {
+		if p.heard(at) {
 			add(p.beat.Sender)
 		}
 	}
--- a/core/cluster/reach.go
+++ b/core/cluster/reach.go
@@ -25,7 +25,7 @@
 		switch {
 		case p != nil && p.beat.Sender.Zone == c.self.Zone:
 			near = append(near, a)
-		case len(c.peers) <= directLimit || p == nil || at.Sub(p.heardAt) > silentAfter || at.Sub(p.joinedAt) < joinPeriod:
+		case len(c.peers) <= directLimit || p == nil || !p.heard(at) || at.Sub(p.joinedAt) < joinPeriod:
 			direct = append(direct, a)
 		default:
 			others = append(others, a)
@@ -89,7 +89,7 @@
 		zones[c.self.Zone] = append(zones[c.self.Zone], c.self)
 	}
 	for _, p := range c.peers {
-		if s := p.beat.Sender; !s.Leaving && at.Sub(p.heardAt) <= silentAfter {
+		if s := p.beat.Sender; p.live(at) {
 			zones[s.Zone] = append(zones[s.Zone], s)
 		}
 	}
@@ -108,9 +108,9 @@
 	defer c.lock.Unlock()
 	var list []gossip.Relay
 	for _, p := range c.peers {
-		if age := at.Sub(p.heardAt); p.beat.Sender.Zone == c.self.Zone && age <= silentAfter {
+		if p.beat.Sender.Zone == c.self.Zone && p.heard(at) {
 			list = append(list, gossip.Relay{
-				AgeMillis: max(0, int(age.Milliseconds())),
+				AgeMillis: max(0, int(at.Sub(p.heardAt).Milliseconds())),
 				Beat:      p.beat,
 			})
 		}
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -28,13 +28,19 @@
 func (c *Cluster) Ahead(routeVersion, serverRevision int64, serverDigest uint64) (netip.AddrPort, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+
+	return c.nearest(func(p *peer) bool {
+		newerList := int64(p.beat.ServerRevision) > serverRevision && p.beat.ServerDigest != int(serverDigest) //nolint:gosec // only compared
+
+		return !p.gone && (int64(p.beat.RouteVersion) > routeVersion || newerList)
+	})
+}
+
+// nearest returns the address of an instance that fits, preferably one of the own zone, false if none fits; it needs the lock.
+func (c *Cluster) nearest(fits func(p *peer) bool) (netip.AddrPort, bool) {
 	var best *peer
 	for _, p := range c.peers {
-		newerList := int64(p.beat.ServerRevision) > serverRevision && p.beat.ServerDigest != int(serverDigest) //nolint:gosec // only compared
-		if p.gone || int64(p.beat.RouteVersion) <= routeVersion && !newerList {
-			continue
-		}
-		if best == nil || p.beat.Sender.Zone == c.self.Zone && best.beat.Sender.Zone != c.self.Zone {
+		if fits(p) && (best == nil || p.beat.Sender.Zone == c.self.Zone && best.beat.Sender.Zone != c.self.Zone) {
 			best = p
 		}
 	}
@@ -76,8 +82,8 @@
 	return p.beat.Sender.Peer, true
 }
 
-// Watcher reports whether this instance watches the store for all others in its zone. With a watch
-// of each instance, a change would cost as many calls as there are instances.
+// Watcher reports whether this instance watches the store for all others in its zone. With a watch of each instance, a change
+// would cost as many calls as there are instances.
 func (c *Cluster) Watcher(at time.Time) bool {
 	return c.rank(at, func(m gossip.Member) bool { return m.Zone == c.self.Zone }) < zoneWatchers
 }
@@ -94,8 +100,7 @@
 	defer c.lock.Unlock()
 	ahead := 0
 	for name, p := range c.peers {
-		s := p.beat.Sender
-		if name < c.self.Name && inGroup(s) && !s.Leaving && !p.beat.StoreLost && at.Sub(p.heardAt) <= silentAfter {
+		if name < c.self.Name && inGroup(p.beat.Sender) && !p.beat.StoreLost && p.live(at) {
 			ahead++
 		}
 	}
@@ -107,20 +112,8 @@
 func (c *Cluster) StoreRelay(at time.Time) (netip.AddrPort, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	var best *peer
-	for _, p := range c.peers {
-		if p.beat.StoreLost || p.beat.Sender.Leaving || at.Sub(p.heardAt) > silentAfter {
-			continue
-		}
-		if best == nil || p.beat.Sender.Zone == c.self.Zone && best.beat.Sender.Zone != c.self.Zone {
-			best = p
-		}
-	}
-	if best == nil {
-		return netip.AddrPort{}, false
-	}
 
-	return best.beat.Sender.Peer, true
+	return c.nearest(func(p *peer) bool { return !p.beat.StoreLost && p.live(at) })
 }
 
 // Turn reports whether it is this instance's turn to start batch items on a backend server; it is asked by one that has some.
@@ -143,7 +136,7 @@
 	}
 	add(c.self)
 	for _, p := range c.peers {
-		if p.beat.Queue.InTime+p.beat.Queue.Late > 0 && !p.beat.Sender.Leaving && at.Sub(p.heardAt) <= silentAfter {
+		if p.beat.Queue.InTime+p.beat.Queue.Late > 0 && p.live(at) {
 			add(p.beat.Sender)
 		}
 	}
