Fill in what a beat says of jobs in one step, and look one server up by its ID

A beat took the runner's lock three times, for three getters whose results were copied into its fields. Runner.Announce fills the beat in. The queue was counted in two parts that nobody told apart; it is one number. Batch placing had an argument for excluded servers that was always empty.

After each datagram, pulse copied and sorted the list of all servers to find the few on which this instance has batch items. It asks the roster for those.

No behaviour changes apart from the name of the field in the beat. Tests set the one number and read the beat in place of the getters; what they expect is as it was.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -87,7 +87,7 @@
 	for window := range 100 {
 		for _, c := range members {
 			for n := range members {
-				c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: window + 1, Queue: gossip.Queue{InTime: 1}}, begin.Add(time.Duration(window)*turnWindow))
+				c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: window + 1, Queued: 1}, begin.Add(time.Duration(window)*turnWindow))
 			}
 		}
 		for _, server := range []string{"s1", "s2"} {
@@ -236,7 +236,7 @@
 		for n := 1; n < 40; n++ {
 			b := &gossip.Beat{Sender: member(n, "1"), Sequence: queued + 1}
 			if n == 1 {
-				b.Queue.InTime = queued
+				b.Queued = queued
 			}
 			c.Observe(b, start)
 		}
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -136,7 +136,7 @@
 	}
 	add(c.self)
 	for _, p := range c.peers {
-		if p.beat.Queue.InTime+p.beat.Queue.Late > 0 && p.live(at) {
+		if p.beat.Queued > 0 && p.live(at) {
 			add(p.beat.Sender)
 		}
 	}
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -26,8 +26,8 @@
 	// Held are jobs that the sender has accepted or taken over in the last seconds.
 	Held []string `json:"Held,omitempty,omitzero"`
 
-	// Queue counts the sender's batch items that wait for a place.
-	Queue Queue `json:"Queue"`
+	// Queued batch items of the sender wait for a place on a backend server.
+	Queued int `json:"Queued,omitempty,omitzero"`
 
 	// Relayed beats of other instances, of which the receiver does not hear directly.
 	Relayed []Relay `json:"Relayed,omitempty,omitzero"`
@@ -67,9 +67,6 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
-	if _, ok := raw["Queue"]; raw != nil && !ok {
-		return fmt.Errorf("field Queue in Beat: required")
-	}
 	if _, ok := raw["Sender"]; raw != nil && !ok {
 		return fmt.Errorf("field Sender in Beat: required")
 	}
@@ -84,6 +81,9 @@
 	if v, ok := raw["CheckedMillis"]; !ok || v == nil {
 		plain.CheckedMillis = 0
 	}
+	if v, ok := raw["Queued"]; !ok || v == nil {
+		plain.Queued = 0
+	}
 	if v, ok := raw["RouteVersion"]; !ok || v == nil {
 		plain.RouteVersion = 0
 	}
@@ -212,36 +212,6 @@
 	return nil
 }
 
-// Queue counts batch items that wait for a place on a backend server.
-type Queue struct {
-	// InTime items can be done before their job is due.
-	InTime int `json:"InTime,omitempty,omitzero"`
-
-	// Late items cannot.
-	Late int `json:"Late,omitempty,omitzero"`
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *Queue) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	type Plain Queue
-	var plain Plain
-	if err := json.Unmarshal(value, &plain); err != nil {
-		return err
-	}
-	if v, ok := raw["InTime"]; !ok || v == nil {
-		plain.InTime = 0
-	}
-	if v, ok := raw["Late"]; !ok || v == nil {
-		plain.Late = 0
-	}
-	*j = Queue(plain)
-	return nil
-}
-
 // Relay is a beat that another instance passes on.
 type Relay struct {
 	// AgeMillis is how long ago the instance that passes the beat on heard it.
--- a/core/jobrun/news.go
+++ b/core/jobrun/news.go
@@ -47,37 +47,21 @@
 	r.logger.Info("job ended", "job", id, "listed", len(j.results), "items", j.Items, "stopped", n)
 }
 
-// News returns the jobs that were ended or released a short while ago, and the waiting tokens by route.
-func (r *Runner) News() (ended, released []string, tokens map[string]int) {
+// Announce fills in what a beat says of jobs: those that were accepted, taken over, ended or released a short while ago, the
+// waiting tokens by route, and the items that found no place when they were last offered one.
+func (r *Runner) Announce(b *gossip.Beat) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	at := r.now()
-	tokens = map[string]int{}
+	b.Waiting = gossip.BeatWaiting{}
 	for _, j := range r.jobs {
 		if rt := r.routeOf(&j.Job); rt != nil {
-			tokens[rt.Name] += j.waitingTokens()
+			b.Waiting[rt.Name] += j.waitingTokens()
 		}
 	}
-
+	b.Held, b.Ended, b.Released = current(r.held, at), current(r.ended, at), current(r.released, at)
+	b.Queued = r.queued
 	current(r.heardEnds, at)
-
-	return current(r.ended, at), current(r.released, at), tokens
-}
-
-// Queue returns the items that found no place when they were last offered one.
-func (r *Runner) Queue() gossip.Queue {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-
-	return r.queue
-}
-
-// NewlyHeld returns the jobs that this instance has accepted or taken over a short while ago.
-func (r *Runner) NewlyHeld() []string {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-
-	return current(r.held, r.now())
 }
 
 // HeardHeld notes that another instance announces a job as its own, so that its results are read there.
--- a/core/jobrun/news_test.go
+++ b/core/jobrun/news_test.go
@@ -7,11 +7,19 @@
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/gossip"
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/jobread"
 	"tarragonwalk/core/work"
 )
 
+func announced(r *Runner) *gossip.Beat {
+	b := &gossip.Beat{}
+	r.Announce(b)
+
+	return b
+}
+
 // Guards against announcements of ended jobs that instances repeat to each other for good, so that beats grow with every job
 // that has ever ended. On a grown fleet they were most of the bytes between zones and regions.
 func TestAnnouncedEndsExpire(t *testing.T) {
@@ -26,14 +34,12 @@
 		runners = append(runners, New(log, f, f, f, f, f, jobread.New(log, f, nil, quiet, now), name, "1", time.Minute, now, quiet))
 	}
 	runners[0].Ended("j")
-	ended, _, _ := runners[0].News()
-	is.Equal(ended, []string{"j"})
+	is.Equal(announced(runners[0]).Ended, []string{"j"})
 	for at.Before(time.Date(2026, 1, 1, 0, 0, 30, 0, time.UTC)) {
 		at = at.Add(200 * time.Millisecond)
 		for n, from := range runners {
-			ended, _, _ := from.News()
 			for k, to := range runners {
-				for _, id := range ended {
+				for _, id := range announced(from).Ended {
 					if n != k {
 						to.HeardEnd(id)
 					}
@@ -42,8 +48,7 @@
 		}
 	}
 	for _, r := range runners {
-		ended, _, _ := r.News()
-		is.Equal(len(ended), 0)
+		is.Equal(len(announced(r).Ended), 0)
 		is.Equal(len(r.ended), 0)
 	}
 }
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -13,7 +13,6 @@
 	"tarragonwalk/core/answer"
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
-	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
@@ -51,7 +50,7 @@
 
 type placer interface {
 	Point() float64
-	Batch(service string, excluded map[string]bool, urgent bool, at time.Time) (s backend.Server, release func(), ok bool)
+	Batch(service string, urgent bool, at time.Time) (s backend.Server, release func(), ok bool)
 }
 
 type roster interface {
@@ -104,8 +103,8 @@
 	heardEnds map[string]time.Time
 	// held are jobs that this instance announces as its own.
 	held map[string]time.Time
-	// queue counts the items that found no place when they were last offered one.
-	queue    gossip.Queue
+	// queued counts the items that found no place when they were last offered one.
+	queued   int
 	released map[string]time.Time
 	orphans  map[string]time.Time
 	stopping bool
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -94,7 +94,7 @@
 func (f *fleet) Point() float64                                    { return 0 }
 func (f *fleet) Judge(string, error, time.Time, time.Time)         {}
 
-func (f *fleet) Batch(string, map[string]bool, bool, time.Time) (backend.Server, func(), bool) {
+func (f *fleet) Batch(string, bool, time.Time) (backend.Server, func(), bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if f.used >= 6 {
@@ -282,7 +282,7 @@
 	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 600)))
 	time.Sleep(60 * time.Millisecond)
 	first.Stop(t.Context(), time.Now().Add(testLimit))
-	_, released, _ := first.News()
+	released := announced(first).Released
 	is.Equal(released, []string{"j"})
 	stopFirst()
 	for end := time.Now().Add(testLimit); !check(t, l, "j", 600); time.Sleep(10 * time.Millisecond) {
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -87,20 +86,20 @@
 func (r *Runner) start(ctx context.Context, at time.Time) {
 	list := r.candidates(at)
 	slices.SortStableFunc(list, compareCandidates)
-	r.queue = gossip.Queue{}
+	r.queued = 0
 	full := map[string]bool{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.Point())
 		if full[service] {
-			r.enqueue(c)
+			r.queued++
 
 			continue
 		}
 		urgent := c.due.Sub(at) < urgentBefore
-		s, release, ok := r.placer.Batch(service, nil, urgent, at)
+		s, release, ok := r.placer.Batch(service, urgent, at)
 		if !ok {
 			full[service] = true
-			r.enqueue(c)
+			r.queued++
 
 			continue
 		}
@@ -117,15 +116,6 @@
 	}
 }
 
-// enqueue counts an item that did not get a place.
-func (r *Runner) enqueue(c candidate) {
-	if c.late {
-		r.queue.Late++
-	} else {
-		r.queue.InTime++
-	}
-}
-
 // candidates returns the waiting items and ends those that can no longer run.
 func (r *Runner) candidates(at time.Time) []candidate {
 	table, _ := r.routes.Current()
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -114,12 +114,12 @@
 }
 
 // Batch reserves a place for a batch item beside the headroom of a server, which is smaller for an urgent item.
-func (p *Placer) Batch(service string, excluded map[string]bool, urgent bool, at time.Time) (s backend.Server, release func(), ok bool) {
+func (p *Placer) Batch(service string, urgent bool, at time.Time) (s backend.Server, release func(), ok bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	usable := slices.DeleteFunc(p.roster.Usable(service, at), func(s backend.Server) bool { return !p.turns.Turn(s.ID, s.Zone, at) })
 	for distance := range distances {
-		s, ok := p.choose(usable, excluded, distance, at, func(slots, online, batch int) (float64, bool) {
+		s, ok := p.choose(usable, nil, distance, at, func(slots, online, batch int) (float64, bool) {
 			headroom := urgentHeadroom
 			if !urgent {
 				headroom = max(1, int(math.Round(headroomRatio*float64(slots))))
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -76,7 +76,7 @@
 	place := func(urgent bool) int {
 		n := 0
 		for {
-			if _, _, ok := p.Batch("s", nil, urgent, start); !ok {
+			if _, _, ok := p.Batch("s", urgent, start); !ok {
 				return n
 			}
 			n++
@@ -105,7 +105,7 @@
 	hear := func(sequence int) {
 		for _, m := range members {
 			for k, other := range members {
-				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: sequence, Counts: loads[k].Own(), Queue: gossip.Queue{InTime: 1}}, at)
+				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: sequence, Counts: loads[k].Own(), Queued: 1}, at)
 			}
 		}
 		for n := range loads {
@@ -125,7 +125,7 @@
 		at = at.Add(25 * time.Millisecond)
 		for _, p := range placers {
 			for {
-				s, _, ok := p.Batch("s", nil, true, at)
+				s, _, ok := p.Batch("s", true, at)
 				if !ok {
 					break
 				}
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -43,16 +43,14 @@
 }
 
 type jobs interface {
-	News() (ended, released []string, tokens map[string]int)
-	Queue() gossip.Queue
-	NewlyHeld() []string
+	Announce(b *gossip.Beat)
 	HeardHeld(id, holder, incarnation string)
 	HeardEnd(id string)
 	Preempt(server string, count int)
 }
 
 type roster interface {
-	Known() (list []backend.Server, revision int64)
+	Server(id string) (s backend.Server, ok bool)
 	Version() (revision int64, digest uint64)
 }
 
@@ -157,9 +155,7 @@
 	if at := p.checkedAt(); !at.IsZero() {
 		b.CheckedMillis = int(p.now().Sub(at).Milliseconds())
 	}
-	b.Ended, b.Released, b.Waiting = p.jobs.News()
-	b.Queue = p.jobs.Queue()
-	b.Held = p.jobs.NewlyHeld()
+	p.jobs.Announce(b)
 
 	return b
 }
@@ -216,18 +212,12 @@
 
 // yield gives up batch places on servers that have more requests than slots.
 func (p *Pulse) yield(at time.Time) {
-	own := map[string]bool{}
 	for _, c := range p.loads.Own() {
-		if c.Batch > 0 {
-			own[c.Server] = true
+		if c.Batch == 0 {
+			continue
 		}
-	}
-	if len(own) == 0 {
-		return
-	}
-	servers, _ := p.roster.Known()
-	for _, s := range servers {
-		if !own[s.ID] {
+		s, ok := p.roster.Server(c.Server)
+		if !ok {
 			continue
 		}
 		if n := p.placer.Excess(s, at); n > 0 {
--- a/core/pulse/pulse_test.go
+++ b/core/pulse/pulse_test.go
@@ -52,17 +52,15 @@
 	}
 }
 
-func (i *instance) name() string                           { return i.cluster.Self().Name }
-func (*instance) News() (a, b []string, m map[string]int)  { return nil, nil, nil }
-func (*instance) Queue() gossip.Queue                      { return gossip.Queue{} }
-func (*instance) NewlyHeld() []string                      { return nil }
-func (*instance) HeardHeld(id, holder, incarnation string) {}
-func (*instance) HeardEnd(string)                          {}
-func (*instance) Preempt(string, int)                      {}
-func (*instance) Known() (list []backend.Server, r int64)  { return nil, 0 }
-func (*instance) Version() (revision int64, digest uint64) { return 0, 0 }
-func (*instance) Current() (*route.Table, int64)           { return nil, 0 }
-func (*instance) Excess(backend.Server, time.Time) (n int) { return 0 }
+func (i *instance) name() string                            { return i.cluster.Self().Name }
+func (*instance) Announce(*gossip.Beat)                     {}
+func (*instance) HeardHeld(id, holder, incarnation string)  {}
+func (*instance) HeardEnd(string)                           {}
+func (*instance) Preempt(string, int)                       {}
+func (*instance) Server(string) (s backend.Server, ok bool) { return s, false }
+func (*instance) Version() (revision int64, digest uint64)  { return 0, 0 }
+func (*instance) Current() (*route.Table, int64)            { return nil, 0 }
+func (*instance) Excess(backend.Server, time.Time) (n int)  { return 0 }
 
 func newNetwork() *network {
 	return &network{nodes: map[netip.AddrPort]*instance{}, sent: map[string]int{}}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -135,6 +135,18 @@
 	return list, r.revision
 }
 
+// Server returns a listed server, false if there is none with this ID.
+func (r *Roster) Server(id string) (backend.Server, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	e := r.entries[id]
+	if e == nil || !e.missingUntil.IsZero() {
+		return backend.Server{}, false
+	}
+
+	return e.server, true
+}
+
 // Version returns the revision of the list and a digest of its content.
 func (r *Roster) Version() (revision int64, digest uint64) {
 	r.lock.Lock()
