--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -210,11 +210,7 @@
 		if !forced && !r.now().Before(until) {
 			forced = true
 			for _, j := range r.jobs {
-				for _, it := range j.items {
-					if it.cancel != nil {
-						it.cancel(errReleased)
-					}
-				}
+				j.stopItems(errReleased)
 			}
 		}
 		r.lock.Unlock()
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -75,6 +75,19 @@
 	j.changed = make(chan struct{})
 }
 
+// stopItems cancels the running items for a reason and returns how many there were.
+func (j *job) stopItems(reason error) int {
+	n := 0
+	for _, it := range j.items {
+		if it.cancel != nil {
+			it.cancel(reason)
+			n++
+		}
+	}
+
+	return n
+}
+
 func (j *job) runningItems() int {
 	n := 0
 	for _, it := range j.items {
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -53,11 +53,7 @@
 func (r *Runner) drop(j *job) {
 	delete(r.jobs, j.ID)
 	j.released = true
-	for _, it := range j.items {
-		if it.cancel != nil {
-			it.cancel(errReleased)
-		}
-	}
+	j.stopItems(errReleased)
 	j.notify()
 }
 
--- a/core/jobrun/news.go
+++ b/core/jobrun/news.go
@@ -36,13 +36,7 @@
 		return
 	}
 	j.ended = true
-	n := 0
-	for _, it := range j.items {
-		if it.cancel != nil {
-			it.cancel(errEnded)
-			n++
-		}
-	}
+	n := j.stopItems(errEnded)
 	j.notify()
 	r.logger.Info("job ended", "job", id, "listed", len(j.results), "items", j.Items, "stopped", n)
 }
--- a/core/route/find.go
+++ b/core/route/find.go
@@ -24,17 +24,6 @@
 	return best
 }
 
-// Named returns the route with this name, or nil.
-func (j *Table) Named(name string) *Route {
-	for i := range j.Routes {
-		if j.Routes[i].Name == name {
-			return &j.Routes[i]
-		}
-	}
-
-	return nil
-}
-
 // Service returns the service at a point of the route's shares, where point is from 0 up to but not including 1.
 func (j *Route) Service(point float64) string {
 	total := 0.0
