Make calls over kept connections in one place

io/peersync had written the wait for a reply, the end of the context and the question whether the connection is still good a second time, as io/peer has it. Both call io/rpccall now. The ways to connect stay apart: one has a handshake and an age, the other does not.

--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -14,6 +14,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/message"
+	"tarragonwalk/io/rpccall"
 )
 
 // connectionAge bounds the life of a pooled connection, so that one that a middlebox has forgotten is not kept for long.
@@ -148,23 +149,12 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, request, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-	case <-ctx.Done():
-		n.drop(a, client)
-
-		return fault.Wrap(ctx.Err(), fault.CodeUnavailable, "peer did not answer in time")
-	}
-	if call.Error == nil {
-		return nil
-	}
-	var refused rpc.ServerError
-	if !errors.As(call.Error, &refused) {
+	usable, err := rpccall.Call(ctx, client, method, request, reply)
+	if !usable {
 		n.drop(a, client)
 	}
 
-	return fault.Wrap(call.Error, fault.CodeUnavailable, "peer call failed")
+	return err
 }
 
 func (n *Node) client(ctx context.Context, a netip.AddrPort) (*rpc.Client, error) {
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -14,6 +14,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
+	"tarragonwalk/io/rpccall"
 	"tarragonwalk/io/tcp"
 )
 
@@ -145,23 +146,12 @@
 	if err != nil {
 		return false, err
 	}
-	call := c.Go(method, request, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-	case <-ctx.Done():
-		n.drop(a, c)
-
-		return true, fault.Wrap(ctx.Err(), fault.CodeUnavailable, "peer did not answer in time")
-	}
-	if call.Error == nil {
-		return true, nil
-	}
-	var refused rpc.ServerError
-	if !errors.As(call.Error, &refused) {
+	usable, err := rpccall.Call(ctx, c, method, request, reply)
+	if !usable {
 		n.drop(a, c)
 	}
 
-	return true, fault.Wrap(call.Error, fault.CodeUnavailable, "peer call failed")
+	return true, err
 }
 
 func (n *Node) client(ctx context.Context, a netip.AddrPort) (*rpc.Client, error) {
