Work out the turns of a window once

Cause: an instance with waiting batch items asked Turn for each backend server at each look for a place, and each question listed and hashed all instances.

Change: the instances with items are listed once in a window, and the turn is asked for last, only for servers with a free place.

--- /dev/null
+++ b/core/cluster/bench_test.go
@@ -0,0 +1,19 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"tarragonwalk/core/gossip"
+)
+
+// BenchmarkTurn asks for turns among 74 instances, half of which have items.
+func BenchmarkTurn(b *testing.B) {
+	c := newCluster(0)
+	for n := 1; n < 74; n++ {
+		c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: 1, Queued: n % 2}, start)
+	}
+	for n := range b.N {
+		c.Turn("i-12345678", "a", start.Truncate(turnWindow).Add(time.Duration(n%90)))
+	}
+}
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -14,10 +14,6 @@
 	silentAfter = 800 * time.Millisecond
 	// goneAfter is how long after its last beat an instance's jobs may be taken over.
 	goneAfter = 3 * time.Second
-	// turnWindow is longer than the time in which the counts of one instance reach all others; turnUse is the part of it
-	// in which the instance whose turn it is may start batch items.
-	turnWindow = 300 * time.Millisecond
-	turnUse    = 75 * time.Millisecond
 	// doubtAfter is how long an instance may be silent until it may hold this one for gone; it is shorter than goneAfter.
 	doubtAfter = 2 * time.Second
 	// zoneWatchers is how many instances of a zone watch the store. Each pays a call for each renewed entry of a server. If
@@ -68,6 +64,8 @@
 	// targets are addresses to which beats are sent, with the time at which they are forgotten.
 	targets map[netip.AddrPort]time.Time
 	changes int
+	// turns belongs to the window in which Turn was last asked.
+	turns contenders
 	// startedAt is when this instance began to listen, or went on after a pause.
 	startedAt time.Time
 	expiredAt time.Time
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -2,11 +2,9 @@
 
 import (
 	"net/netip"
-	"strconv"
 	"time"
 
 	"tarragonwalk/core/gossip"
-	"tarragonwalk/core/rendezvous"
 )
 
 // Waiting returns the waiting tokens of a batch route that all other instances report.
@@ -115,35 +113,3 @@
 
 	return c.nearest(func(p *peer) bool { return !p.beat.StoreLost && p.live(at) })
 }
-
-// Turn reports whether it is this instance's turn to start batch items on a backend server; it is asked by one that has some.
-// Counts of other instances arrive late; if all of them filled the same free places at once, most of the items would be
-// preempted again. The turn passes on at random among the instances whose items wait, since places stay idle while one
-// without items has it; every other time only those of the server's zone have it.
-func (c *Cluster) Turn(server, zone string, at time.Time) bool {
-	window := at.UnixNano() / int64(turnWindow)
-	if at.UnixNano()%int64(turnWindow) > int64(turnUse) {
-		return false
-	}
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	var all, local []string
-	add := func(m gossip.Member) {
-		all = append(all, m.Name)
-		if m.Zone == zone {
-			local = append(local, m.Name)
-		}
-	}
-	add(c.self)
-	for _, p := range c.peers {
-		if p.beat.Queued > 0 && p.live(at) {
-			add(p.beat.Sender)
-		}
-	}
-	names := all
-	if window%2 == 0 && len(local) > 0 {
-		names = local
-	}
-
-	return rendezvous.Highest(server+strconv.FormatInt(window, 10), names) == c.self.Name
-}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -99,7 +98,9 @@
 	usable := p.roster.Usable(service, at)
 	for _, limit := range limits {
 		for distance := range distances {
-			s, ok := p.choose(usable, excluded, distance, at, func(slots, online, batch int) (float64, bool) {
+			s, ok := p.choose(usable, excluded, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
+				slots := slotsOf(s)
+
 				return float64(2*online+batch) / float64(slots), allowed(slots, online, batch, limit)
 			})
 			if ok {
@@ -117,15 +118,17 @@
 func (p *Placer) Batch(service string, urgent bool, at time.Time) (s backend.Server, release func(), ok bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	usable := slices.DeleteFunc(p.roster.Usable(service, at), func(s backend.Server) bool { return !p.turns.Turn(s.ID, s.Zone, at) })
+	usable := p.roster.Usable(service, at)
 	for distance := range distances {
-		s, ok := p.choose(usable, nil, distance, at, func(slots, online, batch int) (float64, bool) {
-			headroom := urgentHeadroom
+		s, ok := p.choose(usable, nil, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
+			slots, headroom := slotsOf(s), urgentHeadroom
 			if !urgent {
 				headroom = max(1, int(math.Round(headroomRatio*float64(slots))))
 			}
+			// The turn is looked at last, since most servers are full when items wait.
+			allowed := online+batch < max(1, slots-headroom) && p.turns.Turn(s.ID, s.Zone, at)
 
-			return float64(online+batch) / float64(slots), online+batch < max(1, slots-headroom)
+			return float64(online+batch) / float64(slots), allowed
 		})
 		if ok {
 			p.loads.Add(s.ID, 0, 1)
@@ -159,7 +162,7 @@
 // choose returns the allowed server with the lowest score at a distance, a random one of equals.
 func (p *Placer) choose(
 	usable []backend.Server, excluded map[string]bool, distance int, at time.Time,
-	score func(slots, online, batch int) (float64, bool),
+	score func(s backend.Server, online, batch int) (float64, bool),
 ) (best backend.Server, ok bool) {
 	lowest, equal := 0.0, 0
 	for _, s := range usable {
@@ -167,7 +170,7 @@
 			continue
 		}
 		online, batch := p.loads.On(s.ID, at)
-		value, allowed := score(slotsOf(s), online, batch)
+		value, allowed := score(s, online, batch)
 		switch {
 		case !allowed:
 			continue
