Look for jobs without a holder once a region

Cause: after a change of the fleet every instance listed all jobs, four times a second while instances joined.

Change: the instances that watch the ends of jobs list the jobs, once a second at most, and announce those without a holder as released. Each instance ranks itself once a job and reads the record of those whose turn it is, in the loop that starts items. An announcement ends when the new holder is heard of.

Ruled out: stale reads of the list, which are cheaper but as long.

Before and after, a count of reads in the test: 12 instances and 20 jobs need 21 reads where each instance's list alone was 12 and more.

--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"slices"
-	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-
 	"tarragonwalk/core/fault"
-	"tarragonwalk/core/rendezvous"
 	"tarragonwalk/core/work"
 )
 
@@ -22,59 +17,35 @@
 	adoptTimeout = 4 * time.Second
 )
 
-// Adopt looks for jobs without a live holder and takes over those whose turn it is for this instance; it reports whether
-// jobs without a holder remain.
+// Adopt looks for jobs without a live holder and announces them, so that the instance whose turn it is takes them over; it
+// reports whether there are any. A few instances of the fleet do this for all others: the list of all jobs is long, and if each
+// instance read it after a loss of all of them, the answers would fill the links to the store.
 func (r *Runner) Adopt(ctx context.Context) (remain bool, err error) {
 	if r.cluster.Isolated() {
 		return true, nil
 	}
-	jobs, revisions, err := r.log.Jobs(ctx)
+	jobs, _, err := r.log.Jobs(ctx)
 	if err != nil {
 		return true, err
 	}
 	at := r.now()
-	seen := map[string]bool{}
-	var left atomic.Bool
-	takeovers := pool.New().WithMaxGoroutines(maxTakeovers)
 	for i := range jobs {
-		j, revision := jobs[i], revisions[i]
-		old := at.Sub(j.SubmittedAt) > r.keepFor+clockSkew
-		if j.Finished && !old {
-			continue
-		}
-		if !r.orphan(&j) {
-			// Its holder may not have been heard of yet.
-			if !r.holds(j.ID) && !r.cluster.Alive(j.Holder, j.Incarnation, at.Add(time.Hour)) {
-				left.Store(true)
-			}
-
-			continue
-		}
-		seen[j.ID] = true
+		j := &jobs[i]
+		old := at.Sub(j.SubmittedAt) - r.keepFor - clockSkew
 		switch {
-		case !r.myTurn(j.ID, at):
-			left.Store(true)
-		case old:
-			takeovers.Go(func() { r.removeOld(ctx, &j) })
-		default:
-			takeovers.Go(func() {
-				if err := r.takeOver(ctx, j, revision); err != nil {
-					r.logger.Warn("job not taken over", "job", j.ID, "error", err.Error())
-					left.Store(true)
-				}
-			})
-		}
-	}
-	takeovers.Wait()
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	for id := range r.orphans {
-		if !seen[id] {
-			delete(r.orphans, id)
+		case j.Finished && old <= 0:
+		case !r.orphan(j):
+			// Its holder may not have been heard of yet.
+			remain = remain || !r.holds(j.ID) && !r.cluster.Alive(j.Holder, j.Incarnation, at.Add(time.Hour))
+		case old <= 0:
+			remain = true
+			r.announceOrphan(j.ID, at)
+		case old > time.Duration(r.rank(j.ID))*turnDelay:
+			r.removeOld(ctx, j)
 		}
 	}
 
-	return left.Load(), nil
+	return remain, nil
 }
 
 // removeOld deletes the objects of a job that nobody holds and that is no longer readable.
@@ -111,27 +82,7 @@
 	return mine || !r.cluster.Alive(j.Holder, j.Incarnation, r.now())
 }
 
-// myTurn lets instances take a job over in the order of their rendezvous weight, each after a delay.
-func (r *Runner) myTurn(id string, at time.Time) bool {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if r.stopping {
-		return false
-	}
-	since, ok := r.orphans[id]
-	if !ok {
-		since = at
-		r.orphans[id] = at
-	}
-	names := r.cluster.Live()
-	turn := slices.Index(rendezvous.Top(id, names, len(names)), r.name)
-
-	return turn >= 0 && at.Sub(since) >= time.Duration(turn)*turnDelay
-}
-
 func (r *Runner) takeOver(ctx context.Context, record work.Job, revision int64) error {
-	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
-	defer cancel()
 	items, err := r.log.Items(ctx, &record)
 	if err != nil {
 		return err
@@ -177,25 +128,6 @@
 	return nil
 }
 
-// Released takes over a job that its holder has given up, if it is this instance's turn.
-func (r *Runner) Released(ctx context.Context, id string) error {
-	r.lock.Lock()
-	held := r.jobs[id] != nil
-	r.lock.Unlock()
-	if held || !r.myTurn(id, r.now()) {
-		return nil
-	}
-	record, revision, err := r.log.Job(ctx, id)
-	if err != nil {
-		return err
-	}
-	if record.Finished || !r.orphan(record) {
-		return nil
-	}
-
-	return r.takeOver(ctx, *record, revision)
-}
-
 // Stop starts no further items and gives jobs up once their running items have ended; at the given time those are stopped.
 func (r *Runner) Stop(ctx context.Context, until time.Time) {
 	r.lock.Lock()
--- a/core/jobrun/news.go
+++ b/core/jobrun/news.go
@@ -58,14 +58,21 @@
 	current(r.heardEnds, at)
 }
 
-// HeardHeld notes that another instance announces a job as its own, so that its results are read there.
+// HeardHeld notes that another instance announces a job as its own: its results are read there, and nobody has to take it over.
 func (r *Runner) HeardHeld(id, holder, incarnation string) {
 	r.reader.Note(id, holder, incarnation)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.released, id)
+	if o := r.orphans[id]; o != nil {
+		o.settle(r.now())
+	}
 }
 
 // hold adds a job to those that this instance runs; it needs the lock.
 func (r *Runner) hold(id string, j *job) {
 	r.jobs[id] = j
+	delete(r.released, id)
 	r.held[id] = r.now().Add(newsLife)
 }
 
--- a/core/jobrun/news_test.go
+++ b/core/jobrun/news_test.go
@@ -67,8 +67,10 @@
 	second.HeardEnd("j")
 	_, err := second.Adopt(t.Context())
 	is.NoErr(err)
+	for end := time.Now().Add(testLimit); !second.holds("j"); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
 	second.lock.Lock()
 	defer second.lock.Unlock()
-	is.True(second.jobs["j"] != nil)
 	is.True(second.jobs["j"].ended)
 }
--- /dev/null
+++ b/core/jobrun/orphan.go
@@ -0,0 +1,136 @@
+package jobrun
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/rendezvous"
+)
+
+const (
+	// orphanLife is how long a job without a holder is remembered after its last announcement.
+	orphanLife = 10 * time.Second
+	// settledLife is how long announcements of a job are ignored after it got a holder; they end when the new holder is heard of.
+	settledLife = 2 * time.Second
+)
+
+// orphan is a job that has no holder, according to this instance or another one; the runner's lock guards it.
+type orphan struct {
+	// dueAt is when this instance takes the job over, unless another one has done so.
+	dueAt    time.Time
+	forgetAt time.Time
+	// settled is set when the job was seen to have a holder or an end.
+	settled bool
+	// running is set while this instance tries to take the job over.
+	running bool
+}
+
+// HeardOrphan notes a job that has no holder, according to another instance.
+func (r *Runner) HeardOrphan(id string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.noteOrphan(id, r.now())
+}
+
+// announceOrphan notes a job that has no holder and tells the other instances.
+func (r *Runner) announceOrphan(id string, at time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.noteOrphan(id, at) {
+		r.released[id] = at.Add(newsLife)
+	}
+}
+
+// noteOrphan reports whether the job is still one to take over; it needs the lock.
+func (r *Runner) noteOrphan(id string, at time.Time) bool {
+	if r.jobs[id] != nil || r.stopping {
+		return false
+	}
+	o := r.orphans[id]
+	if o == nil {
+		o = &orphan{
+			dueAt: at.Add(time.Duration(r.rank(id)) * turnDelay),
+		}
+		r.orphans[id] = o
+		r.signal()
+	}
+	if !o.settled {
+		o.forgetAt = at.Add(orphanLife)
+	}
+
+	return !o.settled
+}
+
+// settle notes that the job was seen to have a holder or an end.
+func (o *orphan) settle(at time.Time) {
+	o.settled = true
+	o.forgetAt = at.Add(settledLife)
+}
+
+// rank returns the place of this instance in the order in which the live ones take a job over.
+func (r *Runner) rank(id string) int {
+	names := r.cluster.Live()
+	rank := slices.Index(rendezvous.Top(id, names, len(names)), r.name)
+	if rank < 0 {
+		return len(names)
+	}
+
+	return rank
+}
+
+// adoptOrphans starts the takeover of the jobs whose turn it is; it needs the lock.
+func (r *Runner) adoptOrphans(ctx context.Context, at time.Time) {
+	takeovers := 0
+	for id, o := range r.orphans {
+		switch {
+		case o.running:
+			takeovers++
+		case at.After(o.forgetAt):
+			delete(r.orphans, id)
+		}
+	}
+	for id, o := range r.orphans {
+		if takeovers >= maxTakeovers {
+			return
+		}
+		if o.settled || o.running || at.Before(o.dueAt) {
+			continue
+		}
+		takeovers++
+		o.running = true
+		r.tasks.Go(func() {
+			err := r.adoptOrphan(ctx, id)
+			r.lock.Lock()
+			defer r.lock.Unlock()
+			defer r.signal()
+			o.running = false
+			if err != nil {
+				o.dueAt = r.now().Add(retryPause)
+				r.logger.Warn("job not taken over", "job", id, "error", err.Error())
+
+				return
+			}
+			o.settle(r.now())
+		})
+	}
+}
+
+// adoptOrphan takes a job over unless it has a holder or has ended.
+func (r *Runner) adoptOrphan(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	record, revision, err := r.log.Job(ctx, id)
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if record.Finished || !r.orphan(record) {
+		return nil
+	}
+
+	return r.takeOver(ctx, *record, revision)
+}
--- /dev/null
+++ b/core/jobrun/orphan_test.go
@@ -0,0 +1,119 @@
+package jobrun
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/work"
+)
+
+// tell passes what runners announce on to the others, as beats do.
+func tell(runners []*Runner) {
+	for n, from := range runners {
+		b := announced(from)
+		for k, to := range runners {
+			if n == k {
+				continue
+			}
+			for _, id := range b.Held {
+				to.HeardHeld(id, from.name, from.incarnation)
+			}
+			for _, id := range b.Released {
+				to.HeardOrphan(id)
+			}
+		}
+	}
+}
+
+// Guards against a fleet in which every instance reads the list of all jobs after a loss of all processes: on the grown sites the
+// answers filled the link to the region without the store for the rest of the day. One instance lists the jobs; the one whose
+// turn it is reads the record of each.
+func TestOneListServesAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const instances, jobs = 12, 20
+		f := newFleet(1, 0)
+		f.used = 100 // nothing runs
+		old, stopOld := f.start("old")
+		for n := range jobs {
+			id := fmt.Sprint("job", n)
+			is.NoErr(old.Submit(t.Context(), &testRoute, work.Job{ID: id, Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems(id, 2)))
+		}
+		stopOld()
+		var runners []*Runner
+		for n := range instances {
+			r, stop := f.start(fmt.Sprint("e", n))
+			defer stop()
+			runners = append(runners, r)
+		}
+		remain, err := runners[3].Adopt(t.Context())
+		is.NoErr(err)
+		is.True(remain)
+		holders := 0
+		for range 50 {
+			time.Sleep(200 * time.Millisecond)
+			tell(runners)
+		}
+		for n := range jobs {
+			held := 0
+			for _, r := range runners {
+				if r.holds(fmt.Sprint("job", n)) {
+					held++
+				}
+			}
+			is.Equal(held, 1)
+		}
+		for _, r := range runners {
+			n, _, _ := r.Backlog()
+			holders += min(n, 1)
+			is.Equal(len(announced(r).Released), 0) // nobody announces it any more
+			is.Equal(len(r.orphans), 0)
+		}
+		is.True(holders > instances/2)            // the work is spread
+		is.Equal(f.objects.Reads("jobs"), 1+jobs) // the list, and each record once
+	})
+}
+
+// Guards against a job that stays without a holder because the instance whose turn it is is lost or does not reach the store, or
+// because the one that has taken it over is lost soon after.
+func TestNextInLineTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.used = 100 // nothing runs
+		old, stopOld := f.start("old")
+		is.NoErr(old.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", 2)))
+		stopOld()
+		var runners []*Runner
+		stops := map[string]func(){}
+		for n := range 4 {
+			r, stop := f.start(fmt.Sprint("e", n))
+			runners = append(runners, r)
+			stops[r.name] = stop
+		}
+		for len(runners) > 0 {
+			lost := -1
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				_, err := runners[0].Adopt(t.Context())
+				is.NoErr(err)
+				tell(runners)
+				for n, r := range runners {
+					if r.holds("job") {
+						lost = n
+					}
+				}
+				if lost >= 0 {
+					break
+				}
+			}
+			is.True(lost >= 0) // somebody holds it within 10 s
+			stops[runners[lost].name]()
+			runners = append(runners[:lost:lost], runners[lost+1:]...)
+		}
+	})
+}
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -106,7 +106,7 @@
 	// queued counts the items that found no place when they were last offered one.
 	queued   int
 	released map[string]time.Time
-	orphans  map[string]time.Time
+	orphans  map[string]*orphan
 	stopping bool
 	pace     estimate
 	wake     chan struct{}
@@ -136,7 +136,7 @@
 		heardEnds:   map[string]time.Time{},
 		held:        map[string]time.Time{},
 		released:    map[string]time.Time{},
-		orphans:     map[string]time.Time{},
+		orphans:     map[string]*orphan{},
 		wake:        make(chan struct{}, 1),
 	}
 }
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -287,7 +287,7 @@
 	stopFirst()
 	for end := time.Now().Add(testLimit); !check(t, l, "j", 600); time.Sleep(10 * time.Millisecond) {
 		is.True(time.Now().Before(end))
-		is.NoErr(second.Released(t.Context(), "j"))
+		second.HeardOrphan("j")
 	}
 	for end := time.Now().Add(testLimit); ; time.Sleep(10 * time.Millisecond) {
 		j, _, err := l.Job(t.Context(), "j")
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -54,6 +54,7 @@
 	at := r.now()
 	if !r.stopping {
 		r.start(ctx, at)
+		r.adoptOrphans(ctx, at)
 	}
 	for id, j := range r.jobs {
 		switch {
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -46,6 +46,7 @@
 	Announce(b *gossip.Beat)
 	HeardHeld(id, holder, incarnation string)
 	HeardEnd(id string)
+	HeardOrphan(id string)
 	Preempt(server string, count int)
 }
 
@@ -75,7 +76,6 @@
 	routes    routes
 	placer    placer
 	transport transport
-	released  func(id string)
 	checkedAt func() time.Time
 	storeLost func() bool
 	now       func() time.Time
@@ -87,11 +87,9 @@
 	pending map[string]heard
 }
 
-// New returns a pulse; released is called with jobs that another instance has given up, and must not block;
-// checkedAt returns when this instance last knew that its state was the store's newest, and
+// New returns a pulse; checkedAt returns when this instance last knew that its state was the store's newest, and
 // storeLost whether it does not reach the store.
-func New(c cluster, l loads, j jobs, ro roster, rt routes, p placer, t transport, released func(id string),
-	checkedAt func() time.Time, storeLost func() bool, now func() time.Time,
+func New(c cluster, l loads, j jobs, ro roster, rt routes, p placer, t transport, checkedAt func() time.Time, storeLost func() bool, now func() time.Time,
 ) *Pulse {
 	return &Pulse{
 		cluster:   c,
@@ -101,7 +99,6 @@
 		routes:    rt,
 		placer:    p,
 		transport: t,
-		released:  released,
 		checkedAt: checkedAt,
 		storeLost: storeLost,
 		now:       now,
@@ -200,7 +197,7 @@
 		p.jobs.HeardEnd(id)
 	}
 	for _, id := range b.Released {
-		p.released(id)
+		p.jobs.HeardOrphan(id)
 	}
 	for _, id := range b.Held {
 		p.jobs.HeardHeld(id, b.Sender.Name, b.Sender.Incarnation)
--- a/core/pulse/pulse_test.go
+++ b/core/pulse/pulse_test.go
@@ -56,6 +56,7 @@
 func (*instance) Announce(*gossip.Beat)                     {}
 func (*instance) HeardHeld(id, holder, incarnation string)  {}
 func (*instance) HeardEnd(string)                           {}
+func (*instance) HeardOrphan(string)                        {}
 func (*instance) Preempt(string, int)                       {}
 func (*instance) Server(string) (s backend.Server, ok bool) { return s, false }
 func (*instance) Version() (revision int64, digest uint64)  { return 0, 0 }
@@ -76,7 +77,7 @@
 	}
 	self := gossip.Member{Name: name, Incarnation: incarnation, Zone: zone, Region: "r", Peer: address, Ready: true}
 	i := &instance{network: n, cluster: cluster.New(self, time.Now(), slog.New(slog.DiscardHandler)), loads: load.New()}
-	i.pulse = pulse.New(i.cluster, i.loads, i, i, i, i, i, func(string) {}, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
+	i.pulse = pulse.New(i.cluster, i.loads, i, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
 	n.lock.Lock()
 	n.nodes[address] = i
 	n.lock.Unlock()
--- a/internal/fakeobjects/store.go
+++ b/internal/fakeobjects/store.go
@@ -23,6 +23,7 @@
 	revision int64
 	fails    map[string]fault.Code
 	choose   func(kind string) fault.Code
+	reads    map[string]int
 }
 
 // New returns an empty store.
@@ -30,9 +31,18 @@
 	return &Store{
 		objects: map[string]object{},
 		fails:   map[string]fault.Code{},
+		reads:   map[string]int{},
 	}
 }
 
+// Reads returns how many objects and lists of a kind were read.
+func (s *Store) Reads(kind string) int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return s.reads[kind]
+}
+
 // FailNext makes the next write of a kind fail with a code; outcome_unknown carries the write out.
 func (s *Store) FailNext(kind string, code fault.Code) {
 	s.lock.Lock()
@@ -118,6 +128,7 @@
 func (s *Store) Read(_ context.Context, kind, name string, value any) (int64, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.reads[kind]++
 	o, ok := s.objects[kind+"/"+name]
 	if !ok {
 		return 0, fault.New(fault.CodeNotFound, "no such object")
@@ -129,6 +140,7 @@
 // List calls each with all objects of a kind in the order of their names.
 func (s *Store) List(_ context.Context, kind string, each func(name string, value json.RawMessage, revision int64)) error {
 	s.lock.Lock()
+	s.reads[kind]++
 	var names []string
 	for key := range s.objects {
 		if name, ok := strings.CutPrefix(key, kind+"/"); ok {
