Doubt one lost instance for ten seconds only

Until it was forgotten 30 s later, every instance held it for possible that the lost one was only cut off from itself and had taken its jobs over, and looked at the store for each read without a result.

Change: doubt lasts for ten seconds after one instance has fallen silent, and for as long as two are silent, which may hear each other. One that hears nobody takes no jobs over.

Ruled out: jobs that were not taken over; each had its holder.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -16,6 +16,8 @@
 	goneAfter = 3 * time.Second
 	// doubtAfter is how long an instance may be silent until it may hold this one for gone; it is shorter than goneAfter.
 	doubtAfter = 2 * time.Second
+	// doubtLife is how long a single instance that has fallen silent may be one that is cut off from this one only.
+	doubtLife = 10 * time.Second
 	// zoneWatchers is how many instances of a zone watch the store. Each pays a call for each renewed entry of a server. If
 	// the only one is lost, another one watches as soon as it is silent, and its watch goes on from the revision last seen.
 	zoneWatchers = 1
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -279,3 +279,34 @@
 	}
 	is.Equal(len(seen), 59)
 }
+
+// Guards against reads of all jobs that go to the store for half a minute because one instance was removed for good, and against
+// answers from memory while two others, which may hear each other, may have taken the jobs over.
+func TestDoubtOfOneLostInstance(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lost int
+		last time.Duration
+	}{
+		{"none", 0, 0},
+		{"one", 1, doubtLife},
+		{"two", 2, forgetAfter},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(0)
+			cl.Expire(start)
+			for n := 1; n <= 4; n++ {
+				cl.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: 1}, start)
+			}
+			for after := pauseLimit / 2; after < forgetAfter+10*time.Second; after += pauseLimit / 2 {
+				at := start.Add(after)
+				for n := 1 + c.lost; n <= 4; n++ {
+					cl.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: int(after)}, at)
+				}
+				cl.Expire(at)
+				is.Equal(cl.Doubted(at.Add(-1)), after > doubtAfter && after <= c.last)
+			}
+		})
+	}
+}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -19,10 +19,12 @@
 		c.doubtAt = at
 	}
 	c.expiredAt = at
+	silent, lately := 0, false
 	for name, p := range c.peers {
 		silence := at.Sub(later(p.heardAt, c.startedAt))
-		if silence > doubtAfter {
-			c.doubtAt = at
+		if silence > doubtAfter && silence <= forgetAfter {
+			silent++
+			lately = lately || silence <= doubtLife
 		}
 		if !p.gone && silence > goneAfter {
 			p.gone = true
@@ -33,6 +35,11 @@
 			delete(c.peers, name)
 		}
 	}
+	// An instance that hears nobody takes no jobs over, so that one which has been silent alone for long is no threat; two of
+	// them may hear each other.
+	if lately || silent > 1 {
+		c.doubtAt = at
+	}
 	for a, t := range c.targets {
 		if at.After(t.forgetAt) {
 			delete(c.targets, a)
