--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -184,20 +184,24 @@
 	for _, c := range []struct {
 		name  string
 		beats []*gossip.Beat
+		lost  bool
 		at    time.Duration
 		zone  bool
 		ends  bool
 	}{
-		{"alone", nil, 0, true, true},
-		{"one ahead", []*gossip.Beat{beat(2, 1, false, false)}, 0, false, true},
-		{"two ahead", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, 0, false, false},
-		{"two ahead in another zone", []*gossip.Beat{beat(1, 1, false, false), beat(3, 1, false, false)}, 0, true, false},
-		{"two behind", []*gossip.Beat{beat(8, 1, false, false), beat(80, 1, false, false)}, 0, true, true},
-		{"one leaves", []*gossip.Beat{beat(2, 1, true, false)}, 0, true, true},
-		{"one of two leaves", []*gossip.Beat{beat(2, 1, true, false), beat(4, 1, false, false)}, 0, false, true},
-		{"one without the store", []*gossip.Beat{beat(2, 1, false, true)}, 0, true, true},
-		{"one of two without the store", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, true)}, 0, false, true},
-		{"silent", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, silentAfter + 1, true, true},
+		{"alone", nil, false, 0, true, true},
+		{"one ahead", []*gossip.Beat{beat(2, 1, false, false)}, false, 0, false, true},
+		{"two ahead", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, false, 0, false, false},
+		{"two ahead in another zone", []*gossip.Beat{beat(1, 1, false, false), beat(3, 1, false, false)}, false, 0, true, false},
+		{"two behind", []*gossip.Beat{beat(8, 1, false, false), beat(80, 1, false, false)}, false, 0, true, true},
+		{"one leaves", []*gossip.Beat{beat(2, 1, true, false)}, false, 0, true, true},
+		{"one of two leaves", []*gossip.Beat{beat(2, 1, true, false), beat(4, 1, false, false)}, false, 0, false, true},
+		{"one without the store", []*gossip.Beat{beat(2, 1, false, true)}, false, 0, true, true},
+		{"one of two without the store", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, true)}, false, 0, false, true},
+		{"silent", []*gossip.Beat{beat(2, 1, false, false), beat(4, 1, false, false)}, false, silentAfter + 1, true, true},
+		{"lost while one behind reaches the store", []*gossip.Beat{beat(8, 1, false, false)}, true, 0, false, true},
+		{"all lost, two ahead", []*gossip.Beat{beat(2, 1, false, true), beat(4, 1, false, true)}, true, 0, false, false},
+		{"all lost, two behind", []*gossip.Beat{beat(8, 1, false, true), beat(80, 1, false, true)}, true, 0, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -205,8 +209,8 @@
 			for _, b := range c.beats {
 				cl.Observe(b, start)
 			}
-			is.Equal(cl.Watcher(start.Add(c.at)), c.zone)
-			is.Equal(cl.EndWatcher(start.Add(c.at)), c.ends)
+			is.Equal(cl.Watcher(c.lost, start.Add(c.at)), c.zone)
+			is.Equal(cl.EndWatcher(c.lost, start.Add(c.at)), c.ends)
 		})
 	}
 }
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -84,24 +84,31 @@
 }
 
 // Watcher reports whether this instance watches the store for all others in its zone. With a watch of each instance, a change
-// would cost as many calls as there are instances.
-func (c *Cluster) Watcher(at time.Time) bool {
-	return c.rank(at, func(m gossip.Member) bool { return m.Zone == c.self.Zone }) < zoneWatchers
+// would cost as many calls as there are instances. Lost tells that this instance does not reach the store: it goes on watching
+// only if no other one of the zone does reach it.
+func (c *Cluster) Watcher(lost bool, at time.Time) bool {
+	return c.rank(lost, at, func(m gossip.Member) bool { return m.Zone == c.self.Zone }) < zoneWatchers
 }
 
-// EndWatcher reports whether this instance is one of those in its region that watch the ends of jobs. Ends are as many as jobs
-// and are announced in beats by the instance that recorded them; a watch is needed only if that instance is lost at once.
-func (c *Cluster) EndWatcher(at time.Time) bool {
-	return c.rank(at, func(m gossip.Member) bool { return m.Region == c.self.Region }) < endWatchers
+// EndWatcher reports whether this instance is one of those in its region that watch the ends of jobs and look for jobs without
+// a holder. Ends are as many as jobs and are announced in beats by the instance that recorded them; a watch is needed only if
+// that instance is lost at once.
+func (c *Cluster) EndWatcher(lost bool, at time.Time) bool {
+	return c.rank(lost, at, func(m gossip.Member) bool { return m.Region == c.self.Region }) < endWatchers
 }
 
-// rank returns how many instances of a group with lower names could watch the store.
-func (c *Cluster) rank(at time.Time, inGroup func(m gossip.Member) bool) int {
+// rank returns how many live instances of a group come before this one among those that watch the store: the ones that reach
+// it come first, then those with lower names.
+func (c *Cluster) rank(lost bool, at time.Time, inGroup func(m gossip.Member) bool) int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	ahead := 0
 	for name, p := range c.peers {
-		if name < c.self.Name && inGroup(p.beat.Sender) && !p.beat.StoreLost && p.live(at) {
+		before := name < c.self.Name
+		if p.beat.StoreLost != lost {
+			before = lost
+		}
+		if before && inGroup(p.beat.Sender) && p.live(at) {
 			ahead++
 		}
 	}
