Do not take a queue for silence

Change: a server with more online requests than slots when a request is sent there is not judged by that request's silence. The request still moves.

Ruled out: not moving such requests; they are served sooner elsewhere.

--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -56,9 +56,12 @@
 	next *reservation
 }
 
+// reservation is a place on a server.
 type reservation struct {
 	server  backend.Server
 	release func()
+	// crowded is set if the request has to wait there for others, so that silence says nothing of the server.
+	crowded bool
 }
 
 func (e *exchange) run(ctx context.Context) error {
@@ -67,11 +70,13 @@
 		if p == nil {
 			return e.ended(ctx, fault.New(fault.CodeOverloaded, "no backend server of service "+e.service+" has a free place"))
 		}
-		if n := e.forwarder.placer.Excess(p.server, e.forwarder.now()); n > 0 {
+		at := e.forwarder.now()
+		p.crowded = e.forwarder.placer.Crowded(p.server, at)
+		if n := e.forwarder.placer.Excess(p.server, at); n > 0 {
 			e.forwarder.batch.Preempt(p.server.ID, n)
 		}
 		err := e.attempt(ctx, p)
-		e.forwarder.judge(ctx, p.server, e.progressAt, err)
+		e.forwarder.judge(ctx, p, e.progressAt, err)
 		if err == nil {
 			e.dropNext()
 
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -48,6 +48,7 @@
 	Online(service string, excluded map[string]bool, queue float64, at time.Time) (s backend.Server, release func(), ok bool)
 	Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool)
 	Excess(s backend.Server, at time.Time) int
+	Crowded(s backend.Server, at time.Time) bool
 }
 
 type roster interface {
@@ -160,13 +161,14 @@
 	return punctualQueue
 }
 
-// judge lets the roster know how an attempt ended that last made progress at progressAt.
-func (f *Forwarder) judge(ctx context.Context, s backend.Server, progressAt time.Time, err error) {
+// judge lets the roster know how an attempt ended that last made progress at progressAt. At the peak of a load requests queue
+// everywhere; if each server were left alone whose queue kept one waiting, the load would fall on fewer and fewer.
+func (f *Forwarder) judge(ctx context.Context, p *reservation, progressAt time.Time, err error) {
 	if err != nil {
 		failures.Add(string(fault.CodeOf(err)), 1)
 	}
-	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil {
+	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil || p.crowded && fault.CodeOf(err) == fault.CodeBackendSilent {
 		return
 	}
-	f.roster.Judge(s.ID, err, progressAt, f.now())
+	f.roster.Judge(p.server.ID, err, progressAt, f.now())
 }
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -36,6 +36,7 @@
 	released int
 	failed   []string
 	free     bool
+	crowded  bool
 	queues   []float64
 }
 
@@ -94,9 +95,10 @@
 	return backend.Server{}, nil, false
 }
 
-func (f *fake) Excess(backend.Server, time.Time) int { return 0 }
-func (f *fake) Preempt(string, int)                  {}
-func (f *fake) Progressed(string, time.Time)         {}
+func (f *fake) Excess(backend.Server, time.Time) int   { return 0 }
+func (f *fake) Crowded(backend.Server, time.Time) bool { return f.crowded }
+func (f *fake) Preempt(string, int)                    {}
+func (f *fake) Progressed(string, time.Time)           {}
 
 func (f *fake) Judge(id string, err error, _, _ time.Time) {
 	if err != nil {
@@ -182,6 +184,36 @@
 	}
 }
 
+// Guards against servers that are left alone at the peak of a burst because requests queue there, the pattern of the heaviest days:
+// the load then fell on the others, two hundred suspicions in a second among 96 servers. A server that is silent while it has
+// room, or is not reached, is suspected all the same.
+func TestQueueIsNotSilence(t *testing.T) {
+	stream := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40}
+	gone := fault.New(fault.CodeBackendUnreachable, "no connection")
+	for _, c := range []struct {
+		name    string
+		crowded bool
+		first   reply
+		blamed  []string
+	}{
+		{"queued", true, reply{status: 200, body: whole[:20], hung: true}, nil},
+		{"silent", false, reply{status: 200, body: whole[:20], hung: true}, []string{"a"}},
+		{"unreachable", true, reply{err: gone}, []string{"a"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fake{replies: []reply{c.first, {status: 200, body: whole[15:]}}, free: true, crowded: c.crowded}
+			if c.first.err != nil {
+				f.replies[1].body = whole
+			}
+			out := &recorder{}
+			is.NoErr(New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
+			is.Equal(out.body.String(), whole)
+			is.Equal(f.failed, c.blamed)
+		})
+	}
+}
+
 // Guards against a request that is held beyond the time-out of its route or the deadline of its caller.
 func TestDeadline(t *testing.T) {
 	is := is.New(t)
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -159,6 +159,13 @@
 	return int(whole)
 }
 
+// Crowded reports whether more online requests are on a server than it runs at once, so that some of them wait there.
+func (p *Placer) Crowded(s backend.Server, at time.Time) bool {
+	online, _ := p.loads.On(s.ID, at)
+
+	return online > slotsOf(s)
+}
+
 // choose returns the allowed server with the lowest score at a distance, a random one of equals.
 func (p *Placer) choose(
 	usable []backend.Server, excluded map[string]bool, distance int, at time.Time,
