Read and write less at the store for results of jobs

For 8 s after a takeover each read without a result cost a record and a segment every 0.4 s, and each finished item nearly a write.

Change: after a takeover only the segment is read, every 0.7 s; the record is read while other instances may hold the job. Results wait up to 1 s for others while the job is not due soon. A job remembers its route for a version of the table.

Ruled out: segments read at the reader's position alone, which cannot tell the end of the list from the middle of a segment.

--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -52,6 +52,9 @@
 	doubtedUntil time.Time
 	ended        bool
 	released     bool
+	// route is the one in a table, which is looked for once a version: there may be thousands.
+	table *route.Table
+	route *route.Route
 	// changed is closed when results are listed or the job ends.
 	changed chan struct{}
 }
--- a/core/jobrun/news.go
+++ b/core/jobrun/news.go
@@ -49,7 +49,7 @@
 	at := r.now()
 	b.Waiting = gossip.BeatWaiting{}
 	for _, j := range r.jobs {
-		if rt := r.routeOf(&j.Job); rt != nil {
+		if rt := r.routeOf(j); rt != nil {
 			b.Waiting[rt.Name] += j.waitingTokens()
 		}
 	}
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/work"
 )
 
@@ -117,3 +118,39 @@
 		}
 	})
 }
+
+// Guards against reads of taken over jobs that cost two calls of the store each, most calls of the seconds after a loss of all
+// processes, and against a late write of the holder before that readers here do not see within a second.
+func TestReadsAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.used = 100 // nothing runs
+		l := logs.New(f.objects)
+		old, stopOld := f.start("old")
+		is.NoErr(old.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", 3)))
+		stopOld()
+		r, stop := f.start("new")
+		defer stop()
+		_, err := r.Adopt(t.Context())
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.True(r.holds("job"))
+		read := func() int {
+			page, held := r.ReadHeld(t.Context(), "job", 0, time.Now())
+			is.True(held)
+
+			return len(page.Results)
+		}
+		records, segments := f.objects.Reads("jobs"), f.objects.Reads("job-results")
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(read(), 0)
+		}
+		is.Equal(f.objects.Reads("jobs"), records)
+		is.True(f.objects.Reads("job-results")-segments <= 1+int(3*time.Second/verifyInterval))
+		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-0", State: work.StateCompleted, Text: "x"}}, "old"))
+		time.Sleep(time.Second)
+		is.Equal(read(), 1)
+	})
+}
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -55,14 +55,17 @@
 	at := r.now()
 	r.lock.Lock()
 	position := len(j.results)
-	doubted := r.cluster.Doubted(j.verifiedAt) || at.Before(j.doubtedUntil)
+	doubted := r.cluster.Doubted(j.verifiedAt)
+	// After a takeover a write of the holder before may still take effect, but nobody else holds the job.
+	late := at.Before(j.doubtedUntil)
 	recent := at.Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
-	if doubted && !recent {
-		// Whoever has taken the job over lists further results later, also if there are none yet.
-		held, err := r.checkHolder(ctx, j)
-		if err != nil || !held {
-			return jobpage.Page{}, false
+	if (doubted || late) && !recent {
+		if doubted {
+			// Whoever has taken the job over lists further results later, also if there are none yet.
+			if held, err := r.checkHolder(ctx, j); err != nil || !held {
+				return jobpage.Page{}, false
+			}
 		}
 		found, err := r.log.Segment(ctx, j.ID, position)
 		if err != nil {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -23,8 +23,9 @@
 	tick = 25 * time.Millisecond
 	// acceptTimeout bounds the writes that accept a job.
 	acceptTimeout = 3500 * time.Millisecond
-	// verifyInterval is how often the store is asked for results of one job that another instance may have listed.
-	verifyInterval = 400 * time.Millisecond
+	// verifyInterval is how often the store is asked for results of one job that another instance may have listed. A result that
+	// a caller has read has to be shown by all within a second.
+	verifyInterval = 700 * time.Millisecond
 	// lateWrites is how long after a takeover a write of the holder before may still take effect.
 	lateWrites = 8 * time.Second
 	// clockSkew is added before an item is given up by the time of another instance's clock.
@@ -200,7 +201,7 @@
 	at := r.now()
 	var list []candidate
 	for _, j := range r.jobs {
-		rt := r.routeOf(&j.Job)
+		rt := r.routeOf(j)
 		for _, it := range j.items {
 			if rt == nil || it.state != running || it.server != server || it.cancel == nil {
 				continue
@@ -225,17 +226,20 @@
 	}
 }
 
-func (r *Runner) routeOf(j *work.Job) *route.Route {
+// routeOf returns the batch route of a job, nil if the configuration has none; it needs the lock.
+func (r *Runner) routeOf(j *job) *route.Route {
 	table, _ := r.routes.Current()
 	if table == nil {
 		return nil
 	}
-	rt := table.Find(j.Host, j.Target)
-	if rt == nil || rt.Kind != route.KindBatch {
-		return nil
+	if j.table != table {
+		j.table, j.route = table, table.Find(j.Host, j.Target)
+		if j.route != nil && j.route.Kind != route.KindBatch {
+			j.route = nil
+		}
 	}
 
-	return rt
+	return j.route
 }
 
 func (r *Runner) signal() {
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -385,3 +385,34 @@
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
+
+// Guards against a write of the store for each result of a job that is due much later, and against results of one that is due
+// soon, or of an instance that stops, which wait longer than they have to.
+func TestResultsAreCollected(t *testing.T) {
+	is := is.New(t)
+	r, stop := newFleet(1, 0).start("e1")
+	defer stop()
+	at := time.Now()
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		host string
+		stop bool
+		want time.Duration
+	}{
+		{"due later", time.Second, "h", false, calmDelay},
+		{"due soon", 15 * time.Second, "h", false, listDelay},
+		{"just late", 18500 * time.Millisecond, "h", false, listDelay},
+		{"late", 30 * time.Second, "h", false, calmDelay},
+		{"stopping", time.Second, "h", true, listDelay},
+		{"without a route", time.Second, "other", false, listDelay},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r.lock.Lock()
+			defer r.lock.Unlock()
+			r.stopping = c.stop
+			j := newJob(work.Job{ID: "j", Host: c.host, Target: "/b/1", SubmittedAt: at.Add(-c.age)}, nil)
+			is.Equal(r.collectFor(j, at), c.want)
+		})
+	}
+}
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -10,8 +10,12 @@
 )
 
 const (
-	// listDelay collects results that finish close together into one write.
+	// listDelay collects results that finish close together into one write; calmDelay does so for jobs that are not due soon, or
+	// are late already. The longer it is, the more results have to be made again after a crash.
 	listDelay = 300 * time.Millisecond
+	calmDelay = time.Second
+	// dueSoon is how long before it is due a job's results are listed without further delay.
+	dueSoon = 4 * time.Second
 	// writeTimeout bounds one write of results.
 	writeTimeout = 3 * time.Second
 	// urgentBefore is how long before a job is due its items use places that others leave free: twice the time that an
@@ -59,7 +63,7 @@
 	for id, j := range r.jobs {
 		switch {
 		case j.flushing || at.Before(j.retryAt):
-		case len(j.pending) > 0 && (at.Sub(j.pendingSince) >= listDelay || len(j.pending)+len(j.results) >= j.Items):
+		case len(j.pending) > 0 && (at.Sub(j.pendingSince) >= r.collectFor(j, at) || len(j.pending)+len(j.results) >= j.Items):
 			j.flushing = true
 			pending := slices.Clone(j.pending)
 			position := len(j.results)
@@ -83,6 +87,20 @@
 	}
 }
 
+// collectFor returns how long results of a job wait for others that are listed with them; it needs the lock.
+func (r *Runner) collectFor(j *job, at time.Time) time.Duration {
+	rt := r.routeOf(j)
+	if rt == nil || r.stopping {
+		return listDelay
+	}
+	left := j.due(rt).Sub(at)
+	if left > dueSoon || left < -calmDelay {
+		return calmDelay
+	}
+
+	return listDelay
+}
+
 // start gives places to waiting items.
 func (r *Runner) start(ctx context.Context, at time.Time) {
 	list := r.candidates(at)
@@ -128,7 +146,7 @@
 		if j.ended || j.released {
 			continue
 		}
-		rt := r.routeOf(&j.Job)
+		rt := r.routeOf(j)
 		for _, it := range j.items {
 			switch {
 			case it.state != waiting || at.Before(it.notBefore):
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -97,7 +97,7 @@
 	n := 0
 	for _, jobs := range []map[string]*job{r.jobs, r.unsettled} {
 		for _, j := range jobs {
-			if rt := r.routeOf(&j.Job); rt != nil && rt.Name == name {
+			if rt := r.routeOf(j); rt != nil && rt.Name == name {
 				n += j.waitingTokens()
 			}
 		}
