--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -74,38 +74,6 @@
 	is.True(c.Alive("e1", "1", start.Add(time.Hour))) // it still runs its items
 }
 
-// Guards against two instances that start batch items on one server at the same moment, and against a server that nobody
-// may use.
-func TestTurn(t *testing.T) {
-	is := is.New(t)
-	var members []*Cluster
-	for n := range 7 {
-		members = append(members, newCluster(n))
-	}
-	turns := map[int]int{}
-	begin := time.Unix(0, start.UnixNano()/int64(turnWindow)*int64(turnWindow))
-	for window := range 100 {
-		for _, c := range members {
-			for n := range members {
-				c.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: window + 1, Queued: 1}, begin.Add(time.Duration(window)*turnWindow))
-			}
-		}
-		for _, server := range []string{"s1", "s2"} {
-			at := begin.Add(time.Duration(window)*turnWindow + turnUse/2)
-			holders := 0
-			for n, c := range members {
-				if c.Turn(server, "a", at) {
-					holders++
-					turns[n]++
-				}
-				is.True(!c.Turn(server, "a", at.Add(turnUse)))
-			}
-			is.Equal(holders, 1)
-		}
-	}
-	is.True(len(turns) > 1)
-}
-
 // Guards against all instances that read the store because they do not believe the one that does.
 func TestCheckedAt(t *testing.T) {
 	is := is.New(t)
@@ -231,41 +199,6 @@
 	is.True(!ok)
 }
 
-// Guards against places that stay idle because the turn goes to instances that have no items, the pattern of the grown sites:
-// more instances than jobs.
-func TestTurnGoesToInstancesWithItems(t *testing.T) {
-	is := is.New(t)
-	c := newCluster(0)
-	observe := func(queued int) {
-		for n := 1; n < 40; n++ {
-			b := &gossip.Beat{Sender: member(n, "1"), Sequence: queued + 1}
-			if n == 1 {
-				b.Queued = queued
-			}
-			c.Observe(b, start)
-		}
-	}
-	turns := func() int {
-		n := 0
-		for w := range 200 {
-			if c.Turn("s", "a", start.Add(time.Duration(w)*turnWindow)) {
-				n++
-			}
-			start := start.Add(time.Duration(w) * turnWindow)
-			for k := range c.peers {
-				c.peers[k].heardAt = start
-			}
-		}
-
-		return n
-	}
-	observe(0)
-	is.Equal(turns(), 200) // nobody else has items
-	observe(1)
-	got := turns()
-	is.True(got > 120 && got < 180) // half of all turns are for the zone of e0 only, and half of the rest
-}
-
 // Guards against addresses that a newcomer does not hear of for seconds because they are picked at random.
 func TestAddressesTakeTurns(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/core/cluster/turn_test.go
@@ -0,0 +1,95 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/gossip"
+)
+
+// Guards against two instances that start batch items on one server before they can have heard of each other's, and against a
+// server that nobody may use.
+func TestTurn(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		zone string
+		// pause is the time in which counts have to arrive, least how long all turns in 3 s last at least.
+		pause, least time.Duration
+	}{
+		{"instances in the server's zone", "a", zoneWindow - zoneUse, time.Second},
+		{"none there", "c", turnWindow - turnUse, 500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var members []*Cluster
+			for n := range 7 {
+				members = append(members, newCluster(n))
+			}
+			turns := map[int]bool{}
+			last, lastAt, used := -1, time.Time{}, time.Duration(0)
+			for after := time.Duration(0); after < 3*time.Second; after += time.Millisecond {
+				at := start.Add(after)
+				if after%(200*time.Millisecond) == 0 {
+					for _, m := range members {
+						for n := range members {
+							m.Observe(&gossip.Beat{Sender: member(n, "1"), Sequence: int(after) + 1, Queued: 1}, at)
+						}
+					}
+				}
+				holders := 0
+				for n, m := range members {
+					if !m.Turn("s", c.zone, at) {
+						continue
+					}
+					holders++
+					is.True(n == last || last < 0 || at.Sub(lastAt) >= c.pause)
+					last, lastAt, turns[n] = n, at, true
+					used += time.Millisecond
+				}
+				is.True(holders <= 1)
+			}
+			is.True(used > c.least)
+			is.True(len(turns) > 1)
+		})
+	}
+}
+
+// Guards against places that stay idle because the turn goes to instances that have no items, the pattern of the grown sites:
+// more instances than jobs; and against items of a server's own zone that wait for those of others.
+func TestTurnGoesToInstancesWithItems(t *testing.T) {
+	const windows = 200
+	for _, c := range []struct {
+		name        string
+		queued      int
+		zone        string
+		least, most int
+	}{
+		{"nobody else has items", 0, "b", windows, windows},
+		{"another one of the same zone", 2, "a", 70, 130},
+		{"one of another zone", 1, "a", windows, windows},
+		{"one in the server's zone", 1, "b", 0, 0},
+		{"none in the server's zone", 1, "c", 70, 130},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(0)
+			got := 0
+			for w := range windows {
+				at := start.Truncate(turnWindow).Add(time.Duration(w) * turnWindow)
+				for n := 1; n < 40; n++ {
+					b := &gossip.Beat{Sender: member(n, "1"), Sequence: w + 1}
+					if n == c.queued {
+						b.Queued = 1
+					}
+					cl.Observe(b, at)
+				}
+				if cl.Turn("s", c.zone, at) {
+					got++
+				}
+			}
+			is.True(got >= c.least && got <= c.most)
+		})
+	}
+}
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -102,21 +102,19 @@
 		loads = append(loads, load.New())
 	}
 	at := start
-	hear := func(sequence int) {
-		for _, m := range members {
+	// Instances of one zone hear of each other after each step, all others after eight.
+	hear := func(step int) {
+		for n, m := range members {
 			for k, other := range members {
-				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: sequence, Counts: loads[k].Own(), Queued: 1}, at)
-			}
-		}
-		for n := range loads {
-			for k := range loads {
-				if n != k {
-					loads[n].Observe(fmt.Sprint("e", k), "", loads[k].Own(), at)
+				if n == k || step%8 != 0 && m.Self().Zone != other.Self().Zone {
+					continue
 				}
+				m.Observe(&gossip.Beat{Sender: other.Self(), Sequence: step + 1, Queued: 1}, at)
+				loads[n].Observe(fmt.Sprint("e", k), "", loads[k].Own(), at)
 			}
 		}
 	}
-	hear(1)
+	hear(0)
 	for n := range instances {
 		placers = append(placers, New(members[n].Self().Zone, regions, list, loads[n], members[n], rand.New(rand.NewPCG(uint64(n), 2))))
 	}
@@ -132,9 +130,7 @@
 				used[s.ID]++
 			}
 		}
-		if tick%8 == 7 {
-			hear(tick + 2)
-		}
+		hear(tick + 1)
 	}
 	for _, s := range list {
 		is.True(used[s.ID] > 0) // every server is used
