--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -119,6 +119,27 @@
 	})
 }
 
+// Guards against an instance that is cut off and takes over a job of which it had heard before, while another one does.
+func TestIsolatedInstanceTakesNothingOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.used = 100 // nothing runs
+		old, stopOld := f.start("old")
+		is.NoErr(old.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", 2)))
+		stopOld()
+		r, stop := f.start("new")
+		defer stop()
+		f.isolated.Store(true)
+		r.HeardOrphan("job")
+		time.Sleep(3 * time.Second)
+		is.True(!r.holds("job"))
+		f.isolated.Store(false)
+		time.Sleep(time.Second)
+		is.True(r.holds("job"))
+	})
+}
+
 // Guards against reads of taken over jobs that cost two calls of the store each, most calls of the seconds after a loss of all
 // processes, and against a late write of the holder before that readers here do not see within a second.
 func TestReadsAfterTakeover(t *testing.T) {
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,8 @@
 	used    int
 	// doubted says that instances may have been taken for gone.
 	doubted bool
+	// isolated says that an instance hears no other.
+	isolated atomic.Bool
 	// failing is the share of attempts that break off.
 	failing float64
 }
@@ -80,7 +83,7 @@
 }
 
 func (f *fleet) Doubted(time.Time) bool { return f.doubted }
-func (f *fleet) Isolated() bool         { return false }
+func (f *fleet) Isolated() bool         { return f.isolated.Load() }
 
 func (f *fleet) Alive(name, _ string, _ time.Time) bool {
 	f.lock.Lock()
