--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -55,15 +55,13 @@
 	return best.beat.Sender.Peer, true
 }
 
-// CheckedAt returns when an instance with the same state as this one last knew that it was the store's newest, zero if none
-// did.
-func (c *Cluster) CheckedAt(routeVersion int64, serverDigest uint64) time.Time {
+// CheckedAt returns when any other instance last knew that its state was the store's newest, zero if none did.
+func (c *Cluster) CheckedAt() time.Time {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	var last time.Time
 	for _, p := range c.peers {
-		same := int64(p.beat.RouteVersion) == routeVersion && p.beat.ServerDigest == int(serverDigest) //nolint:gosec // only compared
-		if !p.gone && same {
+		if !p.gone {
 			last = later(last, p.checkedAt)
 		}
 	}
