--- a/core/forward/exchange.go
+++ b/core/forward/exchange.go
@@ -82,7 +82,7 @@
 
 			return nil
 		}
-		if !e.again(ctx, p.server, err) {
+		if !e.again(ctx, p, err) {
 			return e.ended(ctx, err)
 		}
 	}
@@ -107,7 +107,7 @@
 }
 
 // again reports whether another attempt is allowed after a failed one, and logs the decision.
-func (e *exchange) again(ctx context.Context, s backend.Server, err error) bool {
+func (e *exchange) again(ctx context.Context, p *reservation, err error) bool {
 	notRun := fault.NotRun(err)
 	if notRun {
 		e.refused++
@@ -124,8 +124,8 @@
 	if e.splitter != nil {
 		last = e.splitter.Last()
 	}
-	e.forwarder.log.Info("attempt ended", "request", e.call.ID, "route", e.route.Name, "server", s.ID, "error", err.Error(),
-		"not_run", notRun, "attempts", e.ran, "refusals", e.refused, "last_event", last, "again", may)
+	e.forwarder.log.Info("attempt ended", "request", e.call.ID, "route", e.route.Name, "server", p.server.ID, "error", err.Error(),
+		"crowded", p.crowded, "not_run", notRun, "attempts", e.ran, "refusals", e.refused, "last_event", last, "again", may)
 
 	return may
 }
--- a/core/jobrun/adopt.go
+++ b/core/jobrun/adopt.go
@@ -39,7 +39,7 @@
 			remain = remain || !r.holds(j.ID) && !r.cluster.Alive(j.Holder, j.Incarnation, at.Add(time.Hour))
 		case old <= 0:
 			remain = true
-			r.announceOrphan(j.ID, at)
+			r.announceOrphan(j, at)
 		case old > time.Duration(r.rank(j.ID))*turnDelay:
 			r.removeOld(ctx, j)
 		}
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -7,6 +7,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/rendezvous"
+	"tarragonwalk/core/work"
 )
 
 const (
@@ -35,11 +36,14 @@
 }
 
 // announceOrphan notes a job that has no holder and tells the other instances.
-func (r *Runner) announceOrphan(id string, at time.Time) {
+func (r *Runner) announceOrphan(j *work.Job, at time.Time) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.noteOrphan(id, at) {
-		r.released[id] = at.Add(newsLife)
+	if _, announced := r.released[j.ID]; !announced {
+		r.logger.Info("job without a holder found", "job", j.ID, "holder", j.Holder, "incarnation", j.Incarnation, "submitted_at", j.SubmittedAt)
+	}
+	if r.noteOrphan(j.ID, at) {
+		r.released[j.ID] = at.Add(newsLife)
 	}
 }
 
