Compute the age of messages and the life of reports in one place

Both are in core/gossip now. A comment said that a new watcher goes on from the revision last seen; it lists first. Behaviour and assertions are unchanged.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -19,7 +19,7 @@
 	// doubtLife is how long a single instance that has fallen silent may be one that is cut off from this one only.
 	doubtLife = 10 * time.Second
 	// zoneWatchers is how many instances of a zone watch the store. Each pays a call for each renewed entry of a server. If
-	// the only one is lost, another one watches as soon as it is silent, and its watch goes on from the revision last seen.
+	// the only one is lost, another one lists and watches as soon as it is silent.
 	zoneWatchers = 1
 	// endWatchers is how many instances of a region watch the ends of jobs.
 	endWatchers = 2
@@ -59,7 +59,7 @@
 func (p *peer) take(b *gossip.Beat, at time.Time) {
 	checkedAt := time.Time{}
 	if b.CheckedMillis >= 0 {
-		checkedAt = at.Add(-time.Duration(b.CheckedMillis) * time.Millisecond)
+		checkedAt = gossip.Before(at, b.CheckedMillis)
 	}
 	if news(&p.beat, b) || checkedAt.Sub(p.checkedAt) > checkStep {
 		p.newsAt = at
--- a/core/cluster/speaker.go
+++ b/core/cluster/speaker.go
@@ -20,8 +20,6 @@
 	passAgain = time.Second
 	// checkStep is how much later a check of the store has to be to count as news.
 	checkStep = 100 * time.Millisecond
-	// reportLife is how long a report on a zone stands for the beats of its instances.
-	reportLife = 1500 * time.Millisecond
 )
 
 // zoneReport is what counts of a report on another zone for a while.
@@ -89,7 +87,7 @@
 		if !p.heard(at) {
 			continue
 		}
-		age := millis(p.heardAt, at)
+		age := gossip.Age(p.heardAt, at)
 		report.Heard = append(report.Heard, gossip.Sign{
 			Name:        p.beat.Sender.Name,
 			Incarnation: p.beat.Sender.Incarnation,
@@ -136,7 +134,7 @@
 	}
 	for _, s := range r.Heard {
 		p := c.peers[s.Name]
-		heardAt := at.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
+		heardAt := gossip.Before(at, s.AgeMillis)
 		if p == nil || p.beat.Sender.Incarnation != s.Incarnation || !heardAt.After(p.heardAt) {
 			continue
 		}
@@ -154,7 +152,3 @@
 		before.StoreLost != now.StoreLost || !slices.Equal(before.Held, now.Held) || !slices.Equal(before.Ended, now.Ended) ||
 		!slices.Equal(before.Released, now.Released)
 }
-
-func millis(since, at time.Time) int {
-	return max(0, int(at.Sub(since).Milliseconds()))
-}
--- a/core/cluster/speaker_test.go
+++ b/core/cluster/speaker_test.go
@@ -144,7 +144,7 @@
 	}{
 		{"beats only", false, 0, 7},
 		{"report", true, 0, 13},
-		{"report expired", true, reportLife + 1, 7},
+		{"report expired", true, gossip.ReportLife + 1, 7},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -14,12 +14,12 @@
 	defer c.lock.Unlock()
 	n := 0
 	for _, p := range c.peers {
-		if !p.gone && at.Sub(c.zones[p.beat.Sender.Zone].madeAt) > reportLife {
+		if !p.gone && at.Sub(c.zones[p.beat.Sender.Zone].madeAt) > gossip.ReportLife {
 			n += p.beat.Waiting[route]
 		}
 	}
 	for _, z := range c.zones {
-		if at.Sub(z.madeAt) <= reportLife {
+		if at.Sub(z.madeAt) <= gossip.ReportLife {
 			n += z.waiting[route]
 		}
 	}
--- a/core/load/table.go
+++ b/core/load/table.go
@@ -10,9 +10,6 @@
 	"tarragonwalk/core/gossip"
 )
 
-// reportLife is how long reported counts are used without newer ones, which come several times a second.
-const reportLife = 1500 * time.Millisecond
-
 type report struct {
 	counts map[string]gossip.Count
 	// zone is empty for instances of the own availability zone.
@@ -78,7 +75,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.expire(at)
-	if z, ok := t.zones[zone]; ok && at.Sub(z.madeAt) <= reportLife {
+	if z, ok := t.zones[zone]; ok && at.Sub(z.madeAt) <= gossip.ReportLife {
 		return
 	}
 	t.replace(t.peers, peer, zone, counts, at)
@@ -113,7 +110,7 @@
 		zone:   zone,
 		madeAt: at,
 	}
-	if expiresAt := at.Add(reportLife); t.expiresAt.IsZero() || expiresAt.Before(t.expiresAt) {
+	if expiresAt := at.Add(gossip.ReportLife); t.expiresAt.IsZero() || expiresAt.Before(t.expiresAt) {
 		t.expiresAt = expiresAt
 	}
 }
@@ -162,7 +159,7 @@
 	t.expiresAt = time.Time{}
 	for _, reports := range []map[string]report{t.peers, t.zones} {
 		for name, r := range reports {
-			expiresAt := r.madeAt.Add(reportLife)
+			expiresAt := r.madeAt.Add(gossip.ReportLife)
 			switch {
 			case at.After(expiresAt):
 				t.sum(r.counts, -1)
--- a/core/load/table_test.go
+++ b/core/load/table_test.go
@@ -26,7 +26,7 @@
 	is.Equal(online, 2)
 	is.Equal(batch, 1)
 	l.Observe("peer", "", []gossip.Count{{Server: "s", Online: 3}}, at)
-	online, _ = l.On("s", at.Add(reportLife+1))
+	online, _ = l.On("s", at.Add(gossip.ReportLife+1))
 	is.Equal(online, 2)
 	l.Add("s", -2, -1)
 	is.Equal(len(l.Own()), 0)
@@ -49,7 +49,7 @@
 		counts []gossip.Count
 		at     time.Time
 	}
-	fresh := func(r last) bool { return !r.at.IsZero() && !at.After(r.at.Add(reportLife)) }
+	fresh := func(r last) bool { return !r.at.IsZero() && !at.After(r.at.Add(gossip.ReportLife)) }
 	peers, zones := map[string]last{}, map[string]last{}
 	for step := range 20000 {
 		at = at.Add(time.Duration(random.IntN(120)) * time.Millisecond)
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -207,12 +207,12 @@
 	}
 	for i := range b.Relayed {
 		r := &b.Relayed[i]
-		p.take(&r.Beat, before(at, r.AgeMillis))
+		p.take(&r.Beat, gossip.Before(at, r.AgeMillis))
 	}
 	for i := range b.Reports {
 		r := &b.Reports[i]
 		if r.Zone != zone {
-			madeAt := before(at, r.AgeMillis)
+			madeAt := gossip.Before(at, r.AgeMillis)
 			p.cluster.ObserveReport(r, madeAt)
 			p.loads.ObserveZone(r.Zone, r.Counts, madeAt)
 		}
--- a/core/pulse/relay.go
+++ b/core/pulse/relay.go
@@ -50,13 +50,13 @@
 	for _, r := range b.Reports {
 		p.reports[r.Zone] = heardReport{
 			report: r,
-			madeAt: before(at, r.AgeMillis),
+			madeAt: gossip.Before(at, r.AgeMillis),
 		}
 	}
 	for _, r := range b.Relayed {
 		p.beats[r.Beat.Sender.Name] = heardBeat{
 			beat: r.Beat,
-			at:   before(at, r.AgeMillis),
+			at:   gossip.Before(at, r.AgeMillis),
 		}
 	}
 }
@@ -67,13 +67,13 @@
 	defer p.lock.Unlock()
 	reports := make([]gossip.Report, 0, len(p.reports))
 	for _, h := range p.reports {
-		h.report.AgeMillis = age(h.madeAt, at)
+		h.report.AgeMillis = gossip.Age(h.madeAt, at)
 		reports = append(reports, h.report)
 	}
 	relayed := make([]gossip.Relay, 0, len(p.beats))
 	for _, h := range p.beats {
 		relayed = append(relayed, gossip.Relay{
-			AgeMillis: age(h.at, at),
+			AgeMillis: gossip.Age(h.at, at),
 			Beat:      h.beat,
 		})
 	}
@@ -84,13 +84,3 @@
 
 	return reports, relayed
 }
-
-// age returns the time since a moment in milliseconds, which messages carry since clocks of instances differ.
-func age(since, at time.Time) int {
-	return max(0, int(at.Sub(since).Milliseconds()))
-}
-
-// before returns the moment that has an age.
-func before(at time.Time, ageMillis int) time.Time {
-	return at.Add(-time.Duration(ageMillis) * time.Millisecond)
-}
