Log from where each read of results was answered

Each read that returns a result, or that asks for a position behind the first, now logs its source (memory of the holder, the holder's answer to another instance, the store), the results known there, and at the holder the results in a write that the store has not acknowledged, the record's revision and when the store was last asked. Reads from the start that find nothing are left out, since callers repeat them twice a second. A write of results logs how long it took. No logic is changed. TestSourceOfReadIsLogged covers the reader's line.

--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -146,6 +146,8 @@
 		}
 		wait := min(pollInterval, until.Sub(r.now()))
 		if len(results) > after || len(results) >= j.Items || wait <= 0 {
+			r.logRead(j, after, len(results), "store")
+
 			return jobpage.Cut(j.Items, results, after), nil
 		}
 		select {
@@ -168,6 +170,8 @@
 	}
 	page, held, err := r.peers.ReadResults(ctx, from, j.ID, after, until)
 	if err == nil && held {
+		r.logRead(j, after, page.Next, "holder")
+
 		return page, true
 	}
 	if err != nil {
@@ -178,6 +182,16 @@
 	return jobpage.Page{}, false
 }
 
+// logRead logs from where a read was answered and how many results that source knew at least. Reads from the start that find
+// nothing are left out: a caller that waits for the first result repeats them.
+func (r *Reader) logRead(j *work.Job, after, listed int, source string) {
+	if after == 0 && listed == 0 {
+		return
+	}
+	r.logger.Info("results read", "job", j.ID, "after", after, "listed", listed, "source", source, "holder", j.Holder,
+		"incarnation", j.Incarnation)
+}
+
 // forgetHolder drops the announced holder of a job and makes the next read get the holder from the store.
 func (r *Reader) forgetHolder(id string) {
 	r.lock.Lock()
--- a/core/jobread/reader_test.go
+++ b/core/jobread/reader_test.go
@@ -1,7 +1,9 @@
 package jobread
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -141,3 +143,31 @@
 	r.SetHolder("new", "e1", "1")
 	is.Equal(len(r.hints), 1)
 }
+
+// Guards against a read whose source, the job's holder or the store, cannot be found in the log.
+func TestSourceOfReadIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fleet  fleet
+		source string
+		listed float64
+	}{
+		{"holder", fleet{"e2": true}, "holder", 1},
+		{"store", fleet{}, "store", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			ask := peerFunc(func() (jobpage.Page, bool, error) { return jobpage.Page{Total: 2, Next: 1}, true, nil })
+			r := New(&store{}, c.fleet, ask, slog.New(slog.NewJSONHandler(&out, nil)), time.Now)
+			_, err := r.Read(t.Context(), "j", 1, time.Now())
+			is.NoErr(err)
+			line := map[string]any{}
+			is.NoErr(json.Unmarshal(out.Bytes(), &line))
+			is.Equal(line["msg"], "results read")
+			is.Equal(line["source"], c.source)
+			is.Equal(line["after"], 1.0)
+			is.Equal(line["listed"], c.listed)
+		})
+	}
+}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -46,6 +46,8 @@
 	pendingSince time.Time
 	flushing     bool
 	retryAt      time.Time
+	// unacknowledged is the number of results in a write that the store has not acknowledged; it may have taken effect.
+	unacknowledged int
 	// written are the parts that are known to be in the store, and resolvePause is the next pause between repetitions of the
 	// submission; both are used until the outcome of the submission is known.
 	written      map[int]bool
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -15,7 +15,11 @@
 	if err == nil && !held {
 		return
 	}
+	began := r.now()
 	if err == nil {
+		r.lock.Lock()
+		j.unacknowledged = len(results)
+		r.lock.Unlock()
 		err = r.log.Append(ctx, j.ID, position, results, r.incarnation)
 	}
 	if fault.CodeOf(err) == fault.CodeConflict {
@@ -29,12 +33,15 @@
 	j.flushing = false
 	if err != nil {
 		j.retryAt = r.now().Add(retryPause)
-		r.logger.Warn("results not listed", "job", j.ID, "position", position, "results", len(results), "error", err.Error())
+		r.logger.Warn("results not listed", "job", j.ID, "position", position, "results", len(results), "error", err.Error(),
+			"after_ms", r.now().Sub(began).Milliseconds())
 
 		return
 	}
+	j.unacknowledged = 0
 	j.list(position, results)
-	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items)
+	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items,
+		"after_ms", r.now().Sub(began).Milliseconds())
 }
 
 // stillHeld reports whether this instance holds a job, and asks the store if others may have counted this instance as gone: a new
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -36,6 +36,8 @@
 		r.lock.Unlock()
 		wait := until.Sub(r.now())
 		if len(results) > after || len(results) >= total {
+			r.logRead(j, after, len(results), "memory")
+
 			return jobpage.Cut(total, results, after), true
 		}
 		if wait <= 0 {
@@ -54,6 +56,7 @@
 // reads the store first. It returns false if that fails or if another instance holds the job.
 func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
 	at := r.now()
+	source := "memory"
 	r.lock.Lock()
 	position := len(j.results)
 	doubted := j.doubtedBy != ""
@@ -77,11 +80,29 @@
 		j.list(position, found)
 		j.verifiedAt = at
 		r.lock.Unlock()
+		source = "store"
 	}
 	r.lock.Lock()
-	defer r.lock.Unlock()
+	listed := len(j.results)
+	page := jobpage.Cut(j.Items, j.results, after)
+	r.lock.Unlock()
+	r.logRead(j, after, listed, source)
+
+	return page, true
+}
 
-	return jobpage.Cut(j.Items, j.results, after), true
+// logRead logs from where a read of a job that this instance holds was answered. Reads from the start that find nothing are left
+// out: a caller that waits for the first result repeats them.
+func (r *Runner) logRead(j *job, after, listed int, source string) {
+	if after == 0 && listed == 0 {
+		return
+	}
+	r.lock.Lock()
+	unacknowledged := j.unacknowledged
+	pending, revision, heldAt, verifiedAt := len(j.pending), j.revision, j.heldAt, j.verifiedAt
+	r.lock.Unlock()
+	r.logger.Info("held results read", "job", j.ID, "after", after, "listed", listed, "source", source, "pending", pending,
+		"unacknowledged", unacknowledged, "revision", revision, "held_at", heldAt, "verified_at", verifiedAt)
 }
 
 // Body returns the body of an item that is not listed yet; false if there is no such item.
