End the process when a background task panics, and drop only the heartbeat that cannot be handled

The class of the fault behind the missing results: conc.WaitGroup keeps the panic of a goroutine until Wait. For tasks that live as long as the process nobody waits before it stops, so a panic ended the task without a line in the log, and the instance went on without it: alive to the others, deaf, or with a job whose results were never listed again.

Tasks of an instance, of its jobs and of its chunks now run in core/background, where a panic ends the process at once with its stack; the other instances take its work over, as after any loss of a process. conc stays where the waiting follows at once. A heartbeat comes from another process and is repeated several times a second, so a panic while it is handled drops that heartbeat only, with a counter and at most one log line a second; otherwise one bad sender would end all instances.

The other uses of conc were read: core/joblog, core/dispatch, core/exchange, core/rollout, core/onlinecount, io/jobstore and platform/entry's stop wait at once.

--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -8,8 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/claim"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/membership"
@@ -75,7 +74,7 @@
 	// sessions are the sessions of all instances by name, listed next at listAt; both are used by the main loop only.
 	sessions map[string]sessionState
 	listAt   time.Time
-	chunks   conc.WaitGroup
+	chunks   background.Tasks
 
 	// mu protects the fields below. It is never held during a call to the store or the dispatcher.
 	mu          sync.Mutex
@@ -135,7 +134,7 @@
 // Run works on the observed jobs until ctx ends, then stops items, releases claims and removes the session. It returns
 // within a few seconds after that.
 func (r *Runner) Run(ctx context.Context) {
-	var renewal conc.WaitGroup
+	var renewal background.Tasks
 	renewal.Go(func() { r.renew(ctx) })
 	for ctx.Err() == nil {
 		changed := r.changes()
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/sourcegraph/conc"
 
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/batch"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/dispatch"
@@ -89,8 +89,8 @@
 	endpoints endpoints
 	cancel    context.CancelFunc
 	stopBatch context.CancelFunc
-	tasks     conc.WaitGroup
-	batchTask conc.WaitGroup
+	tasks     background.Tasks
+	batchTask background.Tasks
 }
 
 // endpoints are the bound addresses, which differ from the settings if a port is 0.
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -8,9 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/response"
@@ -93,7 +92,7 @@
 	keepFor     time.Duration
 	now         func() time.Time
 	logger      *slog.Logger
-	tasks       conc.WaitGroup
+	tasks       background.Tasks
 
 	// lock guards all fields below; it is not held during calls to the store or to backend servers.
 	lock sync.Mutex
--- a/io/datagram/node.go
+++ b/io/datagram/node.go
@@ -6,13 +6,19 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
+	"time"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
 )
 
-// maxDatagramBytes is the size of the receive buffer, above the largest UDP payload.
-const maxDatagramBytes = 64 << 10
+const (
+	// maxDatagramBytes is the size of the receive buffer, above the largest UDP payload.
+	maxDatagramBytes = 64 << 10
+	// failureLogPause is the least time between two logged failures to handle a heartbeat.
+	failureLogPause = time.Second
+)
 
 var counters = expvar.NewMap("Beats")
 
@@ -20,6 +26,8 @@
 type Node struct {
 	socket *net.UDPConn
 	log    *slog.Logger
+	// quietUntil is when the next failure to handle a heartbeat may be logged; only Receive uses it.
+	quietUntil time.Time
 }
 
 // New binds a socket; a failure has code unavailable.
@@ -84,6 +92,24 @@
 			continue
 		}
 		counters.Add("Received", 1)
-		handle(b)
+		n.apply(b, handle)
 	}
 }
+
+// apply calls handle. A panic drops the heartbeat only: a heartbeat repeats the sender's whole state several times a second, so one that
+// cannot be handled would end the process of every instance that receives it.
+func (n *Node) apply(b *gossip.Heartbeat, handle func(b *gossip.Heartbeat)) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		counters.Add("Failed", 1)
+		if at := time.Now(); at.After(n.quietUntil) {
+			n.quietUntil = at.Add(failureLogPause)
+			n.log.Error("heartbeat not handled", "sender", b.Sender.Name, "incarnation", b.Sender.Incarnation, "sequence", b.Sequence,
+				"cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	handle(b)
+}
--- a/io/datagram/node_test.go
+++ b/io/datagram/node_test.go
@@ -1,9 +1,11 @@
 package datagram
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +94,39 @@
 		}
 	})
 }
+
+// Guards against an instance that receives no further heartbeats after one that it cannot handle, and against a log that is filled by
+// repetitions of it.
+func TestHeartbeatThatCannotBeHandled(t *testing.T) {
+	is := is.New(t)
+	var logged bytes.Buffer
+	from := newNode(t)
+	to, err := New(netip.MustParseAddrPort("127.0.0.1:0"), slog.New(slog.NewJSONHandler(&logged, nil)))
+	is.NoErr(err)
+	handled := make(chan int, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		to.Receive(func(b *gossip.Heartbeat) {
+			if b.Sequence < 3 {
+				panic("cannot handle the heartbeat")
+			}
+			handled <- b.Sequence
+		})
+	}()
+	for n := range 3 {
+		from.Send(&gossip.Heartbeat{
+			Sender:   gossip.Member{Name: "e1", Incarnation: "i", Peer: netip.MustParseAddrPort("10.0.0.1:2")},
+			Sequence: n + 1,
+		}, []netip.AddrPort{netip.MustParseAddrPort(to.socket.LocalAddr().String())})
+	}
+	select {
+	case n := <-handled:
+		is.Equal(n, 3)
+	case <-time.After(20 * time.Second):
+		t.Fatal("no heartbeat received")
+	}
+	to.Close()
+	<-done
+	is.Equal(strings.Count(logged.String(), "heartbeat not handled"), 1)
+}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -10,8 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/message"
 	"tarragonwalk/io/rpccall"
@@ -42,7 +41,7 @@
 	outgoing map[netip.AddrPort]*outgoing
 	incoming map[net.Conn]struct{}
 	closed   bool
-	tasks    conc.WaitGroup
+	tasks    background.Tasks
 }
 
 type outgoing struct {
