Count an instance that hears nobody as isolated before it counts others as gone

Cause: an instance counted as isolated, and took nothing over, only once all others counted as gone. They were last heard from at different times, up to a second apart in a fleet with digests, so that for that second most of them were gone and it was not isolated. After 30 s it had forgotten them, and an instance that knows nobody is not isolated either. From then on it did not suspect itself, so it answered reads from memory without asking the store.

An instance is isolated once the last sign of life of any other is 2 s old, which is before the first counts as gone. It does not forget the others while that lasts, and suspects that it has been replaced all the while. An instance that survives all others therefore takes nothing over until it hears from one or starts again; it cannot tell that case from being cut off.

TestDeafInstanceIsIsolated failed before at the first instance that counted as gone.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -17,6 +17,9 @@
 	// selfSuspectAfter is the silence of another instance after which that instance may in turn count this one as gone. It is
 	// shorter than goneAfter, so that this instance expects it before the other one acts.
 	selfSuspectAfter = 2 * time.Second
+	// isolatedAfter is the silence of all other instances after which this one counts as isolated. It is shorter than goneAfter by more
+	// than the time that passes between signs of life of one instance, so that none counts as gone before.
+	isolatedAfter = 2 * time.Second
 	// singleSilenceLimit is how long a single silent instance is assumed to be alive and cut off from this one only.
 	singleSilenceLimit = 10 * time.Second
 	// storeWatchersPerZone is the number of instances per zone that watch the store. Each watcher costs one store call for each
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -142,6 +142,36 @@
 	is.True(!c.Isolated())
 }
 
+// Guards against an instance that hears nobody, though others hear it, and takes over their jobs: while some of them do not count as
+// gone yet, since they were last heard from at different times, and after it has forgotten them.
+func TestDeafInstanceIsIsolated(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	const others = 20
+	at := start
+	c.Expire(at)
+	for n := range others {
+		at = at.Add(45 * time.Millisecond)
+		c.Observe(&gossip.Heartbeat{Sender: member(n+1, "1"), Sequence: 1}, at)
+	}
+	silentSince := at
+	is.True(!c.Isolated())
+	for at.Before(silentSince.Add(3 * forgetAfter)) {
+		at = at.Add(100 * time.Millisecond)
+		c.Expire(at)
+		gone := 0
+		for n := range others {
+			if !c.Alive(member(n+1, "1").Name, "1", at) {
+				gone++
+			}
+		}
+		is.True(gone == 0 || c.Isolated())
+		is.True(gone < 2 || c.SuspectedSince(at.Add(-1))) // the others may have replaced it
+	}
+	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 2}, at)
+	is.True(!c.Isolated())
+}
+
 // Guards against a change costing as many store calls as there are instances, and against a zone in which no instance watches
 // the store because its watchers failed, are leaving or cannot reach it.
 func TestWatchesStore(t *testing.T) {
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -19,10 +19,11 @@
 		c.selfSuspectedAt = at
 	}
 	c.expiredAt = at
+	isolated := c.isolated()
 	silent, recent := 0, false
 	for name, p := range c.peers {
 		silence := at.Sub(later(p.heardAt, c.listeningSince))
-		if silence > selfSuspectAfter && silence <= forgetAfter {
+		if silence > selfSuspectAfter && (silence <= forgetAfter || isolated) {
 			silent++
 			recent = recent || silence <= singleSilenceLimit
 		}
@@ -31,7 +32,8 @@
 			c.changes++
 			c.log.Warn("instance gone", "peer", name, "incarnation", p.heartbeat.Sender.Incarnation, "heard_at", p.heardAt)
 		}
-		if silence > forgetAfter {
+		// An isolated instance that forgot the others would count as the only one.
+		if silence > forgetAfter && !isolated {
 			delete(c.peers, name)
 		}
 	}
@@ -57,17 +59,23 @@
 	return c.selfSuspectedAt.After(since)
 }
 
-// Isolated reports whether at least two other instances are known and all of them are gone, so this one is probably cut off.
+// Isolated reports whether at least two other instances are known and none of them was heard from lately, so this one is probably cut
+// off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone.
 func (c *Cluster) Isolated() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+
+	return c.isolated()
+}
+
+// isolated is Isolated for callers that hold the lock.
+func (c *Cluster) isolated() bool {
+	last := c.listeningSince
 	for _, p := range c.peers {
-		if !p.gone {
-			return false
-		}
+		last = later(last, p.heardAt)
 	}
 
-	return len(c.peers) > 1
+	return len(c.peers) > 1 && c.expiredAt.Sub(last) > isolatedAfter
 }
 
 func later(a, b time.Time) time.Time {
