Read the store when a write of results has no acknowledgement yet

What callers saw (LOST): results that one instance had shown were missing at the holder of the job.

Cause, by reading: a holder answers reads from memory, which it extends when the store acknowledges a write of results. An instance that does not reach the holder in time reads the store, which may have applied that write already; the acknowledgement can be on its way, lost, or unread in a process that gets no processor time. Nothing marked the job as doubtful, so a read at the holder then found fewer results.

A read that finds nothing in memory asks the store while a write of the job may have taken effect without an acknowledgement. If the store does not answer, the caller is told that the results cannot be determined, and no longer that there are none.

--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -46,7 +46,8 @@
 	pendingSince time.Time
 	flushing     bool
 	retryAt      time.Time
-	// unacknowledged is the number of results in a write that the store has not acknowledged; it may have taken effect.
+	// unacknowledged is the number of results in a write that the store has not acknowledged. It may have taken effect, so that other
+	// instances read results which this one does not know.
 	unacknowledged int
 	// written are the parts that are known to be in the store, and resolvePause is the next pause between repetitions of the
 	// submission; both are used until the outcome of the submission is known.
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -17,10 +17,7 @@
 	}
 	began := r.now()
 	if err == nil {
-		r.lock.Lock()
-		j.unacknowledged = len(results)
-		r.lock.Unlock()
-		err = r.log.Append(ctx, j.ID, position, results, r.incarnation)
+		err = r.append(ctx, j, position, results)
 	}
 	if fault.CodeOf(err) == fault.CodeConflict {
 		results, err = r.log.Segment(ctx, j.ID, position)
@@ -44,6 +41,22 @@
 		"after_ms", r.now().Sub(began).Milliseconds())
 }
 
+// append writes results at a position and marks them as unacknowledged until it is known whether they were written.
+func (r *Runner) append(ctx context.Context, j *job, position int, results []work.Result) error {
+	r.lock.Lock()
+	before := j.unacknowledged
+	j.unacknowledged = max(before, len(results))
+	r.lock.Unlock()
+	err := r.log.Append(ctx, j.ID, position, results, r.incarnation)
+	if fault.CodeOf(err) == fault.CodeStoreUnavailable {
+		r.lock.Lock()
+		j.unacknowledged = before
+		r.lock.Unlock()
+	}
+
+	return err
+}
+
 // stillHeld reports whether this instance holds a job, and asks the store if others may have counted this instance as gone: a new
 // holder does not look for results that another instance lists long after the takeover. An error means that the holder is unknown.
 func (r *Runner) stillHeld(ctx context.Context, j *job) (bool, error) {
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -52,32 +52,29 @@
 	}
 }
 
-// readVerified answers a read for which there is no result in memory. If another instance may have listed results of the job, it
-// reads the store first. It returns false if that fails or if another instance holds the job.
+// readVerified answers a read for which there is no result in memory. If the store may have results that this instance does not know, it
+// reads them first. It returns false if that fails or if another instance holds the job.
 func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
 	at := r.now()
 	source := "memory"
 	r.lock.Lock()
-	position := len(j.results)
-	doubted := j.doubtedBy != ""
-	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt)
+	unsure := j.doubtedBy != "" || j.unacknowledged > 0
+	maybeReplaced := j.doubtedBy != "" || r.cluster.SuspectedSince(j.verifiedAt)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked.
 	lateWrites := at.Before(j.lateWritesUntil)
 	recent := at.Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
-	if doubted || (maybeReplaced || lateWrites) && !recent {
+	if unsure || (maybeReplaced || lateWrites) && !recent {
 		if maybeReplaced {
 			// A new holder lists further results later even if the store has none yet.
 			if held, err := r.checkHolder(ctx, j); err != nil || !held {
 				return jobpage.Page{}, false
 			}
 		}
-		found, err := r.log.Segment(ctx, j.ID, position)
-		if err != nil {
+		if err := r.readListed(ctx, j); err != nil {
 			return jobpage.Page{}, false
 		}
 		r.lock.Lock()
-		j.list(position, found)
 		j.verifiedAt = at
 		r.lock.Unlock()
 		source = "store"
@@ -91,6 +88,22 @@
 	return page, true
 }
 
+// readListed reads the next results of a job from the store.
+func (r *Runner) readListed(ctx context.Context, j *job) error {
+	r.lock.Lock()
+	position := len(j.results)
+	r.lock.Unlock()
+	found, err := r.log.Segment(ctx, j.ID, position)
+	if err != nil {
+		return err
+	}
+	r.lock.Lock()
+	j.list(position, found)
+	r.lock.Unlock()
+
+	return nil
+}
+
 // logRead logs from where a read of a job that this instance holds was answered. Reads from the start that find nothing are left
 // out: a caller that waits for the first result repeats them.
 func (r *Runner) logRead(j *job, after, listed int, source string) {
--- /dev/null
+++ b/core/jobrun/read_test.go
@@ -0,0 +1,40 @@
+package jobrun
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+	logs "tarragonwalk/core/joblog"
+	"tarragonwalk/core/work"
+)
+
+// Guards against a holder that answers from memory while a write of its own has taken effect without an acknowledgement: another
+// instance that did not reach the holder has shown these results, and its caller would find fewer.
+func TestReadDuringUnacknowledgedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		l := logs.New(f.objects)
+		holder, stop := f.start("e1")
+		defer stop()
+		other, stopOther := f.start("e2")
+		defer stopOther()
+		f.objects.FailNext("job-results", fault.CodeOutcomeUnknown)
+		is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+		for f.objects.Writes("job-results") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		segment, err := l.Segment(t.Context(), "j", 0)
+		is.NoErr(err)
+		before, err := other.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(before.Results), len(segment))
+		after, err := holder.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(after.Results), len(segment))
+	})
+}
