Read all late segments of a job, not only the first

What callers saw (LOST): a position that another instance had shown was empty at the new holder of a job.

Cause, by reading: for 8 s after a takeover, and while it suspects that it was replaced, a holder asks the store before it answers that there is no result. It read one segment, the next one behind its memory. If the previous holder had listed two since the takeover, a read of a position in the second found nothing, although the caller's position was beyond everything in memory.

It now reads segments until one covers the position or none follows; a read that finds no segment costs one call as before.

--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -71,7 +71,7 @@
 				return jobpage.Page{}, false
 			}
 		}
-		if err := r.readListed(ctx, j); err != nil {
+		if err := r.readListed(ctx, j, after); err != nil {
 			return jobpage.Page{}, false
 		}
 		r.lock.Lock()
@@ -88,20 +88,23 @@
 	return page, true
 }
 
-// readListed reads the next results of a job from the store.
-func (r *Runner) readListed(ctx context.Context, j *job) error {
-	r.lock.Lock()
-	position := len(j.results)
-	r.lock.Unlock()
-	found, err := r.log.Segment(ctx, j.ID, position)
-	if err != nil {
-		return err
+// readListed reads from the store what is listed of a job behind the results in memory, until there is a result at position after.
+func (r *Runner) readListed(ctx context.Context, j *job, after int) error {
+	for {
+		r.lock.Lock()
+		position := len(j.results)
+		r.lock.Unlock()
+		if position > after {
+			return nil
+		}
+		found, err := r.log.Segment(ctx, j.ID, position)
+		if err != nil || len(found) == 0 {
+			return err
+		}
+		r.lock.Lock()
+		j.list(position, found)
+		r.lock.Unlock()
 	}
-	r.lock.Lock()
-	j.list(position, found)
-	r.lock.Unlock()
-
-	return nil
 }
 
 // logRead logs from where a read of a job that this instance holds was answered. Reads from the start that find nothing are left
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -38,3 +38,22 @@
 		is.Equal(len(after.Results), len(segment))
 	})
 }
+
+// Guards against a holder that finds only the first of several segments that its predecessor has listed since the takeover.
+func TestReadFindsAllLateSegments(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	f.usedSlots = 100 // nothing runs
+	l := logs.New(f.objects)
+	holder, stop := f.start("e1")
+	defer stop()
+	is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 4)))
+	for position, item := range []string{"j-1", "j-2", "j-3"} {
+		is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e2"))
+	}
+	f.maybeReplaced = true
+	page, err := holder.Read(t.Context(), "j", 2, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(page.Results[0].Item, "j-3")
+}
