Ask the store while the release of a job has no acknowledgement

What callers saw (LOST, by the same class of fault): a stopping instance gives its jobs up by clearing the holder in their records. If that took effect but the acknowledgement was late or lost, it went on answering reads from memory until its next attempt, while the job's new holder listed further results.

From the moment at which the release is sent, a read that finds nothing in memory asks the store who holds the job and what is listed. If the record has no holder any more, the job is announced at once, as after an acknowledged release, so that another instance takes it over without waiting for the next search.

--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -66,7 +66,9 @@
 	previousUntil time.Time
 	doubtedBy     string
 	ended         bool
-	released      bool
+	// releasing is set while this instance gives the job up: its record may already be without a holder, or name another one.
+	releasing bool
+	released  bool
 	// route is the job's route in table. It is cached since a table may have thousands of routes.
 	table *route.Table
 	route *route.Route
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -93,6 +93,9 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.drop(j)
+	if record.Holder == "" {
+		r.released[j.ID] = r.now().Add(announcementTTL)
+	}
 
 	return false, nil
 }
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -58,8 +58,9 @@
 	at := r.now()
 	source := "memory"
 	r.lock.Lock()
-	unsure := j.doubtedBy != "" || j.unacknowledged > 0
-	maybeReplaced := j.doubtedBy != "" || r.cluster.SuspectedSince(j.verifiedAt)
+	doubted := j.doubtedBy != "" || j.releasing
+	unsure := doubted || j.unacknowledged > 0
+	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked.
 	lateWrites := at.Before(j.lateWritesUntil)
 	recent := at.Sub(j.verifiedAt) < verifyInterval
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -57,3 +57,29 @@
 	is.Equal(len(page.Results), 1)
 	is.Equal(page.Results[0].Item, "j-3")
 }
+
+// Guards against a stopping holder that answers from memory after its release of a job has taken effect without an acknowledgement: the
+// job's new holder has listed further results.
+func TestReadDuringUnacknowledgedRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		holder, stop := f.start("e1")
+		defer stop()
+		is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+		f.objects.FailNext("jobs", fault.CodeOutcomeUnknown)
+		writes := f.objects.Writes("jobs")
+		go holder.Stop(t.Context(), time.Now().Add(time.Second))
+		for f.objects.Writes("jobs") == writes {
+			time.Sleep(time.Millisecond)
+		}
+		synctest.Wait()
+		is.True(holder.holds("j"))
+		is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
+		page, err := holder.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 1)
+	})
+}
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -235,6 +235,9 @@
 	record, revision, err := r.log.Job(ctx, j.ID)
 	if err == nil && !finished && r.mine(record) {
 		record.Holder, record.Incarnation = "", ""
+		r.lock.Lock()
+		j.releasing = true
+		r.lock.Unlock()
 		_, err = r.log.Update(ctx, *record, revision)
 	}
 	r.lock.Lock()
