Keep sending heartbeats while isolated

The instance that had stopped receiving (docs/incidents/fewer-results.md) forgot the addresses of all others after 30 s, so that it sent them no heartbeats either. They counted it as gone and took its jobs over 3 s later, while it went on running them and answering callers from memory: two holders of each of 88 jobs that knew nothing of each other.

Addresses are kept as long as nobody is heard.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -168,8 +168,13 @@
 		is.True(gone == 0 || c.Isolated())
 		is.True(gone < 2 || c.SuspectedSince(at.Add(-1))) // the others may have replaced it
 	}
+	each, _ := c.ZoneAddresses(at)
+	uncontacted, direct, rest := c.RemoteAddresses(at)
+	is.Equal(len(each)+len(uncontacted)+len(direct)+len(rest), others) // it goes on sending heartbeats
 	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 2}, at)
 	is.True(!c.Isolated())
+	c.Expire(at)
+	is.True(len(c.Addresses(others, 0)) < others) // the others are forgotten once one is heard
 }
 
 // Guards against a change costing as many store calls as there are instances, and against a zone in which no instance watches
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -43,7 +43,8 @@
 		c.selfSuspectedAt = at
 	}
 	for a, t := range c.targets {
-		if at.After(t.forgetAt) {
+		// An isolated instance may be heard by the others, who would count it as gone if it became silent.
+		if at.After(t.forgetAt) && !isolated {
 			delete(c.targets, a)
 		}
 	}
