Look once more for late results after the time in which a predecessor may list them

What callers saw (LOST, same class): results that one instance had shown were missing at the new holder of a job.

Found by a model of reads (models/reads.pml): for 8 s after a takeover a holder asks the store before it answers that there is no result, since writes of its predecessor may still take effect. If one took effect after the last such question and the 8 s passed without another read, the holder's memory stayed behind the store until its own next write met the conflict, which for a job past its deadline can take long.

The question is asked until one of them was asked after the end of that time. models/check.sh explores the model with this rule and four broken variants: answers from memory during an open write, a replaced holder that does not suspect it, no window, no last look.

--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -61,8 +61,9 @@
 	doubted := j.doubtedBy != "" || j.releasing
 	unsure := doubted || j.unacknowledged > 0
 	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt)
-	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked.
-	lateWrites := at.Before(j.lateWritesUntil)
+	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
+	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
+	lateWrites := j.verifiedAt.Before(j.lateWritesUntil)
 	recent := at.Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
 	if unsure || (maybeReplaced || lateWrites) && !recent {
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -83,3 +83,34 @@
 		is.Equal(len(page.Results), 1)
 	})
 }
+
+// Guards against a new holder that stops looking for late writes of its predecessor without a last look: a result that another instance
+// has shown would be missing at the holder until it lists one itself.
+func TestReadAfterLateWriteWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		f.abandonJobs(t, "job")
+		holder, stop := f.start("e2")
+		defer stop()
+		holder.ObserveOrphan("job")
+		time.Sleep(time.Second)
+		is.True(holder.holds("job"))
+		_, err := holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e1"))
+		time.Sleep(lateWriteWindow)
+		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 1)
+		reads := f.objects.Reads("job-results")
+		time.Sleep(time.Minute)
+		_, err = holder.Read(t.Context(), "job", 1, time.Now())
+		is.NoErr(err)
+		_, err = holder.Read(t.Context(), "job", 1, time.Now())
+		is.NoErr(err)
+		is.True(f.objects.Reads("job-results")-reads <= 1) // then the memory is complete
+	})
+}
--- a/models/check.sh
+++ b/models/check.sh
@@ -61,6 +61,10 @@
 for variant in NO_CREATE_IF_ABSENT NO_READ OWN_COUNT; do
   check results fails "$variant"
 done
+check reads holds
+for variant in MEMORY_ONLY DEAF NO_LATE_WINDOW NO_LAST_READ; do
+  check reads fails "$variant"
+done
 check order holds
 check order holds IGNORES_TOKEN
 check order fails NO_FENCING
