Test heartbeats of a large zone with encoding, delay and a first job

Why the tests missed the panic in ObserveDigest: they deliver heartbeats as values, at once, and from instances without jobs. On the wire an empty map is left out, and with a delay a digest lacks what was sent just before it. TestFirstJobOfLargeZone has both, and jobs that come and go; with ObserveDigest as it was it panics.

--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 	"tarragonwalk/core/heartbeat"
 	"tarragonwalk/core/load"
 	"tarragonwalk/core/route"
+	"tarragonwalk/io/messagecodec"
 )
 
 // network delivers heartbeats between the instances of a test without delay, unless a link is cut.
@@ -29,6 +31,10 @@
 	sent  map[string]int
 	// far counts messages between zones, relayed the relayed heartbeats in all messages.
 	far, relayed int
+	// codec encodes each message as between processes, which leaves empty maps and lists out; nil delivers messages as they are.
+	codec *messagecodec.Codec
+	// delay is how long each message takes to be handled.
+	delay time.Duration
 }
 
 // instance is one member of a fleet; its own methods are stubs of the dependencies of the exchanger.
@@ -38,6 +44,8 @@
 	loads     *load.Table
 	exchanger *heartbeat.Exchanger
 	stop      context.CancelFunc
+	// waiting is the number of waiting tokens of the instance's jobs.
+	waiting atomic.Int64
 }
 
 func (i *instance) Send(b *gossip.Heartbeat, to []netip.AddrPort) {
@@ -55,13 +63,20 @@
 			c := *b
 			c.Relayed = append([]gossip.RelayedHeartbeat(nil), b.Relayed...)
 			c.Reports = append([]gossip.Report(nil), b.Reports...)
+			if i.network.codec != nil {
+				c = i.network.transcode(b)
+			}
+			if i.network.delay > 0 {
+				time.AfterFunc(i.network.delay, func() { other.exchanger.HandleHeartbeat(&c) })
+
+				continue
+			}
 			other.exchanger.HandleHeartbeat(&c)
 		}
 	}
 }
 
 func (i *instance) name() string                               { return i.cluster.Self().Name }
-func (*instance) FillHeartbeat(*gossip.Heartbeat)              {}
 func (*instance) ObserveHolder(id, holder, incarnation string) {}
 func (*instance) ObserveEnd(string)                            {}
 func (*instance) ObserveOrphan(string)                         {}
@@ -71,6 +86,27 @@
 func (*instance) Current() (*route.Table, int64)               { return nil, 0 }
 func (*instance) Excess(backend.Server, time.Time) (n int)     { return 0 }
 
+func (i *instance) FillHeartbeat(b *gossip.Heartbeat) {
+	b.Waiting = gossip.HeartbeatWaiting{}
+	if n := int(i.waiting.Load()); n > 0 {
+		b.Waiting["jobs"] = n
+	}
+}
+
+// transcode returns a heartbeat as another process decodes it.
+func (n *network) transcode(b *gossip.Heartbeat) gossip.Heartbeat {
+	encoded, err := n.codec.Encode(b)
+	if err != nil {
+		panic(err)
+	}
+	c := gossip.Heartbeat{}
+	if err := n.codec.Decode(encoded, &c); err != nil {
+		panic(err)
+	}
+
+	return c
+}
+
 func newNetwork() *network {
 	return &network{nodes: map[netip.AddrPort]*instance{}, sent: map[string]int{}}
 }
@@ -464,3 +500,35 @@
 		}
 	})
 }
+
+// Guards against an instance of a large zone that hears no other one any more from the first job of its zone on, and takes over the jobs
+// of all others.
+func TestFirstJobOfLargeZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		n.codec = messagecodec.New(1 << 20)
+		n.delay = 20 * time.Millisecond // a digest does not include what was sent shortly before it
+		list := []*instance{}
+		for k := range 20 {
+			list = append(list, n.start(fmt.Sprintf("e%02d", k), "z", "1"))
+		}
+		time.Sleep(5 * time.Second)
+		for _, i := range list {
+			i.waiting.Store(1000) // the zone has no other job
+			time.Sleep(time.Second)
+			i.waiting.Store(0)
+			time.Sleep(1037 * time.Millisecond)
+		}
+		for _, i := range list {
+			i.waiting.Store(1000)
+		}
+		time.Sleep(5 * time.Second)
+		for _, i := range list {
+			is.Equal(len(i.cluster.Live()), len(list))
+			is.True(!i.cluster.Isolated())
+			is.Equal(i.cluster.Waiting("jobs", time.Now()), 1000*(len(list)-1))
+		}
+		stopAll(list)
+	})
+}
