--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -123,6 +123,8 @@
 	// listeningSince is when this instance began to receive heartbeats, or resumed after a pause.
 	listeningSince time.Time
 	expiredAt      time.Time
+	// isolatedSince is when this instance noticed that it hears from no other one, zero while it does.
+	isolatedSince time.Time
 	// sendsDigests and lacksDigests are the results of the last call of ObserveDigests.
 	sendsDigests bool
 	lacksDigests bool
@@ -206,6 +208,7 @@
 	default:
 		c.recordReturn(p)
 	}
+	c.endIsolation(at)
 	if s.Leaving != p.heartbeat.Sender.Leaving {
 		c.log.Info("instance leaving", "peer", s.Name, "leaving", s.Leaving)
 	}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +21,10 @@
 	}
 	c.expiredAt = at
 	isolated := c.isolated()
+	if isolated && c.isolatedSince.IsZero() {
+		c.isolatedSince = at
+		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers))
+	}
 	silent, recent := 0, false
 	for name, p := range c.peers {
 		silence := at.Sub(later(p.heardAt, c.listeningSince))
@@ -71,12 +76,62 @@
 
 // isolated is Isolated for callers that hold the lock.
 func (c *Cluster) isolated() bool {
-	last := c.listeningSince
+	last, others := c.listeningSince, 0
 	for _, p := range c.peers {
+		// An instance that was leaving is expected to become silent.
+		if !p.heartbeat.Sender.Leaving {
+			others++
+		}
 		last = later(last, p.heardAt)
 	}
 
-	return len(c.peers) > 1 && c.expiredAt.Sub(last) > isolatedAfter
+	return others > 1 && c.expiredAt.Sub(last) > isolatedAfter
+}
+
+// endIsolation is called when an instance is heard from. What is known of the others is as old as the isolation, so that they get the
+// same time to be heard as after a pause of this process. The caller holds the lock.
+func (c *Cluster) endIsolation(at time.Time) {
+	if c.isolatedSince.IsZero() {
+		return
+	}
+	c.log.Info("isolation ended", "since", c.isolatedSince, "others", len(c.peers))
+	c.isolatedSince = time.Time{}
+	c.listeningSince = later(c.listeningSince, at)
+	c.selfSuspectedAt = later(c.selfSuspectedAt, at)
+	for _, p := range c.peers {
+		p.gone = false
+		c.extendTarget(p.heartbeat.Sender.Peer, at)
+	}
+}
+
+// IsolatedSince returns since when this instance has been isolated, false if it is not.
+func (c *Cluster) IsolatedSince() (time.Time, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.isolatedSince, !c.isolatedSince.IsZero()
+}
+
+// ForgetPeers drops all other instances, once it is known by other means than heartbeats that none of them is alive.
+func (c *Cluster) ForgetPeers(at time.Time) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.peers = map[string]*peer{}
+	c.isolatedSince = time.Time{}
+	c.listeningSince = at
+	c.changes++
+}
+
+// PeerAddresses returns the addresses of all known other instances.
+func (c *Cluster) PeerAddresses() []netip.AddrPort {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	list := make([]netip.AddrPort, 0, len(c.peers))
+	for _, p := range c.peers {
+		list = append(list, p.heartbeat.Sender.Peer)
+	}
+
+	return list
 }
 
 func later(a, b time.Time) time.Time {
