--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -95,9 +95,10 @@
 
 // takeOverOrphans starts the takeovers that are due at this instance; it needs the lock.
 func (r *Runner) takeOverOrphans(ctx context.Context, at time.Time) {
-	if len(r.orphans) == 0 || r.cluster.Isolated() {
+	if len(r.orphans) == 0 {
 		return
 	}
+	isolated := r.cluster.Isolated()
 	takeovers := 0
 	for id, o := range r.orphans {
 		switch {
@@ -111,7 +112,8 @@
 		if takeovers >= maxTakeovers {
 			return
 		}
-		if o.dismissed || o.running || at.Before(o.dueAt) {
+		// Nobody else takes over a job that this instance has claimed.
+		if o.dismissed || o.running || at.Before(o.dueAt) || isolated && !o.claimed {
 			continue
 		}
 		takeovers++
