End the isolation of an instance that is the only one left

If none accepts a connection it forgets them and takes their jobs over; if one does, it is this instance that does not hear, and it stays isolated. TestIsolationEndsWhenAlone covers both.

--- /dev/null
+++ b/core/isolation/checker_test.go
@@ -0,0 +1,70 @@
+package isolation
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fleet is a cluster of which only the addresses up to reachable accept connections.
+type fleet struct {
+	isolatedSince time.Time
+	isolated      bool
+	reachable     int
+	calls         atomic.Int32
+	forgotten     bool
+}
+
+func (f *fleet) IsolatedSince() (time.Time, bool) { return f.isolatedSince, f.isolated && !f.forgotten }
+func (f *fleet) ForgetPeers(time.Time)            { f.forgotten = true }
+
+func (f *fleet) PeerAddresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for n := range 20 {
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1))
+	}
+
+	return list
+}
+
+func (f *fleet) Reachable(_ context.Context, a netip.AddrPort) bool {
+	f.calls.Add(1)
+
+	return int(a.Addr().As4()[3]) >= 20-f.reachable
+}
+
+// Guards against an instance that takes the jobs of others over because it receives no heartbeats, and against one that never takes over
+// those of lost instances since it is the only one left.
+func TestIsolationEndsWhenAlone(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		isolated  bool
+		reachable int
+		forgotten bool
+	}{
+		{"not isolated", false, 0, false},
+		{"one of the others is reachable", true, 1, false},
+		{"none is reachable", true, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fleet{isolatedSince: time.Now(), isolated: c.isolated, reachable: c.reachable}
+				ctx, cancel := context.WithCancel(t.Context())
+				go New(f, f, time.Now, slog.New(slog.DiscardHandler)).Run(ctx)
+				time.Sleep(checkAfter - time.Second)
+				is.Equal(f.calls.Load(), int32(0))
+				time.Sleep(2 * interval)
+				synctest.Wait()
+				is.Equal(f.forgotten, c.forgotten)
+				cancel()
+			})
+		})
+	}
+}
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -156,6 +156,17 @@
 	}
 }
 
+// Reachable reports whether a process accepts connections at an address.
+func (n *Node) Reachable(ctx context.Context, a netip.AddrPort) bool {
+	c, err := n.dialer.DialContext(ctx, "tcp4", a.String())
+	if err != nil {
+		return false
+	}
+	c.Close()
+
+	return true
+}
+
 // call fails with code unavailable; sent reports whether the other instance may have received the request.
 func (n *Node) call(ctx context.Context, a netip.AddrPort, method string, request, reply any, until time.Time) (sent bool, err error) {
 	ctx, cancel := context.WithDeadline(ctx, until)
