Drop only the job that was asked about

By reading (a review of the reads): a holder that asks the store whether it still holds a job, slowly, and gets the answer after it has taken the same job over again, removed the new claim with the old one. Its record then named an instance that did not run it. TestDropKeepsLaterClaim lost the job before.

--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -115,9 +115,12 @@
 
 // drop removes a job that this instance no longer holds and stops its items; it needs the lock.
 func (r *Runner) drop(j *job) {
-	delete(r.jobs, j.ID)
-	// Other instances would take a further announcement as proof that the job has a holder.
-	delete(r.held, j.ID)
+	// The job may have been taken over again since the store was asked.
+	if r.jobs[j.ID] == j {
+		delete(r.jobs, j.ID)
+		// Other instances would take a further announcement as proof that the job has a holder.
+		delete(r.held, j.ID)
+	}
 	j.released = true
 	j.stopItems(errReleased)
 	j.notify()
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -114,3 +114,21 @@
 		is.True(f.objects.Reads("job-results")-reads <= 1) // then the memory is complete
 	})
 }
+
+// Guards against a holder that gives up a job which it has taken over again while it asked the store about its former claim.
+func TestDropKeepsLaterClaim(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	f.usedSlots = 100 // nothing runs
+	r, stop := f.start("e1")
+	defer stop()
+	is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 2)))
+	r.lock.Lock()
+	former := r.jobs["j"]
+	r.hold("j", newJob(former.Job, nil))
+	r.drop(former)
+	r.lock.Unlock()
+	is.True(r.holds("j"))
+	is.True(former.released)
+	is.Equal(announced(r).Held, []string{"j"})
+}
