Take a job's memory for complete only if no segment follows

Found by a review of: a read stopped at the first late segment that had its position, and the holder noted that it had read everything listed until then. A read of the next position, when the time for late results had passed, was answered from memory and missed what another instance had shown.

--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -73,12 +73,15 @@
 				return jobpage.Page{}, false
 			}
 		}
-		if err := r.readListed(ctx, j, after); err != nil {
+		complete, err := r.readListed(ctx, j, after)
+		if err != nil {
 			return jobpage.Page{}, false
 		}
-		r.lock.Lock()
-		j.verifiedAt = at
-		r.lock.Unlock()
+		if complete {
+			r.lock.Lock()
+			j.verifiedAt = at
+			r.lock.Unlock()
+		}
 		source = "store"
 	}
 	r.lock.Lock()
@@ -90,18 +93,19 @@
 	return page, true
 }
 
-// readListed reads from the store what is listed of a job behind the results in memory, until there is a result at position after.
-func (r *Runner) readListed(ctx context.Context, j *job, after int) error {
+// readListed reads from the store what is listed of a job behind the results in memory, until there is a result at position after. It
+// reports whether nothing is listed behind that.
+func (r *Runner) readListed(ctx context.Context, j *job, after int) (complete bool, err error) {
 	for {
 		r.lock.Lock()
 		position := len(j.results)
 		r.lock.Unlock()
 		if position > after {
-			return nil
+			return position >= j.Items, nil
 		}
 		found, err := r.log.Segment(ctx, j.ID, position)
 		if err != nil || len(found) == 0 {
-			return err
+			return err == nil, err
 		}
 		r.lock.Lock()
 		j.list(position, found)
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -132,3 +132,27 @@
 	is.True(former.released)
 	is.Equal(announced(r).Held, []string{"j"})
 }
+
+// Guards against a new holder that takes its memory for complete after it has read one of two late segments.
+func TestReadOfOneLateSegmentIsNotTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		l := logs.New(f.objects)
+		f.abandonJobs(t, "job")
+		holder, stop := f.start("e2")
+		defer stop()
+		holder.ObserveOrphan("job")
+		time.Sleep(time.Second)
+		for position, item := range []string{"job-1", "job-0"} {
+			is.NoErr(l.Append(t.Context(), "job", position, []work.Result{{Item: item, State: work.StateDead}}, "e1"))
+		}
+		time.Sleep(lateWriteWindow)
+		for after := range 2 {
+			page, err := holder.Read(t.Context(), "job", after, time.Now())
+			is.NoErr(err)
+			is.Equal(len(page.Results), 1)
+			time.Sleep(lateWriteWindow)
+		}
+	})
+}
