Let a holder say that it cannot tell whether there are further results

TestReadBeforeAcknowledgement and TestReadBeforeReleaseIsAcknowledged hold the answer of a write back, which the earlier tests did not: they only had lost answers.

--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -128,16 +128,16 @@
 // there is no such job.
 func (r *Reader) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
 	if j, ok := r.announcedHolder(id); ok {
-		if page, ok := r.fromHolder(ctx, j, after, until); ok {
-			return page, nil
+		if page, ok, err := r.fromHolder(ctx, j, after, until); ok {
+			return page, err
 		}
 	}
 	j, err := r.job(ctx, id)
 	if err != nil {
 		return jobpage.Page{}, err
 	}
-	if page, ok := r.fromHolder(ctx, j, after, until); ok {
-		return page, nil
+	if page, ok, err := r.fromHolder(ctx, j, after, until); ok {
+		return page, err
 	}
 	for {
 		results, err := r.extend(ctx, j, after)
@@ -160,26 +160,28 @@
 
 // fromHolder reads results from the instance that runs the job, which saves calls to the store and waits for results. A holder
 // returns only results that are in the store, so the answer of one that was replaced meanwhile is correct but may be out of
-// date. It returns false if the holder is unknown, does not answer or does not hold the job any more.
-func (r *Reader) fromHolder(ctx context.Context, j *work.Job, after int, until time.Time) (jobpage.Page, bool) {
+// date. It returns false if the holder is unknown, does not answer or does not hold the job any more, and an error if the holder cannot
+// tell, in which case the store would not help.
+func (r *Reader) fromHolder(ctx context.Context, j *work.Job, after int, until time.Time) (jobpage.Page, bool, error) {
 	from, ok := r.holders.Holder(j.Holder, j.Incarnation)
 	if !ok {
 		r.forgetHolder(j.ID)
 
-		return jobpage.Page{}, false
+		return jobpage.Page{}, false, nil
 	}
 	page, held, err := r.peers.ReadResults(ctx, from, j.ID, after, until)
 	if err == nil && held {
 		r.logRead(j, after, page.Next, "holder")
-
-		return page, true
+	}
+	if held {
+		return page, true, err
 	}
 	if err != nil {
 		r.logger.Warn("holder of a job did not answer", "job", j.ID, "holder", j.Holder, "error", err.Error())
 	}
 	r.forgetHolder(j.ID)
 
-	return jobpage.Page{}, false
+	return jobpage.Page{}, false, nil
 }
 
 // logRead logs from where a read was answered and how many results that source knew at least. Reads from the start that find
--- a/core/jobread/reader_test.go
+++ b/core/jobread/reader_test.go
@@ -171,3 +171,28 @@
 		})
 	}
 }
+
+// Guards against an instance that gives up the holder of a job, the only source of its results while the store is down, because the holder
+// cannot tell whether there are further ones.
+func TestHolderThatCannotTell(t *testing.T) {
+	is := is.New(t)
+	s := &store{down: true}
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	asked := 0
+	ask := peerFunc(func() (jobpage.Page, bool, error) {
+		asked++
+		if asked == 1 {
+			return jobpage.Page{}, true, fault.New(fault.CodeStoreUnavailable, "cannot tell")
+		}
+
+		return jobpage.Page{Total: 2, Results: []work.Result{{Item: "a"}}, Next: 1}, true, nil
+	})
+	r := New(s, fleet{"e1": true}, ask, slog.New(slog.DiscardHandler), func() time.Time { return at })
+	r.SetHolder("j", "e1", "1")
+	_, err := r.Read(t.Context(), "j", 1, at)
+	is.Equal(fault.CodeOf(err), fault.CodeStoreUnavailable)
+	page, err := r.Read(t.Context(), "j", 0, at)
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(s.calls, 0)
+}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -59,6 +59,8 @@
 	// of the previous holder may still take effect.
 	verifiedAt      time.Time
 	lateWritesUntil time.Time
+	// unverifiableUntil is until when the store is not asked again after it has not answered.
+	unverifiableUntil time.Time
 	// previous is the incarnation of a holder that this instance is known to have replaced; until previousUntil, its announcements
 	// may be older than that. doubtedBy is the incarnation of another instance that announces the job as its own, until the
 	// store has confirmed one of them.
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -163,7 +163,7 @@
 		time.Sleep(time.Second)
 		is.True(r.holds("job"))
 		read := func() int {
-			page, held := r.ReadHeldResults(t.Context(), "job", 0, time.Now())
+			page, held, _ := r.ReadHeldResults(t.Context(), "job", 0, time.Now())
 			is.True(held)
 
 			return len(page.Results)
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -4,15 +4,18 @@
 	"context"
 	"time"
 
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 )
 
+var errUnverified = fault.New(fault.CodeStoreUnavailable, "the store does not say whether there are further results")
+
 // Read returns the results of a job from a position on and waits for one until the given time. It fails with code not_found
 // if there is no such job, and with store_unavailable if that cannot be determined.
 func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
-	page, held := r.ReadHeldResults(ctx, id, after, until)
+	page, held, err := r.ReadHeldResults(ctx, id, after, until)
 	if held {
-		return page, nil
+		return page, err
 	}
 	if ctx.Err() != nil {
 		return jobpage.Page{}, ctx.Err()
@@ -22,15 +25,15 @@
 }
 
 // ReadHeldResults is Read for a job that this instance holds; it returns false if it does not, if that cannot be determined, or
-// if ctx has ended.
-func (r *Runner) ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool) {
+// if ctx has ended. With true and code store_unavailable, this instance holds the job but cannot tell whether it has the result.
+func (r *Runner) ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool, error) {
 	for {
 		r.lock.Lock()
 		j := r.jobs[id]
 		if j == nil {
 			r.lock.Unlock()
 
-			return jobpage.Page{}, false
+			return jobpage.Page{}, false, nil
 		}
 		total, results, changed := j.Items, j.results, j.changed
 		r.lock.Unlock()
@@ -38,7 +41,7 @@
 		if len(results) > after || len(results) >= total {
 			r.logRead(j, after, len(results), "memory")
 
-			return jobpage.Cut(total, results, after), true
+			return jobpage.Cut(total, results, after), true, nil
 		}
 		if wait <= 0 {
 			return r.readVerified(ctx, j, after)
@@ -47,40 +50,32 @@
 		case <-changed:
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return jobpage.Page{}, false
+			return jobpage.Page{}, false, nil
 		}
 	}
 }
 
 // readVerified answers a read for which there is no result in memory. If the store may have results that this instance does not know, it
-// reads them first. It returns false if that fails or if another instance holds the job.
-func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
-	at := r.now()
+// reads them first. It returns false if another instance may hold the job, and an error if a write of this instance may have taken
+// effect and the store does not answer.
+func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool, error) {
 	source := "memory"
 	r.lock.Lock()
 	doubted := j.doubtedBy != "" || j.releasing
-	unsure := doubted || j.unacknowledged > 0
+	unacknowledged := j.unacknowledged > 0
 	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
 	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
 	lateWrites := j.verifiedAt.Before(j.lateWritesUntil)
-	recent := at.Sub(j.verifiedAt) < verifyInterval
+	recent := r.now().Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
-	if unsure || (maybeReplaced || lateWrites) && !recent {
-		if maybeReplaced {
-			// A new holder lists further results later even if the store has none yet.
-			if held, err := r.checkHolder(ctx, j); err != nil || !held {
-				return jobpage.Page{}, false
-			}
-		}
-		complete, err := r.readListed(ctx, j, after)
-		if err != nil {
-			return jobpage.Page{}, false
-		}
-		if complete {
-			r.lock.Lock()
-			j.verifiedAt = at
-			r.lock.Unlock()
+	if doubted || (maybeReplaced || lateWrites || unacknowledged) && !recent {
+		held, err := r.verify(ctx, j, after, maybeReplaced)
+		switch {
+		case err != nil && unacknowledged && !maybeReplaced:
+			return jobpage.Page{}, true, err
+		case err != nil || !held:
+			return jobpage.Page{}, false, nil
 		}
 		source = "store"
 	}
@@ -90,7 +85,39 @@
 	r.lock.Unlock()
 	r.logRead(j, after, listed, source)
 
-	return page, true
+	return page, true, nil
+}
+
+// verify reads the results behind those in memory, and before that, if another instance may have replaced this one, who holds the job.
+// After a failure it does not ask the store again for verifyInterval.
+func (r *Runner) verify(ctx context.Context, j *job, after int, maybeReplaced bool) (held bool, err error) {
+	at := r.now()
+	r.lock.Lock()
+	quiet := at.Before(j.unverifiableUntil)
+	r.lock.Unlock()
+	if quiet {
+		return false, errUnverified
+	}
+	held, complete := true, false
+	if maybeReplaced {
+		// A new holder lists further results later even if the store has none yet.
+		held, err = r.checkHolder(ctx, j)
+	}
+	if err == nil && held {
+		complete, err = r.readListed(ctx, j, after)
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	switch {
+	case err != nil:
+		j.unverifiableUntil = r.now().Add(verifyInterval)
+
+		return false, fault.Wrap(err, fault.CodeStoreUnavailable, errUnverified.Error())
+	case complete:
+		j.verifiedAt = at
+	}
+
+	return held, nil
 }
 
 // readListed reads from the store what is listed of a job behind the results in memory, until there is a result at position after. It
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -1,6 +1,8 @@
 package jobrun
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"tarragonwalk/core/fault"
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/work"
+	"tarragonwalk/internal/fakeobjects"
 )
 
 // Guards against a holder that answers from memory while a write of its own has taken effect without an acknowledgement: another
@@ -156,3 +159,134 @@
 		}
 	})
 }
+
+// lateAnswers is a store whose writes of a kind take effect at once and are answered when the channel is closed.
+type lateAnswers struct {
+	*fakeobjects.Store
+	kind     string
+	answered chan struct{}
+}
+
+func (l lateAnswers) await(kind string) {
+	if kind == l.kind {
+		<-l.answered
+	}
+}
+
+func (l lateAnswers) Create(ctx context.Context, kind, name string, value any) (int64, error) {
+	defer l.await(kind)
+
+	return l.Store.Create(ctx, kind, name, value)
+}
+
+func (l lateAnswers) Replace(ctx context.Context, kind, name string, value any, revision int64) (int64, error) {
+	defer l.await(kind)
+
+	return l.Store.Replace(ctx, kind, name, value, revision)
+}
+
+// Guards against a holder that answers from memory while the answer to its write of results is on its way.
+func TestReadBeforeAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		late := lateAnswers{Store: f.objects, kind: "job-results", answered: make(chan struct{})}
+		holder, stop := f.startOn("e1", logs.New(late))
+		is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+		time.Sleep(2 * longListDelay)
+		segment, err := logs.New(f.objects).Segment(t.Context(), "j", 0)
+		is.NoErr(err)
+		is.Equal(len(segment), 3)
+		page, err := holder.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 3)
+		close(late.answered)
+		stop()
+	})
+}
+
+// Guards against a stopping holder that answers from memory while the answer to its release of a job is on its way.
+func TestReadBeforeReleaseIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		f.abandonJobs(t, "j")
+		late := lateAnswers{Store: f.objects, kind: "jobs", answered: make(chan struct{})}
+		holder, stop := f.startOn("e1", logs.New(late))
+		record, revision, err := l.Job(t.Context(), "j")
+		is.NoErr(err)
+		record.Holder, record.Incarnation = "e1", "e1"
+		_, err = l.Update(t.Context(), *record, revision)
+		is.NoErr(err)
+		holder.ObserveOrphan("j")
+		time.Sleep(2 * lateWriteWindow)
+		is.True(holder.holds("j"))
+		_, err = holder.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		go holder.Stop(t.Context(), time.Now().Add(time.Second))
+		time.Sleep(10 * stepInterval)
+		is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
+		page, err := holder.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 1)
+		close(late.answered)
+		time.Sleep(2 * time.Second)
+		stop()
+	})
+}
+
+// unreadableResults is a store that does not answer reads of results and does not acknowledge writes of them.
+type unreadableResults struct {
+	*fakeobjects.Store
+	reads *atomic.Int32
+}
+
+func (u unreadableResults) Read(ctx context.Context, kind, name string, value any) (int64, error) {
+	if kind == "job-results" {
+		u.reads.Add(1)
+
+		return 0, fault.New(fault.CodeStoreUnavailable, "down")
+	}
+
+	return u.Store.Read(ctx, kind, name, value)
+}
+
+func (u unreadableResults) Create(ctx context.Context, kind, name string, value any) (int64, error) {
+	if kind == "job-results" && u.Writes(kind) > 0 {
+		return 0, fault.New(fault.CodeOutcomeUnknown, "no answer")
+	}
+
+	return u.Store.Create(ctx, kind, name, value)
+}
+
+// Guards against a holder that denies holding a job, or asks the store at each read, while an outage of the store leaves a write of
+// results open: the results in its memory could not be read any more.
+func TestReadsDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		reads := &atomic.Int32{}
+		u := unreadableResults{Store: f.objects, reads: reads}
+		holder, stop := f.startOn("e1", logs.New(u))
+		defer stop()
+		is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
+		holder.lock.Lock()
+		j := holder.jobs["j"]
+		holder.lock.Unlock()
+		holder.write(t.Context(), j, 0, []work.Result{{Item: "j-1", State: work.StateDead}})
+		holder.write(t.Context(), j, 1, []work.Result{{Item: "j-2", State: work.StateDead}})
+		for range 5 {
+			_, held, err := holder.ReadHeldResults(t.Context(), "j", 1, time.Now())
+			is.True(held)
+			is.Equal(fault.CodeOf(err), fault.CodeStoreUnavailable)
+		}
+		is.Equal(reads.Load(), int32(1))
+		page, held, err := holder.ReadHeldResults(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		is.True(held)
+		is.Equal(len(page.Results), 1)
+	})
+}
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -100,7 +100,8 @@
 	return table, list.Servers, int64(reply.Revision), nil
 }
 
-// ReadResults reads results of a job from its holder; it returns false if the other instance does not hold the job.
+// ReadResults reads results of a job from its holder; it returns false if the other instance does not hold the job. With true and code
+// store_unavailable the holder cannot tell whether there are results.
 func (n *Node) ReadResults(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error) {
 	reply := ReadReply{}
 	_, err := n.call(ctx, from, "Peer.Read", &ReadRequest{
@@ -111,6 +112,9 @@
 	if err != nil || !reply.Held {
 		return jobpage.Page{}, false, err
 	}
+	if reply.Unknown {
+		return jobpage.Page{}, true, fault.New(fault.CodeStoreUnavailable, "the holder of the job cannot tell whether there are results")
+	}
 	page := jobpage.Page{
 		Total: reply.Total,
 		Next:  reply.Next,
--- a/io/peersync/node_test.go
+++ b/io/peersync/node_test.go
@@ -25,8 +25,8 @@
 	return s.table, s.servers, s.revision
 }
 
-func (*state) ReadHeldResults(context.Context, string, int, time.Time) (p jobpage.Page, held bool) {
-	return p, false
+func (*state) ReadHeldResults(context.Context, string, int, time.Time) (p jobpage.Page, held bool, err error) {
+	return p, false, nil
 }
 
 func (*state) HeldBody(id, item string) ([]byte, bool) {
--- a/io/peersync/service.go
+++ b/io/peersync/service.go
@@ -21,8 +21,8 @@
 type handler interface {
 	// Snapshot returns the route table, nil if none is known, and the list of backend servers with its revision.
 	Snapshot() (*route.Table, []backend.Server, int64)
-	// ReadHeldResults returns results of a job if this instance holds it, and false otherwise.
-	ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool)
+	// ReadHeldResults returns results of a job if this instance holds it, and false otherwise; with true and an error it cannot tell.
+	ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool, error)
 	// HeldBody returns the body of an item of a job that this instance holds, false if it does not or if the item is listed.
 	HeldBody(id, item string) ([]byte, bool)
 	// CallStore makes a call to the store; code is the fault code of a failed call and empty otherwise.
@@ -76,11 +76,11 @@
 	until := time.Now().Add(time.Duration(q.WaitMillis) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(context.Background(), until.Add(callTimeout))
 	defer cancel()
-	page, held := s.handler.ReadHeldResults(ctx, q.Job, q.After, until)
+	page, held, err := s.handler.ReadHeldResults(ctx, q.Job, q.After, until)
 	reply.Held = held
+	reply.Unknown = err != nil
 	reply.Total = page.Total
 	reply.Next = page.Next
-	var err error
 	reply.Results, err = json.Marshal(page.Results)
 
 	return err
--- a/io/peersync/sync_schema.go
+++ b/io/peersync/sync_schema.go
@@ -80,6 +80,9 @@
 
 	// Total is the number of items.
 	Total int `json:"Total,omitempty,omitzero"`
+
+	// Unknown says that the holder cannot tell whether there are results.
+	Unknown bool `json:"Unknown,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -105,6 +108,9 @@
 	if v, ok := raw["Total"]; !ok || v == nil {
 		plain.Total = 0
 	}
+	if v, ok := raw["Unknown"]; !ok || v == nil {
+		plain.Unknown = false
+	}
 	*j = ReadReply(plain)
 	return nil
 }
