Answer from results that were read from the store if the holder knows fewer

Listed results never change, so the longer of the two lists is right. TestHolderBehindTheStore found 0 of 1 results before.

--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -174,6 +174,11 @@
 		r.logRead(j, after, page.Next, "holder")
 	}
 	if held {
+		if listed := r.cachedResults(j.ID); len(page.Results) == 0 && len(listed) > after {
+			// The holder may not know a result yet that the store has shown to this instance.
+			return jobpage.Cut(max(page.Total, len(listed)), listed, after), true, nil
+		}
+
 		return page, true, err
 	}
 	if err != nil {
@@ -184,6 +189,17 @@
 	return jobpage.Page{}, false, nil
 }
 
+// cachedResults returns the results of a job that this instance has read from the store.
+func (r *Reader) cachedResults(id string) []work.Result {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if c := r.jobs[id]; c != nil {
+		return c.results
+	}
+
+	return nil
+}
+
 // logRead logs from where a read was answered and how many results that source knew at least. Reads from the start that find
 // nothing are left out: a caller that waits for the first result repeats them.
 func (r *Reader) logRead(j *work.Job, after, listed int, source string) {
--- a/core/jobread/reader_test.go
+++ b/core/jobread/reader_test.go
@@ -196,3 +196,20 @@
 	is.Equal(len(page.Results), 1)
 	is.Equal(s.calls, 0)
 }
+
+// Guards against an instance that has shown results from the store and then passes on the answer of a holder that does not know them yet.
+func TestHolderBehindTheStore(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	f := fleet{}
+	ask := peerFunc(func() (jobpage.Page, bool, error) { return jobpage.Page{Total: 2, Next: 1}, true, nil })
+	r := New(s, f, ask, slog.New(slog.DiscardHandler), time.Now)
+	page, err := r.Read(t.Context(), "j", 0, time.Now()) // the holder is not known to be alive
+	is.NoErr(err)
+	is.Equal(len(page.Results), 2)
+	f["e2"] = true
+	page, err = r.Read(t.Context(), "j", 1, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(page.Total, 2)
+}
