Accept calls of other instances again after a failure of the listener

Found by a review, the same class as the panic that nobody saw: the loops that accept calls of other instances ended at the first error of the listener, for example for want of file descriptors. The instance went on sending heartbeats and took no calls any more, so its jobs were not readable through others.

--- a/io/datagram/node.go
+++ b/io/datagram/node.go
@@ -84,21 +84,13 @@
 
 			continue
 		}
-		b, err := Decode(buffer[:size])
-		if err != nil {
-			counters.Add("Unreadable", 1)
-			n.log.Warn("cannot decode heartbeat", "from", from.String(), "error", err.Error())
-
-			continue
-		}
-		counters.Add("Received", 1)
-		n.apply(b, handle)
+		n.apply(buffer[:size], from, handle)
 	}
 }
 
-// apply calls handle. A panic drops the heartbeat only: a heartbeat repeats the sender's whole state several times a second, so one that
+// apply decodes a heartbeat and calls handle. A panic drops the heartbeat only: a heartbeat repeats the sender's whole state several times a second, so one that
 // cannot be handled would end the process of every instance that receives it.
-func (n *Node) apply(b *gossip.Heartbeat, handle func(b *gossip.Heartbeat)) {
+func (n *Node) apply(message []byte, from netip.AddrPort, handle func(b *gossip.Heartbeat)) {
 	defer func() {
 		cause := recover()
 		if cause == nil {
@@ -107,9 +99,16 @@
 		counters.Add("Failed", 1)
 		if at := time.Now(); at.After(n.quietUntil) {
 			n.quietUntil = at.Add(failureLogPause)
-			n.log.Error("heartbeat not handled", "sender", b.Sender.Name, "incarnation", b.Sender.Incarnation, "sequence", b.Sequence,
-				"cause", cause, "stack", string(debug.Stack()))
+			n.log.Error("heartbeat not handled", "from", from.String(), "bytes", len(message), "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
+	b, err := Decode(message)
+	if err != nil {
+		counters.Add("Unreadable", 1)
+		n.log.Warn("cannot decode heartbeat", "from", from.String(), "error", err.Error())
+
+		return
+	}
+	counters.Add("Received", 1)
 	handle(b)
 }
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -14,6 +13,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/message"
 	"tarragonwalk/io/rpccall"
+	"tarragonwalk/io/tcp"
 )
 
 // connectionAge bounds the age of a pooled connection, since a middlebox may drop it without closing it.
@@ -68,12 +68,9 @@
 		return fault.Wrap(err, fault.CodeInternal, "cannot register the peer service")
 	}
 	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
+		c, err := tcp.Accept(l)
 		if err != nil {
-			return fault.Wrap(err, fault.CodeUnavailable, "cannot accept peers")
+			return nil //nolint:nilerr // the listener was closed
 		}
 		n.tasks.Go(func() { n.serveConnection(server, c) })
 	}
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -51,12 +50,9 @@
 		return fault.Wrap(err, fault.CodeInternal, "cannot register the peer service")
 	}
 	for {
-		c, err := n.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
+		c, err := tcp.Accept(n.listener)
 		if err != nil {
-			return fault.Wrap(err, fault.CodeUnavailable, "cannot accept peers")
+			return nil //nolint:nilerr // the node was closed
 		}
 		go server.ServeConn(c)
 	}
