--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -75,7 +75,7 @@
 		case err != nil && unacknowledged && !maybeReplaced:
 			return jobpage.Page{}, true, err
 		case err != nil || !held:
-			return jobpage.Page{}, false, nil
+			return jobpage.Page{}, false, nil //nolint:nilerr // the caller reads the store itself
 		}
 		source = "store"
 	}
