--- a/core/call/call.go
+++ b/core/call/call.go
@@ -15,6 +15,8 @@
 	// Header holds the end-to-end headers.
 	Header http.Header
 	Body   []byte
+	// Parts are the IDs of the prompt parts that the request may share with others.
+	Parts []string
 	// Deadline is when the caller stops waiting; zero if it has set none.
 	Deadline time.Time
 }
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -56,6 +56,15 @@
 	RecordAttempt(id string, err error, progressAt, at time.Time)
 }
 
+type promptParts interface {
+	Quarantined(parts []string) (part string, until time.Time, ok bool)
+	MayRetry(parts []string) bool
+	RecordRefusal(kind string)
+	RecordLoss(s backend.Server, parts []string, at time.Time)
+	RecordProgress(s backend.Server, sentAt time.Time)
+	RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time)
+}
+
 type preempter interface {
 	Preempt(server string, count int)
 }
@@ -73,18 +82,20 @@
 	placer  placer
 	roster  roster
 	batch   preempter
+	parts   promptParts
 	buffers buffers
 	now     func() time.Time
 	log     *slog.Logger
 }
 
 // New returns a forwarder; batch preempts batch items whose slots online requests need.
-func New(s sender, p placer, r roster, batch preempter, now func() time.Time, log *slog.Logger) *Forwarder {
+func New(s sender, p placer, r roster, batch preempter, parts promptParts, now func() time.Time, log *slog.Logger) *Forwarder {
 	return &Forwarder{
 		sender: s,
 		placer: p,
 		roster: r,
 		batch:  batch,
+		parts:  parts,
 		now:    now,
 		log:    log,
 	}
@@ -95,6 +106,14 @@
 // have. An error after out.Begin means that the response is incomplete, and the connection has to be aborted so that the
 // caller notices.
 func (f *Forwarder) Run(ctx context.Context, r *route.Route, q *call.Call, out sink) error {
+	if part, until, ok := f.parts.Quarantined(q.Parts); ok {
+		f.parts.RecordRefusal("refused")
+		ends.Add(string(r.Kind)+" quarantined", 1)
+		err := fault.New(fault.CodeNotRun, "prompt part "+part+" is quarantined, since it crashes backend servers")
+		err.RetryAt = until
+
+		return err
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, f.deadline(r, q), errTimeout)
 	defer cancel()
 	rs := &requestState{
@@ -175,3 +194,17 @@
 	}
 	f.roster.RecordAttempt(p.server.ID, err, progressAt, f.now())
 }
+
+// recordParts reports to the quarantine how an attempt ended: whether the request has completed, or its connection was lost before
+// anything was answered.
+func (f *Forwarder) recordParts(ctx context.Context, rs *requestState, p *reservation, err error) {
+	switch at := f.now(); {
+	case rs.completed:
+		f.parts.RecordCompletion(p.server, rs.call.Parts, rs.sentAt, at)
+	case err == nil:
+		f.parts.RecordProgress(p.server, rs.sentAt)
+	case ctx.Err() == nil && !rs.progressed && response.ConnectionLost(err):
+		rs.lost = true
+		f.parts.RecordLoss(p.server, rs.call.Parts, at)
+	}
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -53,9 +53,16 @@
 	timing timing
 	// server is the ID of the server of the latest attempt.
 	server string
+	// sentAt is when the current attempt began.
+	sentAt time.Time
 	// progressAt is when the current attempt was sent or last received bytes.
 	progressAt time.Time
-	splitter   *eventstream.Splitter
+	// progressed is set when the current attempt has delivered an event, completed when it has delivered a successful response.
+	progressed bool
+	completed  bool
+	// lost is set when an attempt has lost its connection before anything was answered.
+	lost     bool
+	splitter *eventstream.Splitter
 	// next is the reservation for the next attempt, which the watchdog made before it ended the current one.
 	next *reservation
 }
@@ -82,6 +89,7 @@
 		}
 		err := rs.attempt(ctx, p)
 		rs.forwarder.recordAttempt(ctx, p, rs.progressAt, err)
+		rs.forwarder.recordParts(ctx, rs, p, err)
 		if err == nil {
 			rs.releaseNext()
 
@@ -125,6 +133,7 @@
 	} else {
 		allowed = allowed && rs.route.Repeatable() && rs.ran < max(1, rs.route.MaxAttempts)
 	}
+	allowed = allowed && !rs.dangerous()
 	var last int64
 	if rs.splitter != nil {
 		last = rs.splitter.LastID()
@@ -135,6 +144,20 @@
 	return allowed
 }
 
+// dangerous reports whether the request may crash another server: one of its parts is quarantined, or it has lost a connection and a
+// part is suspected.
+func (rs *requestState) dangerous() bool {
+	if rs.began {
+		return false
+	}
+	if rs.lost && !rs.forwarder.parts.MayRetry(rs.call.Parts) {
+		return true
+	}
+	_, _, quarantined := rs.forwarder.parts.Quarantined(rs.call.Parts)
+
+	return quarantined
+}
+
 // releaseNext releases the reservation for a next attempt that is not made.
 func (rs *requestState) releaseNext() {
 	if rs.next != nil {
@@ -162,11 +185,13 @@
 	defer p.release()
 	rs.tried[p.server.ID] = true
 	rs.server = p.server.ID
+	rs.progressed, rs.completed = false, false
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := rs.startWatchdog(cancel)
 	defer w.stop()
-	rs.progressAt = rs.forwarder.now()
+	rs.sentAt = rs.forwarder.now()
+	rs.progressAt = rs.sentAt
 	after := int64(0)
 	if rs.splitter != nil {
 		after = rs.splitter.LastID()
@@ -211,6 +236,7 @@
 	if resp.Status >= http.StatusInternalServerError && rs.route.Repeatable() && rs.ran+1 < rs.route.MaxAttempts {
 		return errStatus
 	}
+	rs.completed = resp.Status < http.StatusMultipleChoices
 	rs.begin()
 	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(body))); err != nil {
 		return errSink
@@ -241,13 +267,16 @@
 			if delivered {
 				rs.progressAt = rs.forwarder.now()
 				rs.forwarder.roster.RecordProgress(s.ID, rs.progressAt)
+				rs.forwarder.parts.RecordProgress(s, rs.sentAt)
+				rs.progressed = true
 				w.progress()
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			if rs.splitter.Pending() > 0 || !rs.began {
-				return fault.New(fault.CodeOutcomeUnknown, "the stream ended inside an event")
+				return fault.Wrap(io.ErrUnexpectedEOF, fault.CodeOutcomeUnknown, "the stream ended inside an event")
 			}
+			rs.completed = resp.Status < http.StatusMultipleChoices
 
 			return nil
 		}
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -44,6 +44,56 @@
 	return nil
 }
 
+// Crash is a backend server's possible crash: a connection to it was lost before
+// anything was answered.
+type Crash struct {
+	// AgeMillis is how long ago the connection was lost.
+	AgeMillis int `json:"AgeMillis"`
+
+	// Answered says that the incarnation has answered a request that was sent after
+	// that, so that it did not crash.
+	Answered bool `json:"Answered,omitempty,omitzero"`
+
+	// Parts are the prompt parts of the requests that were unanswered.
+	Parts []string `json:"Parts,omitempty,omitzero"`
+
+	// Server is the backend server's ID.
+	Server string `json:"Server"`
+
+	// StartedAt is the start time of its incarnation in Unix milliseconds.
+	StartedAt int `json:"StartedAt,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Crash) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["AgeMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field AgeMillis in Crash: required")
+	}
+	if _, ok := raw["Server"]; raw != nil && !ok {
+		return fmt.Errorf("field Server in Crash: required")
+	}
+	type Plain Crash
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
+	}
+	if v, ok := raw["Answered"]; !ok || v == nil {
+		plain.Answered = false
+	}
+	if v, ok := raw["StartedAt"]; !ok || v == nil {
+		plain.StartedAt = 0
+	}
+	*j = Crash(plain)
+	return nil
+}
+
 // Heartbeat is the heartbeat of an instance; it contains the instance's whole
 // state, so that the loss of one does no harm.
 type Heartbeat struct {
@@ -58,6 +108,10 @@
 	// flight.
 	Counts []Count `json:"Counts,omitempty,omitzero"`
 
+	// Crashes are the possible crashes of backend servers that the sender observed in
+	// the last seconds, or knows of while another instance is new.
+	Crashes []Crash `json:"Crashes,omitempty,omitzero"`
+
 	// Ended lists jobs whose end the sender learned of in the last seconds, from the
 	// caller or the store.
 	Ended []string `json:"Ended,omitempty,omitzero"`
@@ -65,6 +119,9 @@
 	// Held lists jobs that the sender accepted or took over in the last seconds.
 	Held []string `json:"Held,omitempty,omitzero"`
 
+	// QuarantinedParts are the prompt parts whose requests the sender refuses.
+	QuarantinedParts []QuarantinedPart `json:"QuarantinedParts,omitempty,omitzero"`
+
 	// Queued is the number of the sender's batch items that wait for a slot on a
 	// backend server and may still be in time.
 	Queued int `json:"Queued,omitempty,omitzero"`
@@ -105,6 +162,10 @@
 	// ServerRevision is the store revision of the list of backend servers.
 	ServerRevision int `json:"ServerRevision,omitempty,omitzero"`
 
+	// SoundParts are the prompt parts of possible crashes, or in quarantine, that the
+	// sender has seen in completed requests.
+	SoundParts []SoundPart `json:"SoundParts,omitempty,omitzero"`
+
 	// StoreLost says that the sender cannot reach the store.
 	StoreLost bool `json:"StoreLost,omitempty,omitzero"`
 
@@ -295,6 +356,48 @@
 	return nil
 }
 
+// QuarantinedPart is a prompt part whose requests are refused.
+type QuarantinedPart struct {
+	// AgeMillis is how long ago the quarantine began.
+	AgeMillis int `json:"AgeMillis"`
+
+	// LeftMillis is how much longer it lasts.
+	LeftMillis int `json:"LeftMillis"`
+
+	// Part is the ID of the prompt part.
+	Part string `json:"Part"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *QuarantinedPart) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["AgeMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field AgeMillis in QuarantinedPart: required")
+	}
+	if _, ok := raw["LeftMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field LeftMillis in QuarantinedPart: required")
+	}
+	if _, ok := raw["Part"]; raw != nil && !ok {
+		return fmt.Errorf("field Part in QuarantinedPart: required")
+	}
+	type Plain QuarantinedPart
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
+	}
+	if 0 > plain.LeftMillis {
+		return fmt.Errorf("field %s: must be >= %v", "LeftMillis", 0)
+	}
+	*j = QuarantinedPart(plain)
+	return nil
+}
+
 // RelayedHeartbeat is a heartbeat that another instance passes on.
 type RelayedHeartbeat struct {
 	// AgeMillis is how long ago the instance that passes the heartbeat on received it
@@ -381,3 +484,36 @@
 	*j = Report(plain)
 	return nil
 }
+
+// SoundPart is a prompt part of a request that has completed.
+type SoundPart struct {
+	// AgeMillis is how long ago the newest such request completed at the sender.
+	AgeMillis int `json:"AgeMillis"`
+
+	// Part is the ID of the prompt part.
+	Part string `json:"Part"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *SoundPart) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["AgeMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field AgeMillis in SoundPart: required")
+	}
+	if _, ok := raw["Part"]; raw != nil && !ok {
+		return fmt.Errorf("field Part in SoundPart: required")
+	}
+	type Plain SoundPart
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
+	}
+	*j = SoundPart(plain)
+	return nil
+}
--- a/core/headernames/names.go
+++ b/core/headernames/names.go
@@ -12,6 +12,8 @@
 	NotRun string
 	// ServerID carries the ID of the backend server that sent the response.
 	ServerID string
+	// PromptParts carries the IDs and lengths of the parts of the request's prompt.
+	PromptParts string
 	// Wait carries the milliseconds that a reader of results will wait for the next result.
 	Wait string
 }
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -69,6 +69,11 @@
 	Preempt(server string, count int)
 }
 
+type promptParts interface {
+	FillHeartbeat(b *gossip.Heartbeat)
+	ObserveHeartbeat(b *gossip.Heartbeat, at time.Time)
+}
+
 type roster interface {
 	Server(id string) (s backend.Server, ok bool)
 	Version() (revision int64, digest uint64)
@@ -91,6 +96,7 @@
 	cluster   cluster
 	loads     loads
 	jobs      jobs
+	parts     promptParts
 	roster    roster
 	routes    routes
 	placer    placer
@@ -120,13 +126,14 @@
 
 // New returns an exchanger. The function checkedAt returns when this instance last verified that its state was the store's newest,
 // and storeLost whether it cannot reach the store.
-func New(c cluster, l loads, j jobs, ro roster, rt routes, p placer, t transport,
+func New(c cluster, l loads, j jobs, parts promptParts, ro roster, rt routes, p placer, t transport,
 	checkedAt func() time.Time, storeLost func() bool, now func() time.Time,
 ) *Exchanger {
 	return &Exchanger{
 		cluster:    c,
 		loads:      l,
 		jobs:       j,
+		parts:      parts,
 		roster:     ro,
 		routes:     rt,
 		placer:     p,
@@ -189,6 +196,7 @@
 		b.SearchedMillis = max(1, gossip.Age(at, e.now()))
 	}
 	e.jobs.FillHeartbeat(b)
+	e.parts.FillHeartbeat(b)
 
 	return b
 }
@@ -290,6 +298,7 @@
 		return false
 	}
 	e.cluster.Introduce(b.Addresses, at)
+	e.parts.ObserveHeartbeat(b, at)
 	for _, id := range b.Ended {
 		e.jobs.ObserveEnd(id)
 	}
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -18,6 +18,7 @@
 	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/heartbeat"
 	"tarragonwalk/core/load"
+	"tarragonwalk/core/quarantine"
 	"tarragonwalk/core/route"
 )
 
@@ -36,6 +37,7 @@
 	network   *network
 	cluster   *cluster.Cluster
 	loads     *load.Table
+	parts     *quarantine.Quarantine
 	exchanger *heartbeat.Exchanger
 	stop      context.CancelFunc
 }
@@ -84,8 +86,9 @@
 		}
 	}
 	self := gossip.Member{Name: name, Incarnation: incarnation, Zone: zone, Region: "r", Peer: address, Ready: true}
-	i := &instance{network: n, cluster: cluster.New(self, time.Now(), slog.New(slog.DiscardHandler)), loads: load.New()}
-	i.exchanger = heartbeat.New(i.cluster, i.loads, i, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
+	quiet := slog.New(slog.DiscardHandler)
+	i := &instance{network: n, cluster: cluster.New(self, time.Now(), quiet), loads: load.New(), parts: quarantine.New(nil, time.Now, quiet)}
+	i.exchanger = heartbeat.New(i.cluster, i.loads, i, i.parts, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
 	n.lock.Lock()
 	n.nodes[address] = i
 	n.lock.Unlock()
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -14,6 +14,7 @@
 	"tarragonwalk/core/eventstream"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/histogram"
+	"tarragonwalk/core/response"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -66,6 +67,7 @@
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
 		r.roster.RecordAttempt(s.ID, err, r.now(), r.now())
+		r.recordParts(it, s, first, err)
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -104,6 +106,18 @@
 	}
 }
 
+// recordParts reports to the quarantine how an attempt ended that began after an event.
+func (r *Runner) recordParts(it *item, s backend.Server, first int64, err error) {
+	switch at := r.now(); {
+	case err == nil:
+		r.parts.RecordCompletion(s, it.parts, it.startedAt, at)
+	case it.last > first:
+		// The server had begun to answer.
+	case response.ConnectionLost(err):
+		r.parts.RecordLoss(s, it.parts, at)
+	}
+}
+
 func (r *Runner) attempt(ctx context.Context, j *job, it *item, s backend.Server) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -127,7 +141,7 @@
 	defer resp.Body.Close()
 	switch resp.Status {
 	case http.StatusOK:
-		return cancelCause(ctx, r.collect(it, resp.Body, silence))
+		return cancelCause(ctx, r.collect(it, s, resp.Body, silence))
 	case http.StatusUnprocessableEntity:
 		return errInvalid
 	case http.StatusInternalServerError:
@@ -138,7 +152,7 @@
 }
 
 // collect appends the data of the stream's events to the item's text until the stream ends.
-func (r *Runner) collect(it *item, body io.Reader, silence *time.Timer) error {
+func (r *Runner) collect(it *item, s backend.Server, body io.Reader, silence *time.Timer) error {
 	splitter := eventstream.New(it.last)
 	stream := coalesce.New(body, readInterval, r.now)
 	buffer := make([]byte, readBytes)
@@ -152,11 +166,12 @@
 			}
 			if appended {
 				silence.Reset(eventTimeout)
+				r.parts.RecordProgress(s, it.startedAt)
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			if splitter.Pending() > 0 || !it.events {
-				return fault.New(fault.CodeStreamLost, "the stream ended before an event was complete")
+				return fault.Wrap(io.ErrUnexpectedEOF, fault.CodeStreamLost, "the stream ended before an event was complete")
 			}
 
 			return nil
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -29,6 +29,11 @@
 	notBefore time.Time
 	server    string
 	startedAt time.Time
+	// parts are its prompt parts that other requests may have too, known after the first look at it; held is set while one of them
+	// is quarantined.
+	parts     []string
+	partsRead bool
+	held      bool
 	cancel    context.CancelCauseFunc
 }
 
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -60,6 +60,14 @@
 	RecordAttempt(id string, err error, progressAt, at time.Time)
 }
 
+type promptParts interface {
+	Quarantined(parts []string) (part string, until time.Time, ok bool)
+	RecordRefusal(kind string)
+	RecordLoss(s backend.Server, parts []string, at time.Time)
+	RecordProgress(s backend.Server, sentAt time.Time)
+	RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time)
+}
+
 type routes interface {
 	Current() (*route.Table, int64)
 }
@@ -81,13 +89,16 @@
 
 // Runner runs the jobs of one instance. It is safe for concurrent use.
 type Runner struct {
-	log         joblog
-	sender      sender
-	placer      placer
-	roster      roster
-	routes      routes
-	cluster     cluster
-	reader      reader
+	log     joblog
+	sender  sender
+	placer  placer
+	roster  roster
+	routes  routes
+	cluster cluster
+	reader  reader
+	parts   promptParts
+	// sharedParts returns the prompt parts that an item with the given headers may share with others.
+	sharedParts func(headers map[string]string) []string
 	name        string
 	incarnation string
 	keepFor     time.Duration
@@ -121,8 +132,9 @@
 	wake     chan struct{}
 }
 
-// New returns a runner for the instance name; jobs stay readable for keepFor after their submission.
-func New(l joblog, s sender, p placer, ro roster, rt routes, c cluster, rd reader, name, incarnation string,
+// New returns a runner for the instance name; sharedParts returns the prompt parts that an item may share with others; jobs stay readable for keepFor after their submission.
+func New(l joblog, s sender, p placer, ro roster, rt routes, c cluster, rd reader, parts promptParts,
+	sharedParts func(headers map[string]string) []string, name, incarnation string,
 	keepFor time.Duration, now func() time.Time, logger *slog.Logger,
 ) *Runner {
 	return &Runner{
@@ -133,6 +145,8 @@
 		routes:      rt,
 		cluster:     c,
 		reader:      rd,
+		parts:       parts,
+		sharedParts: sharedParts,
 		name:        name,
 		incarnation: incarnation,
 		keepFor:     keepFor,
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -24,6 +24,7 @@
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/jobread"
+	"tarragonwalk/core/quarantine"
 	"tarragonwalk/core/response"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
@@ -60,6 +61,12 @@
 	return &fleet{random: rand.New(rand.NewPCG(seed, 1)), objects: fakeobjects.New(), alive: map[string]bool{}, failureRate: failureRate}
 }
 
+func noQuarantine() *quarantine.Quarantine {
+	return quarantine.New(nil, time.Now, slog.New(slog.DiscardHandler))
+}
+
+func noSharedParts(map[string]string) []string { return nil }
+
 func (f *fleet) chance(p float64) bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -167,7 +174,7 @@
 	f.alive[name] = true
 	f.lock.Unlock()
 	logger := slog.New(slog.DiscardHandler)
-	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), name, name, time.Hour, time.Now, logger)
+	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), noQuarantine(), noSharedParts, name, name, time.Hour, time.Now, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -459,7 +466,7 @@
 		silence := time.AfterFunc(eventTimeout, func() { _ = w.CloseWithError(errSilent) })
 		defer silence.Stop()
 		began := time.Now()
-		err := r.collect(&item{}, pipe, silence)
+		err := r.collect(&item{}, backend.Server{ID: "w"}, pipe, silence)
 		is.True(errors.Is(err, errSilent))
 		is.True(time.Since(began) < 2*eventTimeout)
 	})
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -188,6 +188,7 @@
 			case rt.AbandonMillis > 0 && at.Sub(j.SubmittedAt) > time.Duration(rt.AbandonMillis)*time.Millisecond+maxClockSkew:
 				r.logger.Info("item given up", "job", j.ID, "item", it.ID, "cause", "too old", "submitted_at", j.SubmittedAt)
 				j.finish(it, work.StateDead, at)
+			case r.quarantined(j, it):
 			default:
 				due := j.due(rt)
 				list = append(list, candidate{
@@ -204,6 +205,21 @@
 	return list
 }
 
+// quarantined reports whether an item has to wait because one of its prompt parts crashes backend servers; it needs the lock.
+func (r *Runner) quarantined(j *job, it *item) bool {
+	if !it.partsRead {
+		it.parts, it.partsRead = r.sharedParts(it.Headers), true
+	}
+	part, until, held := r.parts.Quarantined(it.parts)
+	if held && !it.held {
+		r.parts.RecordRefusal("item_held")
+		r.logger.Info("item held", "job", j.ID, "item", it.ID, "cause", "a prompt part is quarantined", "part", part, "until", until)
+	}
+	it.held = held
+
+	return held
+}
+
 // late reports whether an item is not expected to meet its deadline. Such items run when no others wait.
 func (r *Runner) late(it *item, due, at time.Time) bool {
 	return at.Add(time.Duration(lateRatio * float64(r.runTime.remaining(it.last)))).After(due)
--- /dev/null
+++ b/core/quarantine/exchange.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"tarragonwalk/core/gossip"
+)
+
+const (
+	// announceLife is how long new evidence is repeated in heartbeats, since datagrams may be lost.
+	announceLife = 3 * time.Second
+	// maxAnnounced bounds the crashes, and maxAnnouncedParts the parts of each other kind, in a heartbeat.
+	maxAnnounced      = 8
+	maxAnnouncedParts = 32
+	// minLeft is the least time for which a quarantine is taken over, so that one that ends here is not renewed by another instance
+	// whose clock is a little behind.
+	minLeft = time.Second
+)
+
+// FillHeartbeat adds what other instances have to know: crashes that this instance observed, parts that completed here, and the
+// parts in quarantine.
+func (q *Quarantine) FillHeartbeat(b *gossip.Heartbeat) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	at := q.now()
+	for _, c := range slices.Backward(q.crashes) {
+		parts := q.announced(c, at)
+		if len(b.Crashes) >= maxAnnounced || len(parts) == 0 && !c.announceRefutation {
+			continue
+		}
+		if c.refuted() && (!c.announceRefutation || at.Sub(c.refutedAt) >= announceLife) {
+			continue
+		}
+		b.Crashes = append(b.Crashes, gossip.Crash{
+			Server:    c.incarnation.server,
+			StartedAt: c.incarnation.startedAt,
+			AgeMillis: gossip.Age(c.at, at),
+			Parts:     parts,
+			Answered:  c.refuted(),
+		})
+	}
+	for part, until := range q.cleared {
+		last := q.completed.at(part)
+		switch {
+		case !at.Before(until) || last.IsZero():
+			delete(q.cleared, part)
+		case len(b.SoundParts) < maxAnnouncedParts:
+			b.SoundParts = append(b.SoundParts, gossip.SoundPart{
+				Part:      part,
+				AgeMillis: gossip.Age(last, at),
+			})
+		}
+	}
+	for part, e := range q.quarantined {
+		if len(b.QuarantinedParts) < maxAnnouncedParts {
+			b.QuarantinedParts = append(b.QuarantinedParts, gossip.QuarantinedPart{
+				Part:       part,
+				AgeMillis:  gossip.Age(e.since, at),
+				LeftMillis: gossip.Age(at, e.until),
+			})
+		}
+	}
+	slices.SortFunc(b.SoundParts, func(x, y gossip.SoundPart) int { return cmp.Compare(x.Part, y.Part) })
+	slices.SortFunc(b.QuarantinedParts, func(x, y gossip.QuarantinedPart) int { return cmp.Compare(x.Part, y.Part) })
+}
+
+// announced returns the parts of a crash that other instances have to know: those that this instance lost, while they are new, and all
+// that are known, for an instance that has just started. The caller holds the lock.
+func (q *Quarantine) announced(c *crash, at time.Time) []string {
+	switch {
+	case c.refuted():
+		return nil
+	case at.Sub(c.at) < announceLife && len(c.own) > 0:
+		return slices.Clone(c.own)
+	}
+	if at.Sub(q.joinedAt) >= announceLife {
+		return nil
+	}
+
+	return slices.Sorted(maps.Keys(c.parts))
+}
+
+// ObserveHeartbeat applies what another instance has announced as of a time.
+func (q *Quarantine) ObserveHeartbeat(b *gossip.Heartbeat, at time.Time) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if s := b.Sender; q.incarnations[s.Name] != s.Incarnation {
+		q.incarnations[s.Name] = s.Incarnation
+		q.joinedAt = q.now()
+	}
+	for _, s := range b.SoundParts[:min(len(b.SoundParts), maxAnnouncedParts)] {
+		if len(s.Part) <= maxPartBytes {
+			q.completed.record(s.Part, gossip.Before(at, max(0, s.AgeMillis)))
+			q.clear(s.Part)
+		}
+	}
+	added := false
+	for _, c := range b.Crashes[:min(len(b.Crashes), maxAnnounced)] {
+		of := incarnation{
+			server:    c.Server,
+			startedAt: c.StartedAt,
+		}
+		lostAt := gossip.Before(at, max(0, c.AgeMillis))
+		if c.Answered {
+			q.observeAnswer(of, lostAt, at)
+
+			continue
+		}
+		_, isNew := q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], lostAt)
+		added = added || isNew
+	}
+	if added {
+		q.judge(q.now())
+	}
+	for _, p := range b.QuarantinedParts[:min(len(b.QuarantinedParts), maxAnnouncedParts)] {
+		left := min(quarantineLife, time.Duration(max(0, p.LeftMillis))*time.Millisecond)
+		q.adopt(p.Part, gossip.Before(at, max(0, p.AgeMillis)), at.Add(left), "peer")
+	}
+}
+
+// observeAnswer withdraws a possible crash that another instance knows to be none. The caller holds the lock.
+func (q *Quarantine) observeAnswer(of incarnation, lostAt, at time.Time) {
+	for _, c := range q.crashes {
+		if c.includes(of, lostAt) {
+			q.withdraw(c, at, false)
+		}
+	}
+}
+
+// adopt takes a part that was quarantined at a time elsewhere, or in an earlier process, unless it is known to be sound since. The
+// caller holds the lock.
+func (q *Quarantine) adopt(part string, since, until time.Time, source string) (added bool) {
+	at := q.now()
+	switch e := q.quarantined[part]; {
+	case part == "" || len(part) > maxPartBytes || until.Sub(at) < minLeft:
+		return false
+	case q.sound(part, since):
+		q.cleared[part] = at.Add(announceLife)
+
+		return false
+	case e != nil:
+		return false
+	}
+	q.add(part, &entry{
+		since: since,
+		until: until,
+	}, source, at)
+	q.judge(at)
+
+	return q.quarantined[part] != nil
+}
--- /dev/null
+++ b/core/quarantine/judge.go
@@ -0,0 +1,271 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// suspectedCrashes is the number of crashes from which requests with a part are not retried.
+	suspectedCrashes = 2
+	// quarantinedCrashes is the number of crashes, one after the other, from which a part is quarantined if most servers that crash
+	// meanwhile do so under it. Servers that crash together do so for a reason of their own, except for surelyCrashes of them.
+	quarantinedCrashes = 3
+	surelyCrashes      = 5
+	// occasionGap is the least time between crashes that happen one after the other.
+	occasionGap = 100 * time.Millisecond
+	// settleTime is how long a crash waits for the heartbeats of other instances: their unanswered requests, and the parts that
+	// they know to be sound.
+	settleTime = 600 * time.Millisecond
+)
+
+// judge decides which parts are suspected and which are quarantined. The caller holds the lock.
+func (q *Quarantine) judge(at time.Time) {
+	q.nextAt = time.Time{}
+	q.expire(at)
+	levels := q.levels()
+	suspected := map[string]bool{}
+	combined := map[string][]string{}
+	for part, level := range levels {
+		if level < suspectedCrashes || q.quarantined[part] != nil {
+			continue
+		}
+		alone, shared, inseparable := q.blame(part, levels)
+		if countIncarnations(shared) >= suspectedCrashes {
+			suspected[part] = true
+			if !q.suspected[part] {
+				decisions.Add("suspected", 1)
+				q.log.Info("prompt part suspected", "part", part, "crashes", level, "unexplained", len(shared))
+			}
+		}
+		certain := alone
+		if len(inseparable) > 0 {
+			certain = shared
+		}
+		since, ok := q.decisive(certain)
+		switch settled := since.Add(settleTime); {
+		case !ok:
+		case at.Before(settled):
+			q.wakeAt(settled)
+		case len(inseparable) > 0:
+			combined[part] = append(inseparable, part)
+		default:
+			q.add(part, &entry{
+				since:    at,
+				until:    at.Add(quarantineLife),
+				observed: slices.ContainsFunc(alone, func(c *crash) bool { return slices.Contains(c.own, part) }),
+			}, "crashes", at)
+		}
+	}
+	q.suspected = suspected
+	q.combine(combined)
+}
+
+// expire drops old evidence and ends quarantines whose deadline has passed. The caller holds the lock.
+func (q *Quarantine) expire(at time.Time) {
+	for part, e := range q.quarantined {
+		if at.Before(e.until) {
+			q.wakeAt(e.until)
+
+			continue
+		}
+		q.release(part, "deadline")
+		for _, c := range q.crashes {
+			delete(c.parts, part)
+		}
+	}
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool { return at.Sub(c.at) >= evidenceLife })
+	if len(q.crashes) > 0 {
+		q.wakeAt(q.crashes[0].at.Add(evidenceLife))
+	}
+}
+
+// wakeAt makes Review decide again at a time, or earlier. The caller holds the lock.
+func (q *Quarantine) wakeAt(at time.Time) {
+	if q.nextAt.IsZero() || at.Before(q.nextAt) {
+		q.nextAt = at
+	}
+}
+
+// levels returns under how many crashed incarnations each part was unanswered. The caller holds the lock.
+func (q *Quarantine) levels() map[string]int {
+	type occurrence struct {
+		part string
+		of   incarnation
+	}
+	seen := map[occurrence]bool{}
+	levels := map[string]int{}
+	for _, c := range q.crashes {
+		if c.refuted() {
+			continue
+		}
+		for part := range c.parts {
+			o := occurrence{
+				part: part,
+				of:   c.incarnation,
+			}
+			if !seen[o] {
+				seen[o] = true
+				levels[part]++
+			}
+		}
+	}
+
+	return levels
+}
+
+// blame returns the crashes of a part that no other part explains better: those in which it has a higher level than all other
+// parts, and those in which it has the highest. Inseparable are other parts of the same level that occur in all of these. The caller
+// holds the lock.
+func (q *Quarantine) blame(part string, levels map[string]int) (alone, shared []*crash, inseparable []string) {
+	ties := map[string]int{}
+	for _, c := range q.crashes {
+		if c.refuted() || !c.parts[part] {
+			continue
+		}
+		tied, best := q.compare(c, part, levels)
+		if !best {
+			continue
+		}
+		shared = append(shared, c)
+		for _, other := range tied {
+			ties[other]++
+		}
+		if len(tied) == 0 || levels[part] >= surelyCrashes {
+			alone = append(alone, c)
+		}
+	}
+	for other, n := range ties {
+		if n == len(shared) {
+			inseparable = append(inseparable, other)
+		}
+	}
+
+	return alone, shared, inseparable
+}
+
+// compare reports whether no other part explains a crash better than a given one, and returns the other parts that explain it as
+// well. The caller holds the lock.
+func (q *Quarantine) compare(c *crash, part string, levels map[string]int) (tied []string, best bool) {
+	for other := range c.parts {
+		switch {
+		case other == part:
+		case levels[other] > levels[part] || q.quarantined[other] != nil:
+			return nil, false
+		case levels[other] == levels[part]:
+			tied = append(tied, other)
+		}
+	}
+
+	return tied, true
+}
+
+// combine replaces the parts that are quarantined in combination: servers crash under requests with all of them, and nothing tells
+// yet which of them is the cause. The caller holds the lock.
+func (q *Quarantine) combine(combined map[string][]string) {
+	for part, with := range combined {
+		slices.Sort(with)
+		if q.combined[part] == nil {
+			decisions.Add("combined", 1)
+			q.log.Warn("prompt parts quarantined in combination", "part", part, "parts", with, "evidence", q.evidence(part))
+		}
+	}
+	q.combined = combined
+}
+
+func countIncarnations(crashes []*crash) int {
+	seen := map[incarnation]bool{}
+	for _, c := range crashes {
+		seen[c.incarnation] = true
+	}
+
+	return len(seen)
+}
+
+// decisive reports whether crashes are enough to quarantine their part, and since when they are. The caller holds the lock.
+func (q *Quarantine) decisive(crashes []*crash) (since time.Time, ok bool) {
+	ordered := slices.Clone(crashes)
+	slices.SortStableFunc(ordered, func(a, b *crash) int { return a.at.Compare(b.at) })
+	seen := map[incarnation]bool{}
+	var times []time.Time
+	for _, c := range ordered {
+		if seen[c.incarnation] {
+			continue
+		}
+		seen[c.incarnation] = true
+		times = append(times, c.at)
+		n := occasions(times)
+		if n >= quarantinedCrashes && 3*n >= 2*q.occasionsBetween(times[0], c.at) || len(seen) >= surelyCrashes {
+			return c.at, true
+		}
+	}
+
+	return time.Time{}, false
+}
+
+// occasionsBetween returns on how many occasions servers crashed in a time, except for crashes under a quarantined part. The caller
+// holds the lock.
+func (q *Quarantine) occasionsBetween(from, to time.Time) int {
+	var times []time.Time
+	for _, c := range q.crashes {
+		if !c.refuted() && !c.at.Before(from) && !c.at.After(to) && !q.explained(c) {
+			times = append(times, c.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+
+	return occasions(times)
+}
+
+// explained reports whether a server crashed under a part that is quarantined. The caller holds the lock.
+func (q *Quarantine) explained(c *crash) bool {
+	for part := range c.parts {
+		if q.quarantined[part] != nil {
+			return true
+		}
+	}
+
+	return false
+}
+
+// occasions counts crashes, given the times of them in their order, without those that follow another one closely.
+func occasions(times []time.Time) int {
+	n := 0
+	var last time.Time
+	for _, at := range times {
+		if n == 0 || at.Sub(last) >= occasionGap {
+			n++
+			last = at
+		}
+	}
+
+	return n
+}
+
+// add quarantines a part, known from a source. The caller holds the lock.
+func (q *Quarantine) add(part string, e *entry, source string, at time.Time) {
+	if len(q.quarantined) >= maxQuarantined {
+		decisions.Add("no_room", 1)
+
+		return
+	}
+	q.quarantined[part] = e
+	delete(q.suspected, part)
+	delete(q.obsolete, part)
+	q.wakeAt(e.until)
+	decisions.Add("quarantined", 1)
+	q.log.Warn("prompt part quarantined", "part", part, "source", source, "since", e.since, "until", e.until,
+		"observed", e.observed, "evidence", q.evidence(part), "completed_at", q.completed.at(part), "age_ms", at.Sub(e.since).Milliseconds())
+}
+
+// evidence returns the servers that crashed under a part. The caller holds the lock.
+func (q *Quarantine) evidence(part string) []string {
+	var servers []string
+	for _, c := range q.crashes {
+		if !c.refuted() && c.parts[part] {
+			servers = append(servers, c.incarnation.server)
+		}
+	}
+
+	return servers
+}
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,271 @@
+package quarantine
+
+import (
+	"expvar"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tarragonwalk/core/backend"
+)
+
+const (
+	// evidenceLife is how long a possible crash counts.
+	evidenceLife = 5 * time.Minute
+	// quarantineLife is how long a part stays in quarantine.
+	quarantineLife = 3 * time.Minute
+	// soundLife is how long before a lost connection a request with the same part may have completed to show that the part is sound.
+	soundLife = 2 * time.Second
+	// crashSpan is the longest time between the connections that are lost in one crash; a server takes longer to start again.
+	crashSpan = time.Second
+	// refutationMargin covers the time that a heartbeat about a lost connection takes.
+	refutationMargin = 300 * time.Millisecond
+	// combinedRetry is when a request with a combination of parts may be repeated: further requests soon show which part it is.
+	combinedRetry = time.Second
+	// maxCrashes, maxParts and maxQuarantined bound the memory and maxPartBytes the length of an ID.
+	maxCrashes     = 64
+	maxParts       = 48
+	maxQuarantined = 64
+	maxPartBytes   = 64
+)
+
+// decisions counts decisions on prompt parts, refused requests and items that wait.
+var decisions = expvar.NewMap("QuarantineDecisions")
+
+// entry is one quarantined part.
+type entry struct {
+	since time.Time
+	until time.Time
+	// observed is set if this instance has seen a crash under the part itself.
+	observed bool
+	saved    bool
+}
+
+// Quarantine decides which prompt parts are quarantined; its methods may be called concurrently.
+type Quarantine struct {
+	objects objects
+	now     func() time.Time
+	log     *slog.Logger
+
+	// lock guards all fields below.
+	lock      sync.Mutex
+	completed recent
+	// crashes are ordered by the time at which they were recorded.
+	crashes     []*crash
+	suspected   map[string]bool
+	quarantined map[string]*entry
+	// combined are parts that are quarantined only in combination with others, which the values include.
+	combined map[string][]string
+	// cleared are the parts that this instance announces as sound until the given time.
+	cleared map[string]time.Time
+	// obsolete are the quarantined parts whose objects in the store are to be deleted.
+	obsolete map[string]bool
+	// incarnations are the processes of the other instances, and joinedAt is when the last of them was new.
+	incarnations map[string]string
+	joinedAt     time.Time
+	// nextAt is when the passage of time may next change a decision, zero if it cannot.
+	nextAt time.Time
+}
+
+// New returns a quarantine without parts that keeps its decisions in a store.
+func New(o objects, now func() time.Time, log *slog.Logger) *Quarantine {
+	return &Quarantine{
+		objects:      o,
+		now:          now,
+		log:          log,
+		suspected:    map[string]bool{},
+		quarantined:  map[string]*entry{},
+		cleared:      map[string]time.Time{},
+		obsolete:     map[string]bool{},
+		incarnations: map[string]string{},
+	}
+}
+
+// Quarantined returns the part of a request that is in quarantine, or the combination of parts, and until when; false if there is
+// none.
+func (q *Quarantine) Quarantined(parts []string) (part string, until time.Time, ok bool) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	at := q.now()
+	for _, p := range parts {
+		if e := q.quarantined[p]; e != nil && at.Before(e.until) {
+			return p, e.until, true
+		}
+		if with := q.combined[p]; with != nil && containsAll(parts, with) {
+			return strings.Join(with, "+"), at.Add(combinedRetry), true
+		}
+	}
+
+	return "", time.Time{}, false
+}
+
+func containsAll(parts, subset []string) bool {
+	return !slices.ContainsFunc(subset, func(p string) bool { return !slices.Contains(parts, p) })
+}
+
+// MayRetry reports whether a request that may have crashed a backend server may be sent to another one. It counts refusals.
+func (q *Quarantine) MayRetry(parts []string) bool {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	for _, p := range parts {
+		if q.suspected[p] || q.quarantined[p] != nil {
+			decisions.Add("not_retried", 1)
+
+			return false
+		}
+	}
+
+	return true
+}
+
+// RecordRefusal counts a request, or an item that has to wait, because of its part.
+func (*Quarantine) RecordRefusal(kind string) {
+	decisions.Add(kind, 1)
+}
+
+// RecordLoss records that the connection of an attempt was lost before anything was answered.
+func (q *Quarantine) RecordLoss(s backend.Server, parts []string, at time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	c, _ := q.addLoss(incarnationOf(s), parts, at)
+	for _, p := range parts {
+		if len(c.own) < maxParts && !slices.Contains(c.own, p) {
+			c.own = append(c.own, p)
+		}
+		if e := q.quarantined[p]; e != nil {
+			e.observed = true
+		}
+	}
+	decisions.Add("losses", 1)
+	q.log.Info("possible crash of a backend server", "server", s.ID, "started_at", s.StartedAt, "parts", parts)
+	q.judge(at)
+}
+
+// RecordProgress records that a backend server has answered a part of a request that was sent at a time: a connection that was lost
+// shortly before that was no crash.
+func (q *Quarantine) RecordProgress(s backend.Server, sentAt time.Time) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.refute(incarnationOf(s), sentAt)
+}
+
+// RecordCompletion records that a request has completed that was sent at a time.
+func (q *Quarantine) RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.refute(incarnationOf(s), sentAt)
+	for _, p := range parts {
+		q.completed.record(p, at)
+		if q.clear(p) {
+			q.cleared[p] = at.Add(announceLife)
+		}
+	}
+}
+
+// Review makes the decisions that depend on the passage of time.
+func (q *Quarantine) Review() {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if at := q.now(); !q.nextAt.IsZero() && !at.Before(q.nextAt) {
+		q.judge(at)
+	}
+}
+
+func incarnationOf(s backend.Server) incarnation {
+	return incarnation{
+		server:    s.ID,
+		startedAt: s.StartedAt,
+	}
+}
+
+// addLoss adds parts to a possible crash and reports whether that is new evidence. The caller holds the lock.
+func (q *Quarantine) addLoss(of incarnation, parts []string, at time.Time) (c *crash, added bool) {
+	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.includes(of, at) })
+	if i < 0 {
+		if len(q.crashes) >= maxCrashes {
+			q.crashes = slices.Delete(q.crashes, 0, 1)
+		}
+		q.crashes = append(q.crashes, &crash{
+			incarnation: of,
+			at:          at,
+			parts:       map[string]bool{},
+		})
+		i = len(q.crashes) - 1
+	}
+	c = q.crashes[i]
+	for _, p := range parts {
+		switch {
+		case p == "" || len(p) > maxPartBytes || c.parts[p]:
+		case q.sound(p, c.at):
+			q.cleared[p] = q.now().Add(announceLife)
+		case len(c.parts) < maxParts:
+			c.parts[p] = true
+			added = added || !c.refuted()
+		}
+	}
+
+	return c, added
+}
+
+// sound reports whether a request with a part has completed since shortly before a time. The caller holds the lock.
+func (q *Quarantine) sound(part string, at time.Time) bool {
+	last := q.completed.at(part)
+
+	return !last.IsZero() && last.After(at.Add(-soundLife))
+}
+
+// clear removes a part that is sound from the evidence and from quarantine, and reports whether it was there. The caller holds the lock.
+func (q *Quarantine) clear(part string) (found bool) {
+	for _, c := range q.crashes {
+		if c.parts[part] && q.sound(part, c.at) {
+			delete(c.parts, part)
+			found = true
+		}
+	}
+	if e := q.quarantined[part]; e != nil && q.sound(part, e.since) {
+		q.release(part, "completed")
+		found = true
+	}
+	if found {
+		q.judge(q.now())
+	}
+
+	return found
+}
+
+// refute withdraws possible crashes of an incarnation that has answered a request which was sent soon after them. The caller holds
+// the lock.
+func (q *Quarantine) refute(of incarnation, sentAt time.Time) {
+	for _, c := range q.crashes {
+		if d := sentAt.Sub(c.at); c.incarnation == of && d > 0 && d <= crashSpan {
+			q.withdraw(c, sentAt, true)
+		}
+	}
+}
+
+// withdraw notes that a server has answered after its possible crash, observed by this instance or by another one. The caller holds
+// the lock.
+func (q *Quarantine) withdraw(c *crash, at time.Time, observed bool) {
+	if c.refuted() {
+		return
+	}
+	c.refutedAt, c.announceRefutation = at, observed
+	decisions.Add("no_crash", 1)
+	q.judge(q.now())
+}
+
+// release ends the quarantine of a part for a cause. The caller holds the lock.
+func (q *Quarantine) release(part, cause string) {
+	e := q.quarantined[part]
+	delete(q.quarantined, part)
+	if e.saved {
+		q.obsolete[part] = true
+	}
+	decisions.Add("released", 1)
+	q.log.Info("prompt part released from quarantine", "part", part, "cause", cause, "since", e.since, "until", e.until)
+}
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,289 @@
+package quarantine
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/backend"
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/gossip"
+	"tarragonwalk/internal/fakeobjects"
+)
+
+const deadly = "deadly"
+
+// fleet simulates instances, backend servers and requests; time passes in steps.
+type fleet struct {
+	random    *rand.Rand
+	at        time.Time
+	objects   *fakeobjects.Store
+	instances []*Quarantine
+	servers   []simServer
+	requests  []request
+	crashes   int
+	fifthAt   time.Time
+	// resets is how many of a grey server's answers are lost; a quarter of the servers are grey.
+	resets float64
+	// alike is how many deadly requests have the same other parts.
+	alike  int
+	failed []string
+}
+
+type simServer struct {
+	backend.Server
+	backAt time.Time
+}
+
+// request is in flight; it is unanswered until begunAt.
+type request struct {
+	parts            []string
+	instance, server int
+	sentAt           time.Time
+	begunAt, endsAt  time.Time
+	retried          bool
+}
+
+const step = 20 * time.Millisecond
+
+func newFleet(seed uint64, instances, servers int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), at: time.Unix(1_000_000, 0), objects: fakeobjects.New()}
+	for n := range servers {
+		f.servers = append(f.servers, simServer{Server: backend.Server{ID: fmt.Sprint("s", n), StartedAt: 1}})
+	}
+	for range instances {
+		f.instances = append(f.instances, f.newInstance())
+	}
+
+	return f
+}
+
+func (f *fleet) newInstance() *Quarantine {
+	return New(f.objects, func() time.Time { return f.at }, slog.New(slog.DiscardHandler))
+}
+
+func (f *fleet) send(instance int, parts []string, retried bool) {
+	s := f.random.IntN(len(f.servers))
+	if _, _, ok := f.instances[instance].Quarantined(parts); ok || f.at.Before(f.servers[s].backAt) {
+		return
+	}
+	begunAt := f.at.Add(time.Duration(20+f.random.IntN(150)) * time.Millisecond)
+	f.requests = append(f.requests, request{
+		parts: parts, instance: instance, server: s, retried: retried, sentAt: f.at,
+		begunAt: begunAt, endsAt: begunAt.Add(time.Duration(f.random.IntN(1000)) * time.Millisecond),
+	})
+}
+
+func (f *fleet) lose(r request) {
+	q := f.instances[r.instance]
+	if f.at.After(r.begunAt) && !slices.Contains(r.parts, deadly) {
+		return
+	}
+	q.RecordLoss(f.servers[r.server].Server, r.parts, f.at)
+	f.announce(r.instance) // counts in flight have changed
+	if !r.retried && q.MayRetry(r.parts) {
+		f.send(r.instance, r.parts, true)
+	}
+}
+
+func (f *fleet) crash(server int) {
+	lost := f.requests
+	f.requests = nil
+	for _, r := range lost {
+		if r.server != server {
+			f.requests = append(f.requests, r)
+		}
+	}
+	was := f.servers[server].Server
+	f.servers[server].backAt = f.at.Add(3 * time.Second)
+	for _, r := range lost {
+		if r.server == server {
+			f.lose(r)
+		}
+	}
+	was.StartedAt++
+	f.servers[server].Server = was
+}
+
+// run lets time pass, with sound requests on common and on rare parts, and with as many deadly ones a second at random instances.
+func (f *fleet) run(d time.Duration, deadlyRate float64) {
+	for end := f.at.Add(d); f.at.Before(end); f.at = f.at.Add(step) {
+		first := fmt.Sprint("first", f.random.IntN(10))
+		f.send(f.random.IntN(len(f.instances)), []string{first, fmt.Sprint("rare", f.random.IntN(400))}, false)
+		if f.random.Float64() < deadlyRate*step.Seconds() {
+			f.send(f.random.IntN(len(f.instances)), []string{first, deadly, fmt.Sprint("rare", 390+f.crashes/max(1, f.alike))}, false)
+		}
+		f.finish()
+		for n, q := range f.instances {
+			q.Review()
+			if f.random.IntN(10) == 0 {
+				f.announce(n)
+			}
+			for part := range q.quarantined {
+				if part != deadly && !slices.Contains(f.failed, part) {
+					f.failed = append(f.failed, part)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) announce(from int) {
+	b := &gossip.Heartbeat{Sender: gossip.Member{Name: fmt.Sprint(from), Incarnation: fmt.Sprintf("%p", f.instances[from])}}
+	f.instances[from].FillHeartbeat(b)
+	for n, q := range f.instances {
+		if n != from && f.random.IntN(10) > 0 {
+			q.ObserveHeartbeat(b, f.at)
+		}
+	}
+}
+
+func (f *fleet) finish() {
+	for _, r := range slices.Clone(f.requests) {
+		i := slices.IndexFunc(f.requests, func(o request) bool {
+			return o.begunAt.Equal(r.begunAt) && o.endsAt.Equal(r.endsAt) && o.server == r.server
+		})
+		if i < 0 {
+			continue
+		}
+		switch s, q := f.servers[r.server].Server, f.instances[r.instance]; {
+		case f.at.Before(r.begunAt):
+		case slices.Contains(r.parts, deadly):
+			f.crash(r.server)
+			if f.crashes++; f.crashes == 5 {
+				f.fifthAt = f.at
+			}
+		case r.server%4 == 0 && f.at.Sub(r.begunAt) < step && f.random.Float64() < f.resets:
+			f.requests = slices.Delete(f.requests, i, i+1)
+			f.lose(request{parts: r.parts, instance: r.instance, server: r.server, retried: r.retried, begunAt: f.at})
+		case f.at.Before(r.endsAt):
+			q.RecordProgress(s, r.sentAt)
+		default:
+			f.requests = slices.Delete(f.requests, i, i+1)
+			q.RecordCompletion(s, r.parts, r.sentAt, f.at)
+		}
+	}
+}
+
+func (f *fleet) knows() bool {
+	return !slices.ContainsFunc(f.instances, func(q *Quarantine) bool {
+		_, _, ok := q.Quarantined([]string{"a", deadly})
+
+		return !ok
+	})
+}
+
+// Guards against a prompt part that crashes one backend server after the other, though each crash is seen by another instance and
+// instances restart, and against sound parts of the same requests or servers that are refused.
+func TestDeadlyPartAlone(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		f := newFleet(seed, 1+int(seed%9), 15)
+		f.alike = int(seed % 7)
+		f.run(3*time.Second, 0)
+		rate := []float64{0.5, 2, 6}[seed%3]
+		for f.fifthAt.IsZero() && !f.knows() && f.at.Sub(time.Unix(1_000_000, 0)) < time.Minute {
+			f.run(200*time.Millisecond, rate)
+			if f.random.IntN(25) == 0 && len(f.instances) > 2 {
+				f.instances[f.random.IntN(len(f.instances))] = f.newInstance()
+			}
+		}
+		f.run(1200*time.Millisecond, rate)
+		before := f.crashes
+		f.run(20*time.Second, rate)
+		is.True(f.knows())
+		is.True(f.crashes <= before+1) // one more shows which of two parts it is that always came together
+		is.True(f.alike > 1 || f.crashes == before)
+		is.Equal(f.failed, nil)
+	}
+}
+
+// Guards against sound parts that are quarantined on days on which servers reset connections or crash together for reasons of their own.
+func TestSoundPartsOnOtherTroubles(t *testing.T) {
+	for seed := range uint64(24) {
+		f := newFleet(seed, 6, 16)
+		f.resets = []float64{0, 0.1, 0.4}[seed%3]
+		for range 4 {
+			f.run(4*time.Second, 0)
+			for n := range f.servers {
+				if f.random.Float64() < 0.4 {
+					f.crash(n)
+				}
+				if seed%2 == 0 {
+					f.run(2*step, 0) // one after the other
+				}
+			}
+		}
+		is.New(t).Equal(f.failed, nil)
+	}
+}
+
+// Guards against a quarantine that is forgotten when all instances restart, even during an outage of the store, that never ends, or
+// that begins again without new crashes.
+func TestQuarantineSurvivesRestartsUntilItsDeadline(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 3, 8)
+	f.objects.FailNext(partKind, fault.CodeStoreUnavailable)
+	for !f.knows() {
+		f.run(time.Second, 3)
+	}
+	q := f.instances[0]
+	is.True(q.Save(t.Context(), true) != nil)
+	is.NoErr(q.Save(t.Context(), true))
+	_, until, _ := q.Quarantined([]string{deadly})
+	for n := range f.instances {
+		f.instances[n] = f.newInstance()
+	}
+	is.NoErr(f.instances[2].Restore(t.Context()))
+	f.run(time.Second, 0)
+	is.True(f.knows())
+	_, restored, _ := f.instances[2].Quarantined([]string{deadly})
+	is.True(restored.Equal(until))
+	f.at = until
+	f.run(time.Second, 0)
+	is.Equal(slices.Collect(maps.Keys(f.instances[0].quarantined)), nil)
+	is.NoErr(f.instances[2].Save(t.Context(), true))
+	is.NoErr(f.newInstance().Restore(t.Context()))
+	is.True(f.newInstance().MayRetry([]string{deadly}))
+}
+
+// Guards against a sound part that stays in quarantine although one of its requests has completed since.
+func TestCompletionReleases(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 2, 8)
+	for !f.knows() {
+		f.run(time.Second, 3)
+	}
+	f.instances[1].RecordCompletion(f.servers[0].Server, []string{deadly}, f.at, f.at)
+	f.run(time.Second, 0)
+	is.Equal(len(f.instances[0].quarantined)+len(f.instances[1].quarantined), 0)
+}
+
+// Guards against heartbeats and memory that grow with the number of crashes and parts, and heartbeats that carry old news.
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 1)
+	q := f.instances[0]
+	for n := range 1000 {
+		parts := make([]string, 100)
+		for i := range parts {
+			parts[i] = fmt.Sprint("p", n, "-", i)
+		}
+		q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, parts, f.at)
+		q.RecordCompletion(backend.Server{ID: "x"}, parts[:90], f.at, f.at)
+	}
+	b := &gossip.Heartbeat{}
+	q.FillHeartbeat(b)
+	is.Equal(len(b.Crashes), maxAnnounced)
+	is.True(len(b.Crashes[0].Parts) <= maxParts && len(b.SoundParts) <= maxAnnouncedParts && len(q.crashes) <= maxCrashes)
+	f.at = f.at.Add(announceLife)
+	b = &gossip.Heartbeat{}
+	q.FillHeartbeat(b)
+	is.Equal(len(b.Crashes)+len(b.SoundParts)+len(b.QuarantinedParts), 0)
+}
