Keep combinations of prompt parts over a restart of all instances

When all instances restarted while a deadly part was quarantined only together with a sound one, the next crashes began anew: three more servers at least.

The evidence on a combination is one object of the same kind in the store, until that evidence expires. TestCombinationSurvivesRestart fails without it.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -74,6 +74,15 @@
 			delete(c.parts, part)
 		}
 	}
+	for name, until := range q.savedUntil {
+		if at.Before(until) {
+			q.wakeAt(until)
+
+			continue
+		}
+		delete(q.savedUntil, name)
+		q.obsolete[name] = true
+	}
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool { return at.Sub(c.at) >= evidenceLife })
 	if len(q.crashes) > 0 {
 		q.wakeAt(q.crashes[0].at.Add(evidenceLife))
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -60,6 +60,8 @@
 	combined map[string][]string
 	// cleared are the parts that this instance announces as sound until the given time.
 	cleared map[string]time.Time
+	// savedUntil are the combinations that are in the store, by name, and until when they count.
+	savedUntil map[string]time.Time
 	// obsolete are the quarantined parts whose objects in the store are to be deleted.
 	obsolete map[string]bool
 	// incarnations are the processes of the other instances, and joinedAt is when the last of them was new.
@@ -79,6 +81,7 @@
 		quarantined:  map[string]*entry{},
 		cleared:      map[string]time.Time{},
 		obsolete:     map[string]bool{},
+		savedUntil:   map[string]time.Time{},
 		incarnations: map[string]string{},
 	}
 }
@@ -88,6 +91,9 @@
 func (q *Quarantine) Quarantined(parts []string) (part string, until time.Time, ok bool) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
+	if len(q.quarantined)+len(q.combined) == 0 {
+		return "", time.Time{}, false
+	}
 	at := q.now()
 	for _, p := range parts {
 		if e := q.quarantined[p]; e != nil && at.Before(e.until) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -253,6 +254,35 @@
 	is.True(f.newInstance().MayRetry([]string{deadly}))
 }
 
+// Guards against a combination of parts that is forgotten when all instances restart, or that outlives the proof which part it is.
+func TestCombinationSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 0)
+	both := []string{"with", deadly}
+	blocked := func(parts ...string) bool {
+		_, _, ok := f.instances[0].Quarantined(parts)
+
+		return ok
+	}
+	for n := range 3 {
+		f.instances[0].RecordLoss(backend.Server{ID: fmt.Sprint(n)}, both, f.at)
+		f.at = f.at.Add(settleTime)
+	}
+	f.instances[0].Review()
+	is.True(blocked(both...) && !blocked("with") && !blocked(deadly))
+	is.NoErr(f.instances[0].Save(t.Context(), false))
+	f.instances[0] = f.newInstance()
+	is.NoErr(f.instances[0].Restore(t.Context()))
+	is.True(blocked(both...) && !blocked("with") && !blocked(deadly))
+	f.instances[0].RecordCompletion(backend.Server{ID: "x"}, []string{"with"}, f.at, f.at)
+	is.True(blocked(both...) && !blocked("with") && blocked(deadly))
+	f.at = f.at.Add(evidenceLife)
+	f.instances[0].Review()
+	is.NoErr(f.instances[0].Save(t.Context(), false))
+	is.True(!blocked(both...))
+	is.NoErr(f.objects.List(t.Context(), partKind, func(name string, _ json.RawMessage, _ int64) { t.Error(name, "is left") }))
+}
+
 // Guards against a sound part that stays in quarantine although one of its requests has completed since.
 func TestCompletionReleases(t *testing.T) {
 	is := is.New(t)
--- a/core/quarantine/save.go
+++ b/core/quarantine/save.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"tarragonwalk/core/fault"
 )
 
-// partKind is the kind of the objects that hold one quarantined part each.
+// partKind is the kind of the objects that hold one quarantined part, or one combination, each.
 const partKind = "quarantined-parts"
 
+// maxNameBytes bounds the names of objects, and with them the size of a combination that is kept.
+const maxNameBytes = 200
+
 type objects interface {
 	// Create fails with code conflict if the object exists.
 	Create(ctx context.Context, kind, name string, value any) (revision int64, err error)
@@ -23,6 +28,16 @@
 type record struct {
 	Since time.Time
 	Until time.Time
+	// Crashes are the evidence on a combination of parts, none for a single part.
+	Crashes []evidence
+}
+
+// evidence is a possible crash in the store.
+type evidence struct {
+	Server    string
+	StartedAt int
+	At        time.Time
+	Parts     []string
 }
 
 // Save writes quarantined parts to the store: those that crashed servers of this instance's requests, or all. A failure leaves the
@@ -42,9 +57,12 @@
 			return err
 		}
 		q.lock.Lock()
-		if e := q.quarantined[part]; e != nil {
+		switch e := q.quarantined[part]; {
+		case len(r.Crashes) > 0:
+			q.savedUntil[part] = r.Until
+		case e != nil:
 			e.saved = true
-		} else {
+		default:
 			q.obsolete[part] = true
 		}
 		q.lock.Unlock()
@@ -68,6 +86,12 @@
 
 			return
 		}
+		if len(r.Crashes) > 0 {
+			q.savedUntil[part] = r.Until
+			q.restoreCrashes(r.Crashes, at)
+
+			return
+		}
 		until := r.Until
 		if latest := at.Add(quarantineLife); until.After(latest) {
 			until = latest
@@ -78,6 +102,21 @@
 	})
 }
 
+// restoreCrashes adds the evidence on a combination of parts that an earlier process had. The caller holds the lock.
+func (q *Quarantine) restoreCrashes(crashes []evidence, at time.Time) {
+	for _, c := range crashes[:min(len(crashes), maxCrashes)] {
+		if at.Sub(c.At).Abs() >= evidenceLife {
+			continue
+		}
+		of := incarnation{
+			server:    c.Server,
+			startedAt: c.StartedAt,
+		}
+		q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], c.At)
+	}
+	q.judge(at)
+}
+
 func (q *Quarantine) obsoleteParts() map[string]bool {
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -101,6 +140,39 @@
 			}
 		}
 	}
+	for part, with := range q.combined {
+		name := strings.Join(with, ".")
+		_, saved := q.savedUntil[name]
+		if !saved && part == with[0] && len(name) <= maxNameBytes && (all || q.ownCrash(with)) {
+			list[name] = q.combination(part, with)
+		}
+	}
 
 	return list
 }
+
+// combination returns the record of parts that are quarantined in combination, with all their evidence. The caller holds the lock.
+func (q *Quarantine) combination(part string, with []string) record {
+	at := q.now()
+	r := record{
+		Since: at.UTC(),
+		Until: at.Add(evidenceLife).UTC(),
+	}
+	for _, c := range q.crashes {
+		if !c.refuted() && c.parts[part] {
+			r.Crashes = append(r.Crashes, evidence{
+				Server:    c.incarnation.server,
+				StartedAt: c.incarnation.startedAt,
+				At:        c.at.UTC(),
+				Parts:     with,
+			})
+		}
+	}
+
+	return r
+}
+
+// ownCrash reports whether this instance has seen a crash under all of some parts. The caller holds the lock.
+func (q *Quarantine) ownCrash(parts []string) bool {
+	return slices.ContainsFunc(q.crashes, func(c *crash) bool { return containsAll(c.own, parts) })
+}
