Take a backend server out at once when it says that it leaves

A backend server that leaves says so in all its answers. No code read that, so an instance went on sending requests to it for as long as its entry said ready, which is for ever while the store is away.

io/backendhttp now reports the announcement to the roster when the head of an answer has come: of a success, a failure, a refusal, a stream or a batch item. It does so in the client and not by a field of the response, since a refusal becomes an error and has no response, and since this is the one place that all answers pass. The roster remembers the departure by ID and start time, apart from the entry, so that no list, lapse, change of address or success brings that incarnation back; a new one is used. Requests whose servers all leave are refused at once by the path that exists: not run, 503, Retry-After.

Heartbeats tell the others. Only the instance that had the answer announces it, and only while the server is listed, so that the heartbeats of a large fleet do not all change; gateways relay the change at once. One that restarts learns from those, or from its first answer.

What sends to a backend server on the users' platform: requests and further attempts (core/forward) and batch items (core/jobrun), both placed by the roster's usable servers. There are no health checks, no warm connections, no orders and no cancellations other than closing a connection. net/http may repeat a request without a body on a new connection to the same server if a kept one had been closed; that is within the same attempt.

Ruled out: to apply the announcement to a newer incarnation with the same ID if that had started before the answer came, since clocks differ and a restart after a release would be taken for a departure. So an announcement by an incarnation that was not listed yet at the time of the request, as after a restart while the store is away, counts for the listed one only.

--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -183,5 +183,5 @@
 func relevantChange(before, now *gossip.Heartbeat) bool {
 	return before.Sender != now.Sender || before.RouteVersion != now.RouteVersion || before.ServerDigest != now.ServerDigest ||
 		before.StoreLost != now.StoreLost || !slices.Equal(before.Held, now.Held) || !slices.Equal(before.Ended, now.Ended) ||
-		!slices.Equal(before.Released, now.Released)
+		!slices.Equal(before.Released, now.Released) || !slices.Equal(before.Departures, now.Departures)
 }
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -44,6 +44,36 @@
 	return nil
 }
 
+// Departure says that one incarnation of a backend server is about to stop.
+type Departure struct {
+	// Server is the backend server's ID.
+	Server string `json:"Server"`
+
+	// StartedAt is its start time in Unix milliseconds.
+	StartedAt int `json:"StartedAt,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Departure) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Server"]; raw != nil && !ok {
+		return fmt.Errorf("field Server in Departure: required")
+	}
+	type Plain Departure
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["StartedAt"]; !ok || v == nil {
+		plain.StartedAt = 0
+	}
+	*j = Departure(plain)
+	return nil
+}
+
 // Heartbeat is the heartbeat of an instance; it contains the instance's whole
 // state, so that the loss of one does no harm.
 type Heartbeat struct {
@@ -58,6 +88,10 @@
 	// flight.
 	Counts []Count `json:"Counts,omitempty,omitzero"`
 
+	// Departures are the listed backend servers that have announced in a response to
+	// the sender that they stop.
+	Departures []Departure `json:"Departures,omitempty,omitzero"`
+
 	// Ended lists jobs whose end the sender learned of in the last seconds, from the
 	// caller or the store.
 	Ended []string `json:"Ended,omitempty,omitzero"`
--- a/core/headernames/names.go
+++ b/core/headernames/names.go
@@ -12,6 +12,8 @@
 	NotRun string
 	// ServerID carries the ID of the backend server that sent the response.
 	ServerID string
+	// ServerLeaving marks a response of a backend server that is about to stop.
+	ServerLeaving string
 	// Wait carries the milliseconds that a reader of results will wait for the next result.
 	Wait string
 }
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -72,6 +72,8 @@
 type roster interface {
 	Server(id string) (s backend.Server, ok bool)
 	Version() (revision int64, digest uint64)
+	Departures() []gossip.Departure
+	ObserveDepartures(list []gossip.Departure, peer string)
 }
 
 type routes interface {
@@ -178,6 +180,7 @@
 		b.RouteVersion = table.Version
 	}
 	revision, digest := e.roster.Version()
+	b.Departures = e.roster.Departures()
 	b.ServerRevision = int(revision)
 	b.ServerDigest = int(digest) //nolint:gosec // only compared
 	b.StoreLost = e.storeLost()
@@ -290,6 +293,7 @@
 		return false
 	}
 	e.cluster.Introduce(b.Addresses, at)
+	e.roster.ObserveDepartures(b.Departures, b.Sender.Name)
 	for _, id := range b.Ended {
 		e.jobs.ObserveEnd(id)
 	}
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -38,6 +38,33 @@
 	loads     *load.Table
 	exchanger *heartbeat.Exchanger
 	stop      context.CancelFunc
+	// lock guards the fields below: the departures that the instance announces, and those that it has heard of.
+	lock       sync.Mutex
+	departures []gossip.Departure
+	heard      map[gossip.Departure]bool
+}
+
+func (i *instance) Departures() []gossip.Departure {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+
+	return i.departures
+}
+
+func (i *instance) ObserveDepartures(list []gossip.Departure, _ string) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	for _, d := range list {
+		i.heard[d] = true
+	}
+}
+
+// hears reports whether the instance has heard of a departure.
+func (i *instance) hears(d gossip.Departure) bool {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+
+	return i.heard[d]
 }
 
 func (i *instance) Send(b *gossip.Heartbeat, to []netip.AddrPort) {
@@ -84,7 +111,7 @@
 		}
 	}
 	self := gossip.Member{Name: name, Incarnation: incarnation, Zone: zone, Region: "r", Peer: address, Ready: true}
-	i := &instance{network: n, cluster: cluster.New(self, time.Now(), slog.New(slog.DiscardHandler)), loads: load.New()}
+	i := &instance{network: n, cluster: cluster.New(self, time.Now(), slog.New(slog.DiscardHandler)), loads: load.New(), heard: map[gossip.Departure]bool{}}
 	i.exchanger = heartbeat.New(i.cluster, i.loads, i, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
 	n.lock.Lock()
 	n.nodes[address] = i
@@ -229,6 +256,38 @@
 	})
 }
 
+// Guards against instances that each learn by a request of their own that a backend server leaves: those of a small fleet, of the zone
+// and of other zones of a large one, and one that starts later.
+func TestDeparturesReachAllInstances(t *testing.T) {
+	for _, c := range []struct{ count, zones int }{{6, 2}, {36, 6}, {40, 2}} {
+		t.Run(fmt.Sprint(c.count, " in ", c.zones), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				var list []*instance
+				for k := range c.count {
+					list = append(list, n.start(fmt.Sprintf("e%02d", k), fmt.Sprint("z", k%c.zones), "1"))
+				}
+				defer func() { stopAll(list) }()
+				time.Sleep(3 * time.Second)
+				d := gossip.Departure{Server: "w", StartedAt: 7}
+				list[1].lock.Lock()
+				list[1].departures = []gossip.Departure{d}
+				list[1].lock.Unlock()
+				time.Sleep(600 * time.Millisecond)
+				for k, i := range list {
+					is.Equal(i.hears(d), k != 1)
+				}
+				time.Sleep(5 * time.Second)
+				late := n.start("late", "z1", "1")
+				list = append(list, late)
+				time.Sleep(3 * time.Second)
+				is.True(late.hears(d))
+			})
+		})
+	}
+}
+
 // Guards against taking over jobs of live instances because the gateways of their zone all fail at once, or because a gateway is
 // cut off from other zones but not from its own.
 func TestLossOfGateways(t *testing.T) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -34,6 +34,8 @@
 	missingUntil time.Time
 	// replaced is set when another server has answered at the address.
 	replaced bool
+	// departed is set when this incarnation of the server has announced that it stops.
+	departed bool
 }
 
 // Roster holds the listed backend servers and their recent failures; it is safe for concurrent use.
@@ -44,6 +46,8 @@
 	entries  map[string]*entry
 	revision int64
 	digest   uint64
+	// departures are the known departures, the oldest first. They outlive the entries, since a server may be listed again.
+	departures []departure
 }
 
 // New returns an empty roster.
@@ -85,11 +89,15 @@
 func (r *Roster) add(s backend.Server, revision int64) {
 	e := r.entries[s.ID]
 	if e == nil || e.server.StartedAt != s.StartedAt || e.server.Address != s.Address {
+		departed := slices.ContainsFunc(r.departures, func(d departure) bool {
+			return d.incarnation.id == s.ID && d.incarnation.startedAt == s.StartedAt
+		})
 		r.entries[s.ID] = &entry{
-			server: s,
+			server:   s,
+			departed: departed,
 		}
 		r.log.Info("backend server added", "server", s.ID, "service", s.Service, "address", s.Address.String(),
-			"draining", s.Draining, "revision", revision)
+			"draining", s.Draining, "leaving", departed, "revision", revision)
 
 		return
 	}
@@ -112,7 +120,7 @@
 
 			continue
 		}
-		if e.server.Service == service && !e.server.Draining && !e.replaced && !at.Before(e.suspectedUntil) {
+		if e.server.Service == service && !e.server.Draining && !e.replaced && !e.departed && !at.Before(e.suspectedUntil) {
 			list = append(list, e.server)
 		}
 	}
--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,18 +35,28 @@
 	lastEventID = "Last-Event-Id"
 )
 
+// observer is told of backend servers that announce in a response that they stop.
+type observer interface {
+	// RecordDeparture is called with the server that sent the response to a request.
+	RecordDeparture(s backend.Server, request string)
+	// RecordDepartureAt is called if another server has the address of the one that was meant.
+	RecordDepartureAt(address netip.AddrPort, holder, request string)
+}
+
 // Client sends requests over pooled connections; its methods may be called concurrently.
 type Client struct {
 	names     headernames.Names
 	transport *http.Transport
+	observer  observer
 	now       func() time.Time
 }
 
-// New returns a client that uses the header names of a platform.
-func New(names headernames.Names, now func() time.Time) *Client {
+// New returns a client that uses the header names of a platform and tells an observer which backend servers leave.
+func New(names headernames.Names, o observer, now func() time.Time) *Client {
 	return &Client{
-		names: names,
-		now:   now,
+		names:    names,
+		observer: o,
+		now:      now,
 		transport: &http.Transport{
 			DialContext:           tcp.NewDialer(dialTimeout).DialContext,
 			DisableCompression:    true,
@@ -75,6 +87,7 @@
 
 		return nil, fault.Wrap(err, fault.CodeOutcomeUnknown, "the backend server did not answer")
 	}
+	c.observeDeparture(r, s, q)
 	if err := c.check(r, q); err != nil {
 		r.Body.Close()
 
@@ -137,8 +150,8 @@
 }
 
 func (c *Client) check(r *http.Response, q *call.Call) error {
-	if id := r.Header.Get(c.names.RequestID); id != "" && id != q.ID {
-		return fault.New(fault.CodeOutcomeUnknown, "the response belongs to request "+id)
+	if c.foreign(r, q) {
+		return fault.New(fault.CodeOutcomeUnknown, "the response belongs to request "+r.Header.Get(c.names.RequestID))
 	}
 	switch {
 	case r.StatusCode == http.StatusMisdirectedRequest:
@@ -150,6 +163,29 @@
 	return nil
 }
 
+// observeDeparture reports a response that announces the departure of its sender. All responses count, whatever their status, as soon
+// as their head has come. An announcement counts if the header is there and has no other value than 1; it is ignored in a response
+// that belongs to another request, and in trailers.
+func (c *Client) observeDeparture(r *http.Response, s backend.Server, q *call.Call) {
+	values := r.Header.Values(c.names.ServerLeaving)
+	if len(values) == 0 || slices.ContainsFunc(values, func(v string) bool { return strings.TrimSpace(v) != "1" }) || c.foreign(r, q) {
+		return
+	}
+	if r.StatusCode == http.StatusMisdirectedRequest {
+		c.observer.RecordDepartureAt(s.Address, s.ID, q.ID)
+
+		return
+	}
+	c.observer.RecordDeparture(s, q.ID)
+}
+
+// foreign reports whether a response belongs to another request.
+func (c *Client) foreign(r *http.Response, q *call.Call) bool {
+	id := r.Header.Get(c.names.RequestID)
+
+	return id != "" && id != q.ID
+}
+
 // stripHopByHop removes the headers that concern one connection only.
 func stripHopByHop(h http.Header) {
 	for _, value := range h.Values("Connection") {
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,7 +24,25 @@
 	"tarragonwalk/core/headernames"
 )
 
-var names = headernames.Names{RequestID: "X-Id", DeadlineMillis: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run"}
+var names = headernames.Names{RequestID: "X-Id", DeadlineMillis: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", ServerLeaving: "X-Leaving"}
+
+// departures records what a client reports.
+type departures struct {
+	lock sync.Mutex
+	list []string
+}
+
+func (d *departures) RecordDeparture(s backend.Server, request string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.list = append(d.list, fmt.Sprint(s.ID, "/", s.StartedAt, " ", request))
+}
+
+func (d *departures) RecordDepartureAt(address netip.AddrPort, holder, request string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.list = append(d.list, fmt.Sprint("not ", holder, " ", request))
+}
 
 func newCall() *call.Call {
 	return &call.Call{ID: "r1", Method: http.MethodPost, Target: "/a%2Fb/c?x=1&y", Host: "h.example", Header: http.Header{"X-Other": {"1"}}, Body: []byte("body")}
@@ -40,7 +59,7 @@
 			" ", r.Header.Get("X-Other"), " ", left > 0 && left <= 2000, " ", r.Header.Get("Last-Event-Id"), " ", r.Header["User-Agent"])
 	}))
 	defer server.Close()
-	c := New(names, time.Now)
+	c := New(names, &departures{}, time.Now)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	resp, err := c.Send(ctx, backend.Server{ID: "s1", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}, newCall(), 7)
@@ -84,7 +103,7 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = conn.Write([]byte(c.response))
 			}()
-			resp, err := New(names, time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
+			resp, err := New(names, &departures{}, time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
 			is.Equal(fault.CodeOf(err), c.code)
 			if resp != nil {
 				resp.Body.Close()
@@ -99,7 +118,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	l.Close()
-	_, err = New(names, time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
+	_, err = New(names, &departures{}, time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
 	is.Equal(fault.CodeOf(err), fault.CodeBackendUnreachable)
 	is.True(fault.NotRun(err))
 }
@@ -181,7 +200,7 @@
 					}
 				}
 			})
-			client := New(names, time.Now)
+			client := New(names, &departures{}, time.Now)
 			defer client.Close()
 			send := func(id string) (string, error) {
 				resp, err := client.Send(t.Context(), s, &call.Call{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}, 0)
@@ -242,7 +261,7 @@
 					sent.Add(int64(n))
 				}
 			})
-			client := New(names, time.Now)
+			client := New(names, &departures{}, time.Now)
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
@@ -260,3 +279,61 @@
 		})
 	}
 }
+
+// Guards against a backend server that announces that it stops and is not taken at its word, whatever else its response says, and
+// against one that is taken out of use by bytes that are no announcement of its own.
+func TestAnnouncedDeparture(t *testing.T) {
+	const announced = "w/7 r1"
+	for _, c := range []struct {
+		name, response string
+		want           []string
+	}{
+		{"success", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok", []string{announced}},
+		{"failure", "HTTP/1.1 500 Oops\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"refused", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"too many", "HTTP/1.1 429 Slow\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"another server", "HTTP/1.1 421 Misdirected\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{"not w r1"}},
+		{"head of a stream", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n", []string{announced}},
+		{"named as a header of the connection", "HTTP/1.1 200 OK\r\nConnection: close, X-Leaving\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"twice", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"twice with other values", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nX-Leaving: 0\r\nContent-Length: 0\r\n\r\n", nil},
+		{"other value", "HTTP/1.1 200 OK\r\nX-Leaving: true\r\nContent-Length: 0\r\n\r\n", nil},
+		{"empty", "HTTP/1.1 200 OK\r\nX-Leaving:\r\nContent-Length: 0\r\n\r\n", nil},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Leaving\r\n\r\n0\r\nX-Leaving: 1\r\n\r\n", nil},
+		{"informational", "HTTP/1.1 102 Wait\r\nX-Leaving: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", nil},
+		{"another request's response", "HTTP/1.1 200 OK\r\nX-Id: r2\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", nil},
+		{"in no request's response", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, c.response)
+				_, _ = reader.ReadByte() // until the client closes
+			})
+			s.StartedAt = 7
+			d := &departures{}
+			client := New(names, d, time.Now)
+			resp, err := client.Send(t.Context(), s, newCall(), 0)
+			d.lock.Lock()
+			is.Equal(d.list, c.want) // known with the head, before the body has ended
+			d.lock.Unlock()
+			if err == nil {
+				if c.name != "head of a stream" {
+					_, _ = io.Copy(io.Discard, resp.Body)
+				}
+				is.True(c.want == nil || c.name == "named as a header of the connection" || resp.Header.Get("X-Leaving") == "1") // it is passed on
+				resp.Body.Close()
+			}
+			time.Sleep(10 * time.Millisecond)
+			client.Close()
+			d.lock.Lock()
+			defer d.lock.Unlock()
+			is.Equal(d.list, c.want)
+		})
+	}
+}
