--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -191,7 +191,8 @@
 		before.StoreLost != now.StoreLost || !slices.Equal(before.Held, now.Held) || !slices.Equal(before.Ended, now.Ended) ||
 		!slices.Equal(before.Released, now.Released) || !slices.EqualFunc(before.Crashes, now.Crashes, sameCrash) ||
 		!slices.EqualFunc(before.SoundParts, now.SoundParts, func(a, b gossip.SoundPart) bool { return a.Part == b.Part }) ||
-		!slices.EqualFunc(before.QuarantinedParts, now.QuarantinedParts, func(a, b gossip.QuarantinedPart) bool { return a.Part == b.Part })
+		!slices.EqualFunc(before.QuarantinedParts, now.QuarantinedParts, func(a, b gossip.QuarantinedPart) bool { return a.Part == b.Part }) ||
+		!slices.Equal(before.Departures, now.Departures)
 }
 
 // sameCrash compares without ages, which differ in each heartbeat.
--- a/core/headernames/names.go
+++ b/core/headernames/names.go
@@ -14,6 +14,8 @@
 	ServerID string
 	// PromptParts carries the IDs and lengths of the parts of the request's prompt.
 	PromptParts string
+	// ServerLeaving marks a response of a backend server that is about to stop.
+	ServerLeaving string
 	// Wait carries the milliseconds that a reader of results will wait for the next result.
 	Wait string
 }
