Send nothing more on a connection after a refusal

What operators of similar systems saw: a faulty worker wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that a worker ran. It could happen here in two ways. The ID in the response tells the requests apart, but the same request may go to the same worker again, over the same connection: a batch item after a refusal, or an online request whose servers share an address because another writer copied an entry. The copy then has the right ID. And after a copy without a body, which belongs to no request and was recognized as such, the connection stayed in the pool, so that each further request on it got the response of the one before: one unknown outcome after another, until the connection was idle for four seconds.

A connection is now spent after a refusal and after a response to another request, and is not used again after a failure of the server either, which a batch item counts. The transport has put it back into its pool by then if the response has no body, and may have given it to another request; so it is closed by whoever used it last: at once, or by the next attempt that gets it from the pool, which then takes another one.

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -46,7 +45,7 @@
 		names: names,
 		now:   now,
 		transport: &http.Transport{
-			DialContext:           tcp.NewDialer(dialTimeout).DialContext,
+			DialContext:           dial(tcp.NewDialer(dialTimeout).DialContext),
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   maxIdle,
 			IdleConnTimeout:       idleTimeout,
@@ -63,23 +62,19 @@
 // backend_unreachable (nothing was sent), overloaded (the server did not run it), backend_leaving (another server has the
 // address and did not run it), or outcome_unknown.
 func (c *Client) Send(ctx context.Context, s backend.Server, q *call.Call, after int64) (*response.Response, error) {
-	sent := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent = true },
-	})
-	r, err := c.transport.RoundTrip(c.request(ctx, s, q, after))
+	r, a, err := c.roundTrip(ctx, s, q, after)
 	if err != nil {
-		if !sent {
-			return nil, fault.Wrap(err, fault.CodeBackendUnreachable, "cannot connect to the backend server")
-		}
-
-		return nil, fault.Wrap(err, fault.CodeOutcomeUnknown, "the backend server did not answer")
+		return nil, a.failure(err)
 	}
 	if err := c.check(r, q); err != nil {
+		a.connection.spend(a)
 		r.Body.Close()
 
 		return nil, err
 	}
+	if r.StatusCode >= http.StatusInternalServerError {
+		a.connection.retire()
+	}
 	stripHopByHop(r.Header)
 
 	return &response.Response{
@@ -90,6 +85,21 @@
 	}, nil
 }
 
+// roundTrip makes attempts until one has got a connection that is not spent.
+func (c *Client) roundTrip(ctx context.Context, s backend.Server, q *call.Call, after int64) (*http.Response, *attempt, error) {
+	for {
+		a := newAttempt()
+		r, err := c.transport.RoundTrip(c.request(a.trace(ctx), s, q, after))
+		close(a.done)
+		if !a.unsent {
+			return r, a, err
+		}
+		if err == nil {
+			r.Body.Close()
+		}
+	}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -5,17 +5,20 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
@@ -260,3 +263,150 @@
 		})
 	}
 }
+
+// refusal is a response that says that the request with an ID has not run.
+func refusal(status, id, body string) string {
+	text := "HTTP/1.1 " + status + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	if !strings.HasPrefix(status, "421") {
+		text += names.NotRun + ": 1\r\n"
+	}
+	if id != "" {
+		text += names.RequestID + ": " + id + "\r\n"
+	}
+
+	return text + "\r\n" + body
+}
+
+func readRequest(reader *bufio.Reader) (id string, err error) {
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+
+	return r.Header.Get(names.RequestID), err
+}
+
+// Guards against an earlier refusal, written once more on a kept connection, that is taken for the answer to the same request sent
+// again, which the server runs: its caller would be told that it has not run, or it would run at a second server.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, status := range []string{"503 Full", "429 Full", "421 Misdirected"} {
+		for _, body := range []string{"", "full"} {
+			t.Run(status+" "+body, func(t *testing.T) {
+				is := is.New(t)
+				var received, ran atomic.Int64
+				s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+					refused := false
+					for {
+						id, err := readRequest(reader)
+						if err != nil {
+							return
+						}
+						if received.Add(1) == 1 {
+							refused = true
+							_, _ = io.WriteString(conn, refusal(status, id, body))
+
+							continue
+						}
+						ran.Add(1)
+						if refused {
+							_, _ = io.WriteString(conn, refusal(status, id, body))
+							time.Sleep(20 * time.Millisecond)
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+names.RequestID+": "+id+"\r\nContent-Length: 2\r\n\r\nok")
+					}
+				})
+				client := New(names, time.Now)
+				defer client.Close()
+				_, err := client.Send(t.Context(), s, newCall(), 0)
+				is.True(fault.NotRun(err))
+				resp, err := client.Send(t.Context(), s, newCall(), 0)
+				is.Equal(ran.Load(), int64(1))
+				is.True(!fault.NotRun(err)) // it was running
+				is.NoErr(err)
+				resp.Body.Close()
+			})
+		}
+	}
+}
+
+// Guards against a late copy of a response without a body, after which each request on the connection would get the response of the
+// one before.
+func TestLateRefusalEndsConnection(t *testing.T) {
+	is := is.New(t)
+	s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			if id == "1" {
+				_, _ = io.WriteString(conn, refusal("503 Full", "0", ""))
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 OK\r\n"+names.RequestID+": "+id+"\r\n\r\n")
+		}
+	})
+	client := New(names, time.Now)
+	defer client.Close()
+	for n := range 5 {
+		q := newCall()
+		q.ID = strconv.Itoa(n)
+		resp, err := client.Send(t.Context(), s, q, 0)
+		if n == 1 {
+			is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown) // the refusal is not this request's
+
+			continue
+		}
+		is.NoErr(err)
+		resp.Body.Close()
+	}
+}
+
+// Guards against a connection that is closed after a refusal while another request has taken it from the pool already.
+func TestRefusalCutsNoOtherRequest(t *testing.T) {
+	const senders, requests = 16, 300
+	is := is.New(t)
+	var runs sync.Map
+	s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			if rand.IntN(3) == 0 {
+				_, _ = io.WriteString(conn, refusal("503 Full", id, ""))
+
+				continue
+			}
+			runs.Store(id, true)
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 OK\r\n"+names.RequestID+": "+id+"\r\n\r\n")
+		}
+	})
+	client := New(names, time.Now)
+	defer client.Close()
+	var wrong atomic.Int64
+	p := pool.New()
+	for k := range senders {
+		p.Go(func() {
+			for n := range requests {
+				q := newCall()
+				q.ID = fmt.Sprintf("%d-%d", k, n)
+				if n%2 == 0 {
+					q.Method, q.Body = http.MethodGet, nil
+				}
+				resp, err := client.Send(t.Context(), s, q, 0)
+				_, ran := runs.Load(q.ID)
+				if err == nil {
+					resp.Body.Close()
+				}
+				if ran != (err == nil) || err != nil && !fault.NotRun(err) {
+					wrong.Add(1)
+					t.Logf("request %s: ran %v, %v", q.ID, ran, err)
+				}
+			}
+		})
+	}
+	p.Wait()
+	is.Equal(wrong.Load(), int64(0))
+}
--- /dev/null
+++ b/io/backendhttp/connection.go
@@ -0,0 +1,113 @@
+package backendhttp
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+
+	"tarragonwalk/core/fault"
+)
+
+// connection is a pooled connection. It is spent after a refusal and after a response to another request: a faulty server may write
+// that response once more, and if it then came in place of the next one, a request that runs would count as refused.
+type connection struct {
+	net.Conn
+	// lock guards the fields below.
+	lock  sync.Mutex
+	spent bool
+	// user is the attempt that took the connection last.
+	user *attempt
+}
+
+func dial(
+	next func(ctx context.Context, network, address string) (net.Conn, error),
+) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := next(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+
+		return &connection{
+			Conn: c,
+		}, nil
+	}
+}
+
+// take reports whether an attempt may use the connection; it closes a spent one. The transport returns a connection to its pool
+// just before it delivers a response without a body, which closing the connection at that moment would lose.
+func (c *connection) take(a *attempt) bool {
+	c.lock.Lock()
+	spent, former := c.spent, c.user
+	if !spent {
+		c.user = a
+	}
+	c.lock.Unlock()
+	if !spent {
+		return true
+	}
+	if former != a {
+		<-former.done
+	}
+	c.Close()
+
+	return false
+}
+
+// spend lets no further attempt take the connection, and closes it unless another one has taken it already.
+func (c *connection) spend(a *attempt) {
+	c.lock.Lock()
+	c.spent = true
+	closes := c.user == a
+	c.lock.Unlock()
+	if closes {
+		c.Close()
+	}
+}
+
+// retire lets no further attempt take the connection, on which a body may still be read.
+func (c *connection) retire() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.spent = true
+}
+
+// attempt is one request on one connection.
+type attempt struct {
+	connection *connection
+	// done is closed when the transport has returned the response.
+	done chan struct{}
+	// unsent is set if the pool returned a spent connection, on which nothing was written.
+	unsent bool
+}
+
+func newAttempt() *attempt {
+	return &attempt{
+		done: make(chan struct{}),
+	}
+}
+
+// trace returns a context with which the transport reports the connection that it has got for the attempt.
+func (a *attempt) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// The transport writes the request after this call, and calls it again if it takes another connection.
+		GotConn: func(info httptrace.GotConnInfo) {
+			c, ok := info.Conn.(*connection)
+			if !ok {
+				return
+			}
+			a.connection = c
+			a.unsent = !c.take(a)
+		},
+	})
+}
+
+// failure returns the error of an attempt without a response.
+func (a *attempt) failure(err error) error {
+	if a.connection == nil {
+		return fault.Wrap(err, fault.CodeBackendUnreachable, "cannot connect to the backend server")
+	}
+
+	return fault.Wrap(err, fault.CodeOutcomeUnknown, "the backend server did not answer")
+}
