Let the server of TestSecondCopyOfAnswer send its copy once

In the case 'at the next request' the copy can also arrive behind the answer to request 2, and then request 3 gets it; the check allowed that for request 2 only (seen once in 100 runs).

The copies are now tied to requests 1 and 2, five requests follow instead of two, and at most one of them may have an unknown outcome, whichever the copy meets; all others must have their own answer, as before.

--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -160,7 +160,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
-				for n := 0; ; n++ {
+				for {
 					r, err := http.ReadRequest(reader)
 					if err != nil {
 						return
@@ -171,15 +171,15 @@
 					if id == "1" {
 						body = first
 					}
-					if n > 0 && c.after {
+					if id == "2" && c.after {
 						_, _ = io.WriteString(conn, answer("1", first))
 					}
 					text := answer(id, body)
-					if n == 0 && c.delay == 0 && !c.after {
+					if id == "1" && c.delay == 0 && !c.after {
 						text += text
 					}
 					_, _ = io.WriteString(conn, text)
-					if n == 0 && c.delay > 0 {
+					if id == "1" && c.delay > 0 {
 						time.AfterFunc(c.delay, func() { _, _ = io.WriteString(conn, text) })
 					}
 				}
@@ -200,14 +200,18 @@
 			is.NoErr(err)
 			is.Equal(body, first)
 			time.Sleep(c.next)
-			body, err = send("2")
-			is.True(err != nil || body == second)
-			if err != nil {
-				is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown) // it may have run
+			lost := 0
+			for n := 2; n <= 6; n++ {
+				body, err = send(strconv.Itoa(n))
+				if err != nil {
+					is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown) // it may have run
+					lost++
+
+					continue
+				}
+				is.Equal(body, second)
 			}
-			body, err = send("3")
-			is.NoErr(err) // the connection is not used again
-			is.Equal(body, second)
+			is.True(lost <= 1) // the connection is not used again
 		})
 	}
 }
