Pass on the events before one that is out of order

When a stream had a gap, the events of the same read that came before the gap were counted as passed on but were dropped. The next attempt went on after them, so the caller's stream had lost them and looked complete.

They are now written first. TestStreamGoesOnWithAnError failed before in its case 'gap at the first server': the first event was missing. Its other cases of this commit passed at once: a status other than 200, another content type, a refusal and ids that do not follow on or begin again never reach a caller whose stream has begun.

--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -30,6 +30,8 @@
 	// and then until then. slow is the pause before each event.
 	broken, hung, dripping bool
 	slow                   time.Duration
+	// stream sets the content type of an event stream, which a body that begins with an id has anyway.
+	stream bool
 }
 
 type fake struct {
@@ -51,7 +53,7 @@
 		return nil, r.err
 	}
 	h := http.Header{"Stamp": {s.ID}}
-	if strings.HasPrefix(r.body, "id:") {
+	if r.stream || strings.HasPrefix(r.body, "id:") {
 		h.Set("Content-Type", "text/event-stream")
 	}
 	body := io.Reader(strings.NewReader(r.body))
@@ -222,6 +224,38 @@
 	}
 }
 
+// Guards against the error of a second server, or a whole response of it, in the middle of the stream that the first one began, and
+// against a stream that ends there as if it were complete.
+func TestStreamGoesOnWithAnError(t *testing.T) {
+	stream := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40}
+	begun := reply{status: 200, body: whole[:20], broken: true}
+	for _, c := range []struct {
+		name          string
+		first, second reply
+		code          fault.Code
+		body          string
+	}{
+		{"status 500", begun, reply{status: 500, body: "id: 2\ndata: no\n\n"}, fault.CodeBackendFailed, whole[:15]},
+		{"status 206", begun, reply{status: 206, body: whole[15:]}, fault.CodeBackendFailed, whole[:15]},
+		{"refusal", begun, reply{err: refused}, fault.CodeOutcomeUnknown, whole[:15]},
+		{"no event stream", begun, reply{status: 200, body: "no\n\n"}, fault.CodeBackendFailed, whole[:15]},
+		{"text in the stream", begun, reply{status: 200, body: whole[15:30] + "no"}, fault.CodeOutcomeUnknown, whole[:30]},
+		{"ids that do not follow", begun, reply{status: 200, body: whole[30:]}, fault.CodeStreamLost, whole[:15]},
+		{"ids that begin again", begun, reply{status: 200, body: whole}, fault.CodeStreamLost, whole[:15]},
+		{"gap at the first server", reply{status: 200, body: whole[:15] + whole[30:]}, reply{status: 200, body: whole[15:]}, "", whole},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fake{replies: []reply{c.first, c.second, c.second}, free: true}
+			out := &recorder{}
+			err := New(f, f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out)
+			is.Equal(out.body.String(), c.body)
+			is.Equal(fault.CodeOf(err), c.code)
+			is.Equal(out.stamp, "a")
+		})
+	}
+}
+
 // Guards against servers that are suspected at the peak of a burst because requests queue there. On the days with the heaviest
 // load this moved the load to the other servers, with 200 suspicions in one second among 96 servers. A server that is silent
 // although it has free slots, or that cannot be reached, has to be suspected nevertheless.
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -257,15 +257,15 @@
 	}
 }
 
-// deliver passes on all complete events that have arrived in one write, and reports whether any of them contains data. Bytes
-// without data, such as comments or parts of an event, are no progress: a server could send them without end.
+// deliver passes on all complete events that have arrived in one write, also those before one that is wrong: the next attempt goes on
+// after them. It reports whether any of them contains data. Bytes without data, such as comments or parts of an event, are no progress: a
+// server could send them without end.
 func (rs *requestState) deliver(resp *response.Response) (progress bool, err error) {
 	var ready []byte
+	var failure error
 	for {
-		event, err := rs.splitter.Next()
-		if err != nil {
-			return false, err
-		}
+		var event []byte
+		event, failure = rs.splitter.Next()
 		if event == nil {
 			break
 		}
@@ -274,7 +274,7 @@
 		ready = append(ready, event...)
 	}
 	if len(ready) == 0 {
-		return false, nil
+		return false, failure
 	}
 	if !rs.began {
 		rs.begin()
@@ -287,7 +287,7 @@
 	}
 	rs.timing.deliver(rs.forwarder.now())
 
-	return progress, nil
+	return progress, failure
 }
 
 func (rs *requestState) begin() {
