End a stream at anything without an id behind an event with one

What operators of similar systems saw: a stream broke off, the next worker answered with an error, and callers found the error's text, at times its whole head, in the middle of their stream. It could happen here: an event without an id was passed on wherever it came. An error event of the second worker, or a response written behind the events of a stream that ends with its connection (its head ends with an empty line, as an event does), went to the caller. And after an event without an id a stream that broke off was begun again from the start at another worker, in the same response.

After an event with an id, only comments may come without one now; anything else ends the attempt as out of order, and the stream goes on at another worker or the caller's connection is cut. A stream that began without ids is not continued elsewhere.

Six cases of TestStreamGoesOnWithAnError failed before. Not told apart: a second worker that ends its stream at once, without an event, may have nothing left to send; that counts as complete, as before.

--- a/core/eventstream/splitter.go
+++ b/core/eventstream/splitter.go
@@ -15,6 +15,8 @@
 	buffer []byte
 	start  int
 	last   int64
+	// unnumbered is set after an event without an id that is more than a comment.
+	unnumbered bool
 }
 
 // New returns a splitter for a stream that continues after the event with id last, which is 0 for a new stream.
@@ -45,13 +47,19 @@
 	s.buffer = append(s.buffer, p...)
 }
 
+// Resumable reports whether another stream can continue this one, which no id tells after events without one.
+func (s *Splitter) Resumable() bool {
+	return s.last != 0 || !s.unnumbered
+}
+
 // Pending returns the number of bytes that Next has not returned yet.
 func (s *Splitter) Pending() int {
 	return len(s.buffer) - s.start
 }
 
 // Next returns the next whole event with its closing blank line, or nil if there is none. The slice is valid until the
-// next Feed. An event that is out of order or too long is an error with code stream_lost.
+// next Feed. An event that is out of order or too long is an error with code stream_lost, and so is one without an id after one
+// with an id: it is the error or the head of another response. Only comments need none.
 func (s *Splitter) Next() ([]byte, error) {
 	rest := s.buffer[s.start:]
 	end := blankLine(rest)
@@ -65,7 +73,14 @@
 	event := rest[:end]
 	s.start += end
 	id, ok := ID(event)
-	if !ok {
+	switch {
+	case !ok && comment(event):
+		return event, nil
+	case !ok && s.last != 0:
+		return nil, fault.New(fault.CodeStreamLost, "the backend server sent something without an id after event "+strconv.FormatInt(s.last, 10))
+	case !ok:
+		s.unnumbered = true
+
 		return event, nil
 	}
 	if s.last != 0 && id != s.last+1 || s.last == 0 && id > 1 {
@@ -77,6 +92,17 @@
 	return event, nil
 }
 
+// comment reports whether an event consists of comments and blank lines only.
+func comment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+
+	return true
+}
+
 // blankLine returns the position after the first blank line, -1 if there is none.
 func blankLine(b []byte) int {
 	lf := bytes.Index(b, []byte("\n\n"))
--- a/core/eventstream/splitter_test.go
+++ b/core/eventstream/splitter_test.go
@@ -68,6 +68,38 @@
 	}
 }
 
+// Guards against an error, or a whole second response, that passes for the next event of a stream.
+func TestEventWithoutID(t *testing.T) {
+	for _, c := range []struct {
+		name, stream string
+		last         int64
+		ok           bool
+		resumable    bool
+	}{
+		{"error", "event: error\ndata: no\n\n", 7, false, true},
+		{"head of a response", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", 7, false, true},
+		{"text", "no\n\n", 7, false, true},
+		{"unreadable id", "id: x\ndata: no\n\n", 7, false, true},
+		{"after an event", "id: 1\n\ndata: no\n\n", 0, false, true},
+		{"comment", ": wait\n\n:\r\n\r\n\n\nid: 8\n\n", 7, true, true},
+		{"comment first", ": wait\n\n", 0, true, true},
+		{"stream without ids", "data: a\n\ndata: b\n\n", 0, true, false},
+		{"ids after an event without one", "data: a\n\nid: 1\n\n", 0, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(c.last)
+			s.Feed([]byte(c.stream))
+			_, err := collect(s)
+			is.Equal(err == nil, c.ok)
+			is.Equal(s.Resumable(), c.resumable)
+			if err != nil {
+				is.Equal(fault.CodeOf(err), fault.CodeStreamLost)
+			}
+		})
+	}
+}
+
 // Guards against part of an event that is joined with the first event of the next attempt.
 func TestRestart(t *testing.T) {
 	is := is.New(t)
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -228,6 +228,7 @@
 // against a stream that ends there as if it were complete.
 func TestStreamGoesOnWithAnError(t *testing.T) {
 	stream := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40}
+	const head = "HTTP/1.1 503 Full\r\nContent-Type: text/plain\r\n\r\nfull"
 	begun := reply{status: 200, body: whole[:20], broken: true}
 	for _, c := range []struct {
 		name          string
@@ -239,10 +240,16 @@
 		{"status 206", begun, reply{status: 206, body: whole[15:]}, fault.CodeBackendFailed, whole[:15]},
 		{"refusal", begun, reply{err: refused}, fault.CodeOutcomeUnknown, whole[:15]},
 		{"no event stream", begun, reply{status: 200, body: "no\n\n"}, fault.CodeBackendFailed, whole[:15]},
+		{"error event", begun, reply{status: 200, body: "event: error\ndata: no\n\n", stream: true}, fault.CodeStreamLost, whole[:15]},
+		{"error event after an event", begun, reply{status: 200, body: whole[15:30] + "event: error\ndata: no\n\n"}, fault.CodeStreamLost, whole[:30]},
+		{"response in the stream", begun, reply{status: 200, body: whole[15:30] + head}, fault.CodeStreamLost, whole[:30]},
+		{"response as the stream", begun, reply{status: 200, body: head, stream: true}, fault.CodeStreamLost, whole[:15]},
 		{"text in the stream", begun, reply{status: 200, body: whole[15:30] + "no"}, fault.CodeOutcomeUnknown, whole[:30]},
 		{"ids that do not follow", begun, reply{status: 200, body: whole[30:]}, fault.CodeStreamLost, whole[:15]},
 		{"ids that begin again", begun, reply{status: 200, body: whole}, fault.CodeStreamLost, whole[:15]},
 		{"gap at the first server", reply{status: 200, body: whole[:15] + whole[30:]}, reply{status: 200, body: whole[15:]}, "", whole},
+		{"error event at the first server", reply{status: 200, body: whole[:15] + "event: error\ndata: no\n\n"}, reply{status: 200, body: whole[15:]}, "", whole},
+		{"begun without an id", reply{status: 200, body: "data: x\n\n", stream: true, broken: true}, reply{status: 200, body: whole}, fault.CodeOutcomeUnknown, "data: x\n\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -119,7 +119,7 @@
 	} else {
 		rs.ran++
 	}
-	allowed := ctx.Err() == nil && !errors.Is(err, errSink)
+	allowed := ctx.Err() == nil && !errors.Is(err, errSink) && (!rs.began || rs.splitter.Resumable())
 	if notRun {
 		allowed = allowed && rs.refused < maxRefusals
 	} else {
