Take an item's text only from numbered events of an event stream

An item whose server answered with an error under status 200 could end up with the error in its text: an error event without an id before the first event was kept, and the next attempt began from the start behind it. A resumed item whose second server answered with another content type and an empty body counted as completed with half of its text.

An event with data needs an id now, and a response whose content type is not that of an event stream ends the attempt; one without a content type is read as before. All tests of the package passed once with -race.

--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -6,6 +6,8 @@
 	"expvar"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"tarragonwalk/core/backend"
@@ -127,6 +129,10 @@
 	defer resp.Body.Close()
 	switch resp.Status {
 	case http.StatusOK:
+		if t := resp.Header.Get("Content-Type"); t != "" && !strings.HasPrefix(t, "text/event-stream") {
+			return fault.New(fault.CodeStreamLost, "the backend server answered an item with content type "+strconv.Quote(t))
+		}
+
 		return cancelCause(ctx, r.collect(it, resp.Body, silence))
 	case http.StatusUnprocessableEntity:
 		return errInvalid
@@ -178,6 +184,9 @@
 		if !ok {
 			continue
 		}
+		if !splitter.Resumable() {
+			return appended, fault.New(fault.CodeStreamLost, "the backend server sent an item's event without an id")
+		}
 		appended = true
 		r.lock.Lock()
 		if it.events {
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -464,3 +464,60 @@
 		is.True(time.Since(began) < 2*eventTimeout)
 	})
 }
+
+// answers is a sender that gives one answer after the other.
+type answers []*response.Response
+
+func (a *answers) Send(context.Context, backend.Server, *call.Call, int64) (*response.Response, error) {
+	next := (*a)[0]
+	*a = (*a)[1:]
+
+	return next, nil
+}
+
+// Guards against the error of a server, or a whole response of it, in the text of an item, and against an item that counts as completed
+// because of it.
+func TestItemTextHoldsNoError(t *testing.T) {
+	const events, plain = "text/event-stream", "text/plain; charset=utf-8"
+	const head = "HTTP/1.1 503 Full\r\nContent-Type: text/plain\r\n\r\ndata: no\n\n"
+	type answer struct {
+		status     int
+		kind, body string
+	}
+	begun := answer{200, events, "id: 1\ndata: a\n\nid: 2\nda"}
+	rest := answer{200, events, "id: 2\ndata: b\n\n"}
+	for _, c := range []struct {
+		name    string
+		answers []answer
+		// codes are those of the attempts.
+		codes []fault.Code
+		text  string
+	}{
+		{"resumed", []answer{begun, rest}, []fault.Code{fault.CodeStreamLost, ""}, "a\nb"},
+		{"status 500", []answer{begun, {500, events, "id: 2\ndata: no\n\n"}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeBackendFailed, ""}, "a\nb"},
+		{"status 206", []answer{begun, {206, events, "id: 2\ndata: no\n\n"}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeOverloaded, ""}, "a\nb"},
+		{"error event", []answer{begun, {200, events, "event: error\ndata: no\n\n"}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeStreamLost, ""}, "a\nb"},
+		{"error event first", []answer{{200, events, "event: error\ndata: no\n\n"}, begun, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeStreamLost, ""}, "a\nb"},
+		{"response in the stream", []answer{{200, events, "id: 1\ndata: a\n\n" + head}, rest}, []fault.Code{fault.CodeStreamLost, ""}, "a\nb"},
+		{"text", []answer{begun, {200, plain, "no\n\n"}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeStreamLost, ""}, "a\nb"},
+		{"nothing", []answer{begun, {200, plain, ""}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeStreamLost, ""}, "a\nb"},
+		{"ids that begin again", []answer{begun, {200, events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeStreamLost, ""}, "a\nb"},
+		{"ids that do not follow", []answer{begun, {200, events, "id: 3\ndata: c\n\n"}, rest}, []fault.Code{fault.CodeStreamLost, fault.CodeStreamLost, ""}, "a\nb"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r, stop := newFleet(1, 0).start("e1")
+			stop()
+			var list answers
+			for _, a := range c.answers {
+				list = append(list, &response.Response{Status: a.status, Header: http.Header{"Content-Type": {a.kind}}, Body: io.NopCloser(strings.NewReader(a.body))})
+			}
+			r.sender = &list
+			it := &item{}
+			for _, code := range c.codes {
+				is.Equal(fault.CodeOf(r.attempt(t.Context(), &job{}, it, backend.Server{})), code)
+			}
+			is.Equal(string(it.text), c.text)
+		})
+	}
+}
