Accept waiting connections before a stopping server closes its listener

What callers saw: three of 80 runs of TestStopCutsNoRequest (with a client that looks whether its connection is still open) ended with "connection reset by peer" for one request on a connection that its caller had just made, beside other work (load 29 on 8 cores). Cause: the kernel accepts connections for the process, and closing the listener resets those that the process has not accepted yet, with the requests that their callers have sent. On a busy machine the process gets to them late.

A stopping server now waits until that queue is empty before it closes the listener, at most as long as the stop may take. TestShutdownAnswersWaitingConnections holds Accept back until the time for new connections is over, without luck: its requests were reset before and are answered now (five runs; all tests of io/caller and io/drain passed once with -race).

Ruled out: a packet filter on the listener that drops new connections meanwhile, which would also close the moment between the last look and the close; the kernel here does not support it ("operation not supported"). A connection that is made in that moment is still reset. A listener for TLS hides its socket and is closed as before, and so is that of the operators.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -91,6 +91,7 @@
 	stop       context.CancelFunc
 	closing    atomic.Bool
 	drain      *drain.Tracker
+	listener   atomic.Pointer[net.Listener]
 }
 
 // New returns a server for an instance in a zone; grace is how long a stopping instance still accepts connections.
@@ -135,6 +136,8 @@
 
 // Serve answers requests on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	s.listener.Store(&l)
+
 	return eris.Wrap(s.app.Listener(&listener{Listener: l}), "serve callers")
 }
 
@@ -151,6 +154,11 @@
 	case <-ctx.Done():
 	}
 	s.drain.Wait(ctx)
+	if l := s.listener.Load(); l != nil {
+		if err := drain.WaitBacklog(ctx, *l); err != nil {
+			s.log.Warn("waiting connections may be reset", "error", err.Error())
+		}
+	}
 
 	return eris.Wrap(s.app.ShutdownWithContext(ctx), "stop serving callers")
 }
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -120,13 +120,19 @@
 
 func start(t *testing.T, run func(context.Context, func(inference.Event) error) error) (*Server, string) {
 	t.Helper()
-	f := &fake{run: run}
-	s := New(f, files{}, f, f, f, services{}, settings.LimitSettings{BodyBytes: 2048, FileBytes: 4096}, "z",
-		100*time.Millisecond, slog.New(slog.DiscardHandler), time.Now)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+
+	return startOn(t, l, run)
+}
+
+func startOn(t *testing.T, l net.Listener, run func(context.Context, func(inference.Event) error) error) (*Server, string) {
+	t.Helper()
+	f := &fake{run: run}
+	s := New(f, files{}, f, f, f, services{}, settings.LimitSettings{BodyBytes: 2048, FileBytes: 4096}, "z",
+		100*time.Millisecond, slog.New(slog.DiscardHandler), time.Now)
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(l) }()
 	t.Cleanup(func() {
@@ -286,6 +292,56 @@
 	is.NoErr(<-stopped)
 }
 
+// gated is a listener whose Accept waits until a gate opens, as that of a process that gets no processor time.
+type gated struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	<-g.gate
+
+	return g.TCPListener.Accept()
+}
+
+// Guards against a planned stop that resets connections which the kernel has accepted and the process has not, with the requests that
+// were sent on them.
+func TestShutdownAnswersWaitingConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	g := &gated{TCPListener: l.(*net.TCPListener), gate: make(chan struct{})}
+	s, address := startOn(t, g, tokens(3, time.Millisecond))
+	for s.listener.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	var waiting []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ka\r\n"+
+			"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(chatBody), chatBody)
+		is.NoErr(err)
+		waiting = append(waiting, c)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(600 * time.Millisecond) // the time in which the stopping server accepts connections is over
+	close(g.gate)
+	for _, c := range waiting {
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		defer a.Body.Close()
+		_, err = io.ReadAll(a.Body)
+		is.NoErr(err)
+		is.Equal(a.StatusCode, http.StatusOK)
+	}
+	is.NoErr(<-stopped)
+	_, err = net.DialTimeout("tcp", address, time.Second)
+	is.True(err != nil)
+}
+
 // Guards against a generation that continues after its caller has disconnected.
 func TestDisconnect(t *testing.T) {
 	is := is.New(t)
