Account for the slots, events and submissions of batch items by outcome

The report on too little batch work served could not be told apart by its metrics: ItemRuns counted a run that ended after the deadline as completed, and nothing said how long runs that were cut had used their slots, how much of that was before their first event, which items were given up and why, or how submissions ended and how long an acceptance took.

ItemSlotMillis, ItemStartMillis and ItemEvents add up the slot time, the part of it before the first event and the events by outcome of the run; a completed run is late if it ends after the job's deadline. ItemsGivenUp, JobSubmissions and JobAcceptMillis tell the rest. No decision reads them.

TestAccountByOutcome does not compile on the code before.

--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -46,18 +46,45 @@
 	errInvalid   = fault.New(fault.CodeInvalid, "the backend server rejected the item as invalid")
 )
 
-// runs counts the runs of batch items by outcome; itemAges are the ages of items at their completion.
+// runs, slotMillis, startMillis and events count, by outcome of the run, the runs of batch items, the time for which they used a
+// slot, the part of it before the first event, and the events that they received. givenUp counts the items that were listed
+// without a result, by cause, and itemAges are the ages of items at their completion.
 var (
-	runs     = expvar.NewMap("ItemRuns")
-	itemAges = histogram.New("ItemAgeMillis")
+	runs        = expvar.NewMap("ItemRuns")
+	slotMillis  = expvar.NewMap("ItemSlotMillis")
+	startMillis = expvar.NewMap("ItemStartMillis")
+	events      = expvar.NewMap("ItemEvents")
+	givenUp     = expvar.NewMap("ItemsGivenUp")
+	itemAges    = histogram.New("ItemAgeMillis")
 )
 
-func outcome(code fault.Code) string {
-	if code == "" {
-		return "completed"
+// Outcomes of completed runs; the others are the codes of their failures.
+const (
+	outcomeInTime = "completed"
+	outcomeLate   = "completed_late"
+)
+
+func outcome(code fault.Code, due, at time.Time) string {
+	switch {
+	case code != "":
+		return string(code)
+	case at.After(due):
+		return outcomeLate
+	default:
+		return outcomeInTime
 	}
+}
 
-	return string(code)
+// account counts a run that began after the event first and has ended with an outcome; it needs the runner's lock.
+func account(it *item, first int64, outcome string, at time.Time) {
+	runs.Add(outcome, 1)
+	slotMillis.Add(outcome, at.Sub(it.startedAt).Milliseconds())
+	events.Add(outcome, it.last-first)
+	firstAt := at
+	if !it.firstAt.IsZero() {
+		firstAt = it.firstAt
+	}
+	startMillis.Add(outcome, firstAt.Sub(it.startedAt).Milliseconds())
 }
 
 // runItem runs an item once on a server, resuming after its last event, and records the outcome.
@@ -77,7 +104,7 @@
 	}
 	it.state = waiting
 	code := fault.CodeOf(err)
-	runs.Add(outcome(code), 1)
+	account(it, first, outcome(code, j.due(rt), at), at)
 	switch {
 	case err == nil:
 		r.logger.Info("item completed", "job", j.ID, "item", it.ID, "server", s.ID, "run_ms", at.Sub(it.startedAt).Milliseconds(),
@@ -86,11 +113,13 @@
 		itemAges.Record(at.Sub(j.SubmittedAt))
 		j.finish(it, work.StateCompleted, at)
 	case errors.Is(err, errInvalid):
+		givenUp.Add("invalid", 1)
 		j.finish(it, work.StateDead, at)
 	case errors.Is(err, errFailed):
 		it.failures++
 		it.notBefore = at.Add(failedPause)
 		if it.failures >= max(1, rt.MaxAttempts) {
+			givenUp.Add("failed", 1)
 			j.finish(it, work.StateDead, at)
 		}
 	case errors.Is(err, errPreempted):
@@ -184,6 +213,9 @@
 			it.text = append(it.text, '\n')
 		}
 		it.text = append(it.text, data...)
+		if it.firstAt.IsZero() {
+			it.firstAt = r.now()
+		}
 		it.events = true
 		it.last = splitter.LastID()
 		r.lock.Unlock()
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -29,7 +29,9 @@
 	notBefore time.Time
 	server    string
 	startedAt time.Time
-	cancel    context.CancelCauseFunc
+	// firstAt is when the present run received its first event, zero before that.
+	firstAt time.Time
+	cancel  context.CancelCauseFunc
 }
 
 // job is the state of one job that this instance holds; the runner's lock guards it.
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -149,6 +149,7 @@
 		c.item.state = running
 		c.item.server = s.ID
 		c.item.startedAt = at
+		c.item.firstAt = time.Time{}
 		c.item.cancel = cancel
 		r.tasks.Go(func() {
 			defer release()
@@ -184,9 +185,11 @@
 			case it.state != waiting || at.Before(it.notBefore):
 			case rt == nil:
 				r.logger.Info("item given up", "job", j.ID, "item", it.ID, "cause", "the route was removed", "version", table.Version)
+				givenUp.Add("route_removed", 1)
 				j.finish(it, work.StateDead, at)
 			case rt.AbandonMillis > 0 && at.Sub(j.SubmittedAt) > time.Duration(rt.AbandonMillis)*time.Millisecond+maxClockSkew:
 				r.logger.Info("item given up", "job", j.ID, "item", it.ID, "cause", "too old", "submitted_at", j.SubmittedAt)
+				givenUp.Add("too_old", 1)
 				j.finish(it, work.StateDead, at)
 			default:
 				due := j.due(rt)
--- a/core/jobrun/step_test.go
+++ b/core/jobrun/step_test.go
@@ -1,11 +1,14 @@
 package jobrun
 
 import (
+	"expvar"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
 )
 
 // Guards against a backlog that makes every item a little late: with capacity for 8 of every 9 arriving items, most of those
@@ -54,3 +57,43 @@
 	e.observe(time.Second, 0, 200) // a run without events says nothing
 	is.Equal(e.remaining(0), 5*time.Second)
 }
+
+// Guards against an account of slots that misses runs that were cut, or counts items that were late as in time.
+func TestAccountByOutcome(t *testing.T) {
+	is := is.New(t)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	counted := func(key string) (millis, before, received int64) {
+		value := func(m *expvar.Map) int64 {
+			if v, ok := m.Get(key).(*expvar.Int); ok {
+				return v.Value()
+			}
+
+			return 0
+		}
+
+		return value(slotMillis), value(startMillis), value(events)
+	}
+	for _, c := range []struct {
+		code    fault.Code
+		due     time.Duration
+		firstAt time.Duration
+		outcome string
+		before  int64
+	}{
+		{"", 5 * time.Second, time.Second, "completed", 1000},
+		{"", time.Second, time.Second, "completed_late", 1000},
+		{fault.CodePreempted, time.Second, 0, string(fault.CodePreempted), 3000},
+	} {
+		millis, before, received := counted(c.outcome)
+		it := &item{startedAt: start, last: 40}
+		if c.firstAt > 0 {
+			it.firstAt = start.Add(c.firstAt)
+		}
+		at := start.Add(3 * time.Second)
+		account(it, 30, outcome(c.code, start.Add(c.due), at), at)
+		millisAfter, beforeAfter, receivedAfter := counted(c.outcome)
+		is.Equal(millisAfter-millis, int64(3000))
+		is.Equal(beforeAfter-before, c.before)
+		is.Equal(receivedAfter-received, int64(10))
+	}
+}
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -2,16 +2,37 @@
 
 import (
 	"context"
+	"expvar"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/histogram"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
 
+// submissions counts the submissions of jobs by outcome; acceptTimes are the times until they were accepted.
+var (
+	submissions = expvar.NewMap("JobSubmissions")
+	acceptTimes = histogram.New("JobAcceptMillis")
+)
+
 // Submit accepts a job. It fails with code overloaded if the job's tokens exceed the route's limit, with store_unavailable if
 // nothing was written, and with outcome_unknown if the job may have been accepted. It succeeds for a job that was accepted
 // before; it asks the store only if no instance has announced the job as its own.
 func (r *Runner) Submit(ctx context.Context, rt *route.Route, j work.Job, items []work.Item) error {
+	began := r.now()
+	err := r.submit(ctx, rt, j, items)
+	if err == nil {
+		submissions.Add("accepted", 1)
+		acceptTimes.Record(r.now().Sub(began))
+	} else {
+		submissions.Add(string(fault.CodeOf(err)), 1)
+	}
+
+	return err
+}
+
+func (r *Runner) submit(ctx context.Context, rt *route.Route, j work.Job, items []work.Item) error {
 	j.Holder = r.name
 	j.Incarnation = r.incarnation
 	j.Items = len(items)
