Log how long the acceptance of a job took

A job that is accepted after the time that its route allows earns its caller less, however soon its items are done; the line of the submission did not tell.

--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -57,9 +57,10 @@
 	r.countSubmission(j.ID, 1)
 	defer r.countSubmission(j.ID, -1)
 	n := newJob(j, items)
+	began := r.now()
 	revision, err := r.log.Accept(ctx, &n.Job, items, n.written)
 	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
-		"waiting_peers", peers, "parts", n.Parts, "error", errorText(err))
+		"waiting_peers", peers, "parts", n.Parts, "accept_ms", r.now().Sub(began).Milliseconds(), "error", errorText(err))
 	n.revision = revision
 	resolved := n.changed
 	switch fault.CodeOf(err) {
