Keep decompressors of messages between messages

Each decoding made a new zlib reader of some 40 KB and grew a buffer from nothing.

The readers and buffers are now kept in a pool. The decoder copies strings and byte strings, so that messages share no memory with the buffer; large buffers are not kept.

--- a/io/datagram/codec_bench_test.go
+++ b/io/datagram/codec_bench_test.go
@@ -53,3 +53,35 @@
 		_, _ = Decode(p)
 	}
 }
+
+// benchDigest is a digest of a zone with 42 instances that use 166 backend servers.
+func benchDigest() gossip.Heartbeat {
+	x := benchHeartbeat(1)
+	r := gossip.Report{Zone: x.Sender.Zone, AgeMillis: 3, Waiting: gossip.ReportWaiting{"route": 9000}}
+	for n := range 42 {
+		m := benchHeartbeat(n).Sender
+		r.Heard = append(r.Heard, gossip.MemberStatus{Name: m.Name, Incarnation: m.Incarnation, AgeMillis: n, Queued: n % 3})
+	}
+	for s := range 166 {
+		r.Counts = append(r.Counts, gossip.Count{Server: fmt.Sprintf("i-%010x", s*7919), Online: 4, Batch: s % 3})
+	}
+	x.Reports = []gossip.Report{r}
+
+	return x
+}
+
+func BenchmarkDecodeDigest(b *testing.B) {
+	x := benchDigest()
+	p, _ := codec.Encode(&x)
+	b.SetBytes(int64(len(p)))
+	for range b.N {
+		_, _ = Decode(p)
+	}
+}
+
+func BenchmarkEncodeDigest(b *testing.B) {
+	x := benchDigest()
+	for range b.N {
+		_, _ = codec.Encode(&x)
+	}
+}
--- a/io/messagecodec/codec.go
+++ b/io/messagecodec/codec.go
@@ -21,6 +21,8 @@
 	// maxElements is above the number of routes, backend servers, jobs and instances in a message of the largest fleet.
 	maxElements = 32768
 	maxNesting  = 8
+	// maxKeptBytes bounds the buffers that are kept for the next message.
+	maxKeptBytes = 256 << 10
 )
 
 // compressors holds zlib writers, which allocate several hundred KB each.
@@ -33,6 +35,47 @@
 	return w
 }}
 
+// decompressor reads compressed messages, one at a time, into a buffer that it keeps.
+type decompressor struct {
+	reader  io.ReadCloser
+	message bytes.Buffer
+}
+
+// decompressors holds decompressors, whose readers allocate some 40 KB each. An instance of a large fleet gets dozens of compressed
+// messages a second.
+var decompressors = sync.Pool{New: func() any {
+	return &decompressor{}
+}}
+
+// read returns the decompressed message, which is valid until the next call, cut off after limit bytes.
+func (d *decompressor) read(compressed []byte, limit int64) ([]byte, error) {
+	source := bytes.NewReader(compressed)
+	if resetter, ok := d.reader.(zlib.Resetter); ok {
+		if err := resetter.Reset(source, nil); err != nil {
+			return nil, err
+		}
+	} else {
+		r, err := zlib.NewReader(source)
+		if err != nil {
+			return nil, err
+		}
+		d.reader = r
+	}
+	d.message.Reset()
+	if _, err := d.message.ReadFrom(io.LimitReader(d.reader, limit)); err != nil {
+		return nil, err
+	}
+
+	return d.message.Bytes(), nil
+}
+
+// keep returns the decompressor to the pool unless its buffer has become large.
+func (d *decompressor) keep() {
+	if d.message.Cap() <= maxKeptBytes {
+		decompressors.Put(d)
+	}
+}
+
 // decoder limits the memory that an untrusted message can make an instance allocate.
 var decoder = newDecoder()
 
@@ -87,11 +130,11 @@
 // Decode reads a message into value, a pointer to a struct; a failure has code invalid.
 func (c *Codec) Decode(message []byte, value any) error {
 	if len(message) > 0 && message[0] == zlibHeader {
-		r, err := zlib.NewReader(bytes.NewReader(message))
-		if err != nil {
-			return fault.Wrap(err, fault.CodeInvalid, "cannot decompress message")
-		}
-		if message, err = io.ReadAll(io.LimitReader(r, c.maxBytes)); err != nil {
+		d := decompressors.Get().(*decompressor) //nolint:forcetypeassert // the pool holds only these
+		// The decoder copies all strings and byte strings, so the buffer may be used again.
+		defer d.keep()
+		var err error
+		if message, err = d.read(message, c.maxBytes); err != nil {
 			return fault.Wrap(err, fault.CodeInvalid, "cannot decompress message")
 		}
 	}
