--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -34,7 +34,9 @@
 	parts     []string
 	partsRead bool
 	held      bool
-	cancel    context.CancelCauseFunc
+	// firstAt is when the present run received its first event, zero before that.
+	firstAt time.Time
+	cancel  context.CancelCauseFunc
 }
 
 // job is the state of one job that this instance holds; the runner's lock guards it.
