--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -17,6 +17,9 @@
 	// selfSuspectAfter is the silence of another instance after which that instance may in turn count this one as gone. It is
 	// shorter than goneAfter, so that this instance expects it before the other one acts.
 	selfSuspectAfter = 2 * time.Second
+	// isolatedAfter is the silence of all other instances after which this one counts as isolated. It is shorter than goneAfter by more
+	// than the time that passes between signs of life of one instance, so that none counts as gone before.
+	isolatedAfter = 2 * time.Second
 	// singleSilenceLimit is how long a single silent instance is assumed to be alive and cut off from this one only.
 	singleSilenceLimit = 10 * time.Second
 	// storeWatchersPerZone is the number of instances per zone that watch the store. Each watcher costs one store call for each
@@ -120,6 +123,8 @@
 	// listeningSince is when this instance began to receive heartbeats, or resumed after a pause.
 	listeningSince time.Time
 	expiredAt      time.Time
+	// isolatedSince is when this instance noticed that it hears from no other one, zero while it does.
+	isolatedSince time.Time
 	// sendsDigests and lacksDigests are the results of the last call of ObserveDigests.
 	sendsDigests bool
 	lacksDigests bool
@@ -203,6 +208,7 @@
 	default:
 		c.recordReturn(p)
 	}
+	c.endIsolation(at)
 	if s.Leaving != p.heartbeat.Sender.Leaving {
 		c.log.Info("instance leaving", "peer", s.Name, "leaving", s.Leaving)
 	}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -19,10 +20,15 @@
 		c.selfSuspectedAt = at
 	}
 	c.expiredAt = at
+	isolated := c.isolated()
+	if isolated && c.isolatedSince.IsZero() {
+		c.isolatedSince = at
+		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers))
+	}
 	silent, recent := 0, false
 	for name, p := range c.peers {
 		silence := at.Sub(later(p.heardAt, c.listeningSince))
-		if silence > selfSuspectAfter && silence <= forgetAfter {
+		if silence > selfSuspectAfter && (silence <= forgetAfter || isolated) {
 			silent++
 			recent = recent || silence <= singleSilenceLimit
 		}
@@ -31,7 +37,8 @@
 			c.changes++
 			c.log.Warn("instance gone", "peer", name, "incarnation", p.heartbeat.Sender.Incarnation, "heard_at", p.heardAt)
 		}
-		if silence > forgetAfter {
+		// An isolated instance that forgot the others would count as the only one.
+		if silence > forgetAfter && !isolated {
 			delete(c.peers, name)
 		}
 	}
@@ -41,7 +48,8 @@
 		c.selfSuspectedAt = at
 	}
 	for a, t := range c.targets {
-		if at.After(t.forgetAt) {
+		// An isolated instance may be heard by the others, who would count it as gone if it became silent.
+		if at.After(t.forgetAt) && !isolated {
 			delete(c.targets, a)
 		}
 	}
@@ -57,17 +65,73 @@
 	return c.selfSuspectedAt.After(since)
 }
 
-// Isolated reports whether at least two other instances are known and all of them are gone, so this one is probably cut off.
+// Isolated reports whether at least two other instances are known and none of them was heard from lately, so this one is probably cut
+// off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone.
 func (c *Cluster) Isolated() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+
+	return c.isolated()
+}
+
+// isolated is Isolated for callers that hold the lock.
+func (c *Cluster) isolated() bool {
+	last, others := c.listeningSince, 0
 	for _, p := range c.peers {
-		if !p.gone {
-			return false
+		// An instance that was leaving is expected to become silent.
+		if !p.heartbeat.Sender.Leaving {
+			others++
 		}
+		last = later(last, p.heardAt)
+	}
+
+	return others > 1 && c.expiredAt.Sub(last) > isolatedAfter
+}
+
+// endIsolation is called when an instance is heard from. What is known of the others is as old as the isolation, so that they get the
+// same time to be heard as after a pause of this process. The caller holds the lock.
+func (c *Cluster) endIsolation(at time.Time) {
+	if c.isolatedSince.IsZero() {
+		return
+	}
+	c.log.Info("isolation ended", "since", c.isolatedSince, "others", len(c.peers))
+	c.isolatedSince = time.Time{}
+	c.listeningSince = later(c.listeningSince, at)
+	c.selfSuspectedAt = later(c.selfSuspectedAt, at)
+	for _, p := range c.peers {
+		p.gone = false
+		c.extendTarget(p.heartbeat.Sender.Peer, at)
+	}
+}
+
+// IsolatedSince returns since when this instance has been isolated, false if it is not.
+func (c *Cluster) IsolatedSince() (time.Time, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.isolatedSince, !c.isolatedSince.IsZero()
+}
+
+// ForgetPeers drops all other instances, once it is known by other means than heartbeats that none of them is alive.
+func (c *Cluster) ForgetPeers(at time.Time) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.peers = map[string]*peer{}
+	c.isolatedSince = time.Time{}
+	c.listeningSince = at
+	c.changes++
+}
+
+// PeerAddresses returns the addresses of all known other instances.
+func (c *Cluster) PeerAddresses() []netip.AddrPort {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	list := make([]netip.AddrPort, 0, len(c.peers))
+	for _, p := range c.peers {
+		list = append(list, p.heartbeat.Sender.Peer)
 	}
 
-	return len(c.peers) > 1
+	return list
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/jobread/reader_test.go
+++ b/core/jobread/reader_test.go
@@ -1,7 +1,9 @@
 package jobread
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -141,3 +143,73 @@
 	r.SetHolder("new", "e1", "1")
 	is.Equal(len(r.hints), 1)
 }
+
+// Guards against a read whose source, the job's holder or the store, cannot be found in the log.
+func TestSourceOfReadIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fleet  fleet
+		source string
+		listed float64
+	}{
+		{"holder", fleet{"e2": true}, "holder", 1},
+		{"store", fleet{}, "store", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			ask := peerFunc(func() (jobpage.Page, bool, error) { return jobpage.Page{Total: 2, Next: 1}, true, nil })
+			r := New(&store{}, c.fleet, ask, slog.New(slog.NewJSONHandler(&out, nil)), time.Now)
+			_, err := r.Read(t.Context(), "j", 1, time.Now())
+			is.NoErr(err)
+			line := map[string]any{}
+			is.NoErr(json.Unmarshal(out.Bytes(), &line))
+			is.Equal(line["msg"], "results read")
+			is.Equal(line["source"], c.source)
+			is.Equal(line["after"], 1.0)
+			is.Equal(line["listed"], c.listed)
+		})
+	}
+}
+
+// Guards against an instance that gives up the holder of a job, the only source of its results while the store is down, because the holder
+// cannot tell whether there are further ones.
+func TestHolderThatCannotTell(t *testing.T) {
+	is := is.New(t)
+	s := &store{down: true}
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	asked := 0
+	ask := peerFunc(func() (jobpage.Page, bool, error) {
+		asked++
+		if asked == 1 {
+			return jobpage.Page{}, true, fault.New(fault.CodeStoreUnavailable, "cannot tell")
+		}
+
+		return jobpage.Page{Total: 2, Results: []work.Result{{Item: "a"}}, Next: 1}, true, nil
+	})
+	r := New(s, fleet{"e1": true}, ask, slog.New(slog.DiscardHandler), func() time.Time { return at })
+	r.SetHolder("j", "e1", "1")
+	_, err := r.Read(t.Context(), "j", 1, at)
+	is.Equal(fault.CodeOf(err), fault.CodeStoreUnavailable)
+	page, err := r.Read(t.Context(), "j", 0, at)
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(s.calls, 0)
+}
+
+// Guards against an instance that has shown results from the store and then passes on the answer of a holder that does not know them yet.
+func TestHolderBehindTheStore(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	f := fleet{}
+	ask := peerFunc(func() (jobpage.Page, bool, error) { return jobpage.Page{Total: 2, Next: 1}, true, nil })
+	r := New(s, f, ask, slog.New(slog.DiscardHandler), time.Now)
+	page, err := r.Read(t.Context(), "j", 0, time.Now()) // the holder is not known to be alive
+	is.NoErr(err)
+	is.Equal(len(page.Results), 2)
+	f["e2"] = true
+	page, err = r.Read(t.Context(), "j", 1, time.Now())
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(page.Total, 2)
+}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -48,6 +48,9 @@
 	pendingSince time.Time
 	flushing     bool
 	retryAt      time.Time
+	// unacknowledged is the number of results in a write that the store has not acknowledged. It may have taken effect, so that other
+	// instances read results which this one does not know.
+	unacknowledged int
 	// written are the parts that are known to be in the store, and resolvePause is the next pause between repetitions of the
 	// submission; both are used until the outcome of the submission is known.
 	written      map[int]bool
@@ -58,6 +61,8 @@
 	// of the previous holder may still take effect.
 	verifiedAt      time.Time
 	lateWritesUntil time.Time
+	// unverifiableUntil is until when the store is not asked again after it has not answered.
+	unverifiableUntil time.Time
 	// previous is the incarnation of a holder that this instance is known to have replaced; until previousUntil, its announcements
 	// may be older than that. doubtedBy is the incarnation of another instance that announces the job as its own, until the
 	// store has confirmed one of them.
@@ -65,7 +70,9 @@
 	previousUntil time.Time
 	doubtedBy     string
 	ended         bool
-	released      bool
+	// releasing is set while this instance gives the job up: its record may already be without a holder, or name another one.
+	releasing bool
+	released  bool
 	// route is the job's route in table. It is cached since a table may have thousands of routes.
 	table *route.Table
 	route *route.Route
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -15,8 +15,9 @@
 	if err == nil && !held {
 		return
 	}
+	began := r.now()
 	if err == nil {
-		err = r.log.Append(ctx, j.ID, position, results, r.incarnation)
+		err = r.append(ctx, j, position, results)
 	}
 	if fault.CodeOf(err) == fault.CodeConflict {
 		results, err = r.log.Segment(ctx, j.ID, position)
@@ -29,12 +30,31 @@
 	j.flushing = false
 	if err != nil {
 		j.retryAt = r.now().Add(retryPause)
-		r.logger.Warn("results not listed", "job", j.ID, "position", position, "results", len(results), "error", err.Error())
+		r.logger.Warn("results not listed", "job", j.ID, "position", position, "results", len(results), "error", err.Error(),
+			"after_ms", r.now().Sub(began).Milliseconds())
 
 		return
 	}
+	j.unacknowledged = 0
 	j.list(position, results)
-	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items)
+	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items,
+		"after_ms", r.now().Sub(began).Milliseconds())
+}
+
+// append writes results at a position and marks them as unacknowledged until it is known whether they were written.
+func (r *Runner) append(ctx context.Context, j *job, position int, results []work.Result) error {
+	r.lock.Lock()
+	before := j.unacknowledged
+	j.unacknowledged = max(before, len(results))
+	r.lock.Unlock()
+	err := r.log.Append(ctx, j.ID, position, results, r.incarnation)
+	if fault.CodeOf(err) == fault.CodeStoreUnavailable {
+		r.lock.Lock()
+		j.unacknowledged = before
+		r.lock.Unlock()
+	}
+
+	return err
 }
 
 // stillHeld reports whether this instance holds a job, and asks the store if others may have counted this instance as gone: a new
@@ -73,6 +93,9 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.drop(j)
+	if record.Holder == "" {
+		r.released[j.ID] = r.now().Add(announcementTTL)
+	}
 
 	return false, nil
 }
@@ -92,9 +115,12 @@
 
 // drop removes a job that this instance no longer holds and stops its items; it needs the lock.
 func (r *Runner) drop(j *job) {
-	delete(r.jobs, j.ID)
-	// Other instances would take a further announcement as proof that the job has a holder.
-	delete(r.held, j.ID)
+	// The job may have been taken over again since the store was asked.
+	if r.jobs[j.ID] == j {
+		delete(r.jobs, j.ID)
+		// Other instances would take a further announcement as proof that the job has a holder.
+		delete(r.held, j.ID)
+	}
 	j.released = true
 	j.stopItems(errReleased)
 	j.notify()
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -4,15 +4,18 @@
 	"context"
 	"time"
 
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 )
 
+var errUnverified = fault.New(fault.CodeStoreUnavailable, "the store does not say whether there are further results")
+
 // Read returns the results of a job from a position on and waits for one until the given time. It fails with code not_found
 // if there is no such job, and with store_unavailable if that cannot be determined.
 func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
-	page, held := r.ReadHeldResults(ctx, id, after, until)
+	page, held, err := r.ReadHeldResults(ctx, id, after, until)
 	if held {
-		return page, nil
+		return page, err
 	}
 	if ctx.Err() != nil {
 		return jobpage.Page{}, ctx.Err()
@@ -22,21 +25,23 @@
 }
 
 // ReadHeldResults is Read for a job that this instance holds; it returns false if it does not, if that cannot be determined, or
-// if ctx has ended.
-func (r *Runner) ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool) {
+// if ctx has ended. With true and code store_unavailable, this instance holds the job but cannot tell whether it has the result.
+func (r *Runner) ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool, error) {
 	for {
 		r.lock.Lock()
 		j := r.jobs[id]
 		if j == nil {
 			r.lock.Unlock()
 
-			return jobpage.Page{}, false
+			return jobpage.Page{}, false, nil
 		}
 		total, results, changed := j.Items, j.results, j.changed
 		r.lock.Unlock()
 		wait := until.Sub(r.now())
 		if len(results) > after || len(results) >= total {
-			return jobpage.Cut(total, results, after), true
+			r.logRead(j, after, len(results), "memory")
+
+			return jobpage.Cut(total, results, after), true, nil
 		}
 		if wait <= 0 {
 			return r.readVerified(ctx, j, after)
@@ -45,43 +50,108 @@
 		case <-changed:
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return jobpage.Page{}, false
+			return jobpage.Page{}, false, nil
 		}
 	}
 }
 
-// readVerified answers a read for which there is no result in memory. If another instance may have listed results of the job, it
-// reads the store first. It returns false if that fails or if another instance holds the job.
-func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool) {
-	at := r.now()
+// readVerified answers a read for which there is no result in memory. If the store may have results that this instance does not know, it
+// reads them first. It returns false if another instance may hold the job, and an error if a write of this instance may have taken
+// effect and the store does not answer.
+func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool, error) {
+	source := "memory"
 	r.lock.Lock()
-	position := len(j.results)
-	doubted := j.doubtedBy != ""
+	doubted := j.doubtedBy != "" || j.releasing
+	unacknowledged := j.unacknowledged > 0
 	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt)
-	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked.
-	lateWrites := at.Before(j.lateWritesUntil)
-	recent := at.Sub(j.verifiedAt) < verifyInterval
+	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
+	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
+	lateWrites := j.verifiedAt.Before(j.lateWritesUntil)
+	recent := r.now().Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
-	if doubted || (maybeReplaced || lateWrites) && !recent {
-		if maybeReplaced {
-			// A new holder lists further results later even if the store has none yet.
-			if held, err := r.checkHolder(ctx, j); err != nil || !held {
-				return jobpage.Page{}, false
-			}
+	if doubted || (maybeReplaced || lateWrites || unacknowledged) && !recent {
+		held, err := r.verify(ctx, j, after, maybeReplaced)
+		switch {
+		case err != nil && unacknowledged && !maybeReplaced:
+			return jobpage.Page{}, true, err
+		case err != nil || !held:
+			return jobpage.Page{}, false, nil //nolint:nilerr // the caller reads the store itself
+		}
+		source = "store"
+	}
+	r.lock.Lock()
+	listed := len(j.results)
+	page := jobpage.Cut(j.Items, j.results, after)
+	r.lock.Unlock()
+	r.logRead(j, after, listed, source)
+
+	return page, true, nil
+}
+
+// verify reads the results behind those in memory, and before that, if another instance may have replaced this one, who holds the job.
+// After a failure it does not ask the store again for verifyInterval.
+func (r *Runner) verify(ctx context.Context, j *job, after int, maybeReplaced bool) (held bool, err error) {
+	at := r.now()
+	r.lock.Lock()
+	quiet := at.Before(j.unverifiableUntil)
+	r.lock.Unlock()
+	if quiet {
+		return false, errUnverified
+	}
+	held, complete := true, false
+	if maybeReplaced {
+		// A new holder lists further results later even if the store has none yet.
+		held, err = r.checkHolder(ctx, j)
+	}
+	if err == nil && held {
+		complete, err = r.readListed(ctx, j, after)
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	switch {
+	case err != nil:
+		j.unverifiableUntil = r.now().Add(verifyInterval)
+
+		return false, fault.Wrap(err, fault.CodeStoreUnavailable, errUnverified.Error())
+	case complete:
+		j.verifiedAt = at
+	}
+
+	return held, nil
+}
+
+// readListed reads from the store what is listed of a job behind the results in memory, until there is a result at position after. It
+// reports whether nothing is listed behind that.
+func (r *Runner) readListed(ctx context.Context, j *job, after int) (complete bool, err error) {
+	for {
+		r.lock.Lock()
+		position := len(j.results)
+		r.lock.Unlock()
+		if position > after {
+			return position >= j.Items, nil
 		}
 		found, err := r.log.Segment(ctx, j.ID, position)
-		if err != nil {
-			return jobpage.Page{}, false
+		if err != nil || len(found) == 0 {
+			return err == nil, err
 		}
 		r.lock.Lock()
 		j.list(position, found)
-		j.verifiedAt = at
 		r.lock.Unlock()
 	}
-	r.lock.Lock()
-	defer r.lock.Unlock()
+}
 
-	return jobpage.Cut(j.Items, j.results, after), true
+// logRead logs from where a read of a job that this instance holds was answered. Reads from the start that find nothing are left
+// out: a caller that waits for the first result repeats them.
+func (r *Runner) logRead(j *job, after, listed int, source string) {
+	if after == 0 && listed == 0 {
+		return
+	}
+	r.lock.Lock()
+	unacknowledged := j.unacknowledged
+	pending, revision, heldAt, verifiedAt := len(j.pending), j.revision, j.heldAt, j.verifiedAt
+	r.lock.Unlock()
+	r.logger.Info("held results read", "job", j.ID, "after", after, "listed", listed, "source", source, "pending", pending,
+		"unacknowledged", unacknowledged, "revision", revision, "held_at", heldAt, "verified_at", verifiedAt)
 }
 
 // Body returns the body of an item that is not listed yet; false if there is no such item.
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -51,12 +50,9 @@
 		return fault.Wrap(err, fault.CodeInternal, "cannot register the peer service")
 	}
 	for {
-		c, err := n.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
+		c, err := tcp.Accept(n.listener)
 		if err != nil {
-			return fault.Wrap(err, fault.CodeUnavailable, "cannot accept peers")
+			return nil //nolint:nilerr // the node was closed
 		}
 		go server.ServeConn(c)
 	}
@@ -100,7 +96,8 @@
 	return table, list.Servers, int64(reply.Revision), nil
 }
 
-// ReadResults reads results of a job from its holder; it returns false if the other instance does not hold the job.
+// ReadResults reads results of a job from its holder; it returns false if the other instance does not hold the job. With true and code
+// store_unavailable the holder cannot tell whether there are results.
 func (n *Node) ReadResults(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error) {
 	reply := ReadReply{}
 	_, err := n.call(ctx, from, "Peer.Read", &ReadRequest{
@@ -111,6 +108,9 @@
 	if err != nil || !reply.Held {
 		return jobpage.Page{}, false, err
 	}
+	if reply.Unknown {
+		return jobpage.Page{}, true, fault.New(fault.CodeStoreUnavailable, "the holder of the job cannot tell whether there are results")
+	}
 	page := jobpage.Page{
 		Total: reply.Total,
 		Next:  reply.Next,
@@ -156,6 +156,17 @@
 	}
 }
 
+// Reachable reports whether a process accepts connections at an address.
+func (n *Node) Reachable(ctx context.Context, a netip.AddrPort) bool {
+	c, err := n.dialer.DialContext(ctx, "tcp4", a.String())
+	if err != nil {
+		return false
+	}
+	c.Close()
+
+	return true
+}
+
 // call fails with code unavailable; sent reports whether the other instance may have received the request.
 func (n *Node) call(ctx context.Context, a netip.AddrPort, method string, request, reply any, until time.Time) (sent bool, err error) {
 	ctx, cancel := context.WithDeadline(ctx, until)
