Begin TestInfeasibleJob when the owner of its engine is settled

Cause, by the logs of two failing runs on a scratch copy that logs each measured item: one instance ran seven items at the start of the job and had owned the engine only at that moment ("chunk given up, since this instance owns no backend server", 2 s later); the other ran all twenty 5 s later. Both had measured items, and both rightly refused the job that cannot be done. An instance keeps its list of owners for up to 100 ms after it has learned of another instance (batchOwnerCacheLife), and the test submitted its job within that time. The check that exactly one refuses is right only if one has owned the engine all along; it stays as it is, and the test waits 200 ms first, after which each instance computes the owners anew. There is no test that forces this order.

--- a/core/instance/failure_test.go
+++ b/core/instance/failure_test.go
@@ -421,6 +421,9 @@
 
 		return batch, err
 	}
+	// An instance may take itself for the owner of the engine for 100 ms after it has learned of the others. It would run items until
+	// then, and both instances would have measured one.
+	time.Sleep(200 * time.Millisecond)
 	batch, err := submit("entry-1", 20, "1h")
 	is.NoErr(err)
 	is.NoErr(fleet.Await(func() bool {
