--- a/core/instance/stop_test.go
+++ b/core/instance/stop_test.go
@@ -27,7 +27,7 @@
 // reuseTime is how long after an answer its connection has to stay open if the answer does not announce that it closes.
 const reuseTime = 250 * time.Millisecond
 
-// errNotSent is the error of a request for which there is no connection: it cannot be made, or the instance has closed it.
+// errNotSent is the error of a request whose connection is refused.
 var errNotSent = errors.New("the request was not sent")
 
 // looping is a caller that sends one request after the other on a connection as long as it stays open. Unlike the client of the
@@ -55,9 +55,12 @@
 		}
 	}
 	c, err := net.Dial("tcp", l.address)
-	if err != nil {
+	if errors.Is(err, unix.ECONNREFUSED) {
 		return errors.Join(errNotSent, err)
 	}
+	if err != nil {
+		return err
+	}
 	l.connection = c.(*net.TCPConn)
 	l.reader = bufio.NewReader(c)
 
@@ -141,9 +144,9 @@
 	return text.String(), nil
 }
 
-// Guards against a planned stop that cuts requests. Callers keep sending while the instance stops. A request for which no connection
-// can be made, or whose connection has been idle and is found closed before it is sent, is not cut; every other one has to get its
-// complete answer.
+// Guards against a planned stop that cuts requests. Callers keep sending while the instance stops. A request whose connection
+// is refused, or has been idle and is found closed before the request is sent, is not cut; every other one has to get its complete
+// answer.
 func TestStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	const callers = 12
