Use the usual words for crashing prompt parts and isolated instances in tests

The tests and the stand-in took the word of the users' pages for a part that crashes servers, and a metaphor for an instance that hears no other one. Names only; no check is changed.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -144,7 +144,7 @@
 
 // Guards against an instance that hears nobody, though others hear it, and takes over their jobs: while some of them do not count as
 // gone yet, since they were last heard from at different times, and after it has forgotten them.
-func TestDeafInstanceIsIsolated(t *testing.T) {
+func TestSilenceOfAllIsIsolation(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(0)
 	const others = 20
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -600,9 +600,9 @@
 
 // Guards against an instance of a large zone that hears nobody and sends digests with its own counts only: the others then take
 // servers for free that are full, fill them with batch items and preempt these again.
-func TestDeafInstanceLeavesCountsOfItsZone(t *testing.T) {
+func TestIsolatedInstanceLeavesCountsOfItsZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const count, deaf = 120, 14 // no gateway of its zone
+		const count, isolated = 120, 14 // no gateway of its zone
 		n := newNetwork()
 		list := n.fleet(count)
 		defer func() { stopAll(list) }()
@@ -612,13 +612,13 @@
 		}
 		time.Sleep(time.Second)
 		n.lock.Lock()
-		n.cut = func(_, to *instance) bool { return to == list[deaf] }
+		n.cut = func(_, to *instance) bool { return to == list[isolated] }
 		n.lock.Unlock()
 		time.Sleep(4 * time.Second) // the instance notices that it is isolated
 		for range 200 {
 			time.Sleep(20 * time.Millisecond)
 			for k, i := range list {
-				if got, _ := i.loads.InFlight("w", time.Now()); k != deaf && got < count-2 {
+				if got, _ := i.loads.InFlight("w", time.Now()); k != isolated && got < count-2 {
 					t.Fatalf("instance %d counts %d requests, not %d", k, got, count)
 				}
 			}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -18,7 +18,7 @@
 	"tarragonwalk/internal/fakeobjects"
 )
 
-const deadly = "deadly"
+const crashing = "crashing"
 
 // fleet simulates instances, backend servers and requests; time passes in steps.
 type fleet struct {
@@ -34,7 +34,7 @@
 	fifthAt time.Time
 	// resets is how many of a grey server's answers are lost; a quarter of the servers are grey.
 	resets float64
-	// alike is how many deadly requests have the same other parts.
+	// alike is how many crashing requests have the same other parts.
 	alike  int
 	failed []string
 }
@@ -85,7 +85,7 @@
 
 func (f *fleet) lose(r request) {
 	q := f.instances[r.instance]
-	if f.at.After(r.begunAt) && !slices.Contains(r.parts, deadly) {
+	if f.at.After(r.begunAt) && !slices.Contains(r.parts, crashing) {
 		return
 	}
 	q.RecordLoss(f.servers[r.server].Server, r.parts, f.at)
@@ -114,13 +114,13 @@
 	f.servers[server].Server = was
 }
 
-// run lets time pass, with sound requests on common and on rare parts, and with as many deadly ones a second at random instances.
-func (f *fleet) run(d time.Duration, deadlyRate float64) {
+// run lets time pass, with sound requests on common and on rare parts, and with as many crashing ones a second at random instances.
+func (f *fleet) run(d time.Duration, crashingRate float64) {
 	for end := f.at.Add(d); f.at.Before(end); f.at = f.at.Add(step) {
 		first := fmt.Sprint("first", f.random.IntN(10))
 		f.send(f.random.IntN(len(f.instances)), []string{first, fmt.Sprint("rare", f.random.IntN(400))}, false)
-		if f.random.Float64() < deadlyRate*step.Seconds() {
-			f.send(f.random.IntN(len(f.instances)), []string{first, deadly, fmt.Sprint("rare", 390+f.crashes/max(1, f.alike))}, false)
+		if f.random.Float64() < crashingRate*step.Seconds() {
+			f.send(f.random.IntN(len(f.instances)), []string{first, crashing, fmt.Sprint("rare", 390+f.crashes/max(1, f.alike))}, false)
 		}
 		f.finish()
 		for n, q := range f.instances {
@@ -129,7 +129,7 @@
 				f.announce(n)
 			}
 			for part := range q.quarantined {
-				if part != deadly && !slices.Contains(f.failed, part) {
+				if part != crashing && !slices.Contains(f.failed, part) {
 					f.failed = append(f.failed, part)
 				}
 			}
@@ -157,7 +157,7 @@
 		}
 		switch s, q := f.servers[r.server].Server, f.instances[r.instance]; {
 		case f.at.Before(r.begunAt):
-		case slices.Contains(r.parts, deadly):
+		case slices.Contains(r.parts, crashing):
 			f.crash(r.server)
 			f.last = r.parts
 			if f.crashes++; f.crashes == 5 {
@@ -175,10 +175,10 @@
 	}
 }
 
-// knows reports whether all instances refuse requests with the deadly part, whatever else they hold but for the given parts.
+// knows reports whether all instances refuse requests with the crashing part, whatever else they hold but for the given parts.
 func (f *fleet) knows(with ...string) bool {
 	return !slices.ContainsFunc(f.instances, func(q *Quarantine) bool {
-		_, _, ok := q.Quarantined(append(with, deadly))
+		_, _, ok := q.Quarantined(append(with, crashing))
 
 		return !ok
 	})
@@ -186,7 +186,7 @@
 
 // Guards against a prompt part that crashes one backend server after the other, though each crash is seen by another instance and
 // instances restart, and against sound parts of the same requests or servers that are refused.
-func TestDeadlyPartAlone(t *testing.T) {
+func TestCrashingPartAlone(t *testing.T) {
 	for seed := range uint64(50) {
 		is := is.New(t)
 		f := newFleet(seed, 1+int(seed%9), 15)
@@ -243,28 +243,28 @@
 	q := f.instances[0]
 	is.True(q.Save(t.Context(), true) != nil)
 	is.NoErr(q.Save(t.Context(), true))
-	_, until, _ := q.Quarantined([]string{deadly})
+	_, until, _ := q.Quarantined([]string{crashing})
 	for n := range f.instances {
 		f.instances[n] = f.newInstance()
 	}
 	is.NoErr(f.instances[2].Restore(t.Context()))
 	f.run(time.Second, 0)
 	is.True(f.knows())
-	_, restored, _ := f.instances[2].Quarantined([]string{deadly})
+	_, restored, _ := f.instances[2].Quarantined([]string{crashing})
 	is.True(restored.Equal(until))
 	f.at = until
 	f.run(time.Second, 0)
 	is.Equal(slices.Collect(maps.Keys(f.instances[0].quarantined)), nil)
 	is.NoErr(f.instances[2].Save(t.Context(), true))
 	is.NoErr(f.newInstance().Restore(t.Context()))
-	is.True(f.newInstance().MayRetry([]string{deadly}))
+	is.True(f.newInstance().MayRetry([]string{crashing}))
 }
 
 // Guards against a combination of parts that is forgotten when all instances restart, or that outlives the proof which part it is.
 func TestCombinationSurvivesRestart(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1, 1, 0)
-	both := []string{"with", deadly}
+	both := []string{"with", crashing}
 	blocked := func(parts ...string) bool {
 		_, _, ok := f.instances[0].Quarantined(parts)
 
@@ -275,13 +275,13 @@
 		f.at = f.at.Add(settleTime)
 	}
 	f.instances[0].Review()
-	is.True(blocked(both...) && !blocked("with") && !blocked(deadly))
+	is.True(blocked(both...) && !blocked("with") && !blocked(crashing))
 	is.NoErr(f.instances[0].Save(t.Context(), false))
 	f.instances[0] = f.newInstance()
 	is.NoErr(f.instances[0].Restore(t.Context()))
-	is.True(blocked(both...) && !blocked("with") && !blocked(deadly))
+	is.True(blocked(both...) && !blocked("with") && !blocked(crashing))
 	f.instances[0].RecordCompletion(backend.Server{ID: "x"}, []string{"with"}, f.at, f.at)
-	is.True(blocked(both...) && !blocked("with") && blocked(deadly))
+	is.True(blocked(both...) && !blocked("with") && blocked(crashing))
 	f.at = f.at.Add(evidenceLife)
 	f.instances[0].Review()
 	is.NoErr(f.instances[0].Save(t.Context(), false))
@@ -296,7 +296,7 @@
 	for !f.knows() {
 		f.run(time.Second, 3)
 	}
-	f.instances[1].RecordCompletion(f.servers[0].Server, []string{deadly}, f.at, f.at)
+	f.instances[1].RecordCompletion(f.servers[0].Server, []string{crashing}, f.at, f.at)
 	f.run(time.Second, 0)
 	is.Equal(len(f.instances[0].quarantined)+len(f.instances[1].quarantined), 0)
 }
--- a/models/check.sh
+++ b/models/check.sh
@@ -62,7 +62,7 @@
   check results fails "$variant"
 done
 check reads holds
-for variant in MEMORY_ONLY DEAF NO_LATE_WINDOW NO_LAST_READ; do
+for variant in MEMORY_ONLY UNNOTICED_TAKEOVER NO_LATE_WINDOW NO_LAST_READ; do
   check reads fails "$variant"
 done
 check order holds
--- a/models/reads.pml
+++ b/models/reads.pml
@@ -9,7 +9,7 @@
  *
  * Property: a read never finds fewer results than an earlier one at any instance.
  *
- * Variants that must fail: MEMORY_ONLY (a holder does not ask the store while a write of its own is open), DEAF (an instance is
+ * Variants that must fail: MEMORY_ONLY (a holder does not ask the store while a write of its own is open), UNNOTICED_TAKEOVER (an instance is
  * replaced without suspecting it), NO_LATE_WINDOW (a new holder does not look for writes of its predecessor), NO_LAST_READ (it
  * does not look once more after the window).
  */
@@ -88,7 +88,7 @@
 #ifndef NO_LATE_WINDOW
             late[i] = true;
 #endif
-#ifndef DEAF
+#ifndef UNNOTICED_TAKEOVER
             suspects[1 - i] = true
 #endif
        :: else
