--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -15,6 +15,16 @@
 	"tarragonwalk/internal/fakeobjects"
 )
 
+// startHolder runs an instance that holds job "j", none of whose items runs, until stop is called.
+func (f *fleet) startHolder(t *testing.T, items int) (holder *Runner, stop func()) {
+	t.Helper()
+	f.usedSlots = 100 // nothing runs
+	holder, stop = f.start("e1")
+	is.New(t).NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", items)))
+
+	return holder, stop
+}
+
 // Guards against a holder that answers from memory while a write of its own has taken effect without an acknowledgement: another
 // instance that did not reach the holder has shown these results, and its caller would find fewer.
 func TestReadDuringUnacknowledgedWrite(t *testing.T) {
@@ -46,11 +56,9 @@
 func TestReadFindsAllLateSegments(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1, 0)
-	f.usedSlots = 100 // nothing runs
 	l := logs.New(f.objects)
-	holder, stop := f.start("e1")
+	holder, stop := f.startHolder(t, 4)
 	defer stop()
-	is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 4)))
 	for position, item := range []string{"j-1", "j-2", "j-3"} {
 		is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e2"))
 	}
@@ -67,11 +75,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(1, 0)
-		f.usedSlots = 100 // nothing runs
 		l := logs.New(f.objects)
-		holder, stop := f.start("e1")
+		holder, stop := f.startHolder(t, 3)
 		defer stop()
-		is.NoErr(holder.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
 		f.objects.FailNext("jobs", fault.CodeOutcomeUnknown)
 		writes := f.objects.Writes("jobs")
 		go holder.Stop(t.Context(), time.Now().Add(time.Second))
@@ -122,10 +128,8 @@
 func TestDropKeepsLaterClaim(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1, 0)
-	f.usedSlots = 100 // nothing runs
-	r, stop := f.start("e1")
+	r, stop := f.startHolder(t, 2)
 	defer stop()
-	is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 2)))
 	r.lock.Lock()
 	former := r.jobs["j"]
 	r.hold("j", newJob(former.Job, nil))
