Look departures up in one place in the roster

The roster searched the list of departures when it added an entry, and again in departed. A read of the change that introduced departures found it; no behaviour changes. The tests of core/roster pass (three runs).

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,8 +89,9 @@
 func (r *Roster) add(s backend.Server, revision int64) {
 	e := r.entries[s.ID]
 	if e == nil || e.server.StartedAt != s.StartedAt || e.server.Address != s.Address {
-		departed := slices.ContainsFunc(r.departures, func(d departure) bool {
-			return d.incarnation.id == s.ID && d.incarnation.startedAt == s.StartedAt
+		departed := r.departed(incarnation{
+			id:        s.ID,
+			startedAt: s.StartedAt,
 		})
 		r.entries[s.ID] = &entry{
 			server:   s,
