Let a gateway learn of the other one from relayed heartbeats

In a zone with digests, two instances that both take themselves for a gateway may never learn of each other. To each of them the other is a process that it does not know, which 3 s after the start counts as gone: it takes the other's jobs over, and announcements of the one do not reach the other.

Cause: a gateway drops relayed heartbeats of its own zone, since it hears from the members itself. An instance sends to its zone's gateways only, and to new ones. When the second one started and the first did not know it, both were gateways in their own view: e01 and e02 in the traced run, e02 since 0.2 s and e01 since 0.5 s, when each knew 15 and 18 others. e00, which knew both, relayed each to the other all the time.

Change: a gateway takes a relayed heartbeat of a process that it does not know. The two then send to each other for joinPeriod, and the one of the lower rank ceases to be a gateway. Heartbeats of known processes are dropped as before, as they would make it drop the counts in the direct one.

Ruled out: status in digests, coverTime, age of heartbeats on their way; the log of the failing run has no instance gone, back or silent.

TestGatewayLearnsOfAnother forces it: 22 != 23 members without the change. The test now stops its instances also when it fails, as the others do; no check is changed.

--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -70,6 +70,15 @@
 	return last
 }
 
+// Knows reports whether this instance knows a process, whether alive or not.
+func (c *Cluster) Knows(name, incarnation string) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	p := c.peers[name]
+
+	return p != nil && p.heartbeat.Sender.Incarnation == incarnation
+}
+
 // Holder returns the address of a process, false if it is not known to be alive.
 func (c *Cluster) Holder(name, incarnation string) (netip.AddrPort, bool) {
 	c.lock.Lock()
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -39,6 +39,7 @@
 	ZoneMembers() []netip.AddrPort
 	GatewayRank(at time.Time) (rank int, digests, ok bool)
 	ObserveDigest(r *gossip.Report, own map[string]int, at time.Time)
+	Knows(name, incarnation string) bool
 	ForgetDigest()
 	ObserveDigests(gateway bool, at time.Time) (lost bool)
 	RemoteAddresses(at time.Time) (uncontacted, direct, others []netip.AddrPort)
@@ -270,8 +271,10 @@
 	}
 	for i := range b.Relayed {
 		r := &b.Relayed[i]
+		s := r.Beat.Sender
 		// A gateway hears from the members of its zone itself; a relayed heartbeat is without counts and would make it drop theirs.
-		if r.Beat.Sender.Zone != zone || !e.gateway.Load() {
+		// It may be the only way to learn of one that takes itself for a gateway as well, as neither sends to the other.
+		if s.Zone != zone || !e.gateway.Load() || !e.cluster.Knows(s.Name, s.Incarnation) {
 			e.apply(&r.Beat, gossip.Before(at, r.AgeMillis))
 		}
 	}
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -575,6 +575,7 @@
 		n.codec = messagecodec.New(1 << 20)
 		n.delay = 20 * time.Millisecond // a digest does not include what was sent shortly before it
 		list := []*instance{}
+		defer func() { stopAll(list) }()
 		for k := range 20 {
 			list = append(list, n.start(fmt.Sprintf("e%02d", k), "z", "1"))
 		}
@@ -594,7 +595,44 @@
 			is.True(!i.cluster.Isolated())
 			is.Equal(i.cluster.Waiting("jobs", time.Now()), 1000*(len(list)-1))
 		}
-		stopAll(list)
+	})
+}
+
+// Guards against two instances of a large zone that both take themselves for a gateway, never learn of each other and take each
+// other's jobs over.
+func TestGatewayLearnsOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		gateway := n.start("e01", "z", "1")
+		defer stopAll([]*instance{gateway})
+		member := func(k int) gossip.Heartbeat {
+			return gossip.Heartbeat{
+				Sender:   gossip.Member{Name: fmt.Sprintf("e%02d", k), Incarnation: "1", Zone: "z", Region: "r"},
+				Sequence: int(time.Now().UnixMilli()),
+			}
+		}
+		for range 5 {
+			time.Sleep(100 * time.Millisecond)
+			for k := range 20 {
+				b := member(k + 3)
+				b.Counts = []gossip.Count{{Server: "w", Online: 1}}
+				gateway.exchanger.HandleHeartbeat(&b)
+			}
+		}
+		other := member(0)
+		for _, k := range []int{2, 3} {
+			other.Relayed = append(other.Relayed, gossip.RelayedHeartbeat{Beat: member(k)})
+			other.Relayed[len(other.Relayed)-1].Beat.Sequence += 50
+		}
+		gateway.exchanger.HandleHeartbeat(&other)
+		is.Equal(len(gateway.cluster.Live()), 23)
+		time.Sleep(20 * time.Millisecond)
+		b := member(3) // its counts are not older than what was relayed
+		b.Counts = []gossip.Count{{Server: "w", Online: 2}}
+		gateway.exchanger.HandleHeartbeat(&b)
+		online, _ := gateway.loads.InFlight("w", time.Now())
+		is.Equal(online, 21)
 	})
 }
 
