Ask the others in the store before an isolated instance counts as the last one

Cause: an instance that hears nobody took it for granted that the others were gone if none of them accepted a connection.

Change: an isolated instance puts a question into its own object among the addresses in the store. The instances that watch the store for their zones read these objects every 30 s anyway, and remove each question of another one; this is the answer, after which it asks again. It counts as the last one only if a question had no answer for 40 s, no address accepts a connection and 30 s of isolation have passed; a store that does not answer says nothing. The last instance of a fleet takes over after 45 s in place of 30 to 40.

What it does not cover: others that do not reach the store cannot answer, and instances that are each cut off from all others answer each other, so that jobs of lost ones wait until the partition ends.

Test: TestIsolationEndsWhenAlone has two new cases, an answer and a store that does not respond, and watches for five more minutes; the other cases and the times in it are as before (its 20 s are no longer written as two intervals). With a checker that does not ask for the answer the two cases fail.

--- a/core/isolation/checker.go
+++ b/core/isolation/checker.go
@@ -11,10 +11,15 @@
 )
 
 const (
-	// checkAfter is how long an instance is isolated before it looks for the others by other means than heartbeats.
+	// checkAfter is how long an instance is isolated before it may conclude that it is the only one left.
 	checkAfter = 30 * time.Second
+	// answerTime is how long the others have to answer a question in the store. They look for questions at longer intervals, whose
+	// length and duration it covers.
+	answerTime = 40 * time.Second
 	// interval is the time between two looks.
-	interval = 10 * time.Second
+	interval = 5 * time.Second
+	// storeTimeout bounds a call to the store.
+	storeTimeout = 3 * time.Second
 	// maxCalls bounds the concurrent calls of a look.
 	maxCalls = 8
 )
@@ -30,22 +35,33 @@
 	Reachable(ctx context.Context, a netip.AddrPort) bool
 }
 
-// Checker ends the isolation of an instance that is the only one left; as long as any other one accepts connections, the instance stays
-// isolated, since that one may still run its jobs.
+// questions are asked in the store, where all instances that reach it look for them.
+type questions interface {
+	Ask(ctx context.Context) error
+	// Answered reports whether another instance has answered since Ask; a failure says nothing.
+	Answered(ctx context.Context) (bool, error)
+}
+
+// Checker ends the isolation of an instance that is the only one left. As long as any other one accepts connections or answers in the
+// store, the instance stays isolated, since that one may still run its jobs.
 type Checker struct {
-	cluster cluster
-	peers   peers
-	now     func() time.Time
-	log     *slog.Logger
+	cluster   cluster
+	peers     peers
+	questions questions
+	now       func() time.Time
+	log       *slog.Logger
+	// askedAt is when the open question was put into the store, zero if there is none.
+	askedAt time.Time
 }
 
 // New returns a checker; Run starts it.
-func New(c cluster, p peers, now func() time.Time, log *slog.Logger) *Checker {
+func New(c cluster, p peers, q questions, now func() time.Time, log *slog.Logger) *Checker {
 	return &Checker{
-		cluster: c,
-		peers:   p,
-		now:     now,
-		log:     log,
+		cluster:   c,
+		peers:     p,
+		questions: q,
+		now:       now,
+		log:       log,
 	}
 }
 
@@ -65,17 +81,44 @@
 
 func (c *Checker) check(ctx context.Context) {
 	since, isolated := c.cluster.IsolatedSince()
-	if !isolated || c.now().Sub(since) < checkAfter {
+	if !isolated {
+		c.askedAt = time.Time{}
+
+		return
+	}
+	if !c.unanswered(ctx) || c.now().Sub(since) < checkAfter {
 		return
 	}
 	addresses := c.cluster.PeerAddresses()
 	reached := c.reached(ctx, addresses)
-	c.log.Warn("other instances looked for", "isolated_since", since, "addresses", len(addresses), "reached", reached)
+	c.log.Warn("other instances looked for", "isolated_since", since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached)
 	if _, isolated = c.cluster.IsolatedSince(); isolated && !reached && ctx.Err() == nil {
 		c.cluster.ForgetPeers(c.now())
 	}
 }
 
+// unanswered reports whether the question in the store has had no answer for answerTime. Without an open question it asks one.
+func (c *Checker) unanswered(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if c.askedAt.IsZero() {
+		err := c.questions.Ask(ctx)
+		if err == nil {
+			c.askedAt = c.now()
+		}
+		c.log.Info("other instances asked in the store", "failed", err != nil)
+
+		return false
+	}
+	answered, err := c.questions.Answered(ctx)
+	if answered {
+		c.log.Info("another instance answered in the store", "asked_at", c.askedAt)
+		c.askedAt = time.Time{}
+	}
+
+	return err == nil && !answered && c.now().Sub(c.askedAt) >= answerTime
+}
+
 // reached reports whether any of the addresses accepts a connection.
 func (c *Checker) reached(ctx context.Context, addresses []netip.AddrPort) bool {
 	var found atomic.Bool
--- a/core/isolation/checker_test.go
+++ b/core/isolation/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/netip"
 	"sync/atomic"
@@ -19,8 +20,13 @@
 	reachable     int
 	calls         atomic.Int32
 	forgotten     bool
+	// answer returns what the store says.
+	answer func() (bool, error)
 }
 
+func (*fleet) Ask(context.Context) error                { return nil }
+func (f *fleet) Answered(context.Context) (bool, error) { return f.answer() }
+
 func (f *fleet) IsolatedSince() (time.Time, bool) { return f.isolatedSince, f.isolated && !f.forgotten }
 func (f *fleet) ForgetPeers(time.Time)            { f.forgotten = true }
 
@@ -39,28 +45,35 @@
 	return int(a.Addr().As4()[3]) >= 20-f.reachable
 }
 
-// Guards against an instance that takes the jobs of others over because it receives no heartbeats, and against one that never takes over
-// those of lost instances since it is the only one left.
+// Guards against an instance that takes the jobs of others over because it receives no heartbeats or is cut off from all others but not
+// from the store, and against one that never takes over those of lost instances since it is the only one left.
 func TestIsolationEndsWhenAlone(t *testing.T) {
+	none := func() (bool, error) { return false, nil }
 	for _, c := range []struct {
 		name      string
 		isolated  bool
 		reachable int
+		answer    func() (bool, error)
 		forgotten bool
 	}{
-		{"not isolated", false, 0, false},
-		{"one of the others is reachable", true, 1, false},
-		{"none is reachable", true, 0, true},
+		{"not isolated", false, 0, none, false},
+		{"one of the others is reachable", true, 1, none, false},
+		{"none is reachable", true, 0, none, true},
+		{"one answers in the store", true, 0, func() (bool, error) { return true, nil }, false},
+		{"the store does not answer", true, 0, func() (bool, error) { return false, errors.New("no response") }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f := &fleet{isolatedSince: time.Now(), isolated: c.isolated, reachable: c.reachable}
+				f := &fleet{isolatedSince: time.Now(), isolated: c.isolated, reachable: c.reachable, answer: c.answer}
 				ctx, cancel := context.WithCancel(t.Context())
-				go New(f, f, time.Now, slog.New(slog.DiscardHandler)).Run(ctx)
+				go New(f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(ctx)
 				time.Sleep(checkAfter - time.Second)
 				is.Equal(f.calls.Load(), int32(0))
-				time.Sleep(2 * interval)
+				time.Sleep(20 * time.Second)
+				synctest.Wait()
+				is.Equal(f.forgotten, c.forgotten)
+				time.Sleep(5 * time.Minute)
 				synctest.Wait()
 				is.Equal(f.forgotten, c.forgotten)
 				cancel()
