Count a new process that hears none of the listed instances as isolated

Would be seen: a process that starts behind a partition and reaches the store takes the jobs of live holders over 3 s later: two holders of a job, fewer results than read before (LOST).

Cause: isolation was defined by the instances that were heard from. A process that never heard one knows none, and one that is not known counts as gone 3 s after the start.

Change: the number of other instances that the store lists counts in place of the known ones until the first one is heard from, with the same limits: more than one, and 2 s of silence. Such a process takes nothing over, goes on sending to the listed addresses, asks the store before it lists results or answers from memory, and finds out by a question in the store whether it is the last one. A single process that restarts while all others are lost for good now takes their jobs over after some 45 s in place of 3.

Test: TestNewProcessThatHearsNobody (without the change: not isolated, and no address left to call after 30 s), TestStartBehindPartition (without it: "job without a holder found" 4.3 s after the start, and the record claimed).

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -123,6 +123,9 @@
 	// listeningSince is when this instance began to receive heartbeats, or resumed after a pause.
 	listeningSince time.Time
 	expiredAt      time.Time
+	// listed is the number of other instances in the store; it applies until met is set, when another one is heard from or none is alive.
+	listed int
+	met    bool
 	// isolatedSince is when this instance noticed that it hears from no other one, zero while it does.
 	isolatedSince time.Time
 	// sendsDigests and lacksDigests are the results of the last call of ObserveDigests.
@@ -201,6 +204,7 @@
 			joinedAt: at,
 		}
 		c.peers[s.Name] = p
+		c.met = true
 		c.changes++
 		c.log.Info("instance joined", "peer", s.Name, "incarnation", s.Incarnation, "address", s.Peer.String(), "zone", s.Zone)
 	case b.Sequence <= p.heartbeat.Sequence:
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -268,6 +268,53 @@
 	}
 }
 
+// Guards against a new process that starts behind a partition, hears from nobody and takes over the jobs of live instances, which are
+// in the store's list; and against one that waits for instances of which at most one can be alive.
+func TestNewProcessThatHearsNobody(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		listed   int
+		heard    bool
+		forget   bool
+		isolated bool
+	}{
+		{"others listed", 3, false, false, true},
+		{"one other listed", 1, false, false, false},
+		{"one heard from", 3, true, false, false},
+		{"known to be lost", 3, false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(0)
+			at := start
+			cl.Expire(at)
+			for n := range c.listed {
+				cl.Introduce([]netip.AddrPort{member(n+1, "1").Peer}, at)
+			}
+			cl.Expect(c.listed)
+			for at.Before(start.Add(time.Minute)) {
+				at = at.Add(200 * time.Millisecond)
+				if c.heard {
+					cl.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: int(at.Sub(start))}, at)
+				}
+				cl.Expire(at)
+				if at.Sub(start) > isolatedAfter && !c.forget {
+					is.Equal(cl.Isolated(), c.isolated) // before a holder that was never heard from counts as gone
+					is.Equal(cl.SuspectedSince(at.Add(-time.Second)), c.isolated)
+				}
+			}
+			if c.isolated || c.forget {
+				is.Equal(len(cl.PeerAddresses()), c.listed) // it goes on calling them
+			}
+			if c.forget {
+				cl.ForgetPeers(at)
+				cl.Expect(c.listed) // it reads the list again
+			}
+			is.Equal(cl.Isolated(), c.isolated)
+		})
+	}
+}
+
 // Guards against an isolated instance that tells its zone, as a gateway, that all others are silent and have nothing in flight.
 func TestIsolatedInstanceIsNoGateway(t *testing.T) {
 	is := is.New(t)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -23,7 +23,7 @@
 	isolated := c.isolated()
 	if isolated && c.isolatedSince.IsZero() {
 		c.isolatedSince = at
-		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers))
+		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers), "listed", c.unheard())
 	}
 	silent, recent := 0, false
 	for name, p := range c.peers {
@@ -44,7 +44,7 @@
 	}
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
 	// have taken over this instance's jobs. Two or more silent peers may still reach each other and take them over.
-	if recent || silent > 1 {
+	if recent || silent > 1 || c.unheard() > 1 {
 		c.selfSuspectedAt = at
 	}
 	for a, t := range c.targets {
@@ -65,6 +65,23 @@
 	return c.selfSuspectedAt.After(since)
 }
 
+// Expect records how many other instances the store lists. A process that has not heard from any yet is not the only one because of
+// that; it may have started behind a partition.
+func (c *Cluster) Expect(others int) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.listed = max(c.listed, others)
+}
+
+// unheard returns the number of instances that this one expects to hear from and never did. The caller holds the lock.
+func (c *Cluster) unheard() int {
+	if c.met {
+		return 0
+	}
+
+	return c.listed
+}
+
 // Isolated reports whether at least two other instances are known and none of them was heard from lately, so this one is probably cut
 // off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone.
 func (c *Cluster) Isolated() bool {
@@ -76,7 +93,7 @@
 
 // isolated is Isolated for callers that hold the lock.
 func (c *Cluster) isolated() bool {
-	last, others := c.listeningSince, 0
+	last, others := c.listeningSince, c.unheard()
 	for _, p := range c.peers {
 		// An instance that was leaving is expected to become silent.
 		if !p.heartbeat.Sender.Leaving {
@@ -117,18 +134,24 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.peers = map[string]*peer{}
+	c.met = true
 	c.isolatedSince = time.Time{}
 	c.listeningSince = at
 	c.changes++
 }
 
-// PeerAddresses returns the addresses of all known other instances.
+// PeerAddresses returns the addresses of all known other instances, and those that may belong to others.
 func (c *Cluster) PeerAddresses() []netip.AddrPort {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	list := make([]netip.AddrPort, 0, len(c.peers))
+	list := make([]netip.AddrPort, 0, len(c.targets))
+	for a := range c.targets {
+		list = append(list, a)
+	}
 	for _, p := range c.peers {
-		list = append(list, p.heartbeat.Sender.Peer)
+		if _, ok := c.targets[p.heartbeat.Sender.Peer]; !ok {
+			list = append(list, p.heartbeat.Sender.Peer)
+		}
 	}
 
 	return list
