Keep the instances of each zone in the order of gateways

Each instance of a fleet of 250 walked and sorted all others several times for each heartbeat and each 100 ms: for its rank as a gateway, the addresses of its zone, the gateways of other zones, the watchers of the store, the last check of the store and, twice in each of these, for whether it is isolated.

The list of a zone now changes only when an instance starts, is forgotten or moves; a gateway's rank ends the walk at the second live instance. Isolation is taken from isolatedSince, which Expire sets and any sign of life clears. The time of the last check is kept as a maximum that Expire makes anew.

TestGatewaysFollowTheZone fails if the list is kept after a change (tried by leaving out the resets in cluster.go and in liveness.go).

--- a/core/cluster/batch_window.go
+++ b/core/cluster/batch_window.go
@@ -95,7 +95,7 @@
 		late: contenders{
 			zone: map[string][]string{},
 		},
-		large: c.zoneSize(c.self.Zone) > smallZone,
+		large: len(c.inZone(c.self.Zone)) > smallZone,
 	}
 	for name, p := range c.peers {
 		if !p.live(at) {
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -110,8 +110,10 @@
 	self gossip.Member
 	log  *slog.Logger
 	// lock guards all fields below.
-	lock    sync.Mutex
-	peers   map[string]*peer
+	lock  sync.Mutex
+	peers map[string]*peer
+	// zones holds the peers by availability zone in the order in which they become gateways, nil if it has to be made anew.
+	zones   map[string][]*peer
 	targets map[netip.AddrPort]target
 	changes int
 	// own is this instance's state as last reported to other zones.
@@ -132,6 +134,8 @@
 	digestAt time.Time
 	// searchedAt is the last known time at which an instance read the list of all jobs, zero if none did.
 	searchedAt time.Time
+	// checkedAt is when any other instance last verified that its state was the store's newest, zero if none did.
+	checkedAt time.Time
 	// selfSuspectedAt is the last time at which another instance may have counted this one as gone.
 	selfSuspectedAt time.Time
 }
@@ -201,6 +205,7 @@
 			joinedAt: at,
 		}
 		c.peers[s.Name] = p
+		c.zones = nil
 		c.changes++
 		c.log.Info("instance joined", "peer", s.Name, "incarnation", s.Incarnation, "address", s.Peer.String(), "zone", s.Zone)
 	case b.Sequence <= p.heartbeat.Sequence:
@@ -212,7 +217,11 @@
 	if s.Leaving != p.heartbeat.Sender.Leaving {
 		c.log.Info("instance leaving", "peer", s.Name, "leaving", s.Leaving)
 	}
+	if s.Zone != p.heartbeat.Sender.Zone || s.Millicores != p.heartbeat.Sender.Millicores {
+		c.zones = nil
+	}
 	p.update(b, at)
+	c.checkedAt = later(c.checkedAt, p.checkedAt)
 	if b.SearchedMillis > 0 {
 		c.searchedAt = later(c.searchedAt, gossip.Before(at, b.SearchedMillis))
 	}
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -17,7 +17,7 @@
 func member(n int, incarnation string) gossip.Member {
 	return gossip.Member{
 		Name: fmt.Sprint("e", n), Incarnation: incarnation, Zone: []string{"a", "b"}[n%2], Region: "r", Ready: true,
-		Peer: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", n+1)),
+		Peer: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:1", n/250, n%250+1)),
 	}
 }
 
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -39,40 +39,21 @@
 	if len(c.peers) <= gatewayThreshold {
 		return nil
 	}
-	rank := slices.IndexFunc(c.zoneOrder(at), func(m gossip.Member) bool { return m.Name == c.self.Name })
-	if rank < 0 || rank >= zoneGateways {
+	rank := c.gatewayRank(at)
+	if rank < 0 {
 		return nil
 	}
-	zones := c.liveZones(at)
-	delete(zones, c.self.Zone)
-	list := make([]netip.AddrPort, 0, len(zones))
-	for _, members := range zones {
-		list = append(list, members[min(rank, len(members)-1)].Peer)
+	var list []netip.AddrPort
+	for zone := range c.byZone() {
+		if members := c.gateways(zone, at); zone != c.self.Zone && len(members) > 0 {
+			list = append(list, members[min(rank, len(members)-1)].Peer)
+		}
 	}
 	slices.SortFunc(list, netip.AddrPort.Compare)
 
 	return list
 }
 
-// liveZones returns the live instances by zone, including this one, in the order in which they become gateways: those with more
-// processor time first, since gateways do the relaying for their whole zone. The caller holds the lock.
-func (c *Cluster) liveZones(at time.Time) map[string][]gossip.Member {
-	zones := map[string][]gossip.Member{}
-	if c.mayRelay() {
-		zones[c.self.Zone] = append(zones[c.self.Zone], c.self)
-	}
-	for _, p := range c.peers {
-		if s := p.heartbeat.Sender; p.live(at) {
-			zones[s.Zone] = append(zones[s.Zone], s)
-		}
-	}
-	for _, members := range zones {
-		slices.SortFunc(members, compareGateways)
-	}
-
-	return zones
-}
-
 // compareGateways orders instances as gateways: those with more processor time first, then by name.
 func compareGateways(a, b gossip.Member) int {
 	return cmp.Or(cmp.Compare(b.Millicores, a.Millicores), strings.Compare(a.Name, b.Name))
@@ -80,24 +61,37 @@
 
 // mayRelay reports whether this instance may be a gateway. An isolated one would report that its zone is empty. The caller holds the lock.
 func (c *Cluster) mayRelay() bool {
-	return !c.self.Leaving && !c.isolated()
+	return !c.self.Leaving && c.isolatedSince.IsZero()
 }
 
-// zoneOrder returns the live instances of this instance's zone, including this one, in the order in which they become gateways. The
-// caller holds the lock.
-func (c *Cluster) zoneOrder(at time.Time) []gossip.Member {
-	var members []gossip.Member
-	if c.mayRelay() {
-		members = append(members, c.self)
-	}
-	for _, p := range c.peers {
-		if s := p.heartbeat.Sender; s.Zone == c.self.Zone && p.live(at) {
-			members = append(members, s)
+// gateways returns the gateways of a zone, in their order. The caller holds the lock.
+func (c *Cluster) gateways(zone string, at time.Time) []gossip.Member {
+	list := make([]gossip.Member, 0, zoneGateways)
+	selfLeft := zone == c.self.Zone && c.mayRelay()
+	for _, p := range c.inZone(zone) {
+		if !p.live(at) {
+			continue
+		}
+		if selfLeft && compareGateways(c.self, p.heartbeat.Sender) < 0 {
+			list, selfLeft = append(list, c.self), false
+		}
+		if len(list) < zoneGateways {
+			list = append(list, p.heartbeat.Sender)
 		}
+		if len(list) == zoneGateways {
+			return list
+		}
+	}
+	if selfLeft {
+		list = append(list, c.self)
 	}
-	slices.SortFunc(members, compareGateways)
 
-	return members
+	return list
+}
+
+// gatewayRank returns the rank of this instance among the gateways of its zone, from 0; -1 if it is none. The caller holds the lock.
+func (c *Cluster) gatewayRank(at time.Time) int {
+	return slices.IndexFunc(c.gateways(c.self.Zone, at), func(m gossip.Member) bool { return m.Name == c.self.Name })
 }
 
 // Report returns the report on this instance's zone for other zones, without counts, and the heartbeats to relay with it: those
@@ -115,7 +109,7 @@
 		refresh = largeRefreshInterval
 	}
 	var relayed []gossip.RelayedHeartbeat
-	for _, p := range append(c.zonePeers(), &c.own) {
+	for _, p := range append(slices.Clip(c.inZone(c.self.Zone)), &c.own) {
 		if !p.heardRecently(at) {
 			continue
 		}
@@ -142,19 +136,6 @@
 	return report, relayed
 }
 
-// zonePeers returns the other instances in this instance's zone, ordered by name. The caller holds the lock.
-func (c *Cluster) zonePeers() []*peer {
-	var list []*peer
-	for _, p := range c.peers {
-		if p.heartbeat.Sender.Zone == c.self.Zone {
-			list = append(list, p)
-		}
-	}
-	slices.SortFunc(list, func(a, b *peer) int { return strings.Compare(a.heartbeat.Sender.Name, b.heartbeat.Sender.Name) })
-
-	return list
-}
-
 // ObserveReport applies a report that a gateway of another zone made at a time.
 func (c *Cluster) ObserveReport(r *gossip.Report, at time.Time) {
 	c.lock.Lock()
--- a/core/cluster/gateway_test.go
+++ b/core/cluster/gateway_test.go
@@ -172,3 +172,43 @@
 	is.Equal(c.Waiting("r", start.Add(time.Second)), 0)
 	is.Equal(len(c.ServingInstances("", start.Add(time.Second))), 2) // the report shows that the other instance is alive
 }
+
+// Guards against gateways that are taken from an old list of the zone: after a larger instance has started, has become silent, has
+// started again with less processor time, and after instances were forgotten.
+func TestGatewaysFollowTheZone(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	beat := func(n, millicores, sequence int, incarnation string, at time.Time) {
+		m := member(n, incarnation)
+		m.Millicores = millicores
+		c.Observe(&gossip.Heartbeat{Sender: m, Sequence: sequence}, at)
+	}
+	ranked := func(at time.Time) bool {
+		_, _, ok := c.GatewayRank(at)
+
+		return ok
+	}
+	is.True(ranked(start)) // the only one
+	beat(2, 800, 1, "1", start)
+	beat(4, 800, 1, "1", start)
+	is.True(!ranked(start))
+	at := start.Add(silentAfter / 2)
+	beat(2, 800, 2, "1", at)
+	at = start.Add(silentAfter + 1)
+	is.True(ranked(at)) // e4 is silent
+	beat(4, 0, 1, "2", at)
+	is.True(ranked(at)) // e4 is small now
+	beat(6, 0, 1, "1", at)
+	is.Equal(len(c.ZoneMembers()), 3)
+	for end := at.Add(forgetAfter + time.Second); at.Before(end); at = at.Add(pauseLimit / 2) {
+		c.Expire(at)
+		beat(2, 800, int(at.Sub(start)), "1", at)
+		beat(6, 800, int(at.Sub(start)), "1", at)
+		is.True(len(c.ZoneMembers()) >= 2)
+	}
+	is.Equal(len(c.ZoneMembers()), 2) // e4 is forgotten
+	is.True(!ranked(at))              // e6 says that it has more processor time
+	c.ForgetPeers(at)
+	is.Equal(len(c.ZoneMembers()), 0)
+	is.True(ranked(at))
+}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -26,6 +26,7 @@
 		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers))
 	}
 	silent, recent := 0, false
+	c.checkedAt = time.Time{}
 	for name, p := range c.peers {
 		silence := at.Sub(later(p.heardAt, c.listeningSince))
 		if silence > selfSuspectAfter && (silence <= forgetAfter || isolated) {
@@ -37,9 +38,13 @@
 			c.changes++
 			c.log.Warn("instance gone", "peer", name, "incarnation", p.heartbeat.Sender.Incarnation, "heard_at", p.heardAt)
 		}
+		if !p.gone {
+			c.checkedAt = later(c.checkedAt, p.checkedAt)
+		}
 		// An isolated instance that forgot the others would count as the only one.
 		if silence > forgetAfter && !isolated {
 			delete(c.peers, name)
+			c.zones = nil
 		}
 	}
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
@@ -116,7 +121,8 @@
 func (c *Cluster) ForgetPeers(at time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.peers = map[string]*peer{}
+	c.peers, c.zones = map[string]*peer{}, nil
+	c.checkedAt = time.Time{}
 	c.isolatedSince = time.Time{}
 	c.listeningSince = at
 	c.changes++
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -60,14 +60,8 @@
 func (c *Cluster) CheckedAt() time.Time {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	var last time.Time
-	for _, p := range c.peers {
-		if !p.gone {
-			last = later(last, p.checkedAt)
-		}
-	}
 
-	return last
+	return c.checkedAt
 }
 
 // Holder returns the address of a process, false if it is not known to be alive.
@@ -86,13 +80,22 @@
 // calls as there are instances. Lost says that this instance cannot reach the store; it then watches only if no other
 // instance in the zone can reach it either.
 func (c *Cluster) WatchesStore(lost bool, at time.Time) bool {
-	return c.rank(lost, at, func(m gossip.Member) bool { return m.Zone == c.self.Zone }) < storeWatchersPerZone
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	preceding := 0
+	for _, p := range c.inZone(c.self.Zone) {
+		if c.precedes(p, lost, at) {
+			preceding++
+		}
+	}
+
+	return preceding < storeWatchersPerZone
 }
 
 // SearchesOrphans reports whether this instance is one of those in the fleet that look for jobs without a holder. The list of all
 // jobs is long, so that few instances read it; regions that do not reach each other each have their own.
 func (c *Cluster) SearchesOrphans(lost bool, at time.Time) bool {
-	return c.rank(lost, at, func(gossip.Member) bool { return true }) < orphanSearchers
+	return c.isAmongFirst(orphanSearchers, lost, at, func(gossip.Member) bool { return true })
 }
 
 // RecordSearch records that this instance reads the list of all jobs for jobs without a holder.
@@ -113,26 +116,35 @@
 // WatchesJobEnds reports whether this instance is one of those in its region that watch the ends of jobs. There are as many ends as jobs, and the instance that records an end announces it in its heartbeats; the watch is
 // needed only if that instance fails right after the write.
 func (c *Cluster) WatchesJobEnds(lost bool, at time.Time) bool {
-	return c.rank(lost, at, func(m gossip.Member) bool { return m.Region == c.self.Region }) < jobEndWatchersPerRegion
+	return c.isAmongFirst(jobEndWatchersPerRegion, lost, at, func(m gossip.Member) bool { return m.Region == c.self.Region })
 }
 
-// rank returns how many live instances of a group precede this one as watchers of the store: those that reach the store precede
-// those that do not, then lower names come first.
-func (c *Cluster) rank(lost bool, at time.Time, inGroup func(m gossip.Member) bool) int {
+// isAmongFirst reports whether fewer than limit live instances of a group precede this one as watchers of the store.
+func (c *Cluster) isAmongFirst(limit int, lost bool, at time.Time, inGroup func(m gossip.Member) bool) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	preceding := 0
-	for name, p := range c.peers {
-		before := name < c.self.Name
-		if p.heartbeat.StoreLost != lost {
-			before = lost
+	for _, p := range c.peers {
+		if !inGroup(p.heartbeat.Sender) || !c.precedes(p, lost, at) {
+			continue
 		}
-		if before && inGroup(p.heartbeat.Sender) && p.live(at) {
-			preceding++
+		if preceding++; preceding >= limit {
+			return false
 		}
 	}
 
-	return preceding
+	return true
+}
+
+// precedes reports whether another instance is live and precedes this one as a watcher of the store: those that reach the store
+// precede those that do not, then lower names come first. The caller holds the lock.
+func (c *Cluster) precedes(p *peer, lost bool, at time.Time) bool {
+	before := p.heartbeat.Sender.Name < c.self.Name
+	if p.heartbeat.StoreLost != lost {
+		before = lost
+	}
+
+	return before && p.live(at)
 }
 
 // StoreRelay returns the address of an instance that reaches the store, preferably one in this instance's zone, false if there is
--- a/core/cluster/zone.go
+++ b/core/cluster/zone.go
@@ -27,12 +27,11 @@
 func (c *Cluster) ZoneAddresses(at time.Time) (each, regular []netip.AddrPort) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	peers := c.zonePeers()
+	peers := c.inZone(c.self.Zone)
 	if len(peers) <= smallZone {
 		return peerAddresses(peers), nil
 	}
-	order := c.zoneOrder(at)
-	gateways := order[:min(zoneGateways, len(order))]
+	gateways := c.gateways(c.self.Zone, at)
 	isGateway := slices.ContainsFunc(gateways, func(m gossip.Member) bool { return m.Name == c.self.Name })
 	lost := !isGateway && c.digestsLost(at)
 	for _, p := range peers {
@@ -52,7 +51,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 
-	return c.zoneSize(c.self.Zone) > smallZone
+	return len(c.inZone(c.self.Zone)) > smallZone
 }
 
 // ObserveDigests reports whether this instance's zone is large and no digest has come for longer than digestTimeout although the
@@ -61,7 +60,7 @@
 func (c *Cluster) ObserveDigests(gateway bool, at time.Time) (lost bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	size := c.zoneSize(c.self.Zone)
+	size := len(c.inZone(c.self.Zone))
 	lost = !gateway && size > smallZone && c.digestsLost(at)
 	if gateway != c.sendsDigests {
 		c.sendsDigests = gateway
@@ -85,7 +84,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 
-	return peerAddresses(c.zonePeers())
+	return peerAddresses(c.inZone(c.self.Zone))
 }
 
 func peerAddresses(peers []*peer) []netip.AddrPort {
@@ -102,22 +101,32 @@
 func (c *Cluster) GatewayRank(at time.Time) (rank int, digests, ok bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	order := c.zoneOrder(at)
-	rank = slices.IndexFunc(order, func(m gossip.Member) bool { return m.Name == c.self.Name })
+	rank = c.gatewayRank(at)
 
-	return rank, c.zoneSize(c.self.Zone) > digestThreshold, rank >= 0 && rank < zoneGateways
+	return rank, len(c.inZone(c.self.Zone)) > digestThreshold, rank >= 0
 }
 
-// zoneSize returns the number of known other instances in a zone. The caller holds the lock.
-func (c *Cluster) zoneSize(zone string) int {
-	n := 0
+// inZone returns the other instances in a zone in the order in which they become gateways, live or not. The caller holds the lock
+// and does not change the list.
+func (c *Cluster) inZone(zone string) []*peer {
+	return c.byZone()[zone]
+}
+
+// byZone returns the other instances by zone in the order in which they become gateways. The caller holds the lock.
+func (c *Cluster) byZone() map[string][]*peer {
+	if c.zones != nil {
+		return c.zones
+	}
+	c.zones = map[string][]*peer{}
 	for _, p := range c.peers {
-		if p.heartbeat.Sender.Zone == zone {
-			n++
-		}
+		zone := p.heartbeat.Sender.Zone
+		c.zones[zone] = append(c.zones[zone], p)
+	}
+	for _, peers := range c.zones {
+		slices.SortFunc(peers, func(a, b *peer) int { return compareGateways(a.heartbeat.Sender, b.heartbeat.Sender) })
 	}
 
-	return n
+	return c.zones
 }
 
 // ObserveDigest applies a digest of this instance's zone that a gateway made at a time. The waiting tokens include those of this
