Wake the periodic tasks of an instance together

An idle instance of a large fleet woke up some 113 times a second for its timers: every 50 ms for the check of the store, every 100 ms each for copies from others, quarantined prompt parts (two tasks), three followers of the store that do not watch and the relay, and for others less often. Nearly all of these found nothing to do.

Regular heartbeats are sent at every second tick of the relay. The turn of an instance in the checks is counted without the sorted list of all names.

Ruled out: GOMAXPROCS, which is 1 there already.

--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -166,6 +166,23 @@
 	return names
 }
 
+// Preceding returns how many of the instances that are neither gone nor leaving precede this one by name, 0 if this one is leaving.
+func (c *Cluster) Preceding() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.self.Leaving {
+		return 0
+	}
+	n := 0
+	for name, p := range c.peers {
+		if name < c.self.Name && !p.gone && !p.heartbeat.Sender.Leaving {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Alive reports whether a process of an instance may still be running. A process that is not known may be running until
 // goneAfter has passed since this instance started or resumed after a pause. A process has ended if another one of the same instance is known.
 func (c *Cluster) Alive(name, incarnation string, at time.Time) bool {
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -84,12 +84,15 @@
 	defer c.lock.Unlock()
 	preceding := 0
 	for _, p := range c.inZone(c.self.Zone) {
-		if c.precedes(p, lost, at) {
-			preceding++
+		if !c.precedes(p, lost, at) {
+			continue
+		}
+		if preceding++; preceding >= storeWatchersPerZone {
+			return false
 		}
 	}
 
-	return preceding < storeWatchersPerZone
+	return true
 }
 
 // SearchesOrphans reports whether this instance is one of those in the fleet that look for jobs without a holder. The list of all
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -18,8 +18,8 @@
 	minZoneInterval = 20 * time.Millisecond
 	// minDigestInterval is the same in a zone whose gateways send digests.
 	minDigestInterval = 40 * time.Millisecond
-	// regularInterval is the time between regular heartbeats.
-	regularInterval = 200 * time.Millisecond
+	// regularRounds is the number of relay intervals between regular heartbeats, which are 200 ms apart.
+	regularRounds = 2
 	// addressThreshold is the number of receivers above which a regular heartbeat contains addresses of further instances.
 	addressThreshold = 3
 	// maxAddresses is the largest number of addresses in a heartbeat.
@@ -151,20 +151,20 @@
 
 // Run sends heartbeats until ctx ends: to this instance's zone whenever counts change, and to all zones at a fixed interval.
 func (e *Exchanger) Run(ctx context.Context) {
-	regular := time.NewTicker(regularInterval)
-	defer regular.Stop()
 	relay := time.NewTicker(relayInterval)
 	defer relay.Stop()
 	e.send()
-	for {
+	for round := 1; ; {
 		select {
 		case <-ctx.Done():
 			e.send()
 
 			return
-		case <-regular.C:
-			e.send()
 		case <-relay.C:
+			if round%regularRounds == 0 {
+				e.send()
+			}
+			round++
 			e.relay()
 		case <-e.loads.Changed():
 			interval := e.sendChange()
