--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -26,6 +26,7 @@
 		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers), "listed", c.unheard())
 	}
 	silent, recent := 0, false
+	c.checkedAt = time.Time{}
 	for name, p := range c.peers {
 		silence := at.Sub(later(p.heardAt, c.listeningSince))
 		if silence > selfSuspectAfter && (silence <= forgetAfter || isolated) {
@@ -37,9 +38,13 @@
 			c.changes++
 			c.log.Warn("instance gone", "peer", name, "incarnation", p.heartbeat.Sender.Incarnation, "heard_at", p.heardAt)
 		}
+		if !p.gone {
+			c.checkedAt = later(c.checkedAt, p.checkedAt)
+		}
 		// An isolated instance that forgot the others would count as the only one.
 		if silence > forgetAfter && !isolated {
 			delete(c.peers, name)
+			c.zones = nil
 		}
 	}
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
@@ -133,8 +138,9 @@
 func (c *Cluster) ForgetPeers(at time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.peers = map[string]*peer{}
+	c.peers, c.zones = map[string]*peer{}, nil
 	c.met = true
+	c.checkedAt = time.Time{}
 	c.isolatedSince = time.Time{}
 	c.listeningSince = at
 	c.changes++
@@ -183,6 +189,23 @@
 	return names
 }
 
+// Preceding returns how many of the instances that are neither gone nor leaving precede this one by name, 0 if this one is leaving.
+func (c *Cluster) Preceding() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.self.Leaving {
+		return 0
+	}
+	n := 0
+	for name, p := range c.peers {
+		if name < c.self.Name && !p.gone && !p.heartbeat.Sender.Leaving {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Alive reports whether a process of an instance may still be running. A process that is not known may be running until
 // goneAfter has passed since this instance started or resumed after a pause. A process has ended if another one of the same instance is known.
 func (c *Cluster) Alive(name, incarnation string, at time.Time) bool {
