Do not let an instance that hears nobody be a gateway

Cause: an instance was no gateway only from 2 s of silence on, when it counts as isolated. Counts expire after 1.5 s, so the digests of a gateway lacked them from 1.4 s on. Any other instance took itself for the only one of its zone after 0.8 s, when the others count as silent, and sent digests with its own counts.

Change: an instance that has heard from no other one for 0.6 s is no gateway. The time is kept with each message, so that no list has to be searched.

Ruled out: a share of counts below which a digest is not used, as the only measure; the counts of a gateway expire one after the other.

Test: TestCountsWhileInstanceStopsHearing, for both gateways and another instance.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -20,6 +20,10 @@
 	// isolatedAfter is the silence of all other instances after which this one counts as isolated. It is shorter than goneAfter by more
 	// than the time that passes between signs of life of one instance, so that none counts as gone before.
 	isolatedAfter = 2 * time.Second
+	// relaySilence is the silence of all other instances after which this one is no gateway: it would send sums that lack what it no
+	// longer hears. It is several intervals of regular heartbeats, and shorter than silentAfter, after which this instance would take
+	// itself for the only one of its zone.
+	relaySilence = 600 * time.Millisecond
 	// singleSilenceLimit is how long a single silent instance is assumed to be alive and cut off from this one only.
 	singleSilenceLimit = 10 * time.Second
 	// storeWatchersPerZone is the number of instances per zone that watch the store. Each watcher costs one store call for each
@@ -126,6 +130,8 @@
 	// listed is the number of other instances in the store; it applies until met is set, when another one is heard from or none is alive.
 	listed int
 	met    bool
+	// lastHeardAt is when any other instance was last heard from.
+	lastHeardAt time.Time
 	// isolatedSince is when this instance noticed that it hears from no other one, zero while it does.
 	isolatedSince time.Time
 	// sendsDigests and lacksDigests are the results of the last call of ObserveDigests.
@@ -212,6 +218,7 @@
 	default:
 		c.recordReturn(p)
 	}
+	c.lastHeardAt = later(c.lastHeardAt, at)
 	c.endIsolation(at)
 	if s.Leaving != p.heartbeat.Sender.Leaving {
 		c.log.Info("instance leaving", "peer", s.Name, "leaving", s.Leaving)
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -58,7 +58,7 @@
 // processor time first, since gateways do the relaying for their whole zone. The caller holds the lock.
 func (c *Cluster) liveZones(at time.Time) map[string][]gossip.Member {
 	zones := map[string][]gossip.Member{}
-	if c.mayRelay() {
+	if c.mayRelay(at) {
 		zones[c.self.Zone] = append(zones[c.self.Zone], c.self)
 	}
 	for _, p := range c.peers {
@@ -78,16 +78,19 @@
 	return cmp.Or(cmp.Compare(b.Millicores, a.Millicores), strings.Compare(a.Name, b.Name))
 }
 
-// mayRelay reports whether this instance may be a gateway. An isolated one would report that its zone is empty. The caller holds the lock.
-func (c *Cluster) mayRelay() bool {
-	return !c.self.Leaving && !c.isolated()
+// mayRelay reports whether this instance may be a gateway. One that hears nobody would report that its zone is empty. The caller holds
+// the lock.
+func (c *Cluster) mayRelay(at time.Time) bool {
+	hears := len(c.peers) < 2 || at.Sub(later(c.lastHeardAt, c.listeningSince)) <= relaySilence
+
+	return !c.self.Leaving && hears
 }
 
 // zoneOrder returns the live instances of this instance's zone, including this one, in the order in which they become gateways. The
 // caller holds the lock.
 func (c *Cluster) zoneOrder(at time.Time) []gossip.Member {
 	var members []gossip.Member
-	if c.mayRelay() {
+	if c.mayRelay(at) {
 		members = append(members, c.self)
 	}
 	for _, p := range c.peers {
@@ -177,6 +180,7 @@
 			continue
 		}
 		c.recordReturn(p)
+		c.lastHeardAt = later(c.lastHeardAt, heardAt)
 		c.endIsolation(heardAt)
 		p.markHeard(heardAt)
 		p.heartbeat.Queued, p.heartbeat.QueuedLate = s.Queued, s.QueuedLate
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -636,6 +636,37 @@
 	})
 }
 
+// Guards against digests and reports without the counts of most instances, from the moment on at which their maker no longer hears
+// anybody, whether it is a gateway or takes itself for one since all others are silent.
+func TestCountsWhileInstanceStopsHearing(t *testing.T) {
+	for _, deaf := range []int{2, 8, 14} { // e02 and e08 are the gateways of zone z2
+		t.Run(fmt.Sprint(deaf), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const count = 120
+				n := newNetwork()
+				list := n.fleet(count)
+				defer func() { stopAll(list) }()
+				time.Sleep(5 * time.Second)
+				for _, i := range list {
+					i.loads.Add("w", 1, 0)
+				}
+				time.Sleep(time.Second)
+				n.lock.Lock()
+				n.cut = func(_, to *instance) bool { return to == list[deaf] }
+				n.lock.Unlock()
+				for step := range 300 {
+					time.Sleep(20 * time.Millisecond)
+					for k, i := range list {
+						if got, _ := i.loads.InFlight("w", time.Now()); k != deaf && got < count-2 {
+							t.Fatalf("instance %d counts %d requests, not %d, %d ms later", k, got, count, 20*step)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against an instance of a large zone that hears nobody and sends digests with its own counts only: the others then take
 // servers for free that are full, fill them with batch items and preempt these again.
 func TestIsolatedInstanceLeavesCountsOfItsZone(t *testing.T) {
