--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -59,15 +59,18 @@
 	return cmp.Or(cmp.Compare(b.Millicores, a.Millicores), strings.Compare(a.Name, b.Name))
 }
 
-// mayRelay reports whether this instance may be a gateway. An isolated one would report that its zone is empty. The caller holds the lock.
-func (c *Cluster) mayRelay() bool {
-	return !c.self.Leaving && c.isolatedSince.IsZero()
+// mayRelay reports whether this instance may be a gateway. One that hears nobody would report that its zone is empty. The caller holds
+// the lock.
+func (c *Cluster) mayRelay(at time.Time) bool {
+	hears := len(c.peers) < 2 || at.Sub(later(c.lastHeardAt, c.listeningSince)) <= relaySilence
+
+	return !c.self.Leaving && c.isolatedSince.IsZero() && hears
 }
 
 // gateways returns the gateways of a zone, in their order. The caller holds the lock.
 func (c *Cluster) gateways(zone string, at time.Time) []gossip.Member {
 	list := make([]gossip.Member, 0, zoneGateways)
-	selfLeft := zone == c.self.Zone && c.mayRelay()
+	selfLeft := zone == c.self.Zone && c.mayRelay(at)
 	for _, p := range c.inZone(zone) {
 		if !p.live(at) {
 			continue
@@ -158,6 +161,7 @@
 			continue
 		}
 		c.recordReturn(p)
+		c.lastHeardAt = later(c.lastHeardAt, heardAt)
 		c.endIsolation(heardAt)
 		p.markHeard(heardAt)
 		p.heartbeat.Queued, p.heartbeat.QueuedLate = s.Queued, s.QueuedLate
