--- a/core/heartbeat/digest.go
+++ b/core/heartbeat/digest.go
@@ -92,7 +92,7 @@
 	}
 	passed := max(0, at.Sub(last)+digestLead)
 
-	return (relayInterval - passed%relayInterval) % relayInterval
+	return (RelayInterval - passed%RelayInterval) % RelayInterval
 }
 
 // noteCovered records that another gateway of this instance's zone has sent reports to the zone.
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -151,10 +151,9 @@
 	}
 }
 
-// Run sends heartbeats until ctx ends: to this instance's zone whenever counts change, and to all zones at a fixed interval.
-func (e *Exchanger) Run(ctx context.Context) {
-	relay := time.NewTicker(relayInterval)
-	defer relay.Stop()
+// Run sends heartbeats until ctx ends: to this instance's zone whenever counts change, and to all zones at a fixed interval. Ticks are
+// to come every RelayInterval.
+func (e *Exchanger) Run(ctx context.Context, ticks <-chan time.Time) {
 	e.send()
 	// While a changed count waits to be sent, and for a pause afterwards, changes is nil.
 	changes, pending := e.loads.Changed(), false
@@ -165,7 +164,7 @@
 			e.send()
 
 			return
-		case <-relay.C:
+		case <-ticks:
 			if round%regularRounds == 0 {
 				e.send()
 			}
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -162,7 +162,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		i.exchanger.Run(ctx)
+		i.exchanger.Run(ctx, time.Tick(heartbeat.RelayInterval))
 	}()
 	go func() {
 		introducedAt := time.Time{}
--- a/core/heartbeat/relay.go
+++ b/core/heartbeat/relay.go
@@ -8,11 +8,11 @@
 	"tarragonwalk/core/gossip"
 )
 
-// relayInterval is the time between messages of a gateway to other zones and to its own. Counts have to reach all instances
+// RelayInterval is the time between messages of a gateway to other zones and to its own, and between ticks for Run. Counts have to reach all instances
 // within 225 ms, which is fleetWindow less fleetStartTime in core/cluster. They are delayed by at most minZoneInterval and
 // twice this interval. In a zone with digests they are delayed by at most digestLead and this interval, and for other zones by
 // this interval once more.
-const relayInterval = 100 * time.Millisecond
+const RelayInterval = 100 * time.Millisecond
 
 // queuedReport is a report that waits to be relayed, and when it was made.
 type queuedReport struct {
