--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -115,6 +115,8 @@
 	digestsLost bool
 	// gateway says whether this instance was a gateway of its zone when it last had the occasion to send a digest.
 	gateway atomic.Bool
+	// digestAt is the Unix nanosecond of the last digest of this instance's zone, 0 if there was none.
+	digestAt atomic.Int64
 	// lock guards the fields below. Reports and heartbeats came from gateways of other zones and have not been relayed to this
 	// instance's zone yet. The keys are the zone and the sender.
 	lock sync.Mutex
@@ -150,29 +152,36 @@
 	}
 }
 
-// Run sends heartbeats until ctx ends: to this instance's zone whenever counts change, and to all zones at a fixed interval.
-func (e *Exchanger) Run(ctx context.Context) {
-	relay := time.NewTicker(relayInterval)
-	defer relay.Stop()
+// Run sends heartbeats until ctx ends: to this instance's zone whenever counts change, and to all zones at a fixed interval. Ticks are
+// to come every RelayInterval.
+func (e *Exchanger) Run(ctx context.Context, ticks <-chan time.Time) {
 	e.send()
+	// While a changed count waits to be sent, and for a pause afterwards, changes is nil.
+	changes, pending := e.loads.Changed(), false
+	var wait <-chan time.Time
 	for round := 1; ; {
 		select {
 		case <-ctx.Done():
 			e.send()
 
 			return
-		case <-relay.C:
+		case <-ticks:
 			if round%regularRounds == 0 {
 				e.send()
 			}
 			round++
 			e.relay()
-		case <-e.loads.Changed():
-			interval := e.sendChange()
-			select {
-			case <-time.After(interval):
-			case <-ctx.Done():
+		case <-changes:
+			changes, pending = nil, true
+			wait = time.After(e.untilDigest(e.now()))
+		case <-wait:
+			if pending {
+				pending = false
+				wait = time.After(e.sendChange())
+
+				continue
 			}
+			changes, wait = e.loads.Changed(), nil
 		}
 	}
 }
