Give batch slots to waiting items in order

Items of an instance's chunks that waited for a batch slot raced for it: each was woken when a slot was freed, and whichever ran first took it. A chunk that had been claimed earlier could so fall behind a later one, and its workspace with it. This is one half of what TestFairnessAndSlack showed: the first job of the small workspace held a chunk with one waiting item while the items of the large workspace took both slots.

Waiting items now take the slots of a deployment in the order of their arrival.

--- a/core/batch/fairness_test.go
+++ b/core/batch/fairness_test.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -60,3 +65,44 @@
 		is.True(lastSoon-firstLate <= 2) // the jobs overlap only at the end of the one with less slack
 	})
 }
+
+// Guards against a chunk whose items wait while those of chunks that were claimed later take the free slots.
+func TestSlotsInOrder(t *testing.T) {
+	bubble(t, "20 items for one slot", func(is *is.I) {
+		const items = 20
+		f := newFleet("a")
+		slots := 0
+		f.slots = func(string, string) int {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+
+			return slots
+		}
+		n := &node{self: "a", fleet: f, link: &link{Store: f.store}}
+		r := New(n.link, n, f, f, "a", "1", time.Now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+		open := job.OpenJob{ID: "j", Workspace: "w", Deployment: "d", Chunks: 1, Deadline: time.Now().Add(time.Hour)}
+		r.ObserveOpen([]job.OpenJob{open}, 1, time.Now())
+		var order []int
+		var group sync.WaitGroup
+		for i := range items {
+			group.Go(func() {
+				if r.admit(context.Background(), r.jobs["j"]) != nil {
+					return
+				}
+				order = append(order, i)
+				time.Sleep(time.Millisecond)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.running["d"]--
+				r.notify()
+			})
+			synctest.Wait()
+		}
+		f.mu.Lock()
+		slots = 1
+		f.mu.Unlock()
+		group.Wait()
+		is.Equal(len(order), items)
+		is.True(slices.IsSorted(order))
+	})
+}
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"tarragonwalk/core/fault"
@@ -58,9 +59,11 @@
 	}
 }
 
-// admit takes a batch slot once the runner's view of open jobs is fresh and a slot is free; it fails when the job or the item
-// is stopped or the deadline has passed.
+// admit takes a batch slot once the runner's view of open jobs is fresh, a slot is free and no item has waited longer for one; it
+// fails when the job or the item is stopped or the deadline has passed.
 func (r *Runner) admit(ctx context.Context, w *knownJob) error {
+	ticket := r.enqueue(w.open.Deployment)
+	defer r.dequeue(w.open.Deployment, ticket)
 	for {
 		slots := r.dispatcher.BatchSlots(w.open.Deployment)
 		r.mu.Lock()
@@ -74,7 +77,8 @@
 
 			return stopCause(ctx)
 		}
-		if r.fresh(r.now()) && r.running[w.open.Deployment] < slots {
+		first := r.waiting[w.open.Deployment][0] == ticket
+		if first && r.fresh(r.now()) && r.running[w.open.Deployment] < slots {
 			r.running[w.open.Deployment]++
 			r.mu.Unlock()
 
@@ -92,6 +96,29 @@
 	}
 }
 
+// enqueue adds a ticket to the queue for the batch slots of a deployment.
+func (r *Runner) enqueue(deployment string) (ticket int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tickets++
+	r.waiting[deployment] = append(r.waiting[deployment], r.tickets)
+
+	return r.tickets
+}
+
+// dequeue removes a ticket and wakes the items behind it.
+func (r *Runner) dequeue(deployment string, ticket int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	queue := r.waiting[deployment]
+	n := slices.Index(queue, ticket)
+	queue = slices.Delete(queue, n, n+1)
+	r.waiting[deployment] = queue
+	if len(queue) > 0 {
+		r.notify()
+	}
+}
+
 // stopCause returns why ctx has ended: the job's deadline has passed, or the item was stopped.
 func stopCause(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -90,6 +90,9 @@
 	running    map[string]int
 	unfinished map[string]int
 	itemTime   map[string]time.Duration
+	// waiting holds a ticket for each item that waits for a batch slot, in order and by deployment; tickets counts them.
+	waiting map[string][]int
+	tickets int
 	// held counts the held chunks by workspace, heldTotal all of them.
 	held      map[string]int
 	heldTotal int
@@ -125,6 +128,7 @@
 		canceled:   make(map[string]time.Time),
 		running:    make(map[string]int),
 		unfinished: make(map[string]int),
+		waiting:    make(map[string][]int),
 		itemTime:   make(map[string]time.Duration),
 		held:       make(map[string]int),
 		changed:    make(chan struct{}),
