Let workspaces take turns at claiming chunks

With more workspaces than chunks at a time, those whose jobs had later deadlines got nothing while others had work. Of two workspaces with the same number of held chunks, the one with the job with less slack always claimed first, so a workspace without a chunk lost to each other one without a chunk. In TestFairnessAndSlack both workspaces held one chunk when a claim became possible (the last items of the earlier chunk still ran or were being published), and the large one won every such tie once the urgent job of the small one had ended: two chunks in a row.

Of several workspaces with the same number of held chunks, the one whose last claim is longest ago now goes first. Slack decides within a workspace, as documented.

Evidence: a trace of the claims in TestFairnessAndSlack showed held=1:1 at each second chunk in a row.

Ruled out: the claim does not wait for a tick, and a finished job's workspace loses nothing; the claim came in the same moment at which the chunk could be claimed, for the other workspace.

--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -30,6 +30,8 @@
 	w.pause = minPollInterval
 	r.heldTotal++
 	r.held[w.open.Workspace]++
+	r.turns++
+	r.lastTurn[w.open.Workspace] = r.turns
 	r.unfinished[w.open.Deployment] += w.file.Chunks[n].Items
 	r.mu.Unlock()
 	r.chunks.Go(func() {
--- a/core/batch/fairness_test.go
+++ b/core/batch/fairness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/inference"
 	"tarragonwalk/core/job"
 	"tarragonwalk/io/jobstore"
 )
@@ -66,6 +67,39 @@
 	})
 }
 
+// Guards against a workspace that gets no chunk while others with less slack have work, because it loses each tie.
+func TestNoWorkspaceStarves(t *testing.T) {
+	bubble(t, "more workspaces than chunks at a time", func(is *is.I) {
+		f := newFleet("a")
+		s := jobstore.New(f.store, limits, time.Now)
+		workspaces := make(map[string]string)
+		for i, w := range []string{"soon", "later", "last"} {
+			file, err := s.PutFile(context.Background(), w, "f", input(60, "x"))
+			is.NoErr(err)
+			st, err := s.Submit(context.Background(), job.Submission{Workspace: w, File: file.ID, Deployment: "d", Deadline: time.Now().Add(time.Duration(i+1) * time.Hour)})
+			is.NoErr(err)
+			workspaces[st.Job.ID] = w
+		}
+		counts := make(map[string]int)
+		f.answer = func(r *inference.Request) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			counts[workspaces[r.ID[:strings.LastIndex(r.ID, "-")]]]++
+
+			return nil
+		}
+		a := f.launch("a", "1", 1)
+		time.Sleep(10 * time.Second)
+		a.stop()
+		<-a.ended
+		least, most := 60, 0
+		for _, w := range workspaces {
+			least, most = min(least, counts[w]), max(most, counts[w])
+		}
+		is.True(most-least <= 2*limits().ChunkItems) // a chunk more, and one that has not run yet
+	})
+}
+
 // Guards against a chunk whose items wait while those of chunks that were claimed later take the free slots.
 func TestSlotsInOrder(t *testing.T) {
 	bubble(t, "20 items for one slot", func(is *is.I) {
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -96,6 +96,9 @@
 	// held counts the held chunks by workspace, heldTotal all of them.
 	held      map[string]int
 	heldTotal int
+	// lastTurn is the number of the last claim by workspace, turns the number of claims so far.
+	lastTurn map[string]int
+	turns    int
 	// changed is closed and replaced to wake the main loop and the items that wait for a slot.
 	changed chan struct{}
 }
@@ -131,6 +134,7 @@
 		waiting:    make(map[string][]int),
 		itemTime:   make(map[string]time.Duration),
 		held:       make(map[string]int),
+		lastTurn:   make(map[string]int),
 		changed:    make(chan struct{}),
 	}
 }
--- a/core/batch/step.go
+++ b/core/batch/step.go
@@ -126,6 +126,7 @@
 			Workspace:   o.Workspace,
 			LatestStart: slack.LatestStart(o.Deadline, items, perItem, c.slots),
 			Held:        r.held[o.Workspace],
+			LastTurn:    r.lastTurn[o.Workspace],
 		})
 	}
 	if n := slack.Next(cs); n >= 0 {
--- a/core/slack/candidate_test.go
+++ b/core/slack/candidate_test.go
@@ -18,6 +18,7 @@
 		{name: "none", want: -1},
 		{name: "least slack", cs: []Candidate{{Job: "a", LatestStart: at.Add(time.Hour)}, {Job: "b", LatestStart: at}}, want: 1},
 		{name: "fair", cs: []Candidate{{Job: "a", Held: 2, LatestStart: at}, {Job: "b", Held: 1, LatestStart: at.Add(time.Hour)}}, want: 1},
+		{name: "turns", cs: []Candidate{{Job: "a", LastTurn: 2, LatestStart: at}, {Job: "b", LastTurn: 1, LatestStart: at.Add(time.Hour)}}, want: 1},
 		{name: "stable", cs: []Candidate{{Job: "b", LatestStart: at}, {Job: "a", LatestStart: at}}, want: 1},
 	}
 	for _, c := range cases {
