Take over a released claim although its holder renews its session

A job could stand still for half a minute after the owner of its backend servers had changed. The former owner gives its chunk up after 2 s and marks the claim as released, but the new one skipped each claim whose holder renews its session before it looked at that mark, and checked it only when a later poll had found the claim unchanged twice: 5, 15 and 35 s after the first one. A former owner that still holds other chunks renews its session all the time.

A released claim is now taken over at the first poll that finds it.

TestGivenUpChunkIsFoundSoon: a learns 3.5 s late that b owns the backend servers, so that it gives the chunk up right after b's second poll. b did not hold the chunk after 18 s in 50 of 50 runs before, and holds it in 100 of 100 now.

--- a/core/batch/capacity_test.go
+++ b/core/batch/capacity_test.go
@@ -168,3 +168,37 @@
 		is.Equal(published, st.Job.Chunks)
 	})
 }
+
+// Guards against a chunk that lies idle for half a minute after its holder has given it up, because the holder still renews its
+// session.
+func TestGivenUpChunkIsFoundSoon(t *testing.T) {
+	bubble(t, "released by a live holder", func(is *is.I) {
+		f := newFleet("a", "b")
+		f.took = time.Minute
+		begin := time.Now()
+		f.slots = func(n, _ string) int {
+			// a learns late that b owns its backend servers.
+			if n == "a" && time.Since(begin) < 3500*time.Millisecond || n == "b" && time.Since(begin) > 100*time.Millisecond {
+				return 2
+			}
+
+			return 0
+		}
+		f.batchOwners = func(string) []string {
+			if time.Since(begin) < 100*time.Millisecond {
+				return []string{"a"}
+			}
+
+			return []string{"b"}
+		}
+		_, st := f.submit(is, 3, "x")
+		a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+		time.Sleep(18 * time.Second)
+		held := f.holders(is, st.Job.ID)
+		a.stop()
+		b.stop()
+		<-a.ended
+		<-b.ended
+		is.Equal(held, map[string]int{"b": 1})
+	})
+}
--- a/core/batch/poll.go
+++ b/core/batch/poll.go
@@ -168,7 +168,7 @@
 // takeOver claims a chunk whose holder is gone, or one with a claim of this instance that it does not hold.
 func (r *Runner) takeOver(ctx context.Context, w *knownJob, n int) (bool, error) {
 	seen, err := r.readClaim(ctx, w, n)
-	if err != nil || r.holderRenews(seen, r.now()) {
+	if err != nil || !seen.claim.Released && r.holderRenews(seen, r.now()) {
 		return false, err
 	}
 	c, version := seen.claim, seen.version
