Retry the release of a chunk

A chunk that an instance gave up could lie idle until that instance had no more batch work at all: the release of its claim was written once, and if the store could not be reached then, the claim stayed in the name of an instance that neither ran the chunk nor looked at the job again, but renewed its session for other chunks, so that no other one took it over.

It is the same way in which results are published.

TestFailedRelease: the store cannot be reached by a for 5 s while the owner changes.

--- a/core/batch/capacity_test.go
+++ b/core/batch/capacity_test.go
@@ -202,3 +202,46 @@
 		is.Equal(held, map[string]int{"b": 1})
 	})
 }
+
+// Guards against a chunk that no instance runs because the release of its claim has failed, while its holder, which may not run it
+// any more, keeps its session alive with other chunks.
+func TestFailedRelease(t *testing.T) {
+	bubble(t, "store down at the release", func(is *is.I) {
+		f := newFleet("a", "b")
+		f.took = time.Second
+		begin := time.Now()
+		owner := func(deployment string) string {
+			if deployment == "d" && time.Since(begin) > 500*time.Millisecond {
+				return "b"
+			}
+
+			return "a"
+		}
+		f.slots = func(n, deployment string) int {
+			if n == owner(deployment) {
+				return 1
+			}
+
+			return 0
+		}
+		f.batchOwners = func(deployment string) []string { return []string{owner(deployment)} }
+		s, st := f.submit(is, 3, "x")
+		file, err := s.PutFile(context.Background(), "w", "f", input(100, "x"))
+		is.NoErr(err)
+		_, err = s.Submit(context.Background(), job.Submission{Workspace: "w", File: file.ID, Deployment: "e", Deadline: time.Now().Add(10 * time.Minute)})
+		is.NoErr(err)
+		a, b := f.launch("a", "1", 1), f.launch("b", "1", 2)
+		time.Sleep(time.Second)
+		a.link.setCut(true)
+		time.Sleep(5 * time.Second)
+		a.link.setCut(false)
+		time.Sleep(30 * time.Second)
+		got, err := s.GetJob(context.Background(), "w", st.Job.ID)
+		a.stop()
+		b.stop()
+		<-a.ended
+		<-b.ended
+		is.NoErr(err)
+		is.Equal(got.Job.State, job.JobStateCompleted)
+	})
+}
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -139,14 +139,9 @@
 
 // publish writes the parts and then the result of a chunk. It continues for lingerTime after ctx ends.
 func (r *Runner) publish(ctx context.Context, w *knownJob, n, attempt int, results []job.ItemResult) bool {
-	linger, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	linger, cancel := lingering(ctx, lingerTime)
 	defer cancel()
 	defer w.onStop(cancel)()
-	defer context.AfterFunc(ctx, func() {
-		if sleep(linger, lingerTime) {
-			cancel()
-		}
-	})()
 	c := job.ChunkResult{
 		Attempt: attempt,
 	}
@@ -219,7 +214,8 @@
 	}
 }
 
-// release marks the claim of a chunk as released, so that another runner may take it over at once.
+// release marks the claim of a chunk as released, so that another runner may take it over at once. It retries until the job ends,
+// and for releaseTime after ctx ends: while this runner renews its session for other chunks, no other one takes the claim over.
 func (r *Runner) release(ctx context.Context, w *knownJob, n, attempt int, version int64) {
 	value, err := json.Marshal(job.Claim{
 		Holder:      r.name,
@@ -227,12 +223,37 @@
 		Attempt:     attempt,
 		Released:    true,
 	})
-	if err == nil {
-		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
-		defer cancel()
-		_, err = r.objects.Put(end, job.ClaimKey(w.open.ID, n), value, version)
-	}
 	if err != nil {
+		r.log.Error("cannot encode a claim", "job", w.open.ID, "chunk", n, "error", err)
+
+		return
+	}
+	linger, cancel := lingering(ctx, releaseTime)
+	defer cancel()
+	defer w.onStop(cancel)()
+	for pause := storePause; ; pause = min(2*pause, storePauseLimit) {
+		_, err := r.objects.Put(linger, job.ClaimKey(w.open.ID, n), value, version)
+		if c := fault.CodeOf(err); c == "" || c == fault.CodeConflict {
+			return
+		}
 		r.log.Warn("cannot release a claim", "job", w.open.ID, "chunk", n, "error", err)
+		if !sleep(linger, r.jitter(pause)) {
+			return
+		}
+	}
+}
+
+// lingering returns a context that ends d after ctx, or when the returned function is called.
+func lingering(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	linger, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if sleep(linger, d) {
+			cancel()
+		}
+	})
+
+	return linger, func() {
+		stop()
+		cancel()
 	}
 }
