--- a/core/batch/poll.go
+++ b/core/batch/poll.go
@@ -161,6 +161,12 @@
 			return nil
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w.awaitsHandover(taken) {
+		w.pollAt = r.now().Add(handoverPollInterval)
+		w.pause = minPollInterval
+	}
 
 	return nil
 }
@@ -168,7 +174,7 @@
 // takeOver claims a chunk whose holder is gone, or one with a claim of this instance that it does not hold.
 func (r *Runner) takeOver(ctx context.Context, w *knownJob, n int) (bool, error) {
 	seen, err := r.readClaim(ctx, w, n)
-	if err != nil || r.holderRenews(seen, r.now()) {
+	if err != nil || !seen.claim.Released && r.holderRenews(seen, r.now()) {
 		return false, err
 	}
 	c, version := seen.claim, seen.version
--- a/core/batch/runner.go
+++ b/core/batch/runner.go
@@ -90,9 +90,15 @@
 	running    map[string]int
 	unfinished map[string]int
 	itemTime   map[string]time.Duration
+	// waiting holds a ticket for each item that waits for a batch slot, in order and by deployment; tickets counts them.
+	waiting map[string][]int
+	tickets int
 	// held counts the held chunks by workspace, heldTotal all of them.
 	held      map[string]int
 	heldTotal int
+	// lastTurn is the number of the last claim by workspace, turns the number of claims so far.
+	lastTurn map[string]int
+	turns    int
 	// changed is closed and replaced to wake the main loop and the items that wait for a slot.
 	changed chan struct{}
 }
@@ -125,8 +131,10 @@
 		canceled:   make(map[string]time.Time),
 		running:    make(map[string]int),
 		unfinished: make(map[string]int),
+		waiting:    make(map[string][]int),
 		itemTime:   make(map[string]time.Duration),
 		held:       make(map[string]int),
+		lastTurn:   make(map[string]int),
 		changed:    make(chan struct{}),
 	}
 }
--- a/core/batch/step.go
+++ b/core/batch/step.go
@@ -115,6 +115,7 @@
 			continue
 		}
 		mayClaim[w] = free
+		w.owners = c.names
 		perItem := r.itemTime[o.Deployment]
 		if perItem == 0 {
 			perItem = defaultItemTime
@@ -126,6 +127,7 @@
 			Workspace:   o.Workspace,
 			LatestStart: slack.LatestStart(o.Deadline, items, perItem, c.slots),
 			Held:        r.held[o.Workspace],
+			LastTurn:    r.lastTurn[o.Workspace],
 		})
 	}
 	if n := slack.Next(cs); n >= 0 {
