Mark reports that lack the counts of many instances

Seen in a test: for 120 to 500 ms after the loss of a gateway of a large zone all instances of the fleet count nearly nothing on behalf of that zone, take its servers for free, start batch items there and preempt them again. It is the fault of isolated gateways once more: a sum that leaves out what its maker does not know is taken for complete.

Cause: an instance that becomes a gateway hears the counts of its zone from then on, within one round of regular heartbeats (200 ms), but reports at once.

Change: a report says that it is partial if it has the counts of fewer than three quarters of the instances of the zone, or not of all of them within 300 ms after its maker became a gateway of a large zone. Counts and waiting tokens of a partial one are not used, and it does not replace a whole one or the digest of the other gateway; when instances were last heard from is used as before.

What it does not cover: the new gateway itself misses the counts until the heartbeats have come. A gateway that does not hear up to a quarter of its zone sends sums without them.

Test: TestCountsWhenGatewayIsLost. TestZoneSums also checks the number of instances, which ZoneCounts returns now.

--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -162,7 +162,7 @@
 func (c *Cluster) ObserveReport(r *gossip.Report, at time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if !at.Before(c.zoneReports[r.Zone].madeAt) {
+	if !r.Partial && !at.Before(c.zoneReports[r.Zone].madeAt) {
 		c.zoneReports[r.Zone] = zoneReport{
 			madeAt:  at,
 			waiting: maps.Clone(r.Waiting),
--- a/core/cluster/zone.go
+++ b/core/cluster/zone.go
@@ -88,6 +88,20 @@
 	return peerAddresses(c.zonePeers())
 }
 
+// ZoneLive returns the number of instances in this instance's zone that neither count as gone nor are leaving, including this one.
+func (c *Cluster) ZoneLive() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	n := 1
+	for _, p := range c.zonePeers() {
+		if !p.gone && !p.heartbeat.Sender.Leaving {
+			n++
+		}
+	}
+
+	return n
+}
+
 func peerAddresses(peers []*peer) []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, len(peers))
 	for _, p := range peers {
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -480,6 +480,10 @@
 	// including itself.
 	Heard []MemberStatus `json:"Heard,omitempty,omitzero"`
 
+	// Partial says that counts and waiting tokens lack those of many instances of the
+	// zone, so that they must not be used.
+	Partial bool `json:"Partial,omitempty,omitzero"`
+
 	// Waiting is the number of waiting tokens by batch route, summed over the
 	// instances of the zone.
 	Waiting ReportWaiting `json:"Waiting,omitempty,omitzero"`
@@ -512,6 +516,9 @@
 	if 0 > plain.AgeMillis {
 		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
 	}
+	if v, ok := raw["Partial"]; !ok || v == nil {
+		plain.Partial = false
+	}
 	if utf8.RuneCountInString(string(plain.Zone)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "Zone", 1)
 	}
--- a/core/heartbeat/digest.go
+++ b/core/heartbeat/digest.go
@@ -83,6 +83,9 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for i := range reports {
+		if reports[i].Partial {
+			continue
+		}
 		e.covered[reports[i].Zone] = at
 	}
 }
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -37,6 +37,7 @@
 	Observe(b *gossip.Heartbeat, at time.Time) bool
 	ZoneAddresses(at time.Time) (each, regular []netip.AddrPort)
 	ZoneMembers() []netip.AddrPort
+	ZoneLive() int
 	GatewayRank(at time.Time) (rank int, digests, ok bool)
 	ObserveDigest(r *gossip.Report, own map[string]int, at time.Time)
 	Knows(name, incarnation string) bool
@@ -54,7 +55,7 @@
 
 type loads interface {
 	OwnCounts() []gossip.Count
-	ZoneCounts(at time.Time) []gossip.Count
+	ZoneCounts(at time.Time) (counts []gossip.Count, members int)
 	Observe(peer, zone string, counts []gossip.Count, at time.Time)
 	ObserveZone(zone string, counts []gossip.Count, at time.Time)
 	ObserveDigest(counts, own []gossip.Count, at time.Time)
@@ -111,6 +112,8 @@
 	// rounds counts regular heartbeats and reportCount the reports on this instance's zone; only Run uses them.
 	rounds      int
 	reportCount int
+	// gatewayAt is when this instance last became a gateway that sends digests; only Run uses it.
+	gatewayAt time.Time
 	// digestsLost says whether this instance already sends to its whole zone since no digest comes; only Run uses it.
 	digestsLost bool
 	// gateway says whether this instance was a gateway of its zone when it last had the occasion to send a digest.
@@ -281,13 +284,15 @@
 	for i := range b.Reports {
 		r := &b.Reports[i]
 		madeAt := gossip.Before(at, r.AgeMillis)
-		if r.Zone == zone {
+		if r.Zone == zone && !r.Partial {
 			e.handleDigest(r, madeAt)
 
 			continue
 		}
 		e.cluster.ObserveReport(r, madeAt)
-		e.loads.ObserveZone(r.Zone, r.Counts, madeAt)
+		if !r.Partial {
+			e.loads.ObserveZone(r.Zone, r.Counts, madeAt)
+		}
 	}
 	if b.Sender.Zone == zone {
 		e.noteCovered(b.Reports, at)
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -667,6 +667,40 @@
 	}
 }
 
+// Guards against digests and reports of an instance that becomes a gateway and has not heard the counts of its zone yet: after each loss
+// of a gateway all instances took the servers of the zone for free.
+func TestCountsWhenGatewayIsLost(t *testing.T) {
+	for _, lost := range [][]int{{2}, {8}, {2, 8}} { // the gateways of zone z2
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const count = 120
+				n := newNetwork()
+				list := n.fleet(count)
+				defer func() { stopAll(list) }()
+				time.Sleep(5 * time.Second)
+				for _, i := range list {
+					i.loads.Add("w", 1, 0)
+				}
+				time.Sleep(time.Second)
+				for _, k := range lost {
+					list[k].stop()
+				}
+				for step := range 150 {
+					time.Sleep(20 * time.Millisecond)
+					for k, i := range list {
+						// A gateway counts what it has heard itself, which takes a round of heartbeats after it has become one.
+						_, _, gateway := i.cluster.GatewayRank(time.Now())
+						got, _ := i.loads.InFlight("w", time.Now())
+						if !gateway && !slices.Contains(lost, k) && got < count-len(lost) {
+							t.Fatalf("instance %d counts %d requests, not %d, %d ms later", k, got, count, 20*step)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against an instance of a large zone that hears nobody and sends digests with its own counts only: the others then take
 // servers for free that are full, fill them with batch items and preempt these again.
 func TestIsolatedInstanceLeavesCountsOfItsZone(t *testing.T) {
--- a/core/heartbeat/relay.go
+++ b/core/heartbeat/relay.go
@@ -14,6 +14,15 @@
 // this interval once more.
 const relayInterval = 100 * time.Millisecond
 
+const (
+	// minCoverage is the share, in percent, of the instances of a zone whose counts a report has to contain. Those that were lost are
+	// missing until they count as gone.
+	minCoverage = 75
+	// settleTime is how long after an instance of a large zone has become a gateway its reports have to contain the counts of all: each
+	// has sent a regular heartbeat to it by then.
+	settleTime = regularInterval + relayInterval
+)
+
 // queuedReport is a report that waits to be relayed, and when it was made.
 type queuedReport struct {
 	report gossip.Report
@@ -33,6 +42,7 @@
 	rank, digests, gateway := e.cluster.GatewayRank(at)
 	sendsDigests := gateway && digests
 	if before := e.gateway.Swap(sendsDigests); sendsDigests && !before {
+		e.gatewayAt = at
 		e.cluster.ForgetDigest()
 		e.loads.ForgetDigest()
 	}
@@ -45,7 +55,9 @@
 	if len(far) > 0 || sendsDigests {
 		b := e.heartbeat()
 		report, relayed := e.cluster.Report(b, at)
-		report.Counts = e.loads.ZoneCounts(at)
+		counts, members := e.loads.ZoneCounts(at)
+		report.Counts = counts
+		report.Partial = e.partial(members, at)
 		b.Relayed = relayed
 		e.reportCount++
 		b.Reports = []gossip.Report{e.withStatus(report, farStatusRounds)}
@@ -64,11 +76,24 @@
 	}
 }
 
+// partial reports whether a report with the counts of a number of members of this instance's zone lacks too many.
+func (e *Exchanger) partial(members int, at time.Time) bool {
+	live := e.cluster.ZoneLive()
+	if e.gateway.Load() && at.Sub(e.gatewayAt) <= settleTime {
+		return members < live
+	}
+
+	return members < live*minCoverage/100
+}
+
 // enqueue queues the reports and relayed heartbeats from another zone's gateway for this instance's zone.
 func (e *Exchanger) enqueue(b *gossip.Heartbeat, at time.Time) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for _, r := range b.Reports {
+		if _, queued := e.reports[r.Zone]; queued && r.Partial {
+			continue
+		}
 		e.reports[r.Zone] = queuedReport{
 			report: r,
 			madeAt: gossip.Before(at, r.AgeMillis),
--- a/core/load/table.go
+++ b/core/load/table.go
@@ -142,16 +142,19 @@
 	}
 }
 
-// ZoneCounts returns the sums of the own counts and of those of the peers in the own availability zone, ordered by server.
-func (t *Table) ZoneCounts(at time.Time) []gossip.Count {
+// ZoneCounts returns the sums of the own counts and of those of the peers in the own availability zone, ordered by server, and the number
+// of instances whose counts they contain.
+func (t *Table) ZoneCounts(at time.Time) (counts []gossip.Count, members int) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.expire(at)
 	sums := maps.Clone(t.own)
+	members = 1
 	for _, p := range t.peers {
 		if p.zone != "" {
 			continue
 		}
+		members++
 		for server, c := range p.counts {
 			s := sums[server]
 			s.Server = server
@@ -161,7 +164,7 @@
 		}
 	}
 
-	return sorted(sums)
+	return sorted(sums), members
 }
 
 // addToReported adds counts to the reported sums, or subtracts them if sign is -1; the caller holds the lock.
--- a/core/load/table_test.go
+++ b/core/load/table_test.go
@@ -106,7 +106,9 @@
 	l.Observe("far", "z", []gossip.Count{{Server: "s", Online: 16}}, at)
 	online, _ := l.InFlight("s", at)
 	is.Equal(online, 7)
-	is.Equal(l.ZoneCounts(at), []gossip.Count{{Server: "s", Online: 3}, {Server: "t", Batch: 1}})
+	counts, members := l.ZoneCounts(at)
+	is.Equal(counts, []gossip.Count{{Server: "s", Online: 3}, {Server: "t", Batch: 1}})
+	is.Equal(members, 2) // without the instance of another zone
 	is.Equal(l.OwnCounts(), []gossip.Count{{Server: "s", Online: 1}})
 }
 
