--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -143,7 +143,7 @@
 func (c *Cluster) ObserveReport(r *gossip.Report, at time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if !at.Before(c.zoneReports[r.Zone].madeAt) {
+	if !r.Partial && !at.Before(c.zoneReports[r.Zone].madeAt) {
 		c.zoneReports[r.Zone] = zoneReport{
 			madeAt:  at,
 			waiting: maps.Clone(r.Waiting),
