Keep an isolated instance isolated over a pause of its process

What callers would see: fewer results than before, since a second instance runs jobs of live holders.

Cause: a gap between calls of Expire counts as a pause and sets the time since when this instance listens. Isolated was derived from that time alone, so that it was false for 2 s after the pause, while all others still counted as gone: the instance took over every job of the fleet. In the same call it dropped the addresses to which it had not sent for 30 s, and others would have counted it as gone.

Change: an instance is isolated from the time it noticed it until it hears from another one or ForgetPeers runs.

Evidence: TestPauseOfIsolatedInstance failed before and passes now; the tests of core/cluster and core/isolation pass.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -233,6 +233,27 @@
 	is.Equal(receivers(c, at), 2)
 }
 
+// Guards against an isolated instance that is paused for a moment, and then counts for two seconds as one that hears others while it
+// still takes all of them for lost, and forgets the addresses to which it sends.
+func TestPauseOfIsolatedInstance(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start
+	for n := range 3 {
+		c.Observe(&gossip.Heartbeat{Sender: member(n+1, "1"), Sequence: 1}, at)
+	}
+	for at.Before(start.Add(forgetAfter + 2*time.Second)) {
+		at = at.Add(200 * time.Millisecond)
+		c.Expire(at)
+	}
+	is.True(c.Isolated())
+	is.Equal(receivers(c, at), 3)
+	at = at.Add(pauseLimit + time.Millisecond)
+	c.Expire(at)
+	is.True(c.Isolated() || aliveOthers(c, 3, at) == 3) // else it takes their jobs over
+	is.Equal(receivers(c, at), 3)                       // else the others count it as gone
+}
+
 // Guards against an instance that counts as isolated for good after the others were stopped, or when it is known that they are lost.
 func TestLastInstanceIsNotIsolated(t *testing.T) {
 	for _, c := range []struct {
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -88,7 +88,8 @@
 }
 
 // Isolated reports whether at least two other instances are known and none of them was heard from lately, so this one is probably cut
-// off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone.
+// off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone, until it
+// hears from one again or ForgetPeers is called.
 func (c *Cluster) Isolated() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -98,6 +99,9 @@
 
 // isolated is Isolated for callers that hold the lock.
 func (c *Cluster) isolated() bool {
+	if !c.isolatedSince.IsZero() {
+		return true
+	}
 	last, others := c.listeningSince, c.unheard()
 	for _, p := range c.peers {
 		// An instance that was leaving is expected to become silent.
