Expect the listed instances until two others were heard from

What callers would see: fewer results than before, since a new process takes over jobs of live holders.

Cause: a new process drops the number of instances in the store at the first heartbeat of any other one. Behind a partition that may be one which started beside it. If that one becomes silent, a single peer is no isolation, and holders that it never heard of count as gone 3 s later.

Change: the number in the store counts until two others were heard from, or ForgetPeers ran; it is compared with the number of peers, not added to it, so that a fleet of two still survives the loss of one. An isolated instance suspects at all times that it was replaced: with one peer it would have stopped after 10 s, and after a pause for 2 s. Not changed: two new processes behind a partition that go on hearing each other take themselves for the fleet; with stale entries in the store a wait for the listed ones would not end.

Evidence: TestNewProcessThatHearsOneOfMany failed before and passes now; the tests of core/cluster and core/isolation and TestStartBehindPartition pass.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -129,7 +129,7 @@
 	// listeningSince is when this instance began to receive heartbeats, or resumed after a pause.
 	listeningSince time.Time
 	expiredAt      time.Time
-	// listed is the number of other instances in the store; it applies until met is set, when another one is heard from or none is alive.
+	// listed is the number of other instances in the store; it applies until met is set, when two are heard from or none is alive.
 	listed int
 	met    bool
 	// lastHeardAt is when any other instance was last heard from.
@@ -214,7 +214,7 @@
 			joinedAt: at,
 		}
 		c.peers[s.Name] = p
-		c.met = true
+		c.met = c.met || len(c.peers) > 1
 		c.zones = nil
 		c.changes++
 		c.log.Info("instance joined", "peer", s.Name, "incarnation", s.Incarnation, "address", s.Peer.String(), "zone", s.Zone)
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -336,6 +336,30 @@
 	}
 }
 
+// Guards against a new process behind a partition that hears from one other one, such as one that started beside it, takes that for the
+// whole fleet and takes over the jobs of listed instances that are alive; and against one of a fleet of two that waits for instances
+// that do not exist once the other is lost.
+func TestNewProcessThatHearsOneOfMany(t *testing.T) {
+	for _, listed := range []int{20, 1} {
+		is := is.New(t)
+		c := newCluster(0)
+		at := start
+		c.Expire(at)
+		c.Expect(listed)
+		c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1}, at)
+		for at.Before(start.Add(goneAfter + time.Second)) {
+			at = at.Add(200 * time.Millisecond)
+			c.Expire(at)
+		}
+		is.Equal(c.Isolated() || c.Alive("e5", "1", at), listed > 1)
+		for at.Before(start.Add(singleSilenceLimit + time.Second)) {
+			at = at.Add(200 * time.Millisecond)
+			c.Expire(at)
+		}
+		is.Equal(c.SuspectedSince(at.Add(-1)), listed > 1)
+	}
+}
+
 // Guards against an isolated instance that tells its zone, as a gateway, that all others are silent and have nothing in flight.
 func TestIsolatedInstanceIsNoGateway(t *testing.T) {
 	is := is.New(t)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -49,7 +49,8 @@
 	}
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
 	// have taken over this instance's jobs. Two or more silent peers may still reach each other and take them over.
-	if recent || silent > 1 || c.unheard() > 1 {
+	// An instance that hears from one other one is heard by it, even if the store lists more.
+	if recent || silent > 1 || isolated || len(c.peers) == 0 && c.unheard() > 1 {
 		c.selfSuspectedAt = at
 	}
 	for a, t := range c.targets {
@@ -70,15 +71,16 @@
 	return c.selfSuspectedAt.After(since)
 }
 
-// Expect records how many other instances the store lists. A process that has not heard from any yet is not the only one because of
-// that; it may have started behind a partition.
+// Expect records how many other instances the store lists. A process that has heard from none yet, or from a single one, does not know
+// the fleet because of that; it may have started behind a partition.
 func (c *Cluster) Expect(others int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.listed = max(c.listed, others)
 }
 
-// unheard returns the number of instances that this one expects to hear from and never did. The caller holds the lock.
+// unheard returns the number of others in the store while this instance has not heard from two of them: a single one may have started
+// behind the same partition. The caller holds the lock.
 func (c *Cluster) unheard() int {
 	if c.met {
 		return 0
@@ -87,7 +89,7 @@
 	return c.listed
 }
 
-// Isolated reports whether at least two other instances are known and none of them was heard from lately, so this one is probably cut
+// Isolated reports whether at least two other instances are known or expected and none of them was heard from lately, so this one is probably cut
 // off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone, until it
 // hears from one again or ForgetPeers is called.
 func (c *Cluster) Isolated() bool {
@@ -102,7 +104,7 @@
 	if !c.isolatedSince.IsZero() {
 		return true
 	}
-	last, others := c.listeningSince, c.unheard()
+	last, others := c.listeningSince, 0
 	for _, p := range c.peers {
 		// An instance that was leaving is expected to become silent.
 		if !p.heartbeat.Sender.Leaving {
@@ -111,7 +113,7 @@
 		last = later(last, p.heardAt)
 	}
 
-	return others > 1 && c.expiredAt.Sub(last) > isolatedAfter
+	return max(others, c.unheard()) > 1 && c.expiredAt.Sub(last) > isolatedAfter
 }
 
 // endIsolation is called when an instance is heard from. What is known of the others is as old as the isolation, so that they get the
