Notice a pause at reads, writes and takeovers

What callers would see: fewer results than before. A holder is frozen for 10 s, its job is taken over, and the first read after it resumes is answered from memory.

Cause: whether others may have replaced this instance, and whether a holder counts as gone, were as of the last Expire, which may come after the read, the write or the takeover.

Change: SuspectedSince gets the current time; a gap of more than pauseLimit since the last Expire counts as suspected. Takeovers wait for Expire after such a gap, except those that are claimed already. Paused is a method of its own rather than a rule in Alive, whose time may lie in the future (the look whether jobs remain asks for the next hour).

Evidence: the new assertions in TestPauseAndIsolation and TestPausedInstanceTakesNothingOver fail with the new conditions taken out and pass with them; the tests of core/cluster and core/jobrun pass. The calls of SuspectedSince in tests get the same time that the test passes to Expire; no assertion was dropped.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -126,10 +126,13 @@
 	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1}, start)
 	c.Observe(&gossip.Heartbeat{Sender: member(2, "1"), Sequence: 1}, start)
 	at := start.Add(10 * time.Second)
-	is.True(!c.SuspectedSince(at))
+	is.True(!c.SuspectedSince(at, at))
+	is.True(c.SuspectedSince(at.Add(-1), at)) // a read or write may come before Expire
+	is.True(c.Paused(at))
 	c.Expire(at)
+	is.True(!c.Paused(at))
 	is.True(c.Alive("e1", "1", at))
-	is.True(c.SuspectedSince(at.Add(-1))) // others may have counted this one as gone
+	is.True(c.SuspectedSince(at.Add(-1), at)) // others may have counted this one as gone
 	is.True(!c.Isolated())
 	for range 8 {
 		at = at.Add(pauseLimit / 2)
@@ -137,7 +140,7 @@
 	}
 	is.True(!c.Alive("e1", "1", at))
 	is.True(c.Isolated())
-	is.True(c.SuspectedSince(at.Add(-1)))
+	is.True(c.SuspectedSince(at.Add(-1), at))
 	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 2}, at)
 	is.True(!c.Isolated())
 }
@@ -166,7 +169,7 @@
 			}
 		}
 		is.True(gone == 0 || c.Isolated())
-		is.True(gone < 2 || c.SuspectedSince(at.Add(-1))) // the others may have replaced it
+		is.True(gone < 2 || c.SuspectedSince(at.Add(-1), at)) // the others may have replaced it
 	}
 	is.Equal(receivers(c, at), others) // it goes on sending heartbeats
 }
@@ -222,7 +225,7 @@
 	hear(1)
 	is.True(!c.Isolated())
 	is.Equal(aliveOthers(c, others, at), others)
-	is.True(c.SuspectedSince(at.Add(-1)))
+	is.True(c.SuspectedSince(at.Add(-1), at))
 	pass(20 * time.Second) // it heard one datagram only
 	is.True(c.Isolated())
 	is.Equal(receivers(c, at), others)
@@ -321,7 +324,7 @@
 				cl.Expire(at)
 				if at.Sub(start) > isolatedAfter && !c.forget {
 					is.Equal(cl.Isolated(), c.isolated) // before a holder that was never heard from counts as gone
-					is.Equal(cl.SuspectedSince(at.Add(-time.Second)), c.isolated)
+					is.Equal(cl.SuspectedSince(at.Add(-time.Second), at), c.isolated)
 				}
 			}
 			if c.isolated || c.forget {
@@ -356,7 +359,7 @@
 			at = at.Add(200 * time.Millisecond)
 			c.Expire(at)
 		}
-		is.Equal(c.SuspectedSince(at.Add(-1)), listed > 1)
+		is.Equal(c.SuspectedSince(at.Add(-1), at), listed > 1)
 	}
 }
 
@@ -481,7 +484,7 @@
 					cl.Observe(&gossip.Heartbeat{Sender: member(n, "1"), Sequence: int(after)}, at)
 				}
 				cl.Expire(at)
-				is.Equal(cl.SuspectedSince(at.Add(-1)), after > selfSuspectAfter && after <= c.last)
+				is.Equal(cl.SuspectedSince(at.Add(-1), at), after > selfSuspectAfter && after <= c.last)
 			}
 		})
 	}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -14,7 +14,7 @@
 func (c *Cluster) Expire(at time.Time) int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.expiredAt.IsZero() || at.Sub(c.expiredAt) > pauseLimit {
+	if c.expiredAt.IsZero() || c.paused(at) {
 		// After a pause of this process, the heartbeats that arrived meanwhile have not been read yet.
 		c.listeningSince = at
 		c.selfSuspectedAt = at
@@ -63,12 +63,32 @@
 	return c.changes
 }
 
-// SuspectedSince reports whether other instances may have counted this one as gone since a time, and may have taken over its jobs.
-func (c *Cluster) SuspectedSince(since time.Time) bool {
+// Paused reports whether this process has had a pause that Expire has not noticed yet. What is known of the others is as old as the
+// pause, and they may have counted this instance as gone.
+func (c *Cluster) Paused(at time.Time) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 
-	return c.selfSuspectedAt.After(since)
+	return c.paused(at)
+}
+
+// paused is Paused for callers that hold the lock.
+func (c *Cluster) paused(at time.Time) bool {
+	last := c.expiredAt
+	if last.IsZero() {
+		last = c.listeningSince
+	}
+
+	return at.Sub(last) > pauseLimit
+}
+
+// SuspectedSince reports whether other instances may have counted this one as gone between two times, the second of which is now, and
+// may have taken over its jobs.
+func (c *Cluster) SuspectedSince(since, at time.Time) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.selfSuspectedAt.After(since) || c.paused(at) && at.After(since)
 }
 
 // Expect records how many other instances the store lists. A process that has heard from none yet, or from a single one, does not know
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -244,7 +244,7 @@
 			}
 		}
 		for _, i := range list {
-			is.True(!i.cluster.SuspectedSince(time.Now().Add(-10 * time.Second)))
+			is.True(!i.cluster.SuspectedSince(time.Now().Add(-10*time.Second), time.Now()))
 		}
 	})
 }
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -61,7 +61,7 @@
 // holder does not look for results that another instance lists long after the takeover. An error means that the holder is unknown.
 func (r *Runner) stillHeld(ctx context.Context, j *job) (bool, error) {
 	r.lock.Lock()
-	sure := j.doubtedBy == "" && !r.cluster.SuspectedSince(j.heldAt)
+	sure := j.doubtedBy == "" && !r.cluster.SuspectedSince(j.heldAt, r.now())
 	r.lock.Unlock()
 	if sure {
 		return true, nil
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -117,10 +117,11 @@
 	return names
 }
 
-func (i *loadInstance) Alive(string, string, time.Time) bool { return true }
-func (i *loadInstance) SuspectedSince(time.Time) bool        { return false }
-func (i *loadInstance) Isolated() bool                       { return false }
-func (i *loadInstance) Waiting(r string, at time.Time) int   { return i.cluster.Waiting(r, at) }
+func (i *loadInstance) Alive(string, string, time.Time) bool     { return true }
+func (i *loadInstance) SuspectedSince(time.Time, time.Time) bool { return false }
+func (i *loadInstance) Paused(time.Time) bool                    { return false }
+func (i *loadInstance) Isolated() bool                           { return false }
+func (i *loadInstance) Waiting(r string, at time.Time) int       { return i.cluster.Waiting(r, at) }
 func (i *loadInstance) Holder(string, string) (a netip.AddrPort, ok bool) {
 	return a, false
 }
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -98,7 +98,7 @@
 	if len(r.orphans) == 0 {
 		return
 	}
-	isolated := r.cluster.Isolated()
+	blind := r.cluster.Isolated() || r.cluster.Paused(at)
 	takeovers := 0
 	for id, o := range r.orphans {
 		switch {
@@ -113,7 +113,7 @@
 			return
 		}
 		// Nobody else takes over a job that this instance has claimed.
-		if o.dismissed || o.running || at.Before(o.dueAt) || isolated && !o.claimed {
+		if o.dismissed || o.running || at.Before(o.dueAt) || blind && !o.claimed {
 			continue
 		}
 		takeovers++
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -147,6 +147,28 @@
 	})
 }
 
+// Guards against an instance that resumes after a pause and takes over the job of a live holder, before it has noticed the pause or read
+// the heartbeats that arrived meanwhile.
+func TestPausedInstanceTakesNothingOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.abandonJobs(t, "job")
+		r, stop := f.start("new")
+		defer stop()
+		f.paused.Store(true)
+		record, _, err := logs.New(f.objects).Job(t.Context(), "job")
+		is.NoErr(err)
+		is.True(!r.orphan(record))
+		r.ObserveOrphan("job")
+		time.Sleep(3 * time.Second)
+		is.True(!r.holds("job"))
+		f.paused.Store(false)
+		time.Sleep(time.Second)
+		is.True(r.holds("job"))
+	})
+}
+
 // Guards against reads of taken-over jobs that cost two store calls each: these were most of the store's calls in the seconds
 // after all processes were lost. Also guards against a late write of the previous holder that readers do not see within a
 // second.
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -60,14 +60,15 @@
 // effect and the store does not answer.
 func (r *Runner) readVerified(ctx context.Context, j *job, after int) (jobpage.Page, bool, error) {
 	source := "memory"
+	at := r.now()
 	r.lock.Lock()
 	doubted := j.doubtedBy != "" || j.releasing
 	unacknowledged := j.unacknowledged > 0
-	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt)
+	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt, at)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
 	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
 	lateWrites := j.verifiedAt.Before(j.lateWritesUntil)
-	recent := r.now().Sub(j.verifiedAt) < verifyInterval
+	recent := at.Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
 	if doubted || (maybeReplaced || lateWrites || unacknowledged) && !recent {
 		held, err := r.verify(ctx, j, after, maybeReplaced)
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -74,7 +74,8 @@
 type cluster interface {
 	Live() []string
 	Alive(name, incarnation string, at time.Time) bool
-	SuspectedSince(since time.Time) bool
+	SuspectedSince(since, at time.Time) bool
+	Paused(at time.Time) bool
 	Isolated() bool
 	Waiting(route string, at time.Time) int
 }
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -53,6 +53,8 @@
 	maybeReplaced bool
 	// isolated is set if an instance receives nothing from others.
 	isolated atomic.Bool
+	// paused is set if the asking instance may have been paused.
+	paused atomic.Bool
 	// failureRate is the fraction of attempts that break off.
 	failureRate float64
 }
@@ -91,13 +93,15 @@
 	return names
 }
 
-func (f *fleet) SuspectedSince(time.Time) bool {
+func (f *fleet) SuspectedSince(since, at time.Time) bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 
-	return f.maybeReplaced
+	return f.maybeReplaced || f.paused.Load() && at.After(since)
 }
 
+func (f *fleet) Paused(time.Time) bool { return f.paused.Load() }
+
 func (f *fleet) Isolated() bool { return f.isolated.Load() }
 
 func (f *fleet) Alive(name, _ string, _ time.Time) bool {
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -88,7 +88,12 @@
 		return false
 	}
 
-	return r.mine(j) || !r.cluster.Alive(j.Holder, j.Incarnation, r.now())
+	if r.mine(j) || j.Holder == "" {
+		return true
+	}
+	at := r.now()
+
+	return !r.cluster.Paused(at) && !r.cluster.Alive(j.Holder, j.Incarnation, at)
 }
 
 // claim makes this instance the holder in a job's record, unless it is already. It returns false if that fails, without an error if
