Read the store after a conflict with another writer

What callers would see: fewer results than before at the holder, after results that a replaced holder listed.

Cause: a holder whose write of results finds those of another writer reads that one segment and keeps the time at which it last looked for others, so that further ones stay unknown to reads.

Change: after a conflict the job counts as not verified, and late writes of the other writer are expected for lateWriteWindow, as after a takeover. A conflict with an own write whose outcome was unknown is treated the same; it costs one read of the store a verifyInterval for reads that find nothing.

Evidence: TestReadAfterConflict failed before and passes now; the tests of core/jobrun pass.

--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/work"
@@ -19,7 +20,8 @@
 	if err == nil {
 		err = r.append(ctx, j, position, results)
 	}
-	if fault.CodeOf(err) == fault.CodeConflict {
+	conflict := fault.CodeOf(err) == fault.CodeConflict
+	if conflict {
 		results, err = r.log.Segment(ctx, j.ID, position)
 		if err == nil {
 			_, err = r.checkHolder(ctx, j)
@@ -36,6 +38,11 @@
 		return
 	}
 	j.unacknowledged = 0
+	if conflict {
+		// The other writer may have listed more than this segment, and may go on until it learns that it was replaced.
+		j.verifiedAt = time.Time{}
+		j.lateWritesUntil = r.now().Add(lateWriteWindow)
+	}
 	j.list(position, results)
 	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items,
 		"after_ms", r.now().Sub(began).Milliseconds())
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -69,6 +69,44 @@
 	is.Equal(page.Results[0].Item, "j-3")
 }
 
+// Guards against a holder that finds the results of another writer in place of its own, and answers from memory although that writer has
+// listed further ones, or does so soon after.
+func TestReadAfterConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		l := logs.New(f.objects)
+		holder, stop := f.startHolder(t, 4)
+		defer stop()
+		_, err := holder.Read(t.Context(), "j", 0, time.Now())
+		is.NoErr(err)
+		list := func(position int, item, writer string) []work.Result {
+			results := []work.Result{{Item: item, State: work.StateDead}}
+			if writer != "" {
+				is.NoErr(l.Append(t.Context(), "j", position, results, writer))
+			}
+
+			return results
+		}
+		list(0, "j-1", "e2")
+		list(1, "j-2", "e2")
+		holder.lock.Lock()
+		j := holder.jobs["j"]
+		holder.lock.Unlock()
+		holder.write(t.Context(), j, 0, list(0, "j-3", ""))
+		for after, item := range []string{"j-1", "j-2", "j-4"} {
+			if after == 2 {
+				list(after, item, "e2")
+				time.Sleep(verifyInterval)
+			}
+			page, err := holder.Read(t.Context(), "j", after, time.Now())
+			is.NoErr(err)
+			is.True(len(page.Results) > 0)
+			is.Equal(page.Results[0].Item, item)
+		}
+	})
+}
+
 // Guards against a stopping holder that answers from memory after its release of a job has taken effect without an acknowledgement: the
 // job's new holder has listed further results.
 func TestReadDuringUnacknowledgedRelease(t *testing.T) {
