Wake tasks and send heartbeats by time and not by count

What callers would see: too few instances named, and jobs of lost instances that nobody takes over, on a machine on which a process gets processor time every 600 ms only.

Cause: the pulse counts its beats, of which a late process misses most, and the exchanger its ticks. A task with a period of 200 ms was woken every 1.2 s: Expire took every call for the end of a pause, so that nobody was ever gone or isolated, and regular heartbeats came later than silentAfter.

Change: the pulse keeps for each task when it is due, on multiples of the period since a common origin, and wakes it at the beat that is nearest to or after that; missed ticks are dropped, as a ticker does. A regular heartbeat is sent when regularInterval, less half a tick, has passed since the last.

A first form of TestLateTicks, with three instances of three zones, failed (2 != 3): two of them knew each other through a relay only, which adds a delay of its own of up to two ticks.

--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -18,8 +18,8 @@
 	minZoneInterval = 20 * time.Millisecond
 	// minDigestInterval is the same in a zone whose gateways send digests.
 	minDigestInterval = 40 * time.Millisecond
-	// regularRounds is the number of relay intervals between regular heartbeats, which are 200 ms apart.
-	regularRounds = 2
+	// regularInterval is the time between regular heartbeats.
+	regularInterval = 2 * RelayInterval
 	// addressThreshold is the number of receivers above which a regular heartbeat contains addresses of further instances.
 	addressThreshold = 3
 	// maxAddresses is the largest number of addresses in a heartbeat.
@@ -108,8 +108,10 @@
 	storeLost func() bool
 	now       func() time.Time
 	sequence  atomic.Int64
-	// rounds counts regular heartbeats and reportCount the reports on this instance's zone; only Run uses them.
+	// rounds counts regular heartbeats, regularAt is when the last was sent, and reportCount counts the reports on this instance's zone;
+	// only Run uses them.
 	rounds      int
+	regularAt   time.Time
 	reportCount int
 	// digestsLost says whether this instance already sends to its whole zone since no digest comes; only Run uses it.
 	digestsLost bool
@@ -153,23 +155,22 @@
 }
 
 // Run sends heartbeats until ctx ends: to this instance's zone whenever counts change, and to all zones at a fixed interval. Ticks are
-// to come every RelayInterval.
+// to come every RelayInterval; if they come late, the regular heartbeats come as often as the ticks.
 func (e *Exchanger) Run(ctx context.Context, ticks <-chan time.Time) {
 	e.send()
 	// While a changed count waits to be sent, and for a pause afterwards, changes is nil.
 	changes, pending := e.loads.Changed(), false
 	var wait <-chan time.Time
-	for round := 1; ; {
+	for {
 		select {
 		case <-ctx.Done():
 			e.send()
 
 			return
 		case <-ticks:
-			if round%regularRounds == 0 {
+			if e.now().Sub(e.regularAt) >= regularInterval-RelayInterval/2 {
 				e.send()
 			}
-			round++
 			e.relay()
 		case <-changes:
 			changes, pending = nil, true
@@ -221,6 +222,7 @@
 	near, regular := e.cluster.ZoneAddresses(at)
 	far, direct, others := e.cluster.RemoteAddresses(at)
 	e.rounds++
+	e.regularAt = at
 	b := e.heartbeat()
 	e.recordSent(b, at)
 	e.sendTo("Regular", b, near)
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -36,6 +36,8 @@
 	codec *messagecodec.Codec
 	// delay is how long each message takes to be handled.
 	delay time.Duration
+	// tick is the time between two ticks of each instance.
+	tick time.Duration
 }
 
 // instance is one member of a fleet; its own methods are stubs of the dependencies of the exchanger.
@@ -137,7 +139,7 @@
 }
 
 func newNetwork() *network {
-	return &network{nodes: map[netip.AddrPort]*instance{}, sent: map[string]int{}}
+	return &network{nodes: map[netip.AddrPort]*instance{}, sent: map[string]int{}, tick: heartbeat.RelayInterval}
 }
 
 // start adds an instance that regularly gets the address of the first one, as from the store, and no other.
@@ -162,7 +164,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		i.exchanger.Run(ctx, time.Tick(heartbeat.RelayInterval))
+		i.exchanger.Run(ctx, time.Tick(n.tick))
 	}()
 	go func() {
 		introducedAt := time.Time{}
@@ -298,6 +300,25 @@
 	})
 }
 
+// Guards against regular heartbeats that come several times more rarely than a process gets processor time, so that others take it for
+// silent.
+func TestLateTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		n.tick = 600 * time.Millisecond
+		list := n.fleet(2) // without a relay
+		defer func() { stopAll(list) }()
+		time.Sleep(3 * time.Second)
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			for _, i := range list {
+				is.Equal(len(i.cluster.ServingInstances("", time.Now())), len(list))
+			}
+		}
+	})
+}
+
 // Guards against instances that each learn by a request of their own that a backend server leaves: those of a small fleet, of the zone
 // and of other zones of a large one, and one that starts later.
 func TestDeparturesReachAllInstances(t *testing.T) {
--- a/core/pulse/pulse.go
+++ b/core/pulse/pulse.go
@@ -10,14 +10,16 @@
 type Pulse struct {
 	interval time.Duration
 	lock     sync.Mutex
-	tasks    []task
-	beats    int
+	tasks    []*task
+	// origin is an interval before the first beat, zero until then.
+	origin time.Time
 }
 
-// task is the channel of a task and the number of beats between two of its ticks.
+// task is the channel of a task, the period of its ticks and when the next one is due, zero if it is not known yet.
 type task struct {
-	beats int
-	ticks chan time.Time
+	period time.Duration
+	due    time.Time
+	ticks  chan time.Time
 }
 
 // New returns a pulse whose beats are an interval apart; Run starts it.
@@ -33,9 +35,9 @@
 	ticks := make(chan time.Time, 1)
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.tasks = append(p.tasks, task{
-		beats: max(1, int((period+p.interval-1)/p.interval)),
-		ticks: ticks,
+	p.tasks = append(p.tasks, &task{
+		period: max(p.interval, (period + p.interval - 1).Truncate(p.interval)),
+		ticks:  ticks,
 	})
 
 	return ticks
@@ -55,14 +57,23 @@
 	}
 }
 
+// beat wakes the tasks that are due. A process may get processor time rarely, so it is the time that counts, not the beats.
 func (p *Pulse) beat(at time.Time) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.beats++
+	if p.origin.IsZero() {
+		p.origin = at.Add(-p.interval)
+	}
+	nearest := at.Add(p.interval / 2)
 	for _, t := range p.tasks {
-		if p.beats%t.beats != 0 {
+		if t.due.IsZero() {
+			// Multiples of the period since the same origin keep the tasks together.
+			t.due = p.origin.Add((at.Sub(p.origin) - p.interval/2).Truncate(t.period) + t.period)
+		}
+		if t.due.After(nearest) {
 			continue
 		}
+		t.due = t.due.Add(nearest.Sub(t.due).Truncate(t.period) + t.period)
 		select {
 		case t.ticks <- at:
 		default:
