--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -14,7 +14,7 @@
 func (c *Cluster) Expire(at time.Time) int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.expiredAt.IsZero() || at.Sub(c.expiredAt) > pauseLimit {
+	if c.expiredAt.IsZero() || c.paused(at) {
 		// After a pause of this process, the heartbeats that arrived meanwhile have not been read yet.
 		c.listeningSince = at
 		c.selfSuspectedAt = at
@@ -49,7 +49,8 @@
 	}
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
 	// have taken over this instance's jobs. Two or more silent peers may still reach each other and take them over.
-	if recent || silent > 1 || c.unheard() > 1 {
+	// An instance that hears from one other one is heard by it, even if the store lists more.
+	if recent || silent > 1 || isolated || len(c.peers) == 0 && c.unheard() > 1 {
 		c.selfSuspectedAt = at
 	}
 	for a, t := range c.targets {
@@ -62,23 +63,44 @@
 	return c.changes
 }
 
-// SuspectedSince reports whether other instances may have counted this one as gone since a time, and may have taken over its jobs.
-func (c *Cluster) SuspectedSince(since time.Time) bool {
+// Paused reports whether this process has had a pause that Expire has not noticed yet. What is known of the others is as old as the
+// pause, and they may have counted this instance as gone.
+func (c *Cluster) Paused(at time.Time) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 
-	return c.selfSuspectedAt.After(since)
+	return c.paused(at)
 }
 
-// Expect records how many other instances the store lists. A process that has not heard from any yet is not the only one because of
-// that; it may have started behind a partition.
+// paused is Paused for callers that hold the lock.
+func (c *Cluster) paused(at time.Time) bool {
+	last := c.expiredAt
+	if last.IsZero() {
+		last = c.listeningSince
+	}
+
+	return at.Sub(last) > pauseLimit
+}
+
+// SuspectedSince reports whether other instances may have counted this one as gone between two times, the second of which is now, and
+// may have taken over its jobs.
+func (c *Cluster) SuspectedSince(since, at time.Time) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.selfSuspectedAt.After(since) || c.paused(at) && at.After(since)
+}
+
+// Expect records how many other instances the store lists. A process that has heard from none yet, or from a single one, does not know
+// the fleet because of that; it may have started behind a partition.
 func (c *Cluster) Expect(others int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.listed = max(c.listed, others)
 }
 
-// unheard returns the number of instances that this one expects to hear from and never did. The caller holds the lock.
+// unheard returns the number of others in the store while this instance has not heard from two of them: a single one may have started
+// behind the same partition. The caller holds the lock.
 func (c *Cluster) unheard() int {
 	if c.met {
 		return 0
@@ -87,8 +109,9 @@
 	return c.listed
 }
 
-// Isolated reports whether at least two other instances are known and none of them was heard from lately, so this one is probably cut
-// off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone.
+// Isolated reports whether at least two other instances are known or expected and none of them was heard from lately, so this one is probably cut
+// off, or no longer receives. The others may hear it all the same. It is isolated before it counts the first of them as gone, until it
+// hears from one again or ForgetPeers is called.
 func (c *Cluster) Isolated() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -98,7 +121,10 @@
 
 // isolated is Isolated for callers that hold the lock.
 func (c *Cluster) isolated() bool {
-	last, others := c.listeningSince, c.unheard()
+	if !c.isolatedSince.IsZero() {
+		return true
+	}
+	last, others := c.listeningSince, 0
 	for _, p := range c.peers {
 		// An instance that was leaving is expected to become silent.
 		if !p.heartbeat.Sender.Leaving {
@@ -107,7 +133,7 @@
 		last = later(last, p.heardAt)
 	}
 
-	return others > 1 && c.expiredAt.Sub(last) > isolatedAfter
+	return max(others, c.unheard()) > 1 && c.expiredAt.Sub(last) > isolatedAfter
 }
 
 // endIsolation is called when an instance is heard from. What is known of the others is as old as the isolation, so that they get the
