Answer isolated instances within the time that they wait

Would be seen: an instance that is cut off from all others, but not from the store, asks there and counts as the last one after 40 s, though others are alive: two holders of each job.

Cause: the 40 s did not cover the answer. (a) A watcher of the store looked for its role only at its own turn every 30 s: watcher A reads at 0, is asked at 1, fails at 29; the turn of B, the next one, was at 28, so it answers at 58. (b) A failed answer was only logged, so the next try came 30 s later. (c) Answers were written one after another within 10 s, so that the last of many got none.

Change: an instance that becomes the watcher reads the addresses after 2 s, if it still is; by then one that hears nobody is isolated. A failed answer is a failed turn, which is repeated after 1 s; that holds for a conflict too, as the question may have been asked anew, and costs one list. Eight answers at once, 30 s from the begin of a turn to the next. The first read of a process answers nothing.

Ruled out: longer waiting in place of it, since jobs wait that long when one instance is left.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
@@ -20,6 +21,11 @@
 	rejoinPause = 30 * time.Second
 	// retryPause is the time between two attempts after a failure.
 	retryPause = time.Second
+	// settleTime is how long an instance has to be the watcher of its zone before it looks for questions out of turn. Within it, one that
+	// hears nobody is isolated, and one that hears the others again has heard from the watcher.
+	settleTime = 2 * time.Second
+	// maxAnswers bounds the concurrent answers.
+	maxAnswers = 8
 	// attemptTimeout bounds an attempt.
 	attemptTimeout = 10 * time.Second
 )
@@ -83,34 +89,65 @@
 }
 
 // Run writes this instance's address to the store and reads the addresses of the others. After that, the watching instances read the
-// addresses once per rejoinPause.
-func (x *Exchanger) Run(ctx context.Context) {
-	announced := false
-	for ctx.Err() == nil {
-		pause := rejoinPause
-		if !announced || x.fleet.Watching() {
-			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-			err := x.exchange(attempt, announced)
-			cancel()
-			announced = announced || err == nil
-			if err != nil {
-				x.log.Warn("cannot exchange instance addresses through the store", "announced", announced, "error", err.Error())
-				pause = retryPause
+// addresses once per rejoinPause, and soon after they have become watchers: the one before may have failed right before its turn, and
+// questions have to be answered within a known time. The role is checked at each tick.
+func (x *Exchanger) Run(ctx context.Context, ticks <-chan time.Time) {
+	announced, answering := false, false
+	var turnAt, wakeAt time.Time
+	for {
+		at := time.Now()
+		if mayAnswer := x.mayAnswer(); mayAnswer != answering {
+			answering, wakeAt = mayAnswer, at.Add(settleTime)
+		}
+		woken := answering && !wakeAt.IsZero() && !at.Before(wakeAt)
+		if woken || !at.Before(turnAt) {
+			x.fleet.IntroduceSeeds()
+			turnAt = at.Add(rejoinPause)
+			if answering {
+				wakeAt = time.Time{}
+			}
+			if !x.take(ctx, &announced) {
+				turnAt = time.Now().Add(retryPause)
 			}
 		}
 		select {
-		case <-time.After(pause):
-			x.fleet.IntroduceSeeds()
+		case <-ticks:
 		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-// exchange reads the addresses of the other instances from the store and, unless announced is set, writes this instance's address there.
-func (x *Exchanger) exchange(ctx context.Context, announced bool) error {
-	listed, err := x.Read(ctx)
+// take exchanges addresses if this instance has to and reports whether nothing failed.
+func (x *Exchanger) take(ctx context.Context, announced *bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var err error
+	switch {
+	case !*announced:
+		err = x.join(ctx)
+		*announced = err == nil
+	case x.fleet.Watching():
+		_, err = x.Read(ctx)
+	}
+	if err != nil {
+		x.log.Warn("cannot exchange instance addresses through the store", "announced", *announced, "error", err.Error())
+	}
+
+	return err == nil
+}
+
+// mayAnswer reports whether this instance answers questions.
+func (x *Exchanger) mayAnswer() bool {
+	return x.fleet.Watching()
+}
+
+// join reads the addresses of the other instances from the store and writes this instance's address there. It answers no questions,
+// since all instances may start at the same time.
+func (x *Exchanger) join(ctx context.Context) error {
+	listed, _, err := x.list(ctx)
 	x.fleet.NoteFleetSize(listed)
-	if err != nil || announced {
+	if err != nil {
 		return err
 	}
 	created, err := x.announce(ctx)
@@ -118,16 +155,30 @@
 		return err
 	}
 	// Instances that started at the same time may have written their addresses since the first read.
-	_, err = x.Read(ctx)
+	_, _, err = x.list(ctx)
 
 	return err
 }
 
-// Read passes the addresses in the store to the cluster and returns their number. It answers the questions that it finds.
+// Read passes the addresses in the store to the cluster and returns their number. If this instance watches the store, it answers the
+// questions that it finds; a failed answer is a failure, so that it is tried again soon.
 func (x *Exchanger) Read(ctx context.Context) (listed int, err error) {
+	listed, open, err := x.list(ctx)
+	if err != nil || !x.mayAnswer() {
+		return listed, err
+	}
+	answers := pool.New().WithErrors().WithMaxGoroutines(maxAnswers)
+	for _, q := range open {
+		answers.Go(func() error { return x.answer(ctx, q) })
+	}
+
+	return listed, answers.Wait() //nolint:wrapcheck // the failures of answer
+}
+
+// list passes the addresses in the store to the cluster and returns their number and the questions of others.
+func (x *Exchanger) list(ctx context.Context) (listed int, open []openQuestion, err error) {
 	self := x.cluster.Self().Name
 	others := 0
-	var open []openQuestion
 	err = x.store.List(ctx, x.kind, func(name string, value json.RawMessage, revision int64) {
 		var r record
 		if json.Unmarshal(value, &r) != nil {
@@ -148,14 +199,21 @@
 		}
 	})
 	x.cluster.Expect(others)
-	for _, q := range open {
-		answer := q.record
-		answer.Question = ""
-		_, failure := x.store.Replace(ctx, x.kind, q.name, answer, q.revision)
-		x.log.Info("question of an isolated instance answered", "peer", q.name, "revision", q.revision, "error", fault.CodeOf(failure))
+
+	return listed, open, err
+}
+
+// answer removes a question. A conflict, of another answer or of a later question, ends in the next list of questions.
+func (x *Exchanger) answer(ctx context.Context, q openQuestion) error {
+	answer := q.record
+	answer.Question = ""
+	_, err := x.store.Replace(ctx, x.kind, q.name, answer, q.revision)
+	x.log.Info("question of an isolated instance answered", "peer", q.name, "revision", q.revision, "error", fault.CodeOf(err))
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return nil
 	}
 
-	return listed, err
+	return err
 }
 
 // announce writes this instance's address to the store, with its question if it has one, and reports whether the object is new.
--- /dev/null
+++ b/core/addresses/exchanger_test.go
@@ -0,0 +1,248 @@
+package addresses
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/isolation"
+)
+
+type object struct {
+	value    json.RawMessage
+	revision int64
+}
+
+// memory is a store with one revision counter; before is called before each change.
+type memory struct {
+	lock     sync.Mutex
+	objects  map[string]object
+	revision int64
+	writes   int
+	before   func(name string) error
+}
+
+func (m *memory) write(name string, value any, allowed func(found object, exists bool) fault.Code) (int64, error) {
+	if m.before != nil {
+		if err := m.before(name); err != nil {
+			return 0, err
+		}
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.writes++
+	found, exists := m.objects[name]
+	if code := allowed(found, exists); code != "" {
+		return 0, fault.New(code, name)
+	}
+	m.revision++
+	spec, err := json.Marshal(value)
+	m.objects[name] = object{value: spec, revision: m.revision}
+
+	return m.revision, err
+}
+
+func (m *memory) Create(_ context.Context, _, name string, value any) (int64, error) {
+	return m.write(name, value, func(_ object, exists bool) fault.Code {
+		if exists {
+			return fault.CodeConflict
+		}
+
+		return ""
+	})
+}
+
+func (m *memory) Replace(ctx context.Context, _, name string, value any, revision int64) (int64, error) {
+	if ctx.Err() != nil {
+		return 0, fault.Wrap(ctx.Err(), fault.CodeStoreUnavailable, name)
+	}
+
+	return m.write(name, value, func(found object, exists bool) fault.Code {
+		switch {
+		case !exists:
+			return fault.CodeNotFound
+		case found.revision != revision:
+			return fault.CodeConflict
+		default:
+			return ""
+		}
+	})
+}
+
+func (m *memory) Read(_ context.Context, _, name string, value any) (int64, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	o, ok := m.objects[name]
+	if !ok {
+		return 0, fault.New(fault.CodeNotFound, name)
+	}
+
+	return o.revision, json.Unmarshal(o.value, value)
+}
+
+func (m *memory) List(_ context.Context, _ string, each func(string, json.RawMessage, int64)) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	for name, o := range m.objects {
+		each(name, o.value, o.revision)
+	}
+
+	return nil
+}
+
+// node is an instance with an exchanger and a checker, which hears as much as the test says.
+type node struct {
+	*Exchanger
+	name          string
+	stop          context.CancelFunc
+	lock          sync.Mutex
+	watching      bool
+	isolatedSince time.Time
+	forgotten     bool
+}
+
+func (n *node) Self() gossip.Member {
+	return gossip.Member{Name: n.name, Peer: netip.MustParseAddrPort("10.0.0.1:9")}
+}
+func (*node) Introduce([]netip.AddrPort, time.Time)          {}
+func (*node) Expect(int)                                     {}
+func (*node) NoteFleetSize(int)                              {}
+func (*node) IntroduceSeeds()                                {}
+func (*node) PeerAddresses() []netip.AddrPort                { return nil }
+func (*node) Reachable(context.Context, netip.AddrPort) bool { return false }
+func (n *node) ForgetPeers(time.Time)                        { n.set(func() { n.forgotten = true }) }
+
+func (n *node) Watching() (watching bool) { n.set(func() { watching = n.watching }); return }
+
+func (n *node) Forgotten() (forgotten bool) { n.set(func() { forgotten = n.forgotten }); return }
+
+func (n *node) Isolated() bool { _, isolated := n.IsolatedSince(); return isolated }
+
+func (n *node) IsolatedSince() (since time.Time, isolated bool) {
+	n.set(func() { since, isolated = n.isolatedSince, !n.isolatedSince.IsZero() && !n.forgotten })
+
+	return since, isolated
+}
+
+func (n *node) set(f func()) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	f()
+}
+
+// isolate makes the node hear nobody, so that it takes itself for the watcher.
+func (n *node) isolate() {
+	n.set(func() { n.isolatedSince, n.watching = time.Now(), true })
+}
+
+func (n *node) watch(watching bool) { n.set(func() { n.watching = watching }) }
+
+func launch(t *testing.T, m *memory, name string, watching bool) *node {
+	n := &node{name: name, watching: watching}
+	log := slog.New(slog.DiscardHandler)
+	n.Exchanger = New(m, "kind", n, n, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	n.stop = cancel
+	ticks := time.NewTicker(100 * time.Millisecond)
+	go func() {
+		defer ticks.Stop()
+		n.Run(ctx, ticks.C)
+	}()
+	go isolation.New(n, n, n, time.Now, log).Run(ctx)
+
+	return n
+}
+
+// bubble runs a test with a fake clock and an empty store.
+func bubble(t *testing.T, f func(t *testing.T, is *is.I, m *memory)) {
+	synctest.Test(t, func(t *testing.T) {
+		f(t, is.New(t), &memory{objects: map[string]object{}})
+	})
+}
+
+// Guards against an instance that counts as the last one because the watcher has failed right before it would have answered, while the
+// next watcher takes its own turn later.
+func TestWatcherFailsBeforeItsTurn(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, m *memory) {
+		next := launch(t, m, "b", false)
+		time.Sleep(2 * time.Second)
+		first := launch(t, m, "a", true)
+		time.Sleep(100 * time.Millisecond)
+		asking := launch(t, m, "c", false)
+		asking.isolate()
+		time.Sleep(29 * time.Second)
+		first.stop()
+		time.Sleep(time.Second)
+		next.watch(true)
+		time.Sleep(5 * time.Minute)
+		is.True(!asking.Forgotten())
+		next.stop()
+		time.Sleep(2 * time.Minute)
+		is.True(asking.Forgotten())
+		asking.stop()
+	})
+}
+
+// Guards against an instance that counts as the last one because an answer to it could not be written at the first attempt.
+func TestFailedAnswer(t *testing.T) {
+	for _, code := range []fault.Code{fault.CodeStoreUnavailable, fault.CodeConflict} {
+		bubble(t, func(t *testing.T, is *is.I, m *memory) {
+			watcher := launch(t, m, "a", true)
+			asking := launch(t, m, "c", false)
+			time.Sleep(6 * time.Second)
+			begin := time.Now()
+			asking.isolate()
+			m.before = func(name string) error {
+				if s := time.Since(begin); name == "c" && s > 10*time.Second && s < 25*time.Second {
+					return fault.New(code, "no write")
+				}
+
+				return nil
+			}
+			time.Sleep(28 * time.Second)
+			var found record
+			_, err := m.Read(t.Context(), "kind", "c", &found)
+			is.NoErr(err)
+			is.True(found.Question == "")
+			watcher.stop()
+			asking.stop()
+		})
+	}
+}
+
+// Guards against questions that get no answer in time because there are many others.
+func TestManyQuestions(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, m *memory) {
+		watcher := launch(t, m, "a", true)
+		time.Sleep(6 * time.Second)
+		for n := range 60 {
+			_, err := m.Create(t.Context(), "kind", fmt.Sprint("c-", n), record{Peer: watcher.Self().Peer, Question: "q"})
+			is.NoErr(err)
+		}
+		m.before = func(string) error {
+			time.Sleep(time.Second)
+
+			return nil
+		}
+		time.Sleep(40 * time.Second)
+		open := 0
+		is.NoErr(m.List(t.Context(), "kind", func(_ string, value json.RawMessage, _ int64) {
+			var r record
+			if is.NoErr(json.Unmarshal(value, &r)); r.Question != "" {
+				open++
+			}
+		}))
+		is.Equal(open, 0)
+		watcher.stop()
+	})
+}
