Take open questions and answers in the store as signs of life

Would be seen: when all instances are isolated at once, since heartbeats are lost while the store is reachable, each counts as the watcher of its zone and answers the questions of all others: by the review up to 250 x 249 writes in 30 s for 250 instances, against 3,200 (small sites 400) a second. What is beyond is refused with 429, writes of jobs too.

Change: an isolated instance answers nobody. Before an instance counts as the last one it lists the addresses: any object of another one with a revision above that of its own question is a sign of life (a question, its renewal, an answer to a third one, a new process). Then it asks again. So an answer to any of many questions counts for all.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"log/slog"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +25,8 @@
 	settleTime = 2 * time.Second
 	// maxAnswers bounds the concurrent answers.
 	maxAnswers = 8
+	// renewalPause is the least time between two renewals of a question. Those who compare revisions see several of them while they wait.
+	renewalPause = 8 * time.Second
 	// attemptTimeout bounds an attempt.
 	attemptTimeout = 10 * time.Second
 )
@@ -41,6 +42,7 @@
 	Self() gossip.Member
 	Introduce(addresses []netip.AddrPort, at time.Time)
 	Expect(others int)
+	Isolated() bool
 }
 
 // fleet is what the other tasks of the instance know and do.
@@ -57,6 +59,8 @@
 	Peer netip.AddrPort
 	// Question is set by an instance that hears from no other one. The first one that reads it removes it, as an answer.
 	Question string `json:",omitempty"`
+	// Renewals grows while the question is open, which raises the revision of the object.
+	Renewals int `json:",omitempty"`
 }
 
 // openQuestion is a question of another instance, and the revision of the object that contains it.
@@ -73,8 +77,14 @@
 	cluster cluster
 	fleet   fleet
 	log     *slog.Logger
-	// question is what this instance has asked the others, nil without one.
-	question atomic.Pointer[string]
+	// own is held, as the only element, while the object of this instance is changed; it guards the fields below.
+	own chan struct{}
+	// question is what this instance has asked the others, empty without one.
+	question string
+	renewals int
+	// renewedAt is when the question was last written; askedRevision is the revision of its first write.
+	renewedAt     time.Time
+	askedRevision int64
 }
 
 // New returns an exchanger whose objects are of a kind of their own; Run starts it.
@@ -85,6 +95,7 @@
 		cluster: c,
 		fleet:   f,
 		log:     log,
+		own:     make(chan struct{}, 1),
 	}
 }
 
@@ -137,9 +148,10 @@
 	return err == nil
 }
 
-// mayAnswer reports whether this instance answers questions.
+// mayAnswer reports whether this instance answers questions. An isolated one takes itself for the watcher, as all others may do at the
+// same time; the question that it asks itself is its sign of life.
 func (x *Exchanger) mayAnswer() bool {
-	return x.fleet.Watching()
+	return x.fleet.Watching() && !x.cluster.Isolated()
 }
 
 // join reads the addresses of the other instances from the store and writes this instance's address there. It answers no questions,
@@ -206,7 +218,7 @@
 // answer removes a question. A conflict, of another answer or of a later question, ends in the next list of questions.
 func (x *Exchanger) answer(ctx context.Context, q openQuestion) error {
 	answer := q.record
-	answer.Question = ""
+	answer.Question, answer.Renewals = "", 0
 	_, err := x.store.Replace(ctx, x.kind, q.name, answer, q.revision)
 	x.log.Info("question of an isolated instance answered", "peer", q.name, "revision", q.revision, "error", fault.CodeOf(err))
 	if fault.CodeOf(err) == fault.CodeNotFound {
@@ -216,49 +228,114 @@
 	return err
 }
 
-// announce writes this instance's address to the store, with its question if it has one, and reports whether the object is new.
+// announce writes this instance's address to the store and reports whether the object is new.
 func (x *Exchanger) announce(ctx context.Context) (created bool, err error) {
-	self := x.cluster.Self()
-	own := record{
-		Peer: self.Peer,
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	_, created, err = x.write(ctx)
+
+	return created, err
+}
+
+// acquire waits until the object of this instance may be changed.
+func (x *Exchanger) acquire(ctx context.Context) (release func(), err error) {
+	select {
+	case x.own <- struct{}{}:
+		return func() { <-x.own }, nil
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.CodeUnavailable, "another change of this instance's object takes too long")
 	}
-	if q := x.question.Load(); q != nil {
-		own.Question = *q
+}
+
+// record returns what the object of this instance has to contain.
+func (x *Exchanger) record() record {
+	return record{
+		Peer:     x.cluster.Self().Peer,
+		Question: x.question,
+		Renewals: x.renewals,
 	}
+}
+
+// write writes the object of this instance unless it is in the store, and returns its revision and whether it is new.
+func (x *Exchanger) write(ctx context.Context) (revision int64, created bool, err error) {
+	name, own := x.cluster.Self().Name, x.record()
 	var found record
-	revision, err := x.store.Read(ctx, x.kind, self.Name, &found)
+	revision, err = x.store.Read(ctx, x.kind, name, &found)
 	switch {
 	case err == nil && found != own:
-		_, err = x.store.Replace(ctx, x.kind, self.Name, own, revision)
+		revision, err = x.store.Replace(ctx, x.kind, name, own, revision)
 	case err != nil:
-		_, err = x.store.Create(ctx, x.kind, self.Name, own)
+		revision, err = x.store.Create(ctx, x.kind, name, own)
 		created = err == nil
 	}
 
-	return created, err
+	return revision, created, err
 }
 
 // Ask asks the other instances in the store whether any of them is alive.
 func (x *Exchanger) Ask(ctx context.Context) error {
-	question := uuid.NewString()
-	x.question.Store(&question)
-	_, err := x.announce(ctx)
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
+	x.question, x.renewals = uuid.NewString(), 0
+	if x.askedRevision, _, err = x.write(ctx); err == nil {
+		x.renewedAt = time.Now()
+	}
 
 	return err
 }
 
-// Answered reports whether another instance has removed the question from the store. A question that was lost with its object counts
-// as answered, so that it is asked again.
+// Answered reports whether another instance has removed the question from the store, and renews the question if not. A question that
+// was lost with its object counts as answered, so that it is asked again.
 func (x *Exchanger) Answered(ctx context.Context) (bool, error) {
-	var found record
-	_, err := x.store.Read(ctx, x.kind, x.cluster.Self().Name, &found)
-	if err != nil && fault.CodeOf(err) != fault.CodeNotFound {
+	release, err := x.acquire(ctx)
+	if err != nil {
 		return false, err
 	}
-	if question := x.question.Load(); question != nil && found.Question == *question {
+	defer release()
+	var found record
+	name := x.cluster.Self().Name
+	revision, err := x.store.Read(ctx, x.kind, name, &found)
+	switch {
+	case err != nil && fault.CodeOf(err) != fault.CodeNotFound:
+		return false, err
+	case err != nil || x.question == "" || found.Question != x.question:
+		x.question, x.renewals = "", 0
+
+		return true, nil
+	case time.Since(x.renewedAt) < renewalPause:
 		return false, nil
 	}
-	x.question.Store(nil)
+	x.renewals = found.Renewals + 1
+	if _, err = x.store.Replace(ctx, x.kind, name, x.record(), revision); err == nil {
+		x.renewedAt = time.Now()
+	}
+
+	return false, err
+}
+
+// OthersSeen reports whether any other instance has changed an object since this one asked: asked or renewed a question, answered one, or
+// started.
+func (x *Exchanger) OthersSeen(ctx context.Context) (bool, error) {
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	self, seen := x.cluster.Self().Name, ""
+	err = x.store.List(ctx, x.kind, func(name string, _ json.RawMessage, revision int64) {
+		if name != self && revision > x.askedRevision {
+			seen = name
+		}
+	})
+	if seen != "" {
+		x.log.Info("sign of life of another instance in the store", "peer", seen, "asked_revision", x.askedRevision)
+	}
 
-	return true, nil
+	return seen != "", err
 }
--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -246,3 +246,39 @@
 		watcher.stop()
 	})
 }
+
+// Guards against instances that are isolated at the same time and answer each other, which would exceed the store's rate of writes, or
+// take each other for lost.
+func TestAllIsolatedAtOnce(t *testing.T) {
+	for _, apart := range []time.Duration{0, 30 * time.Millisecond, 7 * time.Second} {
+		bubble(t, func(t *testing.T, is *is.I, m *memory) {
+			const size = 20
+			m.before = func(string) error {
+				time.Sleep(50 * time.Millisecond)
+
+				return nil
+			}
+			var all []*node
+			for n := range size {
+				all = append(all, launch(t, m, fmt.Sprint("n-", n), n == 0))
+				time.Sleep(apart)
+			}
+			time.Sleep(time.Minute)
+			for _, n := range all {
+				n.isolate()
+			}
+			before := m.writes
+			time.Sleep(10 * time.Minute)
+			is.True(m.writes-before <= size*10*60/7) // one write of each in 7 s
+			for _, n := range all {
+				is.True(!n.Forgotten())
+			}
+			for _, n := range all[1:] {
+				n.stop()
+			}
+			time.Sleep(2 * time.Minute)
+			is.True(all[0].Forgotten())
+			all[0].stop()
+		})
+	}
+}
--- a/core/isolation/checker.go
+++ b/core/isolation/checker.go
@@ -40,6 +40,8 @@
 	Ask(ctx context.Context) error
 	// Answered reports whether another instance has answered since Ask; a failure says nothing.
 	Answered(ctx context.Context) (bool, error)
+	// OthersSeen reports whether another instance has written to the store since Ask; a failure says nothing.
+	OthersSeen(ctx context.Context) (bool, error)
 }
 
 // Checker ends the isolation of an instance that is the only one left. As long as any other one accepts connections or answers in the
@@ -92,7 +94,10 @@
 	addresses := c.cluster.PeerAddresses()
 	reached := c.reached(ctx, addresses)
 	c.log.Warn("other instances looked for", "isolated_since", since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached)
-	if _, isolated = c.cluster.IsolatedSince(); isolated && !reached && ctx.Err() == nil {
+	if reached || !c.unseen(ctx) {
+		return
+	}
+	if _, isolated = c.cluster.IsolatedSince(); isolated && ctx.Err() == nil {
 		c.cluster.ForgetPeers(c.now())
 	}
 }
@@ -119,6 +124,19 @@
 	return err == nil && !answered && c.now().Sub(c.askedAt) >= answerTime
 }
 
+// unseen reports whether there is no sign of life of another instance in the store since the question. An instance that is isolated itself
+// answers no question but asks one.
+func (c *Checker) unseen(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	seen, err := c.questions.OthersSeen(ctx)
+	if seen {
+		c.askedAt = time.Time{}
+	}
+
+	return err == nil && !seen
+}
+
 // reached reports whether any of the addresses accepts a connection.
 func (c *Checker) reached(ctx context.Context, addresses []netip.AddrPort) bool {
 	var found atomic.Bool
--- a/core/isolation/checker_test.go
+++ b/core/isolation/checker_test.go
@@ -22,10 +22,19 @@
 	forgotten     bool
 	// answer returns what the store says.
 	answer func() (bool, error)
+	// others returns whether another instance was seen there, nil for never.
+	others func() (bool, error)
 }
 
 func (*fleet) Ask(context.Context) error                { return nil }
 func (f *fleet) Answered(context.Context) (bool, error) { return f.answer() }
+func (f *fleet) OthersSeen(context.Context) (bool, error) {
+	if f.others == nil {
+		return false, nil
+	}
+
+	return f.others()
+}
 
 func (f *fleet) IsolatedSince() (time.Time, bool) { return f.isolatedSince, f.isolated && !f.forgotten }
 func (f *fleet) ForgetPeers(time.Time)            { f.forgotten = true }
