Look for an answer once more after the addresses were tried

Would be seen: two holders of each job, if the answer of another instance comes while an isolated one tries the addresses of the others.

Change: the checker looks for an answer, and for other signs of life, between these calls and its conclusion.

Test: TestAnswerDuringDials, which fails before.

--- a/core/isolation/checker.go
+++ b/core/isolation/checker.go
@@ -94,7 +94,8 @@
 	addresses := c.cluster.PeerAddresses()
 	reached := c.reached(ctx, addresses)
 	c.log.Warn("other instances looked for", "isolated_since", since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached)
-	if reached || !c.unseen(ctx) {
+	// The calls may have taken many seconds.
+	if reached || !c.unanswered(ctx) || !c.unseen(ctx) {
 		return
 	}
 	if _, isolated = c.cluster.IsolatedSince(); isolated && ctx.Err() == nil {
--- a/core/isolation/checker_test.go
+++ b/core/isolation/checker_test.go
@@ -20,6 +20,7 @@
 	reachable     int
 	calls         atomic.Int32
 	forgotten     bool
+	dialTime      time.Duration
 	// answer returns what the store says.
 	answer func() (bool, error)
 	// others returns whether another instance was seen there, nil for never.
@@ -50,6 +51,7 @@
 
 func (f *fleet) Reachable(_ context.Context, a netip.AddrPort) bool {
 	f.calls.Add(1)
+	time.Sleep(f.dialTime)
 
 	return int(a.Addr().As4()[3]) >= 20-f.reachable
 }
@@ -90,3 +92,19 @@
 		})
 	}
 }
+
+// Guards against an answer that comes while the addresses of the others are tried, which takes long if they do not respond.
+func TestAnswerDuringDials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fleet{isolatedSince: time.Now(), isolated: true, dialTime: 500 * time.Millisecond}
+		f.answer = func() (bool, error) { return f.calls.Load() > 0, nil }
+		ctx, cancel := context.WithCancel(t.Context())
+		go New(f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(ctx)
+		time.Sleep(5 * time.Minute)
+		synctest.Wait()
+		is.True(f.calls.Load() > 0)
+		is.True(!f.forgotten)
+		cancel()
+	})
+}
