Remove the address of an instance that stops from the store

Would be seen: jobs without a holder that wait 45 s and more: a process that starts and hears nobody waits for all that the store lists, also for those that have left for good.

The deletion waits for any other change of the object, and no change follows it. A failure is only logged. The next process of the instance creates the object again.

Not covered: a deletion whose answer is lost and that the store executes after the next process has started. That process is then found through seeds and heartbeats only.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -35,6 +35,7 @@
 	Create(ctx context.Context, kind, name string, value any) (int64, error)
 	Read(ctx context.Context, kind, name string, value any) (int64, error)
 	Replace(ctx context.Context, kind, name string, value any, revision int64) (int64, error)
+	Delete(ctx context.Context, kind, name string) error
 	List(ctx context.Context, kind string, each func(name string, value json.RawMessage, revision int64)) error
 }
 
@@ -85,6 +86,8 @@
 	// renewedAt is when the question was last written; askedRevision is the revision of its first write.
 	renewedAt     time.Time
 	askedRevision int64
+	// left is set once the instance has left the fleet.
+	left bool
 }
 
 // New returns an exchanger whose objects are of a kind of their own; Run starts it.
@@ -240,6 +243,20 @@
 	return created, err
 }
 
+// Leave removes this instance's address from the store for good, after any change of the object that is on its way. A failure is only
+// logged: the others wait longer for an instance that is still listed.
+func (x *Exchanger) Leave(ctx context.Context) {
+	release, err := x.acquire(ctx)
+	if err == nil {
+		defer release()
+		x.left = true
+		err = x.store.Delete(ctx, x.kind, x.cluster.Self().Name)
+	}
+	if err != nil {
+		x.log.Warn("address not removed from the store", "error", err.Error())
+	}
+}
+
 // acquire waits until the object of this instance may be changed.
 func (x *Exchanger) acquire(ctx context.Context) (release func(), err error) {
 	select {
@@ -261,6 +278,9 @@
 
 // write writes the object of this instance unless it is in the store, and returns its revision and whether it is new.
 func (x *Exchanger) write(ctx context.Context) (revision int64, created bool, err error) {
+	if x.left {
+		return 0, false, fault.New(fault.CodeUnavailable, "this instance has left")
+	}
 	name, own := x.cluster.Self().Name, x.record()
 	var found record
 	revision, err = x.store.Read(ctx, x.kind, name, &found)
@@ -308,7 +328,7 @@
 		x.question, x.renewals = "", 0
 
 		return true, nil
-	case time.Since(x.renewedAt) < renewalPause:
+	case x.left || time.Since(x.renewedAt) < renewalPause:
 		return false, nil
 	}
 	x.renewals = found.Renewals + 1
--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -79,6 +79,14 @@
 	})
 }
 
+func (m *memory) Delete(_ context.Context, _, name string) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	delete(m.objects, name)
+
+	return nil
+}
+
 func (m *memory) Read(_ context.Context, _, name string, value any) (int64, error) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
@@ -282,3 +290,31 @@
 		})
 	}
 }
+
+// Guards against a lone process that waits for instances that have left, since their addresses stay in the store, or that is not listed
+// because its former process has left.
+func TestLeave(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, m *memory) {
+		n := launch(t, m, "a", true)
+		time.Sleep(time.Second)
+		is.Equal(len(m.objects), 1)
+		m.before = func(string) error {
+			time.Sleep(time.Second)
+
+			return nil
+		}
+		is.NoErr(m.Delete(t.Context(), "kind", "a"))
+		go func() { _ = n.Ask(t.Context()) }() // an isolated instance asks while it stops, and creates its object again
+		time.Sleep(100 * time.Millisecond)
+		n.Leave(t.Context())
+		is.Equal(len(m.objects), 0)
+		is.True(n.Ask(t.Context()) != nil)
+		time.Sleep(5 * time.Minute)
+		is.Equal(len(m.objects), 0)
+		n.stop()
+		next := launch(t, m, "a", true)
+		time.Sleep(2 * time.Second)
+		is.Equal(len(m.objects), 1)
+		next.stop()
+	})
+}
