--- /dev/null
+++ b/core/addresses/exchanger.go
@@ -0,0 +1,361 @@
+package addresses
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc/pool"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/core/gossip"
+)
+
+const (
+	// rejoinPause is the time between two reads of the addresses in the store. Addresses that do not answer are dropped, so after a
+	// long network partition regions find each other again only through the seeds and the store.
+	rejoinPause = 30 * time.Second
+	// retryPause is the time between two attempts after a failure.
+	retryPause = time.Second
+	// settleTime is how long an instance has to be the watcher of its zone before it looks for questions out of turn. Within it, one that
+	// hears nobody is isolated, and one that hears the others again has heard from the watcher.
+	settleTime = 2 * time.Second
+	// maxAnswers bounds the concurrent answers.
+	maxAnswers = 8
+	// renewalPause is the least time between two renewals of a question. Those who compare revisions see several of them while they wait.
+	renewalPause = 8 * time.Second
+	// attemptTimeout bounds an attempt.
+	attemptTimeout = 10 * time.Second
+)
+
+type store interface {
+	Create(ctx context.Context, kind, name string, value any) (int64, error)
+	Read(ctx context.Context, kind, name string, value any) (int64, error)
+	Replace(ctx context.Context, kind, name string, value any, revision int64) (int64, error)
+	Delete(ctx context.Context, kind, name string) error
+	List(ctx context.Context, kind string, each func(name string, value json.RawMessage, revision int64)) error
+}
+
+type cluster interface {
+	Self() gossip.Member
+	Introduce(addresses []netip.AddrPort, at time.Time)
+	Expect(others int)
+	Isolated() bool
+}
+
+// fleet is what the other tasks of the instance know and do.
+type fleet interface {
+	// Watching reports whether this instance watches the store for its zone.
+	Watching() bool
+	// NoteFleetSize is called with the number of listed instances.
+	NoteFleetSize(listed int)
+	// IntroduceSeeds passes the seed addresses to the cluster.
+	IntroduceSeeds()
+}
+
+type record struct {
+	Peer netip.AddrPort
+	// Question is set by an instance that hears from no other one. The first one that reads it removes it, as an answer.
+	Question string `json:",omitempty"`
+	// Renewals grows while the question is open, which raises the revision of the object.
+	Renewals int `json:",omitempty"`
+}
+
+// openQuestion is a question of another instance, and the revision of the object that contains it.
+type openQuestion struct {
+	name     string
+	record   record
+	revision int64
+}
+
+// Exchanger keeps the address of an instance in the store and reads those of the others. It is safe for concurrent use.
+type Exchanger struct {
+	store   store
+	kind    string
+	cluster cluster
+	fleet   fleet
+	log     *slog.Logger
+	// own is held, as the only element, while the object of this instance is changed; it guards the fields below.
+	own chan struct{}
+	// question is what this instance has asked the others, empty without one.
+	question string
+	renewals int
+	// renewedAt is when the question was last written; askedRevision is the revision of its first write.
+	renewedAt     time.Time
+	askedRevision int64
+	// left is set once the instance has left the fleet.
+	left bool
+}
+
+// New returns an exchanger whose objects are of a kind of their own; Run starts it.
+func New(s store, kind string, c cluster, f fleet, log *slog.Logger) *Exchanger {
+	return &Exchanger{
+		store:   s,
+		kind:    kind,
+		cluster: c,
+		fleet:   f,
+		log:     log,
+		own:     make(chan struct{}, 1),
+	}
+}
+
+// Run writes this instance's address to the store and reads the addresses of the others. After that, the watching instances read the
+// addresses once per rejoinPause, and soon after they have become watchers: the one before may have failed right before its turn, and
+// questions have to be answered within a known time. The role is checked at each tick.
+func (x *Exchanger) Run(ctx context.Context, ticks <-chan time.Time) {
+	announced, answering := false, false
+	var turnAt, wakeAt time.Time
+	for {
+		at := time.Now()
+		if mayAnswer := x.mayAnswer(); mayAnswer != answering {
+			answering, wakeAt = mayAnswer, at.Add(settleTime)
+		}
+		woken := answering && !wakeAt.IsZero() && !at.Before(wakeAt)
+		if woken || !at.Before(turnAt) {
+			x.fleet.IntroduceSeeds()
+			turnAt = at.Add(rejoinPause)
+			if answering {
+				wakeAt = time.Time{}
+			}
+			if !x.take(ctx, &announced) {
+				turnAt = time.Now().Add(retryPause)
+			}
+		}
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// take exchanges addresses if this instance has to and reports whether nothing failed.
+func (x *Exchanger) take(ctx context.Context, announced *bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var err error
+	switch {
+	case !*announced:
+		err = x.join(ctx)
+		*announced = err == nil
+	case x.fleet.Watching():
+		_, err = x.Read(ctx)
+	}
+	if err != nil {
+		x.log.Warn("cannot exchange instance addresses through the store", "announced", *announced, "error", err.Error())
+	}
+
+	return err == nil
+}
+
+// mayAnswer reports whether this instance answers questions. An isolated one takes itself for the watcher, as all others may do at the
+// same time; the question that it asks itself is its sign of life.
+func (x *Exchanger) mayAnswer() bool {
+	return x.fleet.Watching() && !x.cluster.Isolated()
+}
+
+// join reads the addresses of the other instances from the store and writes this instance's address there. It answers no questions,
+// since all instances may start at the same time.
+func (x *Exchanger) join(ctx context.Context) error {
+	listed, _, err := x.list(ctx)
+	x.fleet.NoteFleetSize(listed)
+	if err != nil {
+		return err
+	}
+	created, err := x.announce(ctx)
+	if err != nil || !created {
+		return err
+	}
+	// Instances that started at the same time may have written their addresses since the first read.
+	_, _, err = x.list(ctx)
+
+	return err
+}
+
+// Read passes the addresses in the store to the cluster and returns their number. If this instance watches the store, it answers the
+// questions that it finds; a failed answer is a failure, so that it is tried again soon.
+func (x *Exchanger) Read(ctx context.Context) (listed int, err error) {
+	listed, open, err := x.list(ctx)
+	if err != nil || !x.mayAnswer() {
+		return listed, err
+	}
+	answers := pool.New().WithErrors().WithMaxGoroutines(maxAnswers)
+	for _, q := range open {
+		answers.Go(func() error { return x.answer(ctx, q) })
+	}
+
+	return listed, answers.Wait() //nolint:wrapcheck // the failures of answer
+}
+
+// list passes the addresses in the store to the cluster and returns their number and the questions of others.
+func (x *Exchanger) list(ctx context.Context) (listed int, open []openQuestion, err error) {
+	self := x.cluster.Self().Name
+	others := 0
+	err = x.store.List(ctx, x.kind, func(name string, value json.RawMessage, revision int64) {
+		var r record
+		if json.Unmarshal(value, &r) != nil {
+			return
+		}
+		listed++
+		x.cluster.Introduce([]netip.AddrPort{r.Peer}, time.Now())
+		if name == self || !r.Peer.IsValid() {
+			return
+		}
+		others++
+		if r.Question != "" {
+			open = append(open, openQuestion{
+				name:     name,
+				record:   r,
+				revision: revision,
+			})
+		}
+	})
+	x.cluster.Expect(others)
+
+	return listed, open, err
+}
+
+// answer removes a question. A conflict, of another answer or of a later question, ends in the next list of questions.
+func (x *Exchanger) answer(ctx context.Context, q openQuestion) error {
+	answer := q.record
+	answer.Question, answer.Renewals = "", 0
+	_, err := x.store.Replace(ctx, x.kind, q.name, answer, q.revision)
+	x.log.Info("question of an isolated instance answered", "peer", q.name, "revision", q.revision, "error", fault.CodeOf(err))
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return nil
+	}
+
+	return err
+}
+
+// announce writes this instance's address to the store and reports whether the object is new.
+func (x *Exchanger) announce(ctx context.Context) (created bool, err error) {
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	_, created, err = x.write(ctx)
+
+	return created, err
+}
+
+// Leave removes this instance's address from the store for good, after any change of the object that is on its way. A failure is only
+// logged: the others wait longer for an instance that is still listed.
+func (x *Exchanger) Leave(ctx context.Context) {
+	release, err := x.acquire(ctx)
+	if err == nil {
+		defer release()
+		x.left = true
+		err = x.store.Delete(ctx, x.kind, x.cluster.Self().Name)
+	}
+	if err != nil {
+		x.log.Warn("address not removed from the store", "error", err.Error())
+	}
+}
+
+// acquire waits until the object of this instance may be changed.
+func (x *Exchanger) acquire(ctx context.Context) (release func(), err error) {
+	select {
+	case x.own <- struct{}{}:
+		return func() { <-x.own }, nil
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.CodeUnavailable, "another change of this instance's object takes too long")
+	}
+}
+
+// record returns what the object of this instance has to contain.
+func (x *Exchanger) record() record {
+	return record{
+		Peer:     x.cluster.Self().Peer,
+		Question: x.question,
+		Renewals: x.renewals,
+	}
+}
+
+// write writes the object of this instance unless it is in the store, and returns its revision and whether it is new.
+func (x *Exchanger) write(ctx context.Context) (revision int64, created bool, err error) {
+	if x.left {
+		return 0, false, fault.New(fault.CodeUnavailable, "this instance has left")
+	}
+	name, own := x.cluster.Self().Name, x.record()
+	var found record
+	revision, err = x.store.Read(ctx, x.kind, name, &found)
+	switch {
+	case err == nil && found != own:
+		revision, err = x.store.Replace(ctx, x.kind, name, own, revision)
+	case err != nil:
+		revision, err = x.store.Create(ctx, x.kind, name, own)
+		created = err == nil
+	}
+
+	return revision, created, err
+}
+
+// Ask asks the other instances in the store whether any of them is alive.
+func (x *Exchanger) Ask(ctx context.Context) error {
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
+	x.question, x.renewals = uuid.NewString(), 0
+	if x.askedRevision, _, err = x.write(ctx); err == nil {
+		x.renewedAt = time.Now()
+	}
+
+	return err
+}
+
+// Answered reports whether another instance has removed the question from the store, and renews the question if not. A question that
+// was lost with its object counts as answered, so that it is asked again.
+func (x *Exchanger) Answered(ctx context.Context) (bool, error) {
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	var found record
+	name := x.cluster.Self().Name
+	revision, err := x.store.Read(ctx, x.kind, name, &found)
+	switch {
+	case err != nil && fault.CodeOf(err) != fault.CodeNotFound:
+		return false, err
+	case err != nil || x.question == "" || found.Question != x.question:
+		x.question, x.renewals = "", 0
+
+		return true, nil
+	case x.left || time.Since(x.renewedAt) < renewalPause:
+		return false, nil
+	}
+	x.renewals = found.Renewals + 1
+	if _, err = x.store.Replace(ctx, x.kind, name, x.record(), revision); err == nil {
+		x.renewedAt = time.Now()
+	}
+
+	return false, err
+}
+
+// OthersSeen reports whether any other instance has changed an object since this one asked: asked or renewed a question, answered one, or
+// started.
+func (x *Exchanger) OthersSeen(ctx context.Context) (bool, error) {
+	release, err := x.acquire(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	self, seen := x.cluster.Self().Name, ""
+	err = x.store.List(ctx, x.kind, func(name string, _ json.RawMessage, revision int64) {
+		if name != self && revision > x.askedRevision {
+			seen = name
+		}
+	})
+	if seen != "" {
+		x.log.Info("sign of life of another instance in the store", "peer", seen, "asked_revision", x.askedRevision)
+	}
+
+	return seen != "", err
+}
