Send regular heartbeats to a few of the new instances of a large zone

While an instance was new, for 2 s, each other one of its large zone sent it all regular heartbeats. When all instances start at once, all are new: some 80,000 of 174,000 messages in the first 2 s of 250 simulated instances, beside one first message from each instance to each address, and again after a loss of power of all machines. All know each other within 0.5 s without them.

Four new instances in turn now get each regular heartbeat. One that joins alone gets them all, as before, and so does the whole zone while no digest comes.

TestStartOfLargeZones fails on the code before.

The counts of receivers in the tests of core/cluster include the new list.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -173,10 +173,10 @@
 
 // receivers returns how many instances get heartbeats.
 func receivers(c *Cluster, at time.Time) int {
-	each, regular := c.ZoneAddresses(at)
+	each, regular, joined := c.ZoneAddresses(at)
 	uncontacted, direct, rest := c.RemoteAddresses(at)
 
-	return len(each) + len(regular) + len(uncontacted) + len(direct) + len(rest)
+	return len(each) + len(regular) + len(joined) + len(uncontacted) + len(direct) + len(rest)
 }
 
 // aliveOthers returns how many of the instances from 1 to count are alive.
@@ -284,8 +284,8 @@
 	}
 	_, _, gateway = c.GatewayRank(at)
 	is.True(!gateway)
-	each, regular := c.ZoneAddresses(at)
-	is.Equal(len(each)+len(regular), 20)
+	each, regular, joined := c.ZoneAddresses(at)
+	is.Equal(len(each)+len(regular)+len(joined), 20)
 }
 
 // Guards against a change costing as many store calls as there are instances, and against a zone in which no instance watches
--- a/core/cluster/zone.go
+++ b/core/cluster/zone.go
@@ -21,15 +21,15 @@
 	digestTimeout = 250 * time.Millisecond
 )
 
-// ZoneAddresses returns the addresses in this instance's zone that get its heartbeats: those that get each of them, and those that
-// get only the regular ones. In a large zone the former are the gateways; the latter are new instances, which the gateways may
-// not know, or all instances if no digest has come for a while.
-func (c *Cluster) ZoneAddresses(at time.Time) (each, regular []netip.AddrPort) {
+// ZoneAddresses returns the addresses in this instance's zone that get its heartbeats: those that get each of them, those that get
+// only the regular ones, and those of which some get the regular ones in turn. In a large zone the first are the gateways; the second
+// are all instances if no digest has come for a while; the last are new instances, which the gateways may not know.
+func (c *Cluster) ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	peers := c.inZone(c.self.Zone)
 	if len(peers) <= smallZone {
-		return peerAddresses(peers), nil
+		return peerAddresses(peers), nil, nil
 	}
 	gateways := c.gateways(c.self.Zone, at)
 	isGateway := slices.ContainsFunc(gateways, func(m gossip.Member) bool { return m.Name == c.self.Name })
@@ -38,12 +38,14 @@
 		switch s := p.heartbeat.Sender; {
 		case slices.ContainsFunc(gateways, func(m gossip.Member) bool { return m.Name == s.Name }):
 			each = append(each, s.Peer)
-		case lost || at.Sub(p.joinedAt) < joinPeriod:
+		case lost:
 			regular = append(regular, s.Peer)
+		case at.Sub(p.joinedAt) < joinPeriod:
+			joined = append(joined, s.Peer)
 		}
 	}
 
-	return each, regular
+	return each, regular, joined
 }
 
 // UsesDigests reports whether this instance's zone is so large that counts of its instances arrive by digests.
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -27,6 +27,9 @@
 	// sampleSize is the number of instances, of those that need no direct heartbeats, that get each regular one. They alternate, so
 	// that every instance is reached, and separated zones find each other again, even if no gateway works.
 	sampleSize = 2
+	// joinLimit is the number of new instances of a large zone that get each regular heartbeat. When all start at once they learn of each
+	// other by the first message to each address and by digests, and heartbeats to all would be most of what the start costs.
+	joinLimit = 4
 )
 
 // messages counts the messages that were sent by their occasion.
@@ -35,7 +38,7 @@
 type cluster interface {
 	Self() gossip.Member
 	Observe(b *gossip.Heartbeat, at time.Time) bool
-	ZoneAddresses(at time.Time) (each, regular []netip.AddrPort)
+	ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort)
 	ZoneMembers() []netip.AddrPort
 	GatewayRank(at time.Time) (rank int, digests, ok bool)
 	ObserveDigest(r *gossip.Report, own map[string]int, at time.Time)
@@ -220,7 +223,7 @@
 // addresses of further instances, which a new instance with other seeds may not know.
 func (e *Exchanger) send() {
 	at := e.now()
-	near, regular := e.cluster.ZoneAddresses(at)
+	near, regular, joined := e.cluster.ZoneAddresses(at)
 	far, direct, others := e.cluster.RemoteAddresses(at)
 	e.rounds++
 	b := e.heartbeat()
@@ -229,7 +232,7 @@
 		e.recordSent(b, at)
 		e.sendTo("Regular", b, near)
 	}
-	e.sendTo("Regular", b, regular)
+	e.sendTo("Regular", b, append(regular, rotate(joined, joinLimit, e.rounds)...))
 	far = append(far, rotate(direct, e.cluster.DirectLimit(), e.rounds)...)
 	far = append(far, rotate(others, sampleSize, e.rounds)...)
 	if len(near)+len(far) > addressThreshold {
@@ -241,7 +244,7 @@
 // sendChange sends a heartbeat to this instance's zone because counts have changed, and returns the least time until the next one.
 func (e *Exchanger) sendChange() time.Duration {
 	at := e.now()
-	near, _ := e.cluster.ZoneAddresses(at)
+	near, _, _ := e.cluster.ZoneAddresses(at)
 	b := e.heartbeat()
 	e.recordSent(b, at)
 	e.changeSentAt = at
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -275,6 +275,39 @@
 	})
 }
 
+// Guards against instances of large zones that send each regular heartbeat to all others while all are new: that was most of the messages
+// of a start, and no instance knew the others sooner.
+func TestStartOfLargeZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count, rounds = 250, 10
+		n := newNetwork()
+		n.delay = 2 * time.Millisecond
+		list := n.fleet(count)
+		defer stopAll(list)
+		for _, i := range list {
+			for a := range n.nodes {
+				i.cluster.Introduce([]netip.AddrPort{a}, time.Now())
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, i := range list {
+			is.Equal(len(i.cluster.Live()), count)
+		}
+		time.Sleep(rounds*200*time.Millisecond - 500*time.Millisecond)
+		n.lock.Lock()
+		defer n.lock.Unlock()
+		total := 0
+		for _, sent := range n.sent {
+			total += sent
+		}
+		const firstContacts, direct, sample, gateways, joined = count * count, 600, 2 * count, 2 * count, 4 * count
+		const digests, reports = 2 * rounds * count, 2 * rounds * testZones * (testZones - 1) * 2
+		const beforeFirstDigest = count * count / testZones // each may send to its whole zone once
+		is.True(total < firstContacts+rounds*(direct+sample+gateways+joined)+digests+reports+beforeFirstDigest)
+	})
+}
+
 // Guards against gateways that relay the heartbeats of all instances all the time, which at 74 instances cost more processor time
 // than the requests.
 func TestSteadyFleetRelaysFewHeartbeats(t *testing.T) {
