Wake idle job runners and the check of idle connections with the pulse

Both had a ticker of 250 ms of their own at each instance, eight wake-ups a second that found nothing on an idle instance. They take ticks of the pulse, every 200 ms, so that a timer of the pulse alone wakes an idle instance. A runner with work has its own ticker of 25 ms as before.

--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -263,7 +263,7 @@
 			f.instances = append(f.instances, i)
 		}
 		for _, i := range f.instances {
-			tasks.Go(func() { i.runner.Run(ctx) })
+			tasks.Go(func() { i.runner.Run(ctx, time.Tick(IdleInterval)) })
 			tasks.Go(func() { f.gossip(ctx, i) })
 		}
 		before := accountNow()
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -20,8 +20,8 @@
 const (
 	// stepInterval is how often slots are looked for and results are listed.
 	stepInterval = 25 * time.Millisecond
-	// idleSteps is the number of intervals of which one is used while this instance has no work.
-	idleSteps = 10
+	// IdleInterval is the time between two steps while this instance has no work.
+	IdleInterval = 200 * time.Millisecond
 	// acceptTimeout bounds the writes that accept a job.
 	acceptTimeout = 3500 * time.Millisecond
 	// verifyInterval is how often the store is read for results of one job that another instance may have listed. A result that
@@ -163,14 +163,15 @@
 	}
 }
 
-// Run starts waiting items on free slots and lists results until ctx ends.
-func (r *Runner) Run(ctx context.Context) {
+// Run starts waiting items on free slots and lists results until ctx ends. While there is no work it waits for idle ticks, which are to
+// come every IdleInterval.
+func (r *Runner) Run(ctx context.Context, idleTicks <-chan time.Time) {
 	t := time.NewTicker(stepInterval)
 	defer t.Stop()
-	idle := false
+	ticks, idle := t.C, false
 	for {
 		select {
-		case <-t.C:
+		case <-ticks:
 		case <-r.wake:
 		case <-ctx.Done():
 			r.tasks.Wait()
@@ -181,9 +182,11 @@
 		if r.idle() != idle {
 			idle = !idle
 			if idle {
-				t.Reset(idleSteps * stepInterval)
+				t.Stop()
+				ticks = idleTicks
 			} else {
 				t.Reset(stepInterval)
+				ticks = t.C
 			}
 		}
 	}
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -179,7 +179,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.Run(ctx)
+		r.Run(ctx, time.Tick(IdleInterval))
 	}()
 
 	return r, func() {
--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// sweepInterval is how often all connections are checked; the limits are in the order of seconds.
-	sweepInterval = 250 * time.Millisecond
+	// SweepInterval is how often all connections are to be checked; the limits are in the order of seconds.
+	SweepInterval = 200 * time.Millisecond
 	// writeTimeout bounds the write of the response to a caller whose headers are late.
 	writeTimeout = 100 * time.Millisecond
 	// requestTimeoutResponse is the response on a connection whose first request has not arrived in time. Its status promises that
@@ -59,13 +59,11 @@
 	}
 }
 
-// Run closes connections that exceed the limits until ctx ends.
-func (l *Limiter) Run(ctx context.Context) {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
+// Run closes connections that exceed the limits at each tick until ctx ends. Ticks are to come every SweepInterval.
+func (l *Limiter) Run(ctx context.Context, ticks <-chan time.Time) {
 	for {
 		select {
-		case <-t.C:
+		case <-ticks:
 			l.sweep()
 		case <-ctx.Done():
 			return
--- a/io/idleconn/limiter_test.go
+++ b/io/idleconn/limiter_test.go
@@ -29,7 +29,7 @@
 	s.Config.ConnState = l.Observe
 	s.Start()
 	ctx, cancel := context.WithCancel(context.Background())
-	go l.Run(ctx)
+	go l.Run(ctx, time.Tick(SweepInterval))
 	t.Cleanup(func() {
 		cancel()
 		s.Close()
@@ -72,7 +72,7 @@
 	address, setIdle := newServer(t, time.Minute, time.Minute)
 	c, r := dial(t, address)
 	ask(t, c, r, "/")
-	time.Sleep(2 * sweepInterval)
+	time.Sleep(2 * SweepInterval)
 	ask(t, c, r, "/")
 	setIdle(100 * time.Millisecond)
 	_, err := r.ReadByte()
