--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -27,6 +27,9 @@
 	// sampleSize is the number of instances, of those that need no direct heartbeats, that get each regular one. They alternate, so
 	// that every instance is reached, and separated zones find each other again, even if no gateway works.
 	sampleSize = 2
+	// joinLimit is the number of new instances of a large zone that get each regular heartbeat. When all start at once they learn of each
+	// other by the first message to each address and by digests, and heartbeats to all would be most of what the start costs.
+	joinLimit = 4
 )
 
 // messages counts the messages that were sent by their occasion.
@@ -35,7 +38,7 @@
 type cluster interface {
 	Self() gossip.Member
 	Observe(b *gossip.Heartbeat, at time.Time) bool
-	ZoneAddresses(at time.Time) (each, regular []netip.AddrPort)
+	ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort)
 	ZoneMembers() []netip.AddrPort
 	ZoneLive() int
 	GatewayRank(at time.Time) (rank int, digests, ok bool)
@@ -109,11 +112,12 @@
 	storeLost func() bool
 	now       func() time.Time
 	sequence  atomic.Int64
-	// rounds counts regular heartbeats, regularAt is when the last was sent, and reportCount counts the reports on this instance's zone;
-	// only Run uses them.
-	rounds      int
-	regularAt   time.Time
-	reportCount int
+	// rounds counts regular heartbeats, regularAt is when the last was sent, changeSentAt when one was last sent because counts had
+	// changed, and reportCount counts the reports on this instance's zone; only Run uses them.
+	rounds       int
+	regularAt    time.Time
+	changeSentAt time.Time
+	reportCount  int
 	// gatewayAt is when this instance last became a gateway that sends digests; only Run uses it.
 	gatewayAt time.Time
 	// digestsLost says whether this instance already sends to its whole zone since no digest comes; only Run uses it.
@@ -167,6 +171,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			e.changeSentAt = time.Time{}
 			e.send()
 
 			return
@@ -222,14 +227,17 @@
 // addresses of further instances, which a new instance with other seeds may not know.
 func (e *Exchanger) send() {
 	at := e.now()
-	near, regular := e.cluster.ZoneAddresses(at)
+	near, regular, joined := e.cluster.ZoneAddresses(at)
 	far, direct, others := e.cluster.RemoteAddresses(at)
 	e.rounds++
 	e.regularAt = at
 	b := e.heartbeat()
-	e.recordSent(b, at)
-	e.sendTo("Regular", b, near)
-	e.sendTo("Regular", b, regular)
+	// Those that have just got a changed count need no regular heartbeat.
+	if at.Sub(e.changeSentAt) > RelayInterval {
+		e.recordSent(b, at)
+		e.sendTo("Regular", b, near)
+	}
+	e.sendTo("Regular", b, append(regular, rotate(joined, joinLimit, e.rounds)...))
 	far = append(far, rotate(direct, e.cluster.DirectLimit(), e.rounds)...)
 	far = append(far, rotate(others, sampleSize, e.rounds)...)
 	if len(near)+len(far) > addressThreshold {
@@ -241,9 +249,10 @@
 // sendChange sends a heartbeat to this instance's zone because counts have changed, and returns the least time until the next one.
 func (e *Exchanger) sendChange() time.Duration {
 	at := e.now()
-	near, _ := e.cluster.ZoneAddresses(at)
+	near, _, _ := e.cluster.ZoneAddresses(at)
 	b := e.heartbeat()
 	e.recordSent(b, at)
+	e.changeSentAt = at
 	e.sendTo("Change", b, near)
 	if _, digests, _ := e.cluster.GatewayRank(at); digests {
 		return minDigestInterval
--- a/core/heartbeat/relay.go
+++ b/core/heartbeat/relay.go
@@ -8,10 +8,10 @@
 	"tarragonwalk/core/gossip"
 )
 
-// RelayInterval is the time between messages of a gateway to other zones and to its own, and between ticks for Run. Counts have to reach all instances
-// within 225 ms, which is fleetWindow less fleetStartTime in core/cluster. They are delayed by at most minZoneInterval and
-// twice this interval. In a zone with digests they are delayed by at most digestLead and this interval, and for other zones by
-// this interval once more.
+// RelayInterval is the time between messages of a gateway to other zones and to its own, and between ticks for Run. Counts have to
+// reach all instances within 225 ms, which is fleetWindow less fleetStartTime in core/cluster. They are delayed by at most
+// minZoneInterval and twice this interval. In a zone with digests they are delayed by at most digestLead and this interval, and for
+// other zones by this interval once more.
 const RelayInterval = 100 * time.Millisecond
 
 const (
@@ -19,8 +19,8 @@
 	// missing until they count as gone.
 	minCoverage = 75
 	// settleTime is how long after an instance of a large zone has become a gateway its reports have to contain the counts of all: each
-	// has sent a regular heartbeat to it by then.
-	settleTime = regularInterval + relayInterval
+	// has sent a regular heartbeat to it by then, even if it left one out since it had just sent a changed count to the former gateway.
+	settleTime = regularInterval + 2*RelayInterval
 )
 
 // queuedReport is a report that waits to be relayed, and when it was made.
