Keep the evidence that tells most when there is no more room

Cause: 64 possible crashes are remembered, and the oldest one made room for a new one, whatever it said. Servers that reset connections fill that room within seconds with losses that are withdrawn or have no part left, so a crash under the part was forgotten before the next one came.

Change: withdrawn losses and those whose parts are all sound go first, then those whose parts were lost with no other server.

Evidence: TestEvidenceOutlivesResets fails without the change.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -194,7 +194,7 @@
 	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.includes(of, at) })
 	if i < 0 {
 		if len(q.crashes) >= maxCrashes {
-			q.crashes = slices.Delete(q.crashes, 0, 1)
+			q.evict()
 		}
 		q.crashes = append(q.crashes, &crash{
 			incarnation: of,
@@ -218,6 +218,31 @@
 	return c, added
 }
 
+// evict drops the oldest of the possible crashes that tell least: those that are withdrawn or have no part left, then those whose
+// parts were lost with no other server. The caller holds the lock.
+func (q *Quarantine) evict() {
+	levels := q.levels()
+	worth := func(c *crash) int {
+		if c.refuted() || len(c.parts) == 0 {
+			return 0
+		}
+		for part := range c.parts {
+			if levels[part] > 1 {
+				return 2
+			}
+		}
+
+		return 1
+	}
+	victim, least := 0, worth(q.crashes[0])
+	for n, c := range q.crashes {
+		if w := worth(c); w < least {
+			victim, least = n, w
+		}
+	}
+	q.crashes = slices.Delete(q.crashes, victim, victim+1)
+}
+
 // sound reports whether a request with a part has completed since shortly before a time. The caller holds the lock.
 func (q *Quarantine) sound(part string, at time.Time) bool {
 	last := q.completed.at(part)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -301,6 +301,25 @@
 	is.Equal(len(f.instances[0].quarantined)+len(f.instances[1].quarantined), 0)
 }
 
+// Guards against evidence that is forgotten because other servers reset many connections between two crashes under a part.
+func TestEvidenceOutlivesResets(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 0)
+	q := f.instances[0]
+	for n := range 3 {
+		q.RecordLoss(backend.Server{ID: fmt.Sprint("crashed", n)}, []string{crashing, fmt.Sprint("with", n)}, f.at)
+		for i := range 2 * maxCrashes {
+			alive := backend.Server{ID: fmt.Sprint("alive", i)}
+			q.RecordLoss(alive, []string{"sound", fmt.Sprint("rare", n, i)}, f.at)
+			f.at = f.at.Add(step)
+			q.RecordCompletion(alive, []string{"sound"}, f.at, f.at)
+		}
+		f.at = f.at.Add(settleTime)
+	}
+	q.Review()
+	is.True(f.knows())
+}
+
 // Guards against heartbeats and memory that grow with the number of crashes and parts, and heartbeats that carry old news.
 func TestEvidenceIsBounded(t *testing.T) {
 	is := is.New(t)
