Count a crash although its server lived a moment before

Cause: a server that answered after a lost connection had not crashed, and for 0.3 s after that all further losses there were taken for old reports of it. Other instances withdrew each crash within a second of the first loss, since the announcement that the server lived did not say when, and was repeated for 3 s. So a server that resets a connection now and then could crash without being noticed. Besides, only a request that was sent after a loss could show that the server lived.

Change: a sign of life has a time, which heartbeats carry in place of the time of the loss. It withdraws only what was lost before it. An answer to an older request shows that the server lived 0.2 s before the answer came. A loss after the last sign of life is a new possible crash, unless it is a report with known parts only.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -61,7 +61,7 @@
 	MayRetry(parts []string) bool
 	RecordRefusal(kind string)
 	RecordLoss(s backend.Server, parts []string, at time.Time)
-	RecordProgress(s backend.Server, sentAt time.Time)
+	RecordProgress(s backend.Server, sentAt, at time.Time)
 	RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time)
 }
 
@@ -202,7 +202,7 @@
 	case rs.completed:
 		f.parts.RecordCompletion(p.server, rs.call.Parts, rs.sentAt, at)
 	case err == nil:
-		f.parts.RecordProgress(p.server, rs.sentAt)
+		f.parts.RecordProgress(p.server, rs.sentAt, at)
 	case ctx.Err() == nil && !rs.progressed && response.ConnectionLost(err):
 		rs.lost = true
 		f.parts.RecordLoss(p.server, rs.call.Parts, at)
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -267,7 +267,7 @@
 			if delivered {
 				rs.progressAt = rs.forwarder.now()
 				rs.forwarder.roster.RecordProgress(s.ID, rs.progressAt)
-				rs.forwarder.parts.RecordProgress(s, rs.sentAt)
+				rs.forwarder.parts.RecordProgress(s, rs.sentAt, rs.progressAt)
 				rs.progressed = true
 				w.progress()
 			}
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -47,11 +47,12 @@
 // Crash is a backend server's possible crash: a connection to it was lost before
 // anything was answered.
 type Crash struct {
-	// AgeMillis is how long ago the connection was lost.
+	// AgeMillis is how long ago the connection was lost, or the incarnation last
+	// known to live if Answered is set.
 	AgeMillis int `json:"AgeMillis"`
 
-	// Answered says that the incarnation has answered a request that was sent after
-	// that, so that it did not crash.
+	// Answered says that the incarnation lived after a connection to it was lost, so
+	// that it had not crashed.
 	Answered bool `json:"Answered,omitempty,omitzero"`
 
 	// Parts are the prompt parts of the requests that were unanswered.
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -201,7 +201,7 @@
 			}
 			if appended {
 				silence.Reset(eventTimeout)
-				r.parts.RecordProgress(s, it.startedAt)
+				r.parts.RecordProgress(s, it.startedAt, r.now())
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -63,7 +63,7 @@
 	Quarantined(parts []string) (part string, until time.Time, ok bool)
 	RecordRefusal(kind string)
 	RecordLoss(s backend.Server, parts []string, at time.Time)
-	RecordProgress(s backend.Server, sentAt time.Time)
+	RecordProgress(s backend.Server, sentAt, at time.Time)
 	RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time)
 }
 
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // incarnation identifies one process of a backend server.
 type incarnation struct {
@@ -14,21 +17,70 @@
 	at          time.Time
 	// parts are those of unanswered requests, except for the ones that are known to be sound.
 	parts map[string]bool
+	// lostAt is when a request with each part last lost its connection.
+	lostAt map[string]time.Time
 	// own are the parts that this instance reports to others, nil if it lost no connection itself.
 	own []string
-	// refutedAt is when the incarnation answered after that, zero if it did not.
+	// refutedAt is when the incarnation was known to live after that, zero if it was not.
 	refutedAt time.Time
-	// announceRefutation is set if this instance saw that answer.
+	// announceRefutation is set if this instance saw that the incarnation lived.
 	announceRefutation bool
 }
 
-// includes reports whether a connection that was lost at a time belongs to the same crash.
-func (c *crash) includes(of incarnation, at time.Time) bool {
+func newCrash(of incarnation, at time.Time) *crash {
+	return &crash{
+		incarnation: of,
+		at:          at,
+		parts:       map[string]bool{},
+		lostAt:      map[string]time.Time{},
+	}
+}
+
+// includes reports whether parts whose connections were lost at a time, known with a margin, belong to the same crash. A loss that
+// follows the last sign of life is another one, unless it is an old report that comes again.
+func (c *crash) includes(of incarnation, parts []string, at time.Time, margin time.Duration) bool {
 	if c.incarnation != of || at.Sub(c.at).Abs() > crashSpan {
 		return false
 	}
+	if !c.refuted() || !at.After(c.refutedAt) {
+		return true
+	}
+
+	return at.Before(c.refutedAt.Add(margin)) && !slices.ContainsFunc(parts, func(p string) bool { return !c.parts[p] })
+}
+
+// lost adds a part whose connection was lost at a time, and reports whether it is new.
+func (c *crash) lost(part string, at time.Time) bool {
+	if at.After(c.lostAt[part]) {
+		c.lostAt[part] = at
+	}
+	isNew := !c.parts[part]
+	c.parts[part] = true
+
+	return isNew
+}
+
+// since returns the crash that is left after a sign of life, nil if there is none.
+func (c *crash) since(aliveAt time.Time) *crash {
+	left := newCrash(c.incarnation, time.Time{})
+	for part := range c.parts {
+		at := c.lostAt[part]
+		if !at.After(aliveAt) {
+			continue
+		}
+		left.lost(part, at)
+		if left.at.IsZero() || at.Before(left.at) {
+			left.at = at
+		}
+		if slices.Contains(c.own, part) {
+			left.own = append(left.own, part)
+		}
+	}
+	if len(left.parts) == 0 {
+		return nil
+	}
 
-	return c.refutedAt.IsZero() || at.Before(c.refutedAt.Add(refutationMargin))
+	return left
 }
 
 func (c *crash) refuted() bool {
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -34,10 +34,14 @@
 		if c.refuted() && (!c.announceRefutation || at.Sub(c.refutedAt) >= announceLife) {
 			continue
 		}
+		since := c.at
+		if c.refuted() {
+			since = c.refutedAt
+		}
 		b.Crashes = append(b.Crashes, gossip.Crash{
 			Server:    c.incarnation.server,
 			StartedAt: c.incarnation.startedAt,
-			AgeMillis: gossip.Age(c.at, at),
+			AgeMillis: gossip.Age(since, at),
 			Parts:     parts,
 			Answered:  c.refuted(),
 		})
@@ -103,13 +107,13 @@
 			server:    c.Server,
 			startedAt: c.StartedAt,
 		}
-		lostAt := gossip.Before(at, max(0, c.AgeMillis))
+		since := gossip.Before(at, max(0, c.AgeMillis))
 		if c.Answered {
-			q.observeAnswer(of, lostAt, at)
+			q.refute(of, since, false)
 
 			continue
 		}
-		_, isNew := q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], lostAt)
+		_, isNew := q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], since, reportMargin)
 		added = added || isNew
 	}
 	if added {
@@ -121,15 +125,6 @@
 	}
 }
 
-// observeAnswer withdraws a possible crash that another instance knows to be none. The caller holds the lock.
-func (q *Quarantine) observeAnswer(of incarnation, lostAt, at time.Time) {
-	for _, c := range q.crashes {
-		if c.includes(of, lostAt) {
-			q.withdraw(c, at, false)
-		}
-	}
-}
-
 // adopt takes a part that was quarantined at a time elsewhere, or in an earlier process, unless it is known to be sound since. The
 // caller holds the lock.
 func (q *Quarantine) adopt(part string, since, until time.Time, source string) (added bool) {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -20,8 +20,10 @@
 	soundLife = 2 * time.Second
 	// crashSpan is the longest time between the connections that are lost in one crash; a server takes longer to start again.
 	crashSpan = time.Second
-	// refutationMargin covers the time that a heartbeat about a lost connection takes.
-	refutationMargin = 300 * time.Millisecond
+	// reportMargin covers the time that a heartbeat about a lost connection takes.
+	reportMargin = 300 * time.Millisecond
+	// bufferMargin covers the time for which bytes of a server may be on the way after it has crashed.
+	bufferMargin = 200 * time.Millisecond
 	// combinedRetry is when a request with a combination of parts may be repeated: further requests soon show which part it is.
 	combinedRetry = time.Second
 	// maxCrashes, maxParts and maxQuarantined bound the memory and maxPartBytes the length of an ID.
@@ -138,7 +140,7 @@
 	}
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	c, _ := q.addLoss(incarnationOf(s), parts, at)
+	c, _ := q.addLoss(incarnationOf(s), parts, at, 0)
 	for _, p := range parts {
 		if len(c.own) < maxParts && !slices.Contains(c.own, p) {
 			c.own = append(c.own, p)
@@ -152,19 +154,19 @@
 	q.judge(at)
 }
 
-// RecordProgress records that a backend server has answered a part of a request that was sent at a time: a connection that was lost
-// shortly before that was no crash.
-func (q *Quarantine) RecordProgress(s backend.Server, sentAt time.Time) {
+// RecordProgress records that a part of an answer came at a time, to a request that was sent at another time: a connection that the
+// backend server lost shortly before was no crash.
+func (q *Quarantine) RecordProgress(s backend.Server, sentAt, at time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	q.refute(incarnationOf(s), sentAt)
+	q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
 }
 
 // RecordCompletion records that a request has completed that was sent at a time.
 func (q *Quarantine) RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	q.refute(incarnationOf(s), sentAt)
+	q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
 	for _, p := range parts {
 		q.completed.record(p, at)
 		if q.clear(p) {
@@ -189,29 +191,35 @@
 	}
 }
 
-// addLoss adds parts to a possible crash and reports whether that is new evidence. The caller holds the lock.
-func (q *Quarantine) addLoss(of incarnation, parts []string, at time.Time) (c *crash, added bool) {
-	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.includes(of, at) })
+// aliveAt returns when a server certainly lived that has answered at a time.
+func aliveAt(sentAt, at time.Time) time.Time {
+	if sent := at.Add(-bufferMargin); sent.After(sentAt) {
+		return sent
+	}
+
+	return sentAt
+}
+
+// addLoss adds parts to a possible crash, whose time is known with a margin, and reports whether that is new evidence. The caller
+// holds the lock.
+func (q *Quarantine) addLoss(of incarnation, parts []string, at time.Time, margin time.Duration) (c *crash, added bool) {
+	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.includes(of, parts, at, margin) })
 	if i < 0 {
 		if len(q.crashes) >= maxCrashes {
 			q.evict()
 		}
-		q.crashes = append(q.crashes, &crash{
-			incarnation: of,
-			at:          at,
-			parts:       map[string]bool{},
-		})
+		q.crashes = append(q.crashes, newCrash(of, at))
 		i = len(q.crashes) - 1
 	}
 	c = q.crashes[i]
 	for _, p := range parts {
 		switch {
-		case p == "" || len(p) > maxPartBytes || c.parts[p]:
+		case p == "" || len(p) > maxPartBytes:
 		case q.sound(p, c.at):
 			q.cleared[p] = q.now().Add(announceLife)
-		case len(c.parts) < maxParts:
-			c.parts[p] = true
-			added = added || !c.refuted()
+		case len(c.parts) < maxParts || c.parts[p]:
+			isNew := c.lost(p, at)
+			added = added || isNew && !c.refuted()
 		}
 	}
 
@@ -269,25 +277,25 @@
 	return found
 }
 
-// refute withdraws possible crashes of an incarnation that has answered a request which was sent soon after them. The caller holds
-// the lock.
-func (q *Quarantine) refute(of incarnation, sentAt time.Time) {
-	for _, c := range q.crashes {
-		if d := sentAt.Sub(c.at); c.incarnation == of && d > 0 && d <= crashSpan {
-			q.withdraw(c, sentAt, true)
+// refute withdraws possible crashes of an incarnation that lived soon after them, as this instance or another one has observed. The
+// caller holds the lock.
+func (q *Quarantine) refute(of incarnation, aliveAt time.Time, observed bool) {
+	changed := false
+	for _, c := range slices.Clone(q.crashes) {
+		d := aliveAt.Sub(c.at)
+		if c.incarnation != of || c.refuted() || d <= 0 || d > crashSpan {
+			continue
 		}
+		if left := c.since(aliveAt); left != nil {
+			q.crashes = append(q.crashes, left)
+		}
+		c.refutedAt, c.announceRefutation = aliveAt, observed
+		changed = true
+		decisions.Add("no_crash", 1)
 	}
-}
-
-// withdraw notes that a server has answered after its possible crash, observed by this instance or by another one. The caller holds
-// the lock.
-func (q *Quarantine) withdraw(c *crash, at time.Time, observed bool) {
-	if c.refuted() {
-		return
+	if changed {
+		q.judge(q.now())
 	}
-	c.refutedAt, c.announceRefutation = at, observed
-	decisions.Add("no_crash", 1)
-	q.judge(q.now())
 }
 
 // release ends the quarantine of a part for a cause. The caller holds the lock.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -32,13 +32,22 @@
 	// last are the parts of the request that crashed a server last.
 	last    []string
 	fifthAt time.Time
-	// resets is how many of a grey server's answers are lost; a quarter of the servers are grey.
+	// resets is how many of a grey server's answers are lost.
 	resets float64
+	// grey is how many of the servers lose answers, as one in so many.
+	grey int
 	// alike is how many crashing requests have the same other parts.
 	alike  int
 	failed []string
+	// touchedAt is when each instance was last restarted.
+	touchedAt []time.Time
+	// late counts requests with the crashing part that reached a server later than stable after its fifth crash, sent by instances in touch.
+	late int
 }
 
+// stable is the time after the fifth crash, and after a disruption of an instance, from which no crashing requests may reach servers.
+const stable = 4 * time.Second
+
 type simServer struct {
 	backend.Server
 	backAt time.Time
@@ -56,17 +65,22 @@
 const step = 20 * time.Millisecond
 
 func newFleet(seed uint64, instances, servers int) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), at: time.Unix(1_000_000, 0), objects: fakeobjects.New()}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), at: time.Unix(1_000_000, 0), objects: fakeobjects.New(), grey: 4}
 	for n := range servers {
 		f.servers = append(f.servers, simServer{Server: backend.Server{ID: fmt.Sprint("s", n), StartedAt: 1}})
 	}
 	for range instances {
 		f.instances = append(f.instances, f.newInstance())
 	}
+	f.touchedAt = make([]time.Time, instances)
 
 	return f
 }
 
+func (f *fleet) restart(instance int) {
+	f.instances[instance], f.touchedAt[instance] = f.newInstance(), f.at
+}
+
 func (f *fleet) newInstance() *Quarantine {
 	return New(f.objects, func() time.Time { return f.at }, slog.New(slog.DiscardHandler))
 }
@@ -76,6 +90,9 @@
 	if _, _, ok := f.instances[instance].Quarantined(parts); ok || f.at.Before(f.servers[s].backAt) {
 		return
 	}
+	if slices.Contains(parts, crashing) && !f.fifthAt.IsZero() && f.at.Sub(f.fifthAt) > stable && f.at.Sub(f.touchedAt[instance]) > stable {
+		f.late++
+	}
 	begunAt := f.at.Add(time.Duration(20+f.random.IntN(150)) * time.Millisecond)
 	f.requests = append(f.requests, request{
 		parts: parts, instance: instance, server: s, retried: retried, sentAt: f.at,
@@ -163,11 +180,11 @@
 			if f.crashes++; f.crashes == 5 {
 				f.fifthAt = f.at
 			}
-		case r.server%4 == 0 && f.at.Sub(r.begunAt) < step && f.random.Float64() < f.resets:
+		case r.server%f.grey == 0 && f.at.Sub(r.begunAt) < step && f.random.Float64() < f.resets:
 			f.requests = slices.Delete(f.requests, i, i+1)
 			f.lose(request{parts: r.parts, instance: r.instance, server: r.server, retried: r.retried, begunAt: f.at})
 		case f.at.Before(r.endsAt):
-			q.RecordProgress(s, r.sentAt)
+			q.RecordProgress(s, r.sentAt, f.at)
 		default:
 			f.requests = slices.Delete(f.requests, i, i+1)
 			q.RecordCompletion(s, r.parts, r.sentAt, f.at)
@@ -196,7 +213,7 @@
 		for f.fifthAt.IsZero() && !f.knows() && f.at.Sub(time.Unix(1_000_000, 0)) < time.Minute {
 			f.run(200*time.Millisecond, rate)
 			if f.random.IntN(25) == 0 && len(f.instances) > 2 {
-				f.instances[f.random.IntN(len(f.instances))] = f.newInstance()
+				f.restart(f.random.IntN(len(f.instances)))
 			}
 		}
 		f.run(1200*time.Millisecond, rate)
@@ -301,6 +318,47 @@
 	is.Equal(len(f.instances[0].quarantined)+len(f.instances[1].quarantined), 0)
 }
 
+// Guards against a part that goes on crashing servers while all of them reset many connections, since a sign of life of a server
+// before its crash, or one that comes late, withdraws the crash.
+func TestCrashingPartBesideResets(t *testing.T) {
+	for _, seed := range []uint64{18, 21, 39} {
+		f := newFleet(seed, 2+int(seed%7), 15)
+		f.alike, f.grey, f.resets = int(seed%4), 1, 0.3
+		f.run(3*time.Second, 0)
+		f.run(50*time.Second, 0.3)
+		is := is.New(t)
+		is.True(f.late <= 3)
+		is.Equal(f.failed, nil)
+	}
+}
+
+// Guards against a crash that is withdrawn because its server had lived a moment before, as this instance or another one has seen.
+func TestSignOfLifeBeforeCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 2, 0)
+	for n := range 3 {
+		s := backend.Server{ID: fmt.Sprint("s", n)}
+		with := fmt.Sprint("with", n)
+		f.instances[0].RecordLoss(s, []string{with}, f.at) // a reset
+		f.announce(0)
+		sentAt := f.at.Add(step)
+		f.at = f.at.Add(3 * step)
+		f.instances[1].RecordProgress(s, sentAt, f.at)
+		f.announce(1)
+		f.at = f.at.Add(step)
+		f.instances[n%2].RecordLoss(s, []string{crashing, fmt.Sprint("other", n)}, f.at)
+		f.instances[n%2].RecordProgress(s, sentAt, f.at.Add(step)) // was on the way
+		for range 40 {
+			f.announce(0)
+			f.announce(1)
+			f.at = f.at.Add(step)
+		}
+	}
+	f.instances[0].Review()
+	f.instances[1].Review()
+	is.True(f.knows())
+}
+
 // Guards against evidence that is forgotten because other servers reset many connections between two crashes under a part.
 func TestEvidenceOutlivesResets(t *testing.T) {
 	is := is.New(t)
