Connect again to a server that has lost a connection

What callers saw: beside servers that reset half of the connections, fewer than half of the sound requests were served that share a part with requests that crash servers (LOST).

Cause: a lost connection counts as a possible crash until the server answers something. A server that resets connections is left alone for 0.4 s and more, so on a small site nothing comes from it in time. Its sound requests are suspected and get no second attempt.

A server that has crashed refuses, and one that is cut off leaves the question open. This relies on servers that are reached directly, not through anything that accepts connections for them.

Ruled out: a longer wait for answers, since a restarted server may answer.

Sound parts are still quarantined after one reset, by a fault of its own.

--- /dev/null
+++ b/io/lifecheck/doc.go
@@ -0,0 +1,2 @@
+// Package lifecheck finds out whether a backend server that has lost a connection has crashed: it connects once more, and sends nothing.
+package lifecheck
