Let a crash be confirmed before it shows which of two parts is to blame

Cause: two parts that came together each time are quarantined in combination, and the next loss under one of them convicted that one at once. The wait for other instances applied to the third crash, which was long ago, not to the loss that decides. A reset by a server that lives was enough, although it was withdrawn 50 ms later.

Change: a loss counts for that decision 0.2 s after it. Until then, requests with the part that it speaks against are refused, without a quarantine that other instances or the store would hear of.

Evidence: TestResetConvictsNoSoundPart fails without the change.

--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -17,28 +17,41 @@
 	// settleTime is how long a crash waits for the heartbeats of other instances: their unanswered requests, and the parts that
 	// they know to be sound.
 	settleTime = 600 * time.Millisecond
+	// confirmTime is how long a crash waits for a sign that its server lives before it shows which of two parts is to blame.
+	confirmTime = 200 * time.Millisecond
 )
 
-// judge decides which parts are suspected and which are quarantined. The caller holds the lock.
+// judge decides which parts are suspected and which are quarantined. A part that only unconfirmed crashes convict is refused until
+// they are confirmed. The caller holds the lock.
 func (q *Quarantine) judge(at time.Time) {
 	q.nextAt = time.Time{}
 	q.expire(at)
-	levels := q.levels()
-	suspected := map[string]bool{}
-	combined := map[string][]string{}
+	q.suspect(levelsOf(q.crashes))
+	convicted, combined := q.decide(q.confirmed(at), at)
+	for part, crashes := range convicted {
+		q.add(part, &entry{
+			since:    at,
+			until:    at.Add(quarantineLife),
+			observed: slices.ContainsFunc(crashes, func(c *crash) bool { return slices.Contains(c.own, part) }),
+		}, "crashes", at)
+	}
+	unconfirmed, _ := q.decide(q.crashes, at)
+	for part := range unconfirmed {
+		combined[part] = []string{part}
+	}
+	q.combine(combined)
+}
+
+// decide returns the parts that some crashes convict, with these crashes, and those that they convict in combination with others. The
+// caller holds the lock.
+func (q *Quarantine) decide(crashes []*crash, at time.Time) (convicted map[string][]*crash, combined map[string][]string) {
+	convicted, combined = map[string][]*crash{}, map[string][]string{}
+	levels := levelsOf(crashes)
 	for part, level := range levels {
-		if level < suspectedCrashes || q.quarantined[part] != nil {
+		if level < quarantinedCrashes || q.quarantined[part] != nil {
 			continue
 		}
-		alone, shared, inseparable := q.blame(part, levels)
-		if countIncarnations(shared) >= suspectedCrashes {
-			suspected[part] = true
-			if !q.suspected[part] {
-				decisions.Add("suspected", 1)
-				q.log.Info("prompt part suspected", "part", part, "crashes", level, "unexplained", len(shared))
-			}
-		}
-		certain := alone
+		certain, shared, inseparable := q.blame(crashes, part, levels)
 		if len(inseparable) > 0 {
 			certain = shared
 		}
@@ -50,15 +63,45 @@
 		case len(inseparable) > 0:
 			combined[part] = append(inseparable, part)
 		default:
-			q.add(part, &entry{
-				since:    at,
-				until:    at.Add(quarantineLife),
-				observed: slices.ContainsFunc(alone, func(c *crash) bool { return slices.Contains(c.own, part) }),
-			}, "crashes", at)
+			convicted[part] = certain
+		}
+	}
+
+	return convicted, combined
+}
+
+// confirmed returns the crashes that are old enough to decide which part is to blame. The caller holds the lock.
+func (q *Quarantine) confirmed(at time.Time) []*crash {
+	var list []*crash
+	for _, c := range q.crashes {
+		if due := c.at.Add(confirmTime); at.Before(due) {
+			q.wakeAt(due)
+		} else {
+			list = append(list, c)
+		}
+	}
+
+	return list
+}
+
+// suspect decides which parts are suspected, given the levels of all parts. The caller holds the lock.
+func (q *Quarantine) suspect(levels map[string]int) {
+	suspected := map[string]bool{}
+	for part, level := range levels {
+		if level < suspectedCrashes || q.quarantined[part] != nil {
+			continue
+		}
+		_, shared, _ := q.blame(q.crashes, part, levels)
+		if countIncarnations(shared) < suspectedCrashes {
+			continue
+		}
+		suspected[part] = true
+		if !q.suspected[part] {
+			decisions.Add("suspected", 1)
+			q.log.Info("prompt part suspected", "part", part, "crashes", level, "unexplained", len(shared))
 		}
 	}
 	q.suspected = suspected
-	q.combine(combined)
 }
 
 // expire drops old evidence and ends quarantines whose deadline has passed. The caller holds the lock.
@@ -96,15 +139,15 @@
 	}
 }
 
-// levels returns under how many crashed incarnations each part was unanswered. The caller holds the lock.
-func (q *Quarantine) levels() map[string]int {
+// levelsOf returns under how many of some crashed incarnations each part was unanswered.
+func levelsOf(crashes []*crash) map[string]int {
 	type occurrence struct {
 		part string
 		of   incarnation
 	}
 	seen := map[occurrence]bool{}
 	levels := map[string]int{}
-	for _, c := range q.crashes {
+	for _, c := range crashes {
 		if c.refuted() {
 			continue
 		}
@@ -123,12 +166,12 @@
 	return levels
 }
 
-// blame returns the crashes of a part that no other part explains better: those in which it has a higher level than all other
+// blame returns those of some crashes of a part that no other part explains better: those in which it has a higher level than all other
 // parts, and those in which it has the highest. Inseparable are other parts of the same level that occur in all of these. The caller
 // holds the lock.
-func (q *Quarantine) blame(part string, levels map[string]int) (alone, shared []*crash, inseparable []string) {
+func (q *Quarantine) blame(crashes []*crash, part string, levels map[string]int) (alone, shared []*crash, inseparable []string) {
 	ties := map[string]int{}
-	for _, c := range q.crashes {
+	for _, c := range crashes {
 		if c.refuted() || !c.parts[part] {
 			continue
 		}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -229,7 +229,7 @@
 // evict drops the oldest of the possible crashes that tell least: those that are withdrawn or have no part left, then those whose
 // parts were lost with no other server. The caller holds the lock.
 func (q *Quarantine) evict() {
-	levels := q.levels()
+	levels := levelsOf(q.crashes)
 	worth := func(c *crash) int {
 		if c.refuted() || len(c.parts) == 0 {
 			return 0
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -359,6 +359,28 @@
 	is.True(f.knows())
 }
 
+// Guards against a sound part that is quarantined at once because, after it came with the crashing one each time, one of its requests
+// was reset by a server that lives.
+func TestResetConvictsNoSoundPart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 0)
+	q := f.instances[0]
+	for n := range 3 {
+		q.RecordLoss(backend.Server{ID: fmt.Sprint("crashed", n)}, []string{"with", crashing}, f.at)
+		f.at = f.at.Add(2 * settleTime)
+	}
+	s := backend.Server{ID: "lives"}
+	q.RecordLoss(s, []string{"with"}, f.at)
+	f.at = f.at.Add(step)
+	q.Review()
+	q.RecordProgress(s, f.at, f.at.Add(step))
+	f.at = f.at.Add(2 * settleTime)
+	q.Review()
+	_, _, alone := q.Quarantined([]string{"with"})
+	is.True(!alone)
+	is.True(f.knows("with"))
+}
+
 // Guards against evidence that is forgotten because other servers reset many connections between two crashes under a part.
 func TestEvidenceOutlivesResets(t *testing.T) {
 	is := is.New(t)
--- a/core/quarantine/save.go
+++ b/core/quarantine/save.go
@@ -143,7 +143,7 @@
 	for part, with := range q.combined {
 		name := strings.Join(with, ".")
 		_, saved := q.savedUntil[name]
-		if !saved && part == with[0] && len(name) <= maxNameBytes && (all || q.ownCrash(with)) {
+		if !saved && len(with) > 1 && part == with[0] && len(name) <= maxNameBytes && (all || q.ownCrash(with)) {
 			list[name] = q.combination(part, with)
 		}
 	}
