Return no fewer results than this instance has returned before

Cause: an instance that passes on the answer of one holder, and then that of another one which knows fewer, notices nothing; nor does one that has become the second holder itself. Only results that it had read from the store itself went before the answer of a holder.

If its own memory or the answer of a holder has no result at a position that was returned before, it reads the store, and does not wait. If it is the holder itself, the store is also asked who holds the job, before the answer and before the next write. There is no call to the store as long as holders know what was returned.

Not covered: a caller that reads at two instances, each of which reaches another of two holders.

--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -158,6 +158,21 @@
 	}
 }
 
+// ReadStore returns the results of a job from a position on that the store has now, whatever the job's holder knows.
+func (r *Reader) ReadStore(ctx context.Context, id string, after int) (jobpage.Page, error) {
+	j, err := r.job(ctx, id)
+	if err != nil {
+		return jobpage.Page{}, err
+	}
+	results, err := r.extend(ctx, j, after)
+	if err != nil {
+		return jobpage.Page{}, err
+	}
+	r.logRead(j, after, len(results), "store")
+
+	return jobpage.Cut(j.Items, results, after), nil
+}
+
 // fromHolder reads results from the instance that runs the job, which saves calls to the store and waits for results. A holder
 // returns only results that are in the store, so the answer of one that was replaced meanwhile is correct but may be out of
 // date. It returns false if the holder is unknown, does not answer or does not hold the job any more, and an error if the holder cannot
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -74,7 +74,9 @@
 	previous      string
 	previousUntil time.Time
 	doubtedBy     string
-	ended         bool
+	// contested is set until the store has confirmed this instance as the holder, if there seems to be another one.
+	contested bool
+	ended     bool
 	// releasing is set while this instance gives the job up: its record may already be without a holder, or name another one.
 	releasing bool
 	released  bool
@@ -163,6 +165,13 @@
 	j.notify()
 }
 
+// expectOthers is called when another instance is known to have listed results. It may have listed further ones, and may go on until it
+// learns that it was replaced.
+func (j *job) expectOthers(at time.Time) {
+	j.verifiedAt = time.Time{}
+	j.lateWritesUntil = at.Add(lateWriteWindow)
+}
+
 // due returns the deadline of the job's results.
 func (j *job) due(rt *route.Route) time.Time {
 	return j.SubmittedAt.Add(time.Duration(rt.CompletionMillis) * time.Millisecond)
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/work"
@@ -39,9 +38,7 @@
 	}
 	j.unacknowledged = 0
 	if conflict {
-		// The other writer may have listed more than this segment, and may go on until it learns that it was replaced.
-		j.verifiedAt = time.Time{}
-		j.lateWritesUntil = r.now().Add(lateWriteWindow)
+		j.expectOthers(r.now())
 	}
 	j.list(position, results)
 	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items,
@@ -68,7 +65,7 @@
 // holder does not look for results that another instance lists long after the takeover. An error means that the holder is unknown.
 func (r *Runner) stillHeld(ctx context.Context, j *job) (bool, error) {
 	r.lock.Lock()
-	sure := j.doubtedBy == "" && !r.cluster.SuspectedSince(j.heldAt, r.now())
+	sure := j.doubtedBy == "" && !j.contested && !r.cluster.SuspectedSince(j.heldAt, r.now())
 	r.lock.Unlock()
 	if sure {
 		return true, nil
@@ -89,6 +86,7 @@
 		r.lock.Lock()
 		defer r.lock.Unlock()
 		j.heldAt = at
+		j.contested = false
 		if j.doubtedBy != "" {
 			j.previous, j.doubtedBy = j.doubtedBy, ""
 			j.previousUntil = r.now().Add(announcementTTL)
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -11,17 +11,43 @@
 var errUnverified = fault.New(fault.CodeStoreUnavailable, "the store does not say whether there are further results")
 
 // Read returns the results of a job from a position on and waits for one until the given time. It fails with code not_found
-// if there is no such job, and with store_unavailable if that cannot be determined.
+// if there is no such job, and with store_unavailable if that cannot be determined. A result that this instance has returned before is
+// read from the store if the job's holder does not know it: there may be two holders that do not know of each other.
 func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
-	page, held, err := r.ReadHeldResults(ctx, id, after, until)
-	if held {
-		return page, err
+	returned := r.returned.Position(id)
+	exists := returned > after
+	if exists {
+		until = r.now()
+		r.doubt(id, returned)
 	}
-	if ctx.Err() != nil {
+	page, held, err := r.ReadHeldResults(ctx, id, after, until)
+	if !held && ctx.Err() != nil {
 		return jobpage.Page{}, ctx.Err()
 	}
+	if !held {
+		page, err = r.reader.Read(ctx, id, after, until)
+	}
+	if err == nil && exists && len(page.Results) == 0 {
+		page, err = r.reader.ReadStore(ctx, id, after)
+	}
+	if err == nil && len(page.Results) > 0 {
+		r.returned.Record(id, page.Next)
+	}
+
+	return page, err
+}
 
-	return r.reader.Read(ctx, id, after, until)
+// doubt makes this instance ask the store who holds a job, if it is the holder and knows fewer results than were returned to callers.
+func (r *Runner) doubt(id string, returned int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	j := r.jobs[id]
+	if j == nil || len(j.results) >= returned {
+		return
+	}
+	r.logger.Warn("results returned that the holder does not know", "job", id, "listed", len(j.results), "returned", returned, "revision", j.revision)
+	j.contested = true
+	j.expectOthers(r.now())
 }
 
 // ReadHeldResults is Read for a job that this instance holds; it returns false if it does not, if that cannot be determined, or
@@ -64,7 +90,7 @@
 	r.lock.Lock()
 	doubted := j.doubtedBy != "" || j.releasing
 	unacknowledged := j.unacknowledged > 0
-	maybeReplaced := doubted || r.cluster.SuspectedSince(j.verifiedAt, at)
+	maybeReplaced := doubted || j.contested || r.cluster.SuspectedSince(j.verifiedAt, at)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
 	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
 	lateWrites := j.verifiedAt.Before(j.lateWritesUntil)
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,8 @@
 
 	"tarragonwalk/core/fault"
 	logs "tarragonwalk/core/joblog"
+	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/jobread"
 	"tarragonwalk/core/work"
 	"tarragonwalk/internal/fakeobjects"
 )
@@ -107,6 +110,87 @@
 	})
 }
 
+// Guards against an instance that has returned results of a job, then holds it beside another holder which it does not know of, and
+// returns fewer from memory.
+func TestHolderKnowsFewerThanReturned(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	l := logs.New(f.objects)
+	_, stop := f.startHolder(t, 4)
+	defer stop()
+	other, stopOther := f.start("e2")
+	defer stopOther()
+	record, _, err := l.Job(t.Context(), "j")
+	is.NoErr(err)
+	for position, item := range []string{"j-1", "j-2"} {
+		is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e1"))
+	}
+	page, err := other.Read(t.Context(), "j", 0, time.Now())
+	is.NoErr(err)
+	is.Equal(page.Next, 1)
+	page, err = other.Read(t.Context(), "j", 1, time.Now())
+	is.NoErr(err)
+	is.Equal(page.Next, 2)
+	record.Holder, record.Incarnation = "e2", "e2"
+	j := newJob(*record, newItems("j", 4))
+	j.verifiedAt = time.Now()
+	other.lock.Lock()
+	other.hold("j", j)
+	other.lock.Unlock()
+	page, err = other.Read(t.Context(), "j", 1, time.Now().Add(testLimit))
+	is.NoErr(err)
+	is.Equal(page.Next, 2)
+	is.True(!other.holds("j")) // the store names another holder
+}
+
+// pages is a reader that passes on the answers of holders, one after the other, and counts the reads of the store.
+type pages struct {
+	*jobread.Reader
+	answers    []jobpage.Page
+	storeReads int
+}
+
+func (p *pages) Read(_ context.Context, _ string, after int, _ time.Time) (jobpage.Page, error) {
+	page := p.answers[0]
+	p.answers = p.answers[1:]
+	page.Results = page.Results[min(after, len(page.Results)):]
+
+	return page, nil
+}
+
+func (p *pages) ReadStore(ctx context.Context, id string, after int) (jobpage.Page, error) {
+	p.storeReads++
+
+	return p.Reader.ReadStore(ctx, id, after)
+}
+
+// Guards against an instance that passes on the results of one holder of a job and then those of another one, which knows fewer, and
+// against a read of the store for each read that finds nothing yet.
+func TestSecondHolderKnowsFewer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	l := logs.New(f.objects)
+	_, stop := f.startHolder(t, 4)
+	defer stop()
+	reader, stopReader := f.start("e2")
+	defer stopReader()
+	list := []work.Result{{Item: "j-1", State: work.StateDead}, {Item: "j-2", State: work.StateDead}}
+	is.NoErr(l.Append(t.Context(), "j", 0, list, "e1"))
+	known := jobpage.Cut(4, list, 0)
+	fewer := jobpage.Cut(4, list[:1], 0)
+	p := &pages{
+		Reader:  jobread.New(l, f, f, slog.New(slog.DiscardHandler), time.Now),
+		answers: []jobpage.Page{known, known, fewer, fewer},
+	}
+	reader.reader = p
+	for n, after := range []int{0, 2, 1, 0} {
+		page, err := reader.Read(t.Context(), "j", after, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results) > 0, after < 2)
+		is.Equal(p.storeReads, n/2) // only for the result that the second holder does not know
+	}
+}
+
 // Guards against a stopping holder that answers from memory after its release of a job has taken effect without an acknowledgement: the
 // job's new holder has listed further results.
 func TestReadDuringUnacknowledgedRelease(t *testing.T) {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -11,6 +11,7 @@
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/background"
 	"tarragonwalk/core/call"
+	"tarragonwalk/core/highmark"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/response"
 	"tarragonwalk/core/route"
@@ -84,6 +85,7 @@
 	SetHolder(id, holder, incarnation string)
 	Announced(id string) bool
 	Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error)
+	ReadStore(ctx context.Context, id string, after int) (jobpage.Page, error)
 	Body(ctx context.Context, id, item string) ([]byte, bool, error)
 }
 
@@ -105,6 +107,8 @@
 	now         func() time.Time
 	logger      *slog.Logger
 	tasks       background.Tasks
+	// returned is how far results were returned to callers.
+	returned *highmark.Table
 
 	// lock guards all fields below; it is not held during calls to the store or to backend servers.
 	lock sync.Mutex
@@ -152,6 +156,7 @@
 		keepFor:     keepFor,
 		now:         now,
 		logger:      logger,
+		returned:    highmark.New(now),
 		jobs:        map[string]*job{},
 		unresolved:  map[string]*job{},
 		submitting:  map[string]int{},
