Suspect a replacement as long as the only other instance is silent

What callers would see: fewer results than before, in a fleet of two whose instances are cut off from each other and not from the store.

Cause: a single silent instance was assumed to be unable to take jobs over, since an isolated instance does not. With no third instance neither counts as isolated: after 10 s each took over the other's jobs, and neither asked the store before it answered from memory.

Change: an instance that knows others, none of which left, and hears none of them suspects for as long as that lasts that it was replaced, even over a pause of its process. It does not forget them and goes on sending to them. Takeovers of a lost instance's jobs stay as they were. The cost: when one of two instances is lost for good, reads without a result look at the store, and writes of results ask for the holder, until it returns or the other one restarts.

Evidence: TestPairThatIsCutOff failed before and passes now, for a minute and over a pause; the tests of core/cluster pass.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -359,10 +359,37 @@
 			at = at.Add(200 * time.Millisecond)
 			c.Expire(at)
 		}
-		is.Equal(c.SuspectedSince(at.Add(-1), at), listed > 1)
+		is.True(c.SuspectedSince(at.Add(-1), at))
 	}
 }
 
+// Guards against two instances that are cut off from each other, but not from the store, and take over each other's new jobs while
+// neither suspects it: for a while, after the time for which a silent instance is remembered, or after a pause.
+func TestPairThatIsCutOff(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start
+	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1}, at)
+	pass := func(d time.Duration) {
+		at = at.Add(d)
+		c.Expire(at)
+		takesOver := !c.Isolated() && !c.Alive("e1", "1", at)
+		suspects := c.SuspectedSince(at.Add(-1), at)
+		is.True(suspects || !takesOver) // the other one decides by the same rules
+	}
+	for at.Before(start.Add(2 * forgetAfter)) {
+		pass(200 * time.Millisecond)
+	}
+	is.Equal(receivers(c, at), 1)
+	pass(pauseLimit + 1)
+	pass(200 * time.Millisecond)
+	is.True(!c.Isolated() && !c.Alive("e1", "1", at)) // the jobs of a lost one are taken over
+	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 2}, at)
+	pass(200 * time.Millisecond)
+	pass(200 * time.Millisecond)
+	is.True(!c.SuspectedSince(at.Add(-1), at))
+}
+
 // Guards against an isolated instance that tells its zone, as a gateway, that all others are silent and have nothing in flight.
 func TestIsolatedInstanceIsNoGateway(t *testing.T) {
 	is := is.New(t)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -25,6 +25,7 @@
 		c.isolatedSince = at
 		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers), "listed", c.unheard())
 	}
+	alone := isolated || c.alone()
 	silent, recent := 0, false
 	c.checkedAt = time.Time{}
 	for name, p := range c.peers {
@@ -41,26 +42,33 @@
 		if !p.gone {
 			c.checkedAt = later(c.checkedAt, p.checkedAt)
 		}
-		// An isolated instance that forgot the others would count as the only one.
-		if silence > forgetAfter && !isolated {
+		// An isolated instance that forgot the others would count as the only one, and one of a pair would not suspect itself any more.
+		if silence > forgetAfter && !alone {
 			delete(c.peers, name)
 			c.zones = nil
 		}
 	}
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
-	// have taken over this instance's jobs. Two or more silent peers may still reach each other and take them over.
-	// An instance that hears from one other one is heard by it, even if the store lists more.
-	if recent || silent > 1 || isolated || len(c.peers) == 0 && c.unheard() > 1 {
+	// have taken over this instance's jobs, unless it is the only one. Two or more silent peers may still reach each other and take them
+	// over. An instance that hears from one other one is heard by it, even if the store lists more.
+	if recent || silent > 1 || alone || len(c.peers) == 0 && c.unheard() > 1 {
 		c.selfSuspectedAt = at
 	}
+	// An instance that hears nobody may be heard by the others, who would count it as gone if it became silent.
+	if !alone {
+		c.forgetTargets(at)
+	}
+
+	return c.changes
+}
+
+// forgetTargets drops the addresses that have not answered for long. The caller holds the lock.
+func (c *Cluster) forgetTargets(at time.Time) {
 	for a, t := range c.targets {
-		// An isolated instance may be heard by the others, who would count it as gone if it became silent.
-		if at.After(t.forgetAt) && !isolated {
+		if at.After(t.forgetAt) {
 			delete(c.targets, a)
 		}
 	}
-
-	return c.changes
 }
 
 // Paused reports whether this process has had a pause that Expire has not noticed yet. What is known of the others is as old as the
@@ -124,16 +132,30 @@
 	if !c.isolatedSince.IsZero() {
 		return true
 	}
-	last, others := c.listeningSince, 0
+	others, heardAt := c.others()
+
+	return max(others, c.unheard()) > 1 && c.expiredAt.Sub(later(heardAt, c.listeningSince)) > isolatedAfter
+}
+
+// alone reports whether another instance is known and none was heard from lately, even if this process was paused. Of a pair that is cut
+// off from each other, each takes over the other's jobs. The caller holds the lock.
+func (c *Cluster) alone() bool {
+	others, heardAt := c.others()
+
+	return others > 0 && c.expiredAt.Sub(heardAt) > isolatedAfter
+}
+
+// others returns how many other instances are known, without those that were leaving and are expected to become silent, and when any was
+// last heard from. The caller holds the lock.
+func (c *Cluster) others() (count int, heardAt time.Time) {
 	for _, p := range c.peers {
-		// An instance that was leaving is expected to become silent.
 		if !p.heartbeat.Sender.Leaving {
-			others++
+			count++
 		}
-		last = later(last, p.heardAt)
+		heardAt = later(heardAt, p.heardAt)
 	}
 
-	return max(others, c.unheard()) > 1 && c.expiredAt.Sub(last) > isolatedAfter
+	return count, heardAt
 }
 
 // endIsolation is called when an instance is heard from. What is known of the others is as old as the isolation, so that they get the
