--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -390,6 +390,25 @@
 	is.True(!c.SuspectedSince(at.Add(-1), at))
 }
 
+// Guards against two groups that are cut off from each other, but not from the store, and forget each other: each takes over the new
+// jobs of the other one, and neither suspects it.
+func TestGroupsThatForgetEachOther(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start
+	for n := range 5 {
+		c.Observe(&gossip.Heartbeat{Sender: member(n+1, "1"), Sequence: 1}, at)
+	}
+	for k := 2; at.Before(start.Add(forgetAfter + 5*time.Second)); k++ {
+		at = at.Add(200 * time.Millisecond)
+		c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: k}, at)
+		c.Expire(at)
+	}
+	takesOver := !c.Isolated() && !c.Alive("e3", "1", at)
+	suspects := c.SuspectedSince(at.Add(-time.Second), at)
+	is.True(suspects || !takesOver)
+}
+
 // Guards against an isolated instance that tells its zone, as a gateway, that all others are silent and have nothing in flight.
 func TestIsolatedInstanceIsNoGateway(t *testing.T) {
 	is := is.New(t)
