Accept callers again after a failure of the listener

Would be seen: an instance that beats, counts as ready and is named to callers, but whose port is closed.

Cause: http.Server.Serve returns at a failure of Accept that does not count as temporary (ENOMEM, ENOBUFS), and closes the listener, which was only logged; so does fasthttp, under io/caller and io/operator, at any failure but a timeout, by reading for want of file descriptors too, and leaves the port open but unattended.

--- /dev/null
+++ b/internal/faultylistener/doc.go
@@ -0,0 +1,2 @@
+// Package faultylistener imitates a kernel that is short of memory for connections.
+package faultylistener
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -26,6 +26,7 @@
 	"tarragonwalk/io/drain"
 	"tarragonwalk/io/httperror"
 	"tarragonwalk/io/settings"
+	"tarragonwalk/io/tcp"
 )
 
 type dispatcher interface {
@@ -138,7 +139,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.listener.Store(&l)
 
-	return eris.Wrap(s.app.Listener(&listener{Listener: l}), "serve callers")
+	return eris.Wrap(s.app.Listener(&listener{Listener: tcp.NewListener(l, s.log)}), "serve callers")
 }
 
 // Shutdown makes the readiness check fail, still accepts requests for the grace time and until connections that were in use at its
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -22,6 +22,7 @@
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/job"
 	"tarragonwalk/core/membership"
+	"tarragonwalk/internal/faultylistener"
 	"tarragonwalk/io/settings"
 )
 
@@ -421,3 +422,13 @@
 		}
 	})
 }
+
+// Guards against an instance that accepts no callers any more after its kernel was short of memory once.
+func TestAcceptAfterFailures(t *testing.T) {
+	_, address := startOn(t, faultylistener.Listen(t, 3), nil)
+	is := is.New(t)
+	c := http.Client{Timeout: 20 * time.Second}
+	p, err := c.Get("http://" + address + "/v1/models")
+	is.NoErr(err)
+	p.Body.Close()
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -22,6 +22,7 @@
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/httperror"
+	"tarragonwalk/io/tcp"
 )
 
 type holder interface {
@@ -93,7 +94,7 @@
 
 // Serve answers requests on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return eris.Wrap(s.app.Listener(l), "serve operators")
+	return eris.Wrap(s.app.Listener(tcp.NewListener(l, s.log)), "serve operators")
 }
 
 // Shutdown closes the listener and waits for requests in flight until ctx ends.
--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -17,6 +17,7 @@
 	"tarragonwalk/core/burn"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/internal/faultylistener"
 )
 
 type fake struct{ current *configuration.Configuration }
@@ -109,3 +110,22 @@
 		})
 	}
 }
+
+// Guards against an instance that accepts no operators any more after its kernel was short of memory once.
+func TestAcceptAfterFailures(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	s := New(f, f, nil, nil, nil, hash("first"), slog.New(slog.DiscardHandler), time.Now)
+	l := faultylistener.Listen(t, 3)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(l)
+	}()
+	c := http.Client{Timeout: 20 * time.Second}
+	p, err := c.Get("http://" + l.Addr().String() + "/")
+	is.NoErr(err)
+	p.Body.Close()
+	is.NoErr(s.Shutdown(t.Context()))
+	<-ended
+}
--- a/io/tcp/accept.go
+++ b/io/tcp/accept.go
@@ -14,6 +14,11 @@
 // Accept returns the next connection of a listener. It tries again after a failure, such as one for want of file descriptors, with growing
 // pauses; the only error that it returns is net.ErrClosed.
 func Accept(l net.Listener) (net.Conn, error) {
+	return accept(l, func(error) {})
+}
+
+// accept is Accept; failed is called before each pause.
+func accept(l net.Listener, failed func(err error)) (net.Conn, error) {
 	pause := firstAcceptPause
 	for {
 		c, err := l.Accept()
@@ -23,6 +28,7 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil, net.ErrClosed
 		}
+		failed(err)
 		time.Sleep(pause)
 		pause = min(maxAcceptPause, 2*pause)
 	}
