--- a/internal/faultylistener/listener.go
+++ b/internal/faultylistener/listener.go
@@ -31,7 +31,11 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	if l.failures.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.ENOMEM}
+		return nil, &net.OpError{
+			Op:  "accept",
+			Net: "tcp",
+			Err: syscall.ENOMEM,
+		}
 	}
 
 	return l.Listener.Accept()
