--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -6,8 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 )
@@ -36,7 +35,7 @@
 func (d *Dispatcher) attempt(ctx context.Context, s *requestState, t *ticket) error {
 	ss := &streamSet{streams: map[uint64]openStream{}}
 	results := make(chan outcome, 2)
-	var group conc.WaitGroup
+	var group background.Tasks
 	defer group.Wait()
 	launch := func(st serverStream, activeID uint64) {
 		streamCtx, cancel := context.WithCancel(ctx)
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -17,6 +17,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/message"
+	"tarragonwalk/internal/subprocess"
 )
 
 func answer(id string, tokens int) string {
@@ -330,3 +331,11 @@
 		is.Equal(c[len(c)-1], 0)
 	}
 }
+
+// Guards against a request that waits forever for a stream that has ended in a panic.
+func TestPanicInStream(t *testing.T) {
+	subprocess.Panics(t, "event not handled", func() {
+		d := newDispatcher(&fakeEngine{tokens: 2}, fleet(1, 1), 1)
+		_ = d.Run(context.Background(), request("a", inference.ClassOnline), func(inference.Event) error { panic("event not handled") })
+	})
+}
--- a/io/jobstore/follow.go
+++ b/io/jobstore/follow.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 	"tarragonwalk/core/sweep"
@@ -48,7 +48,7 @@
 	v := &view{
 		entries: make(map[string]*entry),
 	}
-	var sweeps conc.WaitGroup
+	var sweeps background.Tasks
 	defer sweeps.Wait()
 	for loaded := false; ctx.Err() == nil; {
 		var err error
@@ -181,7 +181,7 @@
 
 // removeOrphans deletes at most one old entry without an open job per call, so that the next poll is not delayed. If the job
 // has ended, it sweeps the job's leftovers in the background: a canceled job, for example, has no runner that would.
-func (s *Store) removeOrphans(ctx context.Context, v *view, sweeps *conc.WaitGroup) {
+func (s *Store) removeOrphans(ctx context.Context, v *view, sweeps *background.Tasks) {
 	now := s.now()
 	for k, e := range v.entries {
 		if now.Sub(e.changedAt) < orphanAge || now.Sub(e.checkedAt) < orphanAge {
--- a/io/jobstore/store_test.go
+++ b/io/jobstore/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,8 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 	"tarragonwalk/internal/fakestore"
+	"tarragonwalk/internal/subprocess"
+	"tarragonwalk/io/objectstore"
 )
 
 const input = `{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m"}}
@@ -222,3 +225,35 @@
 	is.NoErr(s.ReadFile(t.Context(), "w", second.ID, &content))
 	is.Equal(content.String(), input)
 }
+
+// brokenSweep panics when the leftovers of a job are listed.
+type brokenSweep struct {
+	*fakestore.Store
+}
+
+func (b brokenSweep) List(ctx context.Context, prefix, after string, limit int) ([]objectstore.Entry, int64, error) {
+	if prefix != job.OpenPrefix {
+		panic("cannot list " + prefix)
+	}
+
+	return b.Store.List(ctx, prefix, after, limit)
+}
+
+// Guards against a panic that nobody sees before the process stops, while the leftovers of jobs stay.
+func TestPanicInSweep(t *testing.T) {
+	subprocess.Panics(t, "cannot list ", func() {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, s, u := setup(is)
+			st, err := s.Submit(t.Context(), u)
+			is.NoErr(err)
+			_, err = s.Cancel(t.Context(), "w/x", st.Job.ID)
+			is.NoErr(err)
+			is.NoErr(s.ensureOpen(t.Context(), st.Job))
+			s.objects = brokenSweep{Store: f}
+			go s.FollowOpen(t.Context(), func([]job.OpenJob, int64, time.Time) {})
+			time.Sleep(time.Hour)
+			os.Exit(0)
+		})
+	})
+}
