Pause after a failure to receive heartbeats

Would be seen: an instance that uses a whole core, is deaf and logs nothing, while its socket cannot be read. Found by a review.

Change: a pause of 5 ms that grows to 100 ms until something is received, and one line a second at most, together with heartbeats that cannot be handled.

Test: TestLastingReceiveFailure, with a read deadline in the past; before, it counted 30 failures and more within 0.5 s.

--- a/io/datagram/node.go
+++ b/io/datagram/node.go
@@ -16,8 +16,11 @@
 const (
 	// maxDatagramBytes is the size of the receive buffer, above the largest UDP payload.
 	maxDatagramBytes = 64 << 10
-	// failureLogPause is the least time between two logged failures to handle a heartbeat.
+	// failureLogPause is the least time between two logged failures to receive or to handle a heartbeat.
 	failureLogPause = time.Second
+	// firstReceivePause and maxReceivePause are the first and the longest pause after a failure to receive.
+	firstReceivePause = 5 * time.Millisecond
+	maxReceivePause   = 100 * time.Millisecond
 )
 
 var counters = expvar.NewMap("Beats")
@@ -26,7 +29,7 @@
 type Node struct {
 	socket *net.UDPConn
 	log    *slog.Logger
-	// quietUntil is when the next failure to handle a heartbeat may be logged; only Receive uses it.
+	// quietUntil is when the next failure may be logged; only Receive uses it.
 	quietUntil time.Time
 }
 
@@ -74,6 +77,7 @@
 // Receive calls handle with each heartbeat until the node is closed.
 func (n *Node) Receive(handle func(b *gossip.Heartbeat)) {
 	buffer := make([]byte, maxDatagramBytes)
+	pause := firstReceivePause
 	for {
 		size, from, err := n.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -81,13 +85,30 @@
 		}
 		if err != nil {
 			counters.Add("ReceiveFailed", 1)
+			if n.mayLogFailure() {
+				n.log.Error("cannot receive heartbeats", "error", err.Error())
+			}
+			time.Sleep(pause)
+			pause = min(maxReceivePause, 2*pause)
 
 			continue
 		}
+		pause = firstReceivePause
 		n.apply(buffer[:size], from, handle)
 	}
 }
 
+// mayLogFailure reports whether failureLogPause has passed since it last returned true.
+func (n *Node) mayLogFailure() bool {
+	at := time.Now()
+	if !at.After(n.quietUntil) {
+		return false
+	}
+	n.quietUntil = at.Add(failureLogPause)
+
+	return true
+}
+
 // apply decodes a heartbeat and calls handle. A panic drops the heartbeat only: a heartbeat repeats the sender's whole state several times a second, so one that
 // cannot be handled would end the process of every instance that receives it.
 func (n *Node) apply(message []byte, from netip.AddrPort, handle func(b *gossip.Heartbeat)) {
@@ -97,8 +118,7 @@
 			return
 		}
 		counters.Add("Failed", 1)
-		if at := time.Now(); at.After(n.quietUntil) {
-			n.quietUntil = at.Add(failureLogPause)
+		if n.mayLogFailure() {
 			n.log.Error("heartbeat not handled", "from", from.String(), "bytes", len(message), "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
--- a/io/datagram/node_test.go
+++ b/io/datagram/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -130,3 +131,42 @@
 	<-done
 	is.Equal(strings.Count(logged.String(), "heartbeat not handled"), 1)
 }
+
+// Guards against an instance that uses all its processor time, without a line in the log, while its socket cannot be read.
+func TestLastingReceiveFailure(t *testing.T) {
+	is := is.New(t)
+	var logged bytes.Buffer
+	n, err := New(netip.MustParseAddrPort("127.0.0.1:0"), slog.New(slog.NewTextHandler(&logged, nil)))
+	is.NoErr(err)
+	failures := func() int64 {
+		v, _ := counters.Get("ReceiveFailed").(*expvar.Int)
+		if v == nil {
+			return 0
+		}
+
+		return v.Value()
+	}
+	before := failures()
+	is.NoErr(n.socket.SetReadDeadline(time.Now()))
+	received, ended := make(chan string, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.Receive(func(b *gossip.Heartbeat) { received <- b.Sender.Name })
+	}()
+	time.Sleep(500 * time.Millisecond)
+	count := failures() - before
+	is.True(count > 0)
+	is.True(count < 30)
+	is.NoErr(n.socket.SetReadDeadline(time.Time{}))
+	self := netip.MustParseAddrPort(n.socket.LocalAddr().String())
+	n.Send(&gossip.Heartbeat{Sender: gossip.Member{Name: "e1", Incarnation: "i", Caller: self, Peer: self}}, []netip.AddrPort{self})
+	select {
+	case name := <-received:
+		is.Equal(name, "e1")
+	case <-time.After(20 * time.Second):
+		t.Fatal("no heartbeat received after the failure")
+	}
+	n.Close()
+	<-ended
+	is.Equal(strings.Count(logged.String(), "cannot receive heartbeats"), 1)
+}
