Do not retry the release of a claim that is gone

Would be seen: fewer chunks run than an instance has slots for, since a chunk whose claim is gone counts as held until its job ends.

Change: not_found ends the release like a conflict; another runner may create the claim.

Test: TestReleaseOfMissingClaim, writes of claims with a version fail with not_found.

--- a/core/batch/capacity_test.go
+++ b/core/batch/capacity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -245,3 +246,33 @@
 		is.Equal(got.Job.State, job.JobStateCompleted)
 	})
 }
+
+// Guards against a chunk that counts as held until its job ends, because the claim that its holder gives up is gone from the store.
+func TestReleaseOfMissingClaim(t *testing.T) {
+	bubble(t, "claim gone at the release", func(is *is.I) {
+		f := newFleet("a")
+		f.took = time.Second
+		begin := time.Now()
+		f.slots = func(string, string) int {
+			if time.Since(begin) > 500*time.Millisecond {
+				return 0
+			}
+
+			return 2
+		}
+		f.batchOwners = func(string) []string { return []string{"a", "b"} } // b is not running
+		_, st := f.submit(is, 3, "x")
+		id := st.Job.ID
+		f.refuse = func(key string, version int64) bool {
+			return version != 0 && strings.HasPrefix(key, job.ClaimsPrefix(id))
+		}
+		a := f.launch("a", "1", 1)
+		time.Sleep(8 * time.Second)
+		a.mu.Lock()
+		held := a.heldTotal
+		a.mu.Unlock()
+		a.stop()
+		<-a.ended
+		is.Equal(held, 0)
+	})
+}
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -214,8 +214,9 @@
 	}
 }
 
-// release marks the claim of a chunk as released, so that another runner may take it over at once. It retries until the job ends,
-// and for releaseTime after ctx ends: while this runner renews its session for other chunks, no other one takes the claim over.
+// release marks the claim of a chunk as released, so that another runner may take it over at once. It retries until the claim is
+// released, gone or another runner's, or the job ends, and for releaseTime after ctx ends: while this runner renews its session for
+// other chunks, no other one takes the claim over.
 func (r *Runner) release(ctx context.Context, w *knownJob, n, attempt int, version int64) {
 	value, err := json.Marshal(job.Claim{
 		Holder:      r.name,
@@ -233,7 +234,7 @@
 	defer w.onStop(cancel)()
 	for pause := storePause; ; pause = min(2*pause, storePauseLimit) {
 		_, err := r.objects.Put(linger, job.ClaimKey(w.open.ID, n), value, version)
-		if c := fault.CodeOf(err); c == "" || c == fault.CodeConflict {
+		if c := fault.CodeOf(err); c == "" || c == fault.CodeConflict || c == fault.CodeNotFound {
 			return
 		}
 		r.log.Warn("cannot release a claim", "job", w.open.ID, "chunk", n, "error", err)
--- a/core/batch/runner_test.go
+++ b/core/batch/runner_test.go
@@ -32,6 +32,8 @@
 	mu     sync.Mutex
 	cut    bool
 	paused chan struct{}
+	// refuse names the writes that fail with not_found, nil for none.
+	refuse func(key string, version int64) bool
 }
 
 func (l *link) pass(ctx context.Context) error {
@@ -90,6 +92,9 @@
 	if err := l.pass(ctx); err != nil {
 		return 0, err
 	}
+	if l.refuse != nil && l.refuse(key, v) {
+		return 0, fault.New(fault.CodeNotFound, "no object "+key)
+	}
 
 	return l.Store.Put(ctx, key, value, v)
 }
@@ -131,6 +136,8 @@
 	batchOwners func(deployment string) []string
 	answer      func(r *inference.Request) error
 	started     func(n *node, item string)
+	// refuse names the writes that fail with not_found, nil for none.
+	refuse func(key string, version int64) bool
 }
 
 type node struct {
@@ -268,7 +275,7 @@
 }
 
 func (f *fleet) launch(name, incarnation string, seed uint64) *node {
-	l := &link{Store: f.store}
+	l := &link{Store: f.store, refuse: f.refuse}
 	n := &node{self: name, link: l, fleet: f, ended: make(chan struct{}), runs: make(map[string]int), jobs: jobstore.New(l, limits, time.Now)}
 	n.Runner = New(l, n, f, f, name, incarnation, time.Now, rand.New(rand.NewPCG(seed, 1)), slog.New(slog.DiscardHandler))
 	f.nodes = append(f.nodes, n)
