Lock the fields of the store in the tests of core/addresses

The race detector reported TestLeave, which read the objects of its store without the lock. The checks are the same.

--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -32,9 +32,35 @@
 	before   func(name string) error
 }
 
+// delay makes each change take a time.
+func (m *memory) delay(d time.Duration) {
+	m.check(func(string) error {
+		time.Sleep(d)
+
+		return nil
+	})
+}
+
+func (m *memory) check(before func(name string) error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.before = before
+}
+
+// counts returns the numbers of objects and of writes.
+func (m *memory) counts() (objects, writes int) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+
+	return len(m.objects), m.writes
+}
+
 func (m *memory) write(name string, value any, allowed func(found object, exists bool) fault.Code) (int64, error) {
-	if m.before != nil {
-		if err := m.before(name); err != nil {
+	m.lock.Lock()
+	before := m.before
+	m.lock.Unlock()
+	if before != nil {
+		if err := before(name); err != nil {
 			return 0, err
 		}
 	}
@@ -210,13 +236,13 @@
 			time.Sleep(6 * time.Second)
 			begin := time.Now()
 			asking.isolate()
-			m.before = func(name string) error {
+			m.check(func(name string) error {
 				if s := time.Since(begin); name == "c" && s > 10*time.Second && s < 25*time.Second {
 					return fault.New(code, "no write")
 				}
 
 				return nil
-			}
+			})
 			time.Sleep(28 * time.Second)
 			var found record
 			_, err := m.Read(t.Context(), "kind", "c", &found)
@@ -237,11 +263,7 @@
 			_, err := m.Create(t.Context(), "kind", fmt.Sprint("c-", n), record{Peer: watcher.Self().Peer, Question: "q"})
 			is.NoErr(err)
 		}
-		m.before = func(string) error {
-			time.Sleep(time.Second)
-
-			return nil
-		}
+		m.delay(time.Second)
 		time.Sleep(40 * time.Second)
 		open := 0
 		is.NoErr(m.List(t.Context(), "kind", func(_ string, value json.RawMessage, _ int64) {
@@ -261,11 +283,7 @@
 	for _, apart := range []time.Duration{0, 30 * time.Millisecond, 7 * time.Second} {
 		bubble(t, func(t *testing.T, is *is.I, m *memory) {
 			const size = 20
-			m.before = func(string) error {
-				time.Sleep(50 * time.Millisecond)
-
-				return nil
-			}
+			m.delay(50 * time.Millisecond)
 			var all []*node
 			for n := range size {
 				all = append(all, launch(t, m, fmt.Sprint("n-", n), n == 0))
@@ -275,9 +293,10 @@
 			for _, n := range all {
 				n.isolate()
 			}
-			before := m.writes
+			_, before := m.counts()
 			time.Sleep(10 * time.Minute)
-			is.True(m.writes-before <= size*10*60/7) // one write of each in 7 s
+			_, after := m.counts()
+			is.True(after-before <= size*10*60/7) // one write of each in 7 s
 			for _, n := range all {
 				is.True(!n.Forgotten())
 			}
@@ -295,26 +314,27 @@
 // because its former process has left.
 func TestLeave(t *testing.T) {
 	bubble(t, func(t *testing.T, is *is.I, m *memory) {
-		n := launch(t, m, "a", true)
-		time.Sleep(time.Second)
-		is.Equal(len(m.objects), 1)
-		m.before = func(string) error {
-			time.Sleep(time.Second)
+		listed := func() int {
+			objects, _ := m.counts()
 
-			return nil
+			return objects
 		}
+		n := launch(t, m, "a", true)
+		time.Sleep(time.Second)
+		is.Equal(listed(), 1)
+		m.delay(time.Second)
 		is.NoErr(m.Delete(t.Context(), "kind", "a"))
 		go func() { _ = n.Ask(t.Context()) }() // an isolated instance asks while it stops, and creates its object again
 		time.Sleep(100 * time.Millisecond)
 		n.Leave(t.Context())
-		is.Equal(len(m.objects), 0)
+		is.Equal(listed(), 0)
 		is.True(n.Ask(t.Context()) != nil)
 		time.Sleep(5 * time.Minute)
-		is.Equal(len(m.objects), 0)
+		is.Equal(listed(), 0)
 		n.stop()
 		next := launch(t, m, "a", true)
 		time.Sleep(2 * time.Second)
-		is.Equal(len(m.objects), 1)
+		is.Equal(listed(), 1)
 		next.stop()
 	})
 }
