--- a/core/eventstream/splitter_test.go
+++ b/core/eventstream/splitter_test.go
@@ -136,6 +136,14 @@
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"), 3)
 	f.Add([]byte("\n\n\r\n\r\nid:\n\n"), 1)
+	// As backend servers of similar systems have sent: comments without events, an event without end, one that is broken off, the
+	// events once more, and a failure or its head behind an event.
+	f.Add(bytes.Repeat([]byte(": wait\n\n"), 50), 8)
+	f.Add(append([]byte("data: "), bytes.Repeat([]byte("x"), 4<<10)...), 63)
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: "), 7)
+	f.Add([]byte("id: 1\ndata: a\n\nid: 1\ndata: a\n\n"), 5)
+	f.Add([]byte("id: 1\ndata: a\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"), 9)
+	f.Add([]byte("id: 2\ndata: b\n\nid: 3\ndata: internal error\n"), 4)
 	f.Fuzz(func(t *testing.T, stream []byte, size int) {
 		size = max(1, size%64)
 		s := New(0)
--- a/io/engine/sse_test.go
+++ b/io/engine/sse_test.go
@@ -41,6 +41,12 @@
 func FuzzSSE(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"))
 	f.Add([]byte("data\r\n\r\nid\n"))
+	// Comments without events, an event without end, one that is broken off, and a failure or its head behind an event.
+	f.Add(bytes.Repeat([]byte(": wait\n\n"), 50))
+	f.Add(append([]byte("data: "), bytes.Repeat([]byte("x"), 4<<10)...))
+	f.Add([]byte("id: 1\ndata: {}\n\nid: 2\ndata: "))
+	f.Add([]byte("id: 1\ndata: {}\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"))
+	f.Add([]byte("id: 1\ndata: {}\n\nid: 3\ndata: internal error\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		s := newSSE(bytes.NewReader(b))
 		for n := 0; ; n++ {
