Use no connection again after a request without an ID

Cause: responses are told apart by the request's ID. A server that sends an answer once more, late, sends a copy without an ID if the request had none, and a response without an ID passed for the answer to whatever request the connection carried next.

Change: the connection of such a request is not used again. These requests are rare.

Evidence: TestSecondCopyOfAnswerWithoutID fails without the change.

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -85,7 +85,8 @@
 
 		return nil, err
 	}
-	if r.StatusCode >= http.StatusInternalServerError {
+	// A late copy of an answer without an ID could not be told from the answer to the next request.
+	if r.StatusCode >= http.StatusInternalServerError || q.ID == "" {
 		a.connection.retire()
 	}
 	stripHopByHop(r.Header)
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -156,6 +156,33 @@
 	return backend.Server{ID: "w", Address: netip.MustParseAddrPort(l.Addr().String())}
 }
 
+// Guards against a second copy of the answer to a request without an ID that reaches the next caller on the connection as its own.
+func TestSecondCopyOfAnswerWithoutID(t *testing.T) {
+	is := is.New(t)
+	s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
+		for err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 1\r\n\r\n", names.RequestID, r.Header.Get(names.RequestID))
+			_, _ = io.WriteString(conn, answer+"a")
+			if r, err = http.ReadRequest(reader); err == nil {
+				_, _ = io.WriteString(conn, answer+"a")
+			}
+		}
+	})
+	client := New(names, &departures{}, time.Now)
+	defer client.Close()
+	for _, id := range []string{"", "2"} {
+		resp, err := client.Send(t.Context(), s, &call.Call{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}, 0)
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(names.RequestID), id)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		resp.Body.Close()
+		time.Sleep(10 * time.Millisecond) // the transport keeps the connection
+	}
+}
+
 // Guards against a second copy of an answer, sent late on a connection that is in use again, that reaches the next caller as its own:
 // while the connection is idle, just before the next request and just after it.
 func TestSecondCopyOfAnswer(t *testing.T) {
