Refuse jobs that cannot be completed in time

What callers saw: past capacity every job was accepted with 202.

Cause: a job was refused for the limit of waiting tokens only.

Change: heartbeats, reports on zones and digests say, by batch route, how many events accepted items that may still be in time lack, how many of these items wait for a slot, and how many events items received in 6 s. A job that would be completed, at the highest rate of the last 12 s, later than in 1.25 times the time that it has left gets 429 with a Retry-After at which a job of its size has room. Nothing is refused unless items have waited for slots for 6 s without a break and all live instances have been heard from. The store is read before a refusal, so that an accepted job gets its 202 again. Instances tell each other which jobs they refused, so that the bound of a job that comes back runs from its first submission. One log line a refusal, counter JobsExpectedLate.

TestNoRefusalNearCapacity and TestNearCapacityWithBursts guard against refusals of what fits, TestJobThatCannotBeInTime the answers, TestCompletion the estimate, TestProgressIsCountedOnce and TestProgressReachesAllInstances its inputs.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -54,6 +54,8 @@
 	heartbeat gossip.Heartbeat
 	heardAt   time.Time
 	joinedAt  time.Time
+	// updatedAt is when the heartbeat was received, by this instance or by one that relayed it.
+	updatedAt time.Time
 	gone      bool
 	// checkedAt is when the instance last verified that its state was the store's newest, zero if it never did.
 	checkedAt time.Time
@@ -72,7 +74,7 @@
 	if relevantChange(&p.heartbeat, b) || checkedAt.Sub(p.checkedAt) > checkStep {
 		p.changedAt = at
 	}
-	p.heartbeat, p.checkedAt = *b, checkedAt
+	p.heartbeat, p.checkedAt, p.updatedAt = *b, checkedAt, at
 	p.heartbeat.Counts, p.heartbeat.Addresses, p.heartbeat.Relayed, p.heartbeat.Reports = nil, nil, nil, nil
 	p.markHeard(at)
 }
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -27,8 +27,9 @@
 
 // zoneReport is the part of a report on another zone that is used until the report expires.
 type zoneReport struct {
-	madeAt  time.Time
-	waiting map[string]int
+	madeAt   time.Time
+	waiting  map[string]int
+	progress map[string]gossip.BatchProgress
 }
 
 // Gateways returns the gateways of other zones to which this instance sends reports on its own zone; none unless it is a gateway
@@ -107,8 +108,9 @@
 	defer c.lock.Unlock()
 	c.own.update(own, at)
 	report := gossip.Report{
-		Zone:    c.self.Zone,
-		Waiting: gossip.ReportWaiting{},
+		Zone:     c.self.Zone,
+		Waiting:  gossip.ReportWaiting{},
+		Progress: gossip.ReportProgress{},
 	}
 	refresh := refreshInterval
 	if len(c.peers) > largeFleet {
@@ -130,6 +132,7 @@
 		for route, tokens := range p.heartbeat.Waiting {
 			report.Waiting[route] += tokens
 		}
+		gossip.AddProgress(report.Progress, p.heartbeat.Progress)
 		if at.Sub(p.changedAt) <= changeRepeat || at.Sub(p.relayedAt) >= refresh {
 			p.relayedAt = at
 			relayed = append(relayed, gossip.RelayedHeartbeat{
@@ -161,8 +164,9 @@
 	defer c.lock.Unlock()
 	if !at.Before(c.zoneReports[r.Zone].madeAt) {
 		c.zoneReports[r.Zone] = zoneReport{
-			madeAt:  at,
-			waiting: maps.Clone(r.Waiting),
+			madeAt:   at,
+			waiting:  maps.Clone(r.Waiting),
+			progress: maps.Clone(r.Progress),
 		}
 	}
 	c.markMembers(r, at)
--- a/core/cluster/gateway_test.go
+++ b/core/cluster/gateway_test.go
@@ -168,7 +168,7 @@
 	is := is.New(t)
 	c := newCluster(0)
 	c.Observe(&gossip.Heartbeat{Sender: member(2, "1"), Sequence: 1}, start)
-	c.ObserveDigest(&gossip.Report{Zone: "a", Heard: []gossip.MemberStatus{{Name: "e2", Incarnation: "1"}}}, map[string]int{"r": 5}, start.Add(time.Second))
+	c.ObserveDigest(&gossip.Report{Zone: "a", Heard: []gossip.MemberStatus{{Name: "e2", Incarnation: "1"}}}, &gossip.Heartbeat{Waiting: gossip.HeartbeatWaiting{"r": 5}}, start.Add(time.Second))
 	is.Equal(c.Waiting("r", start.Add(time.Second)), 0)
 	is.Equal(len(c.ServingInstances("", start.Add(time.Second))), 2) // the report shows that the other instance is alive
 }
--- a/core/cluster/zone.go
+++ b/core/cluster/zone.go
@@ -120,20 +120,21 @@
 	return n
 }
 
-// ObserveDigest applies a digest of this instance's zone that a gateway made at a time. The waiting tokens include those of this
-// instance, own, by batch route; nil leaves the tokens as they are.
-func (c *Cluster) ObserveDigest(r *gossip.Report, own map[string]int, at time.Time) {
+// ObserveDigest applies a digest of this instance's zone that a gateway made at a time. Its sums include what this instance sent in
+// the heartbeat own, which is subtracted; nil leaves the sums as they are.
+func (c *Cluster) ObserveDigest(r *gossip.Report, own *gossip.Heartbeat, at time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.digestAt = later(c.digestAt, at)
 	if own != nil && !at.Before(c.zoneReports[r.Zone].madeAt) {
 		waiting := make(map[string]int, len(r.Waiting))
 		for route, tokens := range r.Waiting {
-			waiting[route] = max(0, tokens-own[route])
+			waiting[route] = max(0, tokens-own.Waiting[route])
 		}
 		c.zoneReports[r.Zone] = zoneReport{
-			madeAt:  at,
-			waiting: waiting,
+			madeAt:   at,
+			waiting:  waiting,
+			progress: gossip.SubtractProgress(r.Progress, own.Progress),
 		}
 	}
 	c.markMembers(r, at)
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -7,6 +7,46 @@
 import "net/netip"
 import "unicode/utf8"
 
+// BatchProgress says how much work the batch items of a route still need, and how
+// fast it is done.
+type BatchProgress struct {
+	// Events is the number of events that items received, late ones included, in the
+	// last 6 s.
+	Events int `json:"Events,omitempty,omitzero"`
+
+	// Queued is the number of these items that found no free slot on a backend
+	// server.
+	Queued int `json:"Queued,omitempty,omitzero"`
+
+	// Remaining is the number of events that unfinished items which may still be in
+	// time are expected to receive.
+	Remaining int `json:"Remaining,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *BatchProgress) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	type Plain BatchProgress
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["Events"]; !ok || v == nil {
+		plain.Events = 0
+	}
+	if v, ok := raw["Queued"]; !ok || v == nil {
+		plain.Queued = 0
+	}
+	if v, ok := raw["Remaining"]; !ok || v == nil {
+		plain.Remaining = 0
+	}
+	*j = BatchProgress(plain)
+	return nil
+}
+
 // Count is the number of requests and items of one instance, or of one zone, in
 // flight on a backend server.
 type Count struct {
@@ -153,6 +193,9 @@
 	// Held lists jobs that the sender accepted or took over in the last seconds.
 	Held []string `json:"Held,omitempty,omitzero"`
 
+	// Progress is that of the jobs that the sender holds, by batch route.
+	Progress HeartbeatProgress `json:"Progress,omitempty,omitzero"`
+
 	// QuarantinedParts are the prompt parts whose requests the sender refuses.
 	QuarantinedParts []QuarantinedPart `json:"QuarantinedParts,omitempty,omitzero"`
 
@@ -164,6 +207,10 @@
 	// time any more.
 	QueuedLate int `json:"QueuedLate,omitempty,omitzero"`
 
+	// Refused lists jobs that the sender refused in the last seconds, since they
+	// could not be completed in time.
+	Refused []RefusedJob `json:"Refused,omitempty,omitzero"`
+
 	// Relayed are heartbeats of instances in other availability zones than the
 	// receiver's that changed lately or are due for a refresh, without counts.
 	Relayed []RelayedHeartbeat `json:"Relayed,omitempty,omitzero"`
@@ -208,6 +255,9 @@
 	Waiting HeartbeatWaiting `json:"Waiting,omitempty,omitzero"`
 }
 
+// Progress is that of the jobs that the sender holds, by batch route.
+type HeartbeatProgress map[string]BatchProgress
+
 // Waiting is the number of waiting tokens by batch route, of the jobs that the
 // sender holds.
 type HeartbeatWaiting map[string]int
@@ -432,6 +482,40 @@
 	return nil
 }
 
+// RefusedJob is a job that could not be completed in time when it was submitted,
+// and may be submitted again.
+type RefusedJob struct {
+	// AgeMillis is how long ago it was first submitted.
+	AgeMillis int `json:"AgeMillis"`
+
+	// Job is the job's ID.
+	Job string `json:"Job"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *RefusedJob) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["AgeMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field AgeMillis in RefusedJob: required")
+	}
+	if _, ok := raw["Job"]; raw != nil && !ok {
+		return fmt.Errorf("field Job in RefusedJob: required")
+	}
+	type Plain RefusedJob
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
+	}
+	*j = RefusedJob(plain)
+	return nil
+}
+
 // RelayedHeartbeat is a heartbeat that another instance passes on.
 type RelayedHeartbeat struct {
 	// AgeMillis is how long ago the instance that passes the heartbeat on received it
@@ -480,6 +564,9 @@
 	// including itself.
 	Heard []MemberStatus `json:"Heard,omitempty,omitzero"`
 
+	// Progress is the sum over the instances of the zone, by batch route.
+	Progress ReportProgress `json:"Progress,omitempty,omitzero"`
+
 	// Waiting is the number of waiting tokens by batch route, summed over the
 	// instances of the zone.
 	Waiting ReportWaiting `json:"Waiting,omitempty,omitzero"`
@@ -488,6 +575,9 @@
 	Zone string `json:"Zone"`
 }
 
+// Progress is the sum over the instances of the zone, by batch route.
+type ReportProgress map[string]BatchProgress
+
 // Waiting is the number of waiting tokens by batch route, summed over the
 // instances of the zone.
 type ReportWaiting map[string]int
--- a/core/heartbeat/digest.go
+++ b/core/heartbeat/digest.go
@@ -22,9 +22,8 @@
 
 // sentState is the part of a heartbeat that digests add up, and when the heartbeat was sent.
 type sentState struct {
-	at      time.Time
-	counts  []gossip.Count
-	waiting map[string]int
+	at        time.Time
+	heartbeat gossip.Heartbeat
 }
 
 // withStatus returns a report in which only one of several rounds says when each instance was last heard from.
@@ -41,9 +40,12 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.sent[e.sentCount%sentStates] = sentState{
-		at:      at,
-		counts:  b.Counts,
-		waiting: b.Waiting,
+		at: at,
+		heartbeat: gossip.Heartbeat{
+			Counts:   b.Counts,
+			Waiting:  b.Waiting,
+			Progress: b.Progress,
+		},
 	}
 	e.sentCount++
 }
@@ -70,12 +72,8 @@
 
 		return
 	}
-	waiting := own.waiting
-	if waiting == nil {
-		waiting = map[string]int{}
-	}
-	e.cluster.ObserveDigest(r, waiting, madeAt)
-	e.loads.ObserveDigest(r.Counts, own.counts, madeAt)
+	e.cluster.ObserveDigest(r, &own.heartbeat, madeAt)
+	e.loads.ObserveDigest(r.Counts, own.heartbeat.Counts, madeAt)
 }
 
 // noteCovered records that another gateway of this instance's zone has sent reports to the zone.
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -38,7 +38,7 @@
 	ZoneAddresses(at time.Time) (each, regular []netip.AddrPort)
 	ZoneMembers() []netip.AddrPort
 	GatewayRank(at time.Time) (rank int, digests, ok bool)
-	ObserveDigest(r *gossip.Report, own map[string]int, at time.Time)
+	ObserveDigest(r *gossip.Report, own *gossip.Heartbeat, at time.Time)
 	ForgetDigest()
 	ObserveDigests(gateway bool, at time.Time) (lost bool)
 	RemoteAddresses(at time.Time) (uncontacted, direct, others []netip.AddrPort)
@@ -66,6 +66,7 @@
 	ObserveHolder(id, holder, incarnation string)
 	ObserveEnd(id string)
 	ObserveOrphan(id string)
+	ObserveRefusal(id string, submittedAt time.Time)
 	Preempt(server string, count int)
 }
 
@@ -309,6 +310,9 @@
 	for _, id := range b.Released {
 		e.jobs.ObserveOrphan(id)
 	}
+	for _, f := range b.Refused {
+		e.jobs.ObserveRefusal(f.Job, gossip.Before(at, f.AgeMillis))
+	}
 	for _, id := range b.Held {
 		e.jobs.ObserveHolder(id, b.Sender.Name, b.Sender.Incarnation)
 	}
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -48,6 +48,8 @@
 	stop      context.CancelFunc
 	// waiting is the number of waiting tokens of the instance's jobs.
 	waiting atomic.Int64
+	// refusedAt is when a refused job was first submitted as last heard.
+	refusedAt atomic.Pointer[time.Time]
 	// lock guards the fields below: the departures that the instance announces, and those that it has heard of.
 	lock       sync.Mutex
 	departures []gossip.Departure
@@ -115,10 +117,16 @@
 func (*instance) Current() (*route.Table, int64)               { return nil, 0 }
 func (*instance) Excess(backend.Server, time.Time) (n int)     { return 0 }
 
+func (i *instance) ObserveRefusal(_ string, submittedAt time.Time) {
+	i.refusedAt.Store(&submittedAt)
+}
+
 func (i *instance) FillHeartbeat(b *gossip.Heartbeat) {
 	b.Waiting = gossip.HeartbeatWaiting{}
 	if n := int(i.waiting.Load()); n > 0 {
 		b.Waiting["jobs"] = n
+		b.Progress = gossip.HeartbeatProgress{"jobs": {Remaining: n}}
+		b.Refused = []gossip.RefusedJob{{Job: "job", AgeMillis: n}}
 	}
 }
 
@@ -625,3 +633,32 @@
 		}
 	})
 }
+
+// Guards against estimates of a part of the fleet only, and against a refused job whose bound begins anew at another instance of its
+// zone: progress has to reach all instances, in zones with and without digests.
+func TestProgressReachesAllInstances(t *testing.T) {
+	for _, size := range []int{4, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork()
+			n.codec = messagecodec.New(1 << 20)
+			var list []*instance
+			for k := range 2 * size {
+				list = append(list, n.start(fmt.Sprintf("e%02d", k), fmt.Sprint("z", k%2), "1"))
+			}
+			time.Sleep(5 * time.Second)
+			for _, i := range list {
+				i.waiting.Store(1000)
+			}
+			time.Sleep(5 * time.Second)
+			for _, i := range list {
+				sum, complete := i.cluster.Progress(time.Now())
+				is.True(complete)
+				is.Equal(sum["jobs"].Remaining, 1000*(len(list)-1))
+				age := time.Since(*i.refusedAt.Load())
+				is.True(age >= time.Second && age < 4*time.Second) // a second, and the time since the last heartbeat that was relayed
+			}
+			stopAll(list)
+		})
+	}
+}
--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -47,7 +47,7 @@
 }
 
 // FillHeartbeat fills in the parts of a heartbeat that concern jobs: those that were accepted, taken over, ended or released
-// recently, the waiting tokens by route, and the number of items that found no free slot.
+// recently, the waiting tokens and the progress by route, and the number of items that found no free slot.
 func (r *Runner) FillHeartbeat(b *gossip.Heartbeat) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -58,7 +58,9 @@
 			b.Waiting[rt.Name] += j.waitingTokens()
 		}
 	}
+	b.Progress = r.progress(at)
 	r.heartbeats++
+	b.Refused = r.announcedRefusals(at)
 	b.Held = someOf(dropExpired(r.held, at), r.heartbeats)
 	b.Ended = someOf(dropExpired(r.ended, at), r.heartbeats)
 	b.Released = someOf(dropExpired(r.released, at), r.heartbeats)
--- a/core/jobrun/estimate.go
+++ b/core/jobrun/estimate.go
@@ -32,9 +32,12 @@
 	e.events += smoothing * (float64(total) - e.events)
 }
 
+// remainingEvents returns how many events an item that has produced last events still produces, 0 if that is not known.
+func (e *estimate) remainingEvents(last int64) float64 {
+	return max(e.events-float64(last), minRemainingRatio*e.events)
+}
+
 // remaining returns how long an item that has produced last events still takes on an ordinary server.
 func (e *estimate) remaining(last int64) time.Duration {
-	events := max(e.events-float64(last), minRemainingRatio*e.events)
-
-	return time.Duration(events * e.millisPerEvent * float64(time.Millisecond))
+	return time.Duration(e.remainingEvents(last) * e.millisPerEvent * float64(time.Millisecond))
 }
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -241,6 +241,7 @@
 			it.firstAt = r.now()
 		}
 		it.events = true
+		r.received.Add(it.routeName, int(splitter.LastID()-it.last), r.now())
 		it.last = splitter.LastID()
 		r.lock.Unlock()
 	}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -27,7 +27,9 @@
 	// failures counts the attempts that the backend server answered with a failure; a lost stream or a preemption does not count.
 	failures  int
 	notBefore time.Time
+	// server and routeName are the server and the route of the present run, or the last one.
 	server    string
+	routeName string
 	startedAt time.Time
 	// parts are its prompt parts that other requests may have too, known after the first look at it; held is set while one of them
 	// is quarantined.
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -56,7 +56,9 @@
 	jobs float64
 	// traffic is how long requests and jobs arrive.
 	traffic time.Duration
-	seed    uint64
+	// acceptAll says that instances do not know the progress of the fleet, so that they accept every job.
+	acceptAll bool
+	seed      uint64
 }
 
 // burst reports whether a burst lasts at a time since the start: 2.4 s in each 5.8 s.
@@ -121,6 +123,12 @@
 func (i *loadInstance) SuspectedSince(time.Time) bool        { return false }
 func (i *loadInstance) Isolated() bool                       { return false }
 func (i *loadInstance) Waiting(r string, at time.Time) int   { return i.cluster.Waiting(r, at) }
+func (i *loadInstance) Progress(at time.Time) (sum map[string]gossip.BatchProgress, complete bool) {
+	sum, complete = i.cluster.Progress(at)
+
+	return sum, complete && !i.fleet.pattern.acceptAll
+}
+
 func (i *loadInstance) Holder(string, string) (a netip.AddrPort, ok bool) {
 	return a, false
 }
@@ -460,3 +468,49 @@
 	t.Log(r)
 	is.True(2*itemEvents*int64(r.inTime) > r.events)
 }
+
+// Guards against refusing jobs that can be completed in time: online requests and items need 0.96 of the slots, and nothing may be
+// refused in a minute with ten bursts.
+func TestNoRefusalNearCapacity(t *testing.T) {
+	is := is.New(t)
+	r := play(t, loadPattern{
+		instances: 18,
+		zones:     6,
+		servers:   12,
+		online:    43,
+		peak:      1.87,
+		rest:      0.383,
+		jobs:      0.695,
+		traffic:   60 * time.Second,
+		seed:      2,
+	})
+	t.Log(r)
+	is.Equal(r.refused, 0)
+	is.Equal(r.unlisted, 0)
+}
+
+// Guards against accepting jobs that cannot be done, when they need four times what fits: a third has to be refused at least, no fewer
+// items than without refusals may be in time, and less than half as many accepted ones may be late or never done.
+func TestJobsPastCapacityAreRefused(t *testing.T) {
+	is := is.New(t)
+	p := loadPattern{
+		instances: 9,
+		zones:     3,
+		servers:   6,
+		online:    15.5,
+		peak:      1.87,
+		rest:      0.383,
+		jobs:      2.95,
+		traffic:   80 * time.Second,
+		seed:      1,
+	}
+	r := play(t, p)
+	p.acceptAll = true
+	all := play(t, p)
+	t.Log(r)
+	t.Log(all)
+	is.Equal(all.refused, 0)
+	is.True(3*r.refused > r.jobs)
+	is.True(20*r.inTime >= 19*all.inTime) // plays of one load differ by some items
+	is.True(2*(r.items-r.inTime) < all.items-all.inTime)
+}
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -11,9 +11,12 @@
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/background"
 	"tarragonwalk/core/call"
+	"tarragonwalk/core/feasibility"
+	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/response"
 	"tarragonwalk/core/route"
+	"tarragonwalk/core/throughput"
 	"tarragonwalk/core/work"
 )
 
@@ -77,6 +80,7 @@
 	SuspectedSince(since time.Time) bool
 	Isolated() bool
 	Waiting(route string, at time.Time) int
+	Progress(at time.Time) (sum map[string]gossip.BatchProgress, complete bool)
 }
 
 type reader interface {
@@ -123,6 +127,17 @@
 	// queued counts the items that found no free slot at the last attempt and may still be in time, queuedLate the others.
 	queued     int
 	queuedLate int
+	// queuedOf counts the items of queued by route.
+	queuedOf map[string]int
+	// received counts the events of items, and estimator observes the progress of the fleet.
+	received  *throughput.Meter
+	estimator *feasibility.Estimator
+	// refused are the times at which jobs that were refused as infeasible were first submitted, here or to another instance; refusedHere
+	// are those that this instance announces.
+	refused     map[string]time.Time
+	refusedHere map[string]time.Time
+	// observedAt is when the fleet's progress was last observed.
+	observedAt time.Time
 	// released are the jobs without a holder that this instance announces, orphans all those that it knows of.
 	released map[string]time.Time
 	orphans  map[string]*orphan
@@ -160,6 +175,11 @@
 		released:    map[string]time.Time{},
 		orphans:     map[string]*orphan{},
 		wake:        make(chan struct{}, 1),
+		queuedOf:    map[string]int{},
+		received:    throughput.New(),
+		refused:     map[string]time.Time{},
+		refusedHere: map[string]time.Time{},
+		estimator:   feasibility.New(),
 	}
 }
 
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -21,6 +21,7 @@
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/gossip"
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/jobread"
@@ -53,6 +54,8 @@
 	maybeReplaced bool
 	// isolated is set if an instance receives nothing from others.
 	isolated atomic.Bool
+	// progress is that of instances beside those that run.
+	progress map[string]gossip.BatchProgress
 	// failureRate is the fraction of attempts that break off.
 	failureRate float64
 }
@@ -107,7 +110,16 @@
 	return f.alive[name]
 }
 
-func (f *fleet) Waiting(string, time.Time) int                     { return 0 }
+func (f *fleet) Waiting(string, time.Time) int { return 0 }
+
+func (f *fleet) Progress(time.Time) (sum map[string]gossip.BatchProgress, complete bool) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	sum = map[string]gossip.BatchProgress{}
+	gossip.AddProgress(sum, f.progress)
+
+	return sum, true
+}
 func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool) { return a, false }
 func (f *fleet) RandomPoint() float64                              { return 0 }
 func (f *fleet) RecordAttempt(string, error, time.Time, time.Time) {}
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -63,6 +63,9 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	at := r.now()
+	if at.Sub(r.observedAt) >= observeInterval {
+		r.observeProgress(at)
+	}
 	if !r.stopping {
 		r.start(ctx, at)
 		r.takeOverOrphans(ctx, at)
@@ -129,6 +132,7 @@
 	list := r.candidates(at)
 	slices.SortStableFunc(list, compareCandidates)
 	r.queued, r.queuedLate = 0, 0
+	clear(r.queuedOf)
 	full := map[string]bool{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.RandomPoint())
@@ -148,6 +152,7 @@
 		run, cancel := context.WithCancelCause(ctx)
 		c.item.state = running
 		c.item.server = s.ID
+		c.item.routeName = c.route.Name
 		c.item.startedAt = at
 		c.item.firstAt = time.Time{}
 		c.item.cancel = cancel
@@ -165,6 +170,7 @@
 		r.queuedLate++
 	} else {
 		r.queued++
+		r.queuedOf[c.route.Name]++
 	}
 }
 
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -41,6 +41,8 @@
 	_, open := r.unresolved[j.ID]
 	tokens := r.waitingTokens(rt.Name)
 	stopping := r.stopping
+	j.SubmittedAt = r.firstSubmission(rt, &j, r.now())
+	late := r.expectedLate(rt, &j, r.now())
 	r.lock.Unlock()
 	if held || r.reader.Announced(j.ID) {
 		return nil
@@ -54,6 +56,11 @@
 	if rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || stopping {
 		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
 	}
+	if late != nil {
+		if accepted, known := r.accepted(ctx, j.ID); known {
+			return r.refuseLate(&j, late, accepted)
+		}
+	}
 	r.countSubmission(j.ID, 1)
 	defer r.countSubmission(j.ID, -1)
 	n := newJob(j, items)
