--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -42,7 +42,7 @@
 	ZoneMembers() []netip.AddrPort
 	ZoneLive() int
 	GatewayRank(at time.Time) (rank int, digests, ok bool)
-	ObserveDigest(r *gossip.Report, own map[string]int, at time.Time)
+	ObserveDigest(r *gossip.Report, own *gossip.Heartbeat, at time.Time)
 	Knows(name, incarnation string) bool
 	ForgetDigest()
 	ObserveDigests(gateway bool, at time.Time) (lost bool)
@@ -71,6 +71,7 @@
 	ObserveHolder(id, holder, incarnation string)
 	ObserveEnd(id string)
 	ObserveOrphan(id string)
+	ObserveRefusal(id string, submittedAt time.Time)
 	Preempt(server string, count int)
 }
 
@@ -337,6 +338,9 @@
 	for _, id := range b.Released {
 		e.jobs.ObserveOrphan(id)
 	}
+	for _, f := range b.Refused {
+		e.jobs.ObserveRefusal(f.Job, gossip.Before(at, f.AgeMillis))
+	}
 	for _, id := range b.Held {
 		e.jobs.ObserveHolder(id, b.Sender.Name, b.Sender.Incarnation)
 	}
