Do not read a reply whose call has failed

A call between instances that timed out returned the reply's field beside the error, while a late reply could still be decoded into it: a data race. Callers saw nothing of it, since the value is dropped when there is an error.

Evidence: the race detector reported it in 1 of 12 runs of TestStopCutsNoRequest (core/instance, go test -race), between peer.Node.Online and the decoding of the reply.

peersync.Node.ReadBody did the same, by reading; it has no test of its own.

--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -117,9 +117,12 @@
 	}
 
 	ack := &message.Ack{}
-	err = n.call(ctx, a, "Peer.Online", notice, ack)
+	// After a failure the reply may still be written to ack.
+	if err := n.call(ctx, a, "Peer.Online", notice, ack); err != nil {
+		return nil, err
+	}
 
-	return ack.Others, err
+	return ack.Others, nil
 }
 
 func (n *Node) serveConnection(server *rpc.Server, c net.Conn) {
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/message"
 )
 
 type fakeHandler struct {
+	delay  time.Duration
 	online atomic.Int64
 	block  chan struct{}
 }
@@ -35,6 +37,7 @@
 }
 
 func (f *fakeHandler) HandleOnline(m *message.OnlineNotice) []message.OnlineCount {
+	time.Sleep(f.delay)
 	f.online.Add(int64(m.Online[0].InFlight))
 
 	return []message.OnlineCount{
@@ -127,6 +130,27 @@
 	close(h.block)
 }
 
+// Guards against reading a reply that arrives when its call has just timed out; only the race detector shows it.
+func TestLateReplyIsNotRead(t *testing.T) {
+	is := is.New(t)
+	h := &fakeHandler{delay: 2 * time.Millisecond}
+	_, a := startNode(t, "secret-of-the-fleet", h)
+	c := New("client", []byte("secret-of-the-fleet"), time.Now, h)
+	defer c.Close()
+	group := pool.New()
+	for range 8 {
+		group.Go(func() {
+			for range 100 {
+				ctx, cancel := context.WithTimeout(context.Background(), h.delay)
+				others, err := c.Online(ctx, a, []message.OnlineCount{{BackendServer: "w1"}})
+				cancel()
+				is.True(err == nil || others == nil)
+			}
+		})
+	}
+	group.Wait()
+}
+
 // Guards against a file descriptor leak: connections to instances that are not called again, such as replaced ones, must
 // not stay open.
 func TestNodeClosesExpiredConnections(t *testing.T) {
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -130,8 +130,12 @@
 		Job:  id,
 		Item: item,
 	}, &reply, time.Now().Add(callTimeout))
+	// After a failure the reply may still be written to reply.
+	if err != nil {
+		return nil, false, err
+	}
 
-	return reply.Body, err == nil && reply.Held, err
+	return reply.Body, reply.Held, nil
 }
 
 // CallStore makes a call to the store through another instance. Failures have code store_unavailable (the call had no
