End the process at a panic in an item of a chunk

Would be seen: a chunk that stays open until the last of its other items has ended, an hour in the test.

Change: the items of a chunk run in core/background.

Test: TestPanicInItem, in a process of its own; before, the process went on.

--- a/core/batch/capacity_test.go
+++ b/core/batch/capacity_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -13,6 +16,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/inference"
 	"tarragonwalk/core/job"
+	"tarragonwalk/internal/subprocess"
 )
 
 // holders returns how many chunks without a result each holder has, by the claims in the store.
@@ -276,3 +280,20 @@
 		is.Equal(held, 0)
 	})
 }
+
+// Guards against a panic in an item that nobody sees until the other items of its chunk have ended.
+func TestPanicInItem(t *testing.T) {
+	subprocess.Panics(t, "item failed", func() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet("a")
+			f.took = time.Hour
+			f.slots = func(string, string) int { return 10 }
+			var once sync.Once
+			f.started = func(*node, string) { once.Do(func() { panic("item failed") }) }
+			_, _ = f.submit(is.New(t), 3, "x")
+			f.launch("a", "1", 1)
+			time.Sleep(30 * time.Second)
+			os.Exit(0)
+		})
+	})
+}
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -5,8 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/job"
 )
@@ -86,7 +85,7 @@
 	results := make([]job.ItemResult, len(items))
 	limited, stop := context.WithTimeout(run, w.open.Deadline.Sub(r.now()))
 	defer stop()
-	var group conc.WaitGroup
+	var group background.Tasks
 	for i := range items {
 		e := r.newRun(w, w.file.Chunks[n].FirstItem+i, items[i])
 		e.admitErr = r.admit(limited, w)
