Count an isolation that has ended in between as a new one

Would be seen: two holders of each job, if an instance hears another one for a moment while it tries the addresses, and is isolated again when it concludes that it is the last one.

Change: the question and the conclusion belong to one isolation, by its begin.

Test: TestIsolationEndsDuringDials, which fails before.

--- a/core/isolation/checker.go
+++ b/core/isolation/checker.go
@@ -52,6 +52,8 @@
 	questions questions
 	now       func() time.Time
 	log       *slog.Logger
+	// since is when the isolation that was last looked at began, zero for none.
+	since time.Time
 	// askedAt is when the open question was put into the store, zero if there is none.
 	askedAt time.Time
 }
@@ -83,9 +85,11 @@
 
 func (c *Checker) check(ctx context.Context) {
 	since, isolated := c.cluster.IsolatedSince()
-	if !isolated {
+	if !isolated || !since.Equal(c.since) {
 		c.askedAt = time.Time{}
-
+	}
+	c.since = since
+	if !isolated {
 		return
 	}
 	if !c.unanswered(ctx) || c.now().Sub(since) < checkAfter {
@@ -98,7 +102,7 @@
 	if reached || !c.unanswered(ctx) || !c.unseen(ctx) {
 		return
 	}
-	if _, isolated = c.cluster.IsolatedSince(); isolated && ctx.Err() == nil {
+	if now, isolated := c.cluster.IsolatedSince(); isolated && now.Equal(since) && ctx.Err() == nil {
 		c.cluster.ForgetPeers(c.now())
 	}
 }
--- a/core/isolation/checker_test.go
+++ b/core/isolation/checker_test.go
@@ -108,3 +108,29 @@
 		cancel()
 	})
 }
+
+// Guards against an instance that hears the others for a moment while their addresses are tried, and counts as the last one all the same.
+func TestIsolationEndsDuringDials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fleet{isolatedSince: time.Now(), isolated: true, dialTime: 500 * time.Millisecond}
+		f.answer = func() (bool, error) { return false, nil }
+		begin := time.Now()
+		f.others = func() (bool, error) {
+			if time.Since(begin) < time.Minute {
+				f.isolatedSince = time.Now() // isolated again
+			}
+
+			return false, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go New(f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(ctx)
+		time.Sleep(70 * time.Second)
+		synctest.Wait()
+		is.True(!f.forgotten)
+		time.Sleep(5 * time.Minute)
+		synctest.Wait()
+		is.True(f.forgotten)
+		cancel()
+	})
+}
