--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -208,6 +208,18 @@
 	return list
 }
 
+// loadedFleet starts a fleet that knows each other, in which each instance has a request on the server "w" and has announced it.
+func (n *network) loadedFleet(count int) []*instance {
+	list := n.fleet(count)
+	time.Sleep(5 * time.Second)
+	for _, i := range list {
+		i.loads.Add("w", 1, 0)
+	}
+	time.Sleep(time.Second)
+
+	return list
+}
+
 func stopAll(list []*instance) {
 	for _, i := range list {
 		i.stop()
@@ -724,25 +736,20 @@
 // Guards against digests and reports without the counts of most instances, from the moment on at which their maker no longer hears
 // anybody, whether it is a gateway or takes itself for one since all others are silent.
 func TestCountsWhileInstanceStopsHearing(t *testing.T) {
-	for _, deaf := range []int{2, 8, 14} { // e02 and e08 are the gateways of zone z2
-		t.Run(fmt.Sprint(deaf), func(t *testing.T) {
+	for _, isolated := range []int{2, 8, 14} { // e02 and e08 are the gateways of zone z2
+		t.Run(fmt.Sprint(isolated), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const count = 120
 				n := newNetwork()
-				list := n.fleet(count)
+				list := n.loadedFleet(count)
 				defer func() { stopAll(list) }()
-				time.Sleep(5 * time.Second)
-				for _, i := range list {
-					i.loads.Add("w", 1, 0)
-				}
-				time.Sleep(time.Second)
 				n.lock.Lock()
-				n.cut = func(_, to *instance) bool { return to == list[deaf] }
+				n.cut = func(_, to *instance) bool { return to == list[isolated] }
 				n.lock.Unlock()
 				for step := range 300 {
 					time.Sleep(20 * time.Millisecond)
 					for k, i := range list {
-						if got, _ := i.loads.InFlight("w", time.Now()); k != deaf && got < count-2 {
+						if got, _ := i.loads.InFlight("w", time.Now()); k != isolated && got < count-2 {
 							t.Fatalf("instance %d counts %d requests, not %d, %d ms later", k, got, count, 20*step)
 						}
 					}
@@ -760,13 +767,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				const count = 120
 				n := newNetwork()
-				list := n.fleet(count)
+				list := n.loadedFleet(count)
 				defer func() { stopAll(list) }()
-				time.Sleep(5 * time.Second)
-				for _, i := range list {
-					i.loads.Add("w", 1, 0)
-				}
-				time.Sleep(time.Second)
 				for _, k := range lost {
 					list[k].stop()
 				}
@@ -792,13 +794,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		const count, isolated = 120, 14 // no gateway of its zone
 		n := newNetwork()
-		list := n.fleet(count)
+		list := n.loadedFleet(count)
 		defer func() { stopAll(list) }()
-		time.Sleep(5 * time.Second)
-		for _, i := range list {
-			i.loads.Add("w", 1, 0)
-		}
-		time.Sleep(time.Second)
 		n.lock.Lock()
 		n.cut = func(_, to *instance) bool { return to == list[isolated] }
 		n.lock.Unlock()
