Decide on announced evidence of crashes at most ten times a second

Cause: each lost connection of the fleet is announced to all instances, and so is that its server lives. Each of these made each instance decide anew on all parts of up to 64 possible crashes, and each sign of life copied the list.

Change: what a heartbeat announces leads to one decision, at once if the last one is 0.1 s old, else with the next review. What the instance has seen itself is decided at once as before, so that a retry is judged by the newest evidence.

Test: TestDecisionsOnAnnouncedEvidenceAreFew fails without the interval; all other tests of the package pass unchanged.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -95,13 +95,13 @@
 		q.incarnations[s.Name] = s.Incarnation
 		q.joinedAt = q.now()
 	}
+	changed := false
 	for _, s := range b.SoundParts[:min(len(b.SoundParts), maxAnnouncedParts)] {
 		if len(s.Part) <= maxPartBytes {
 			q.completed.record(s.Part, gossip.Before(at, max(0, s.AgeMillis)))
-			q.clear(s.Part)
+			changed = q.clear(s.Part) || changed
 		}
 	}
-	added := false
 	for _, c := range b.Crashes[:min(len(b.Crashes), maxAnnounced)] {
 		of := incarnation{
 			server:    c.Server,
@@ -109,15 +109,15 @@
 		}
 		since := gossip.Before(at, max(0, c.AgeMillis))
 		if c.Answered {
-			q.refute(of, since, false)
+			changed = q.refute(of, since, false) || changed
 
 			continue
 		}
 		_, isNew := q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], since, reportMargin)
-		added = added || isNew
+		changed = changed || isNew
 	}
-	if added {
-		q.judge(q.now())
+	if changed {
+		q.judgeSoon()
 	}
 	for _, p := range b.QuarantinedParts[:min(len(b.QuarantinedParts), maxAnnouncedParts)] {
 		left := min(quarantineLife, time.Duration(max(0, p.LeftMillis))*time.Millisecond)
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -19,12 +19,15 @@
 	settleTime = 600 * time.Millisecond
 	// confirmTime is how long a crash waits for a sign that its server lives before it shows which of two parts is to blame.
 	confirmTime = 200 * time.Millisecond
+	// judgeInterval is the least time between two decisions on the evidence of other instances and on evidence that was withdrawn. Both
+	// come with each lost connection of the fleet.
+	judgeInterval = 100 * time.Millisecond
 )
 
 // judge decides which parts are suspected and which are quarantined. A part that only unconfirmed crashes convict is refused until
 // they are confirmed. The caller holds the lock.
 func (q *Quarantine) judge(at time.Time) {
-	q.nextAt = time.Time{}
+	q.nextAt, q.judgedAt = time.Time{}, at
 	q.expire(at)
 	q.suspect(levelsOf(q.crashes))
 	convicted, combined := q.decide(q.confirmed(at), at)
@@ -42,6 +45,17 @@
 	q.combine(combined)
 }
 
+// judgeSoon decides now, or leaves the decisions to Review if the last ones are recent. The caller holds the lock.
+func (q *Quarantine) judgeSoon() {
+	at := q.now()
+	if due := q.judgedAt.Add(judgeInterval); at.Before(due) {
+		q.wakeAt(due)
+
+		return
+	}
+	q.judge(at)
+}
+
 // decide returns the parts that some crashes convict, with these crashes, and those that they convict in combination with others. The
 // caller holds the lock.
 func (q *Quarantine) decide(crashes []*crash, at time.Time) (convicted map[string][]*crash, combined map[string][]string) {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -71,6 +71,8 @@
 	joinedAt     time.Time
 	// nextAt is when the passage of time may next change a decision, zero if it cannot.
 	nextAt time.Time
+	// judgedAt is when the last decisions were made.
+	judgedAt time.Time
 }
 
 // New returns a quarantine without parts that keeps its decisions in a store.
@@ -159,20 +161,26 @@
 func (q *Quarantine) RecordProgress(s backend.Server, sentAt, at time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
+	if q.refute(incarnationOf(s), aliveAt(sentAt, at), true) {
+		q.judge(q.now())
+	}
 }
 
 // RecordCompletion records that a request has completed that was sent at a time.
 func (q *Quarantine) RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
+	changed := q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
 	for _, p := range parts {
 		q.completed.record(p, at)
 		if q.clear(p) {
 			q.cleared[p] = at.Add(announceLife)
+			changed = true
 		}
 	}
+	if changed {
+		q.judge(q.now())
+	}
 }
 
 // Review makes the decisions that depend on the passage of time.
@@ -270,18 +278,14 @@
 		q.release(part, "completed")
 		found = true
 	}
-	if found {
-		q.judge(q.now())
-	}
 
 	return found
 }
 
-// refute withdraws possible crashes of an incarnation that lived soon after them, as this instance or another one has observed. The
-// caller holds the lock.
-func (q *Quarantine) refute(of incarnation, aliveAt time.Time, observed bool) {
-	changed := false
-	for _, c := range slices.Clone(q.crashes) {
+// refute withdraws possible crashes of an incarnation that lived soon after them, as this instance or another one has observed, and
+// reports whether there were any. The caller holds the lock.
+func (q *Quarantine) refute(of incarnation, aliveAt time.Time, observed bool) (changed bool) {
+	for _, c := range q.crashes {
 		d := aliveAt.Sub(c.at)
 		if c.incarnation != of || c.refuted() || d <= 0 || d > crashSpan {
 			continue
@@ -293,9 +297,8 @@
 		changed = true
 		decisions.Add("no_crash", 1)
 	}
-	if changed {
-		q.judge(q.now())
-	}
+
+	return changed
 }
 
 // release ends the quarantine of a part for a cause. The caller holds the lock.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -381,6 +381,34 @@
 	is.True(f.knows("with"))
 }
 
+// Guards against instances that spend their processor time on decisions while servers reset connections in a large fleet: each lost
+// connection is announced to all instances, and so is that its server lives.
+func TestDecisionsOnAnnouncedEvidenceAreFew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 0)
+	q := f.instances[0]
+	decided := 0
+	for n := range 250 { // 2.5 s
+		f.at = f.at.Add(10 * time.Millisecond)
+		before := q.judgedAt
+		q.ObserveHeartbeat(&gossip.Heartbeat{
+			Sender: gossip.Member{Name: "other", Incarnation: "1"},
+			Crashes: []gossip.Crash{
+				{Server: fmt.Sprint("s", n), Parts: []string{"sound", fmt.Sprint("rare", n)}},
+				{Server: fmt.Sprint("s", n-1), Answered: true},
+			},
+		}, f.at)
+		if n%10 == 0 {
+			q.Review()
+		}
+		if q.judgedAt.After(before) {
+			decided++
+		}
+	}
+	is.True(decided > 20)
+	is.True(decided <= 26)
+}
+
 // Guards against evidence that is forgotten because other servers reset many connections between two crashes under a part.
 func TestEvidenceOutlivesResets(t *testing.T) {
 	is := is.New(t)
