--- a/review/lab/site.go
+++ b/review/lab/site.go
@@ -259,7 +259,7 @@
 	}
 	for _, e := range s.entries {
 		if !s.waitReady(e, 20*time.Second) {
-			return fmt.Errorf("%s is not ready", e.name)
+			return fmt.Errorf("%s is not ready: %s", e.name, e.state())
 		}
 	}
 	s.note("%d entry instances are ready", len(s.entries))
@@ -269,9 +269,22 @@
 	return nil
 }
 
+// state returns whether the process runs, and the end of its log.
+func (e *entry) state() string {
+	state := "it runs"
+	select {
+	case <-e.ended:
+		state = "it has ended, " + e.command.ProcessState.String()
+	default:
+	}
+	text, _ := os.ReadFile(e.log.Name())
+
+	return fmt.Sprintf("%s; its log ends with %q", state, text[max(0, len(text)-2000):])
+}
+
 func (s *site) waitReady(e *entry, limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		p, err := http.Get("http://" + e.ready() + "/v1/readyz")
+		p, err := fresh(time.Second).Get("http://" + e.ready() + "/v1/readyz")
 		if err != nil {
 			continue
 		}
