Review cases 1 and 5: check that the workers were idle

The scripts now look for requests at the workers in the last 5 s, as the rule does, before an item counts as left lying.

--- a/review/lab/alone.go
+++ b/review/lab/alone.go
@@ -59,8 +59,13 @@
 				len(j.listed), len(j.items))
 		}
 		if !judged && time.Since(j.sentAt) > due+finish && len(j.listed) < len(j.items) {
-			judged, code = true, broken
-			s.note("LOST is broken: finish_s after it was due, %d of %d items are listed; runs at work %d", len(j.listed), len(j.items), s.fleet.active())
+			judged = true
+			idle := s.fleet.idleFor(calmTime)
+			s.note("finish_s after it was due, %d of %d items are listed; no request at any worker in the last 5 s: %t", len(j.listed), len(j.items), idle)
+			if idle {
+				code = broken
+				s.note("LOST is broken for job %s", j.id)
+			}
 		}
 		time.Sleep(400 * time.Millisecond)
 	}
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -83,6 +83,22 @@
 	return n
 }
 
+// idleFor reports whether no request was at work at any worker in a time up to now.
+func (f *fleet) idleFor(d time.Duration) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	since := time.Now().Add(-d)
+	for _, list := range f.runs {
+		for _, e := range list {
+			if e.ended.IsZero() || e.ended.After(since) {
+				return false
+			}
+		}
+	}
+
+	return true
+}
+
 // worker is a sound worker of one service, but for what the fields below say.
 type worker struct {
 	id, service, zone string
