--- a/review/lab/repeated.go
+++ b/review/lab/repeated.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -84,9 +82,11 @@
 	var group sync.WaitGroup
 	for n := range clients {
 		group.Go(func() {
-			c := &http.Client{}
+			c := &caller{
+				address: s.entries[n%len(s.entries)].front(),
+			}
 			for i := n; time.Now().Before(end); i++ {
-				x := s.call(c, s.entries[n%len(s.entries)], forms[i%len(forms)])
+				x := call(c, forms[i%len(forms)])
 				lock.Lock()
 				list = append(list, x)
 				lock.Unlock()
@@ -107,37 +107,22 @@
 	return s.judgeRuns(list), nil
 }
 
-func (s *site) call(c *http.Client, e *entry, f form) sent {
+// call sends a request of a form once.
+func call(c *caller, f form) sent {
 	x := sent{
 		id:   randomID(),
 		form: f,
 	}
-	var body io.Reader
+	headers, body := "", ""
 	if f.body {
-		body = strings.NewReader(strings.Repeat("b", 600))
-	}
-	r, err := http.NewRequest(f.method, "http://"+e.front()+f.path, body)
-	if err != nil {
-		x.err = err
-
-		return x
+		body = strings.Repeat("b", 600)
 	}
-	r.Host = host
-	r.Header.Set(headID, x.id)
-	r.Header.Set(headDeadline, "1500")
 	if f.key {
-		r.Header.Set("Idempotency-Key", x.id)
-	}
-	p, err := c.Do(r)
-	if err != nil {
-		x.err = err
-
-		return x
+		headers = "Idempotency-Key: " + x.id + "\r\n"
 	}
-	defer p.Body.Close()
-	text, err := io.ReadAll(p.Body)
-	x.status, x.err = p.StatusCode, err
-	if err == nil && p.StatusCode == http.StatusOK && (p.Header.Get(headStamp) == "" || len(bytes.TrimRight(text, "x")) > 0 || len(text) != 800) {
+	var stamp, text string
+	x.status, stamp, text, x.err = c.send(f.method, f.path, x.id, headers, body)
+	if x.err == nil && x.status == http.StatusOK && (stamp == "" || text != strings.Repeat("x", 800)) {
 		x.err = errors.New("wrong answer")
 	}
 
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -21,6 +21,8 @@
 	headInstance    = "X-Tarragonwalk-Instance-Id"
 	headWait        = "X-Tarragonwalk-Wait-Ms"
 	headLast        = "Last-Event-Id"
+	// queuePlaces is how many requests a worker queues beside those at work, as in the site file.
+	queuePlaces = 24
 )
 
 // execution is one run of a request at a worker.
@@ -116,6 +118,8 @@
 	places  chan struct{}
 
 	lock sync.Mutex
+	// waiting counts the requests at work and in the queue.
+	waiting int
 	// loseShare is the share of the answers that are lost: the request has run, and its connection is reset.
 	loseShare float64
 }
@@ -167,6 +171,24 @@
 	w.loseShare = share
 }
 
+// enter reports whether the worker has a slot or a place in its queue.
+func (w *worker) enter() bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.waiting >= w.slots+queuePlaces {
+		return false
+	}
+	w.waiting++
+
+	return true
+}
+
+func (w *worker) leave() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.waiting--
+}
+
 func (w *worker) loses() bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -204,6 +226,12 @@
 	if n, err := strconv.Atoi(r.Header.Get(headDeadline)); err == nil {
 		limit = time.After(time.Duration(n) * time.Millisecond)
 	}
+	if !w.enter() {
+		refuse(rw, http.StatusServiceUnavailable)
+
+		return
+	}
+	defer w.leave()
 	select {
 	case w.places <- struct{}{}:
 	case <-limit:
