Review case 3: a half-written job is acknowledged where it does not fit

Seen: core/jobrun/submit.go, refuse, takes a record in the store for an accepted job, though its items are not there.

--- a/review/lab/over_limit.go
+++ b/review/lab/over_limit.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// smallCount is max_count of the route: one of the two jobs fits, both together do not.
-const smallCount = 60000
+// smallCount is max_count of the route: each of the two jobs of 37,000 tokens fits, both together do not. They stay within quota_overage.
+const smallCount = 70000
 
 // overLimit is a variant of halfWritten: the process is killed, so that its client notices at once, and the instance to which the client
 // sends the job again has meanwhile accepted another one, beside which it does not fit.
@@ -75,6 +75,14 @@
 		s.kill(first)
 		s.note("%s killed; in the store for job %s: record %t, parts %v", first.name, killed.id, s.store.spec("jobs", killed.id) != "",
 			s.store.names("job-parts", killed.id))
+		time.AfterFunc(restartAfter, func() {
+			if err := s.start(first); err != nil {
+				s.note("%s not started: %s", first.name, err)
+
+				return
+			}
+			s.note("%s started again", first.name)
+		})
 	}
 	<-done
 	<-done
