--- a/review/lab/unstamped.go
+++ b/review/lab/unstamped.go
@@ -15,12 +15,16 @@
 const (
 	// spoiledShare is the share of the answers of one of three workers after which further bytes come.
 	spoiledShare = 0.03
+	// extraWithin is the longest time after a complete answer until the further bytes come; each time is drawn at random.
+	extraWithin = 30 * time.Millisecond
+	// briefPause is the pause of a client between two of its requests.
+	briefPause = 5 * time.Millisecond
 	// extraBytes are additional bytes after a complete answer. They bear neither the ID of a request nor a worker's stamp.
 	extraBytes = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 17\r\n\r\nnot an answer 123"
 )
 
-// spoiler passes bytes between callers and a worker, and adds bytes after some answers: they reach the caller when it has sent the next
-// request on the connection.
+// spoiler passes bytes between callers and a worker, and adds bytes a little after some complete answers, whether the connection is in use
+// again by then or not.
 type spoiler struct {
 	listener net.Listener
 	target   string
@@ -73,29 +77,35 @@
 	}
 	defer worker.Close()
 	fromCaller, fromWorker := bufio.NewReader(caller), bufio.NewReader(worker)
-	spoiled := false
+	// writing keeps the added bytes out of the middle of an answer.
+	var writing sync.Mutex
 	for {
 		r, err := http.ReadRequest(fromCaller)
-		if err != nil {
+		if err != nil || r.Write(worker) != nil {
 			return
 		}
-		if spoiled {
-			p.lock.Lock()
-			p.added++
-			p.lock.Unlock()
-			if _, err := io.WriteString(caller, extraBytes); err != nil {
-				return
-			}
-		}
-		if r.Write(worker) != nil {
+		answer, err := http.ReadResponse(fromWorker, r)
+		if err != nil {
 			return
 		}
-		answer, err := http.ReadResponse(fromWorker, r)
-		if err != nil || answer.Write(caller) != nil {
+		writing.Lock()
+		err = answer.Write(caller)
+		writing.Unlock()
+		if err != nil {
 			return
 		}
 		answer.Body.Close()
-		spoiled = p.spoils()
+		if p.spoils() {
+			time.AfterFunc(rand.N(extraWithin), func() {
+				writing.Lock()
+				defer writing.Unlock()
+				if _, err := io.WriteString(caller, extraBytes); err == nil {
+					p.lock.Lock()
+					p.added++
+					p.lock.Unlock()
+				}
+			})
+		}
 	}
 }
 
@@ -134,10 +144,12 @@
 	var group sync.WaitGroup
 	for n := range clients {
 		group.Go(func() {
-			c := &http.Client{}
+			c := &caller{
+				address: s.entries[n%len(s.entries)].front(),
+			}
 			for time.Now().Before(end) {
 				id := randomID()
-				status, stamp, text, err := s.ask(c, s.entries[n%len(s.entries)], id)
+				status, stamp, text, err := c.send(http.MethodPost, "/puxa403/2f", id, "", strings.Repeat("b", 600))
 				lock.Lock()
 				total++
 				if err == nil && status == http.StatusOK {
@@ -148,7 +160,7 @@
 					}
 				}
 				lock.Unlock()
-				time.Sleep(pauseBetween)
+				time.Sleep(briefPause)
 			}
 		})
 	}
@@ -171,21 +183,3 @@
 
 	return held, nil
 }
-
-func (s *site) ask(c *http.Client, e *entry, id string) (status int, stamp, text string, err error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+e.front()+"/puxa403/2f", strings.NewReader(strings.Repeat("b", 600)))
-	if err != nil {
-		return 0, "", "", err
-	}
-	r.Host = host
-	r.Header.Set(headID, id)
-	r.Header.Set(headDeadline, "1500")
-	p, err := c.Do(r)
-	if err != nil {
-		return 0, "", "", err
-	}
-	defer p.Body.Close()
-	body, err := io.ReadAll(p.Body)
-
-	return p.StatusCode, p.Header.Get(headStamp), string(body), err
-}
