Announce claims apart from held jobs: a half-written job was acknowledged

Cause: the record and the parts of a job are created concurrently. An instance that claims the record of a lost one announced the job as held before it had read the items, and Submit took that announcement, at every other instance and for two minutes, for proof of acceptance. A repeated submission was acknowledged in 30 ms and wrote nothing.

Change: claims travel in a list of their own, which replaces the former holder and ends other takeovers as before and proves nothing else. A repeated submission then writes the missing parts.

Ruled out: the read of the claiming instance and the deletion of parts; no part was ever written. Writing the record last was weighed and not taken: one more round trip for each acceptance, and parts nobody can find.

--- a/core/cluster/gateway_test.go
+++ b/core/cluster/gateway_test.go
@@ -88,6 +88,7 @@
 		change func(b *gossip.Heartbeat)
 	}{
 		{"held", func(b *gossip.Heartbeat) { b.Held = []string{"job"} }},
+		{"claimed", func(b *gossip.Heartbeat) { b.Claimed = []string{"job"} }},
 		{"ended", func(b *gossip.Heartbeat) { b.Ended = []string{"job"} }},
 		{"released", func(b *gossip.Heartbeat) { b.Released = []string{"job"} }},
 		{"version", func(b *gossip.Heartbeat) { b.RouteVersion = 7 }},
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -175,6 +175,10 @@
 	// server list were the store's newest; -1 if never.
 	CheckedMillis int `json:"CheckedMillis,omitempty,omitzero"`
 
+	// Claimed lists jobs whose record names the sender as the holder although it has
+	// not read their items yet, which may not all be in the store.
+	Claimed []string `json:"Claimed,omitempty,omitzero"`
+
 	// Counts are those of backend servers with requests or items of the sender in
 	// flight.
 	Counts []Count `json:"Counts,omitempty,omitzero"`
@@ -191,7 +195,8 @@
 	// caller or the store.
 	Ended []string `json:"Ended,omitempty,omitzero"`
 
-	// Held lists jobs that the sender accepted or took over in the last seconds.
+	// Held lists jobs that the sender accepted or took over in the last seconds. All
+	// items of such a job are in the store.
 	Held []string `json:"Held,omitempty,omitzero"`
 
 	// Progress is that of the jobs that the sender holds, by batch route.
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -69,6 +69,7 @@
 type jobs interface {
 	FillHeartbeat(b *gossip.Heartbeat)
 	ObserveHolder(id, holder, incarnation string)
+	ObserveClaim(id, holder, incarnation string)
 	ObserveEnd(id string)
 	ObserveOrphan(id string)
 	ObserveRefusal(id string, submittedAt time.Time)
@@ -344,6 +345,9 @@
 	for _, id := range b.Held {
 		e.jobs.ObserveHolder(id, b.Sender.Name, b.Sender.Incarnation)
 	}
+	for _, id := range b.Claimed {
+		e.jobs.ObserveClaim(id, b.Sender.Name, b.Sender.Incarnation)
+	}
 
 	return true
 }
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -111,6 +111,7 @@
 
 func (i *instance) name() string                               { return i.cluster.Self().Name }
 func (*instance) ObserveHolder(id, holder, incarnation string) {}
+func (*instance) ObserveClaim(id, holder, incarnation string)  {}
 func (*instance) ObserveEnd(string)                            {}
 func (*instance) ObserveOrphan(string)                         {}
 func (*instance) Preempt(string, int)                          {}
--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -62,6 +62,7 @@
 	r.heartbeats++
 	b.Refused = r.announcedRefusals(at)
 	b.Held = someOf(dropExpired(r.held, at), r.heartbeats)
+	b.Claimed = someOf(dropExpired(r.claimed, at), r.heartbeats)
 	b.Ended = someOf(dropExpired(r.ended, at), r.heartbeats)
 	b.Released = someOf(dropExpired(r.released, at), r.heartbeats)
 	b.Queued, b.QueuedLate = r.queued, r.queuedLate
@@ -73,6 +74,12 @@
 // direction only; it then asks the store.
 func (r *Runner) ObserveHolder(id, holder, incarnation string) {
 	r.reader.SetHolder(id, holder, incarnation)
+	r.ObserveClaim(id, holder, incarnation)
+}
+
+// ObserveClaim records that another instance is the holder of a job in its record and is about to read the job. It is no proof that the
+// job was accepted.
+func (r *Runner) ObserveClaim(id, holder, incarnation string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	delete(r.released, id)
@@ -93,6 +100,7 @@
 		j.heldAt = r.now()
 	}
 	delete(r.released, id)
+	delete(r.claimed, id)
 	r.held[id] = r.now().Add(announcementTTL)
 }
 
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -125,6 +125,7 @@
 		delete(r.jobs, j.ID)
 		// Other instances would take a further announcement as proof that the job has a holder.
 		delete(r.held, j.ID)
+		delete(r.claimed, j.ID)
 	}
 	j.released = true
 	j.stopItems(errReleased)
@@ -142,11 +143,18 @@
 	record := j.Job
 	revision, err := r.log.Accept(ctx, &record, items, j.written)
 	held := err == nil
+	var found *work.Job
 	if fault.CodeOf(err) == fault.CodeConflict {
-		var found *work.Job
 		found, revision, err = r.log.Job(ctx, id)
 		held = err == nil && r.mine(found)
 	}
+	if r.recordResolved(id, j, &record, revision, held, err) && !held {
+		r.announceIfOrphan(found)
+	}
+}
+
+// recordResolved records the outcome of a repeated submission; it reports whether the outcome is known.
+func (r *Runner) recordResolved(id string, j *job, record *work.Job, revision int64, held bool, err error) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	j.flushing = false
@@ -154,7 +162,7 @@
 		j.retryAt = r.now().Add(j.resolvePause)
 		j.resolvePause = min(maxResolvePause, 2*j.resolvePause)
 
-		return
+		return false
 	}
 	delete(r.unresolved, id)
 	j.Parts = record.Parts
@@ -164,6 +172,8 @@
 	}
 	j.notify()
 	r.logger.Info("job submission resolved", "job", id, "held", held)
+
+	return true
 }
 
 // close marks the record of a job as finished: all its items are listed.
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -170,7 +170,7 @@
 	r.lock.Lock()
 	o.claimed, o.dismissed = true, false
 	// The former holder may be alive and has to learn of its replacement before this instance has read the job.
-	r.held[id] = r.now().Add(announcementTTL)
+	r.claimed[id] = r.now().Add(announcementTTL)
 	r.lock.Unlock()
 
 	return r.takeOver(ctx, *record, &previous, revision)
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -39,6 +39,9 @@
 			for _, id := range b.Held {
 				to.ObserveHolder(id, from.name, from.incarnation)
 			}
+			for _, id := range b.Claimed {
+				to.ObserveClaim(id, from.name, from.incarnation)
+			}
 			for _, id := range b.Released {
 				to.ObserveOrphan(id)
 			}
@@ -236,6 +239,67 @@
 	})
 }
 
+// writeRecordOnly leaves the record of a job in the store without its items, as an instance does that is lost while it accepts the job.
+func (f *fleet) writeRecordOnly(t *testing.T, j work.Job, items []work.Item) {
+	t.Helper()
+	f.objects.Choose(func(kind string) fault.Code {
+		if kind == "job-parts" {
+			return fault.CodeStoreUnavailable
+		}
+
+		return ""
+	})
+	_, err := logs.New(f.objects).Accept(t.Context(), &j, items, map[int]bool{})
+	is.New(t).Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
+	f.objects.Choose(nil)
+}
+
+// Guards against a repeated submission that is acknowledged because another instance has claimed the job's record, although the
+// instance that got the job first was lost before it had written the items.
+func TestRepeatCompletesClaimedJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		items := newItems("job", 2)
+		j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), SubmittedAt: time.Now(), Holder: "gone"}
+		f.writeRecordOnly(t, j, items)
+		claimer, stopClaimer := f.start("claimer")
+		defer stopClaimer()
+		other, stopOther := f.start("other")
+		defer stopOther()
+		claimer.ObserveOrphan("job")
+		time.Sleep(3 * time.Second)
+		exchangeAnnouncements([]*Runner{claimer, other})
+		l := logs.New(f.objects)
+		record, _, err := l.Job(t.Context(), "job")
+		is.NoErr(err)
+		is.Equal(record.Holder, "claimer")
+		is.NoErr(other.Submit(t.Context(), &testRoute, j, items))
+		_, found, err := other.Body(t.Context(), "job", items[0].ID)
+		is.NoErr(err)
+		is.True(found) // a job that was acknowledged is readable
+		time.Sleep(8 * time.Second)
+		is.True(check(t, l, "job", len(items)))
+	})
+}
+
+// Guards against a job that no instance takes over: its record, written late by a lost instance, was not there when jobs without a
+// holder were looked for, and a repeated submission has completed it since.
+func TestRepeatFindsHolderForJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		items := newItems("job", 2)
+		j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), SubmittedAt: time.Now(), Holder: "gone"}
+		f.writeRecordOnly(t, j, items)
+		r, stop := f.start("e")
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, j, items))
+		time.Sleep(8 * time.Second)
+		is.True(check(t, logs.New(f.objects), "job", len(items)))
+	})
+}
+
 // Guards against a job whose record exists without its items, as after a submission that was cut off: the attempts to take it over
 // came four times a second for the rest of the day.
 func TestIncompleteJobIsRetriedRarely(t *testing.T) {
@@ -243,25 +307,16 @@
 		is := is.New(t)
 		f := newFleet(1, 0)
 		l := logs.New(f.objects)
-		f.objects.Choose(func(kind string) fault.Code {
-			if kind == "job-parts" {
-				return fault.CodeStoreUnavailable
-			}
-
-			return ""
-		})
 		items := newItems("job", 2)
 		j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), SubmittedAt: time.Now(), Holder: "gone"}
-		_, err := l.Accept(t.Context(), &j, items, map[int]bool{})
-		is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
+		f.writeRecordOnly(t, j, items)
 		r, stop := f.start("new")
 		defer stop()
 		r.ObserveOrphan("job")
 		time.Sleep(30 * time.Second)
 		is.True(!r.holds("job"))
 		is.True(f.objects.Reads("job-parts") <= 9)
-		f.objects.Choose(func(string) fault.Code { return "" })
-		_, err = l.Accept(t.Context(), &j, items, map[int]bool{})
+		_, err := l.Accept(t.Context(), &j, items, map[int]bool{})
 		is.Equal(fault.CodeOf(err), fault.CodeConflict) // the caller repeats the submission, which completes the job
 		time.Sleep(5 * time.Second)
 		is.True(r.holds("job"))
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -125,8 +125,9 @@
 	// the given time. A takeover checks both, since a job may end after the takeover has read the store.
 	ended    map[string]time.Time
 	peerEnds map[string]time.Time
-	// held are the jobs that this instance announces as its own.
-	held map[string]time.Time
+	// held are the jobs that this instance announces as its own, claimed those whose record names it and whose items it has not read.
+	held    map[string]time.Time
+	claimed map[string]time.Time
 	// heartbeats counts the heartbeats that were filled in.
 	heartbeats int
 	// queued counts the items that found no free slot at the last attempt and may still be in time, queuedLate the others.
@@ -178,6 +179,7 @@
 		ended:       map[string]time.Time{},
 		peerEnds:    map[string]time.Time{},
 		held:        map[string]time.Time{},
+		claimed:     map[string]time.Time{},
 		released:    map[string]time.Time{},
 		orphans:     map[string]*orphan{},
 		wake:        make(chan struct{}, 1),
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -45,6 +45,8 @@
 	late := r.expectedLate(rt, &j, r.now())
 	r.lock.Unlock()
 	if held || r.reader.Announced(j.ID) {
+		r.logger.Info("job submitted again", "job", j.ID, "route", rt.Name, "held", held, "outcome", "accepted before")
+
 		return nil
 	}
 	if open {
@@ -61,39 +63,70 @@
 			return r.refuseLate(&j, late, accepted)
 		}
 	}
-	r.countSubmission(j.ID, 1)
-	defer r.countSubmission(j.ID, -1)
 	n := newJob(j, items)
 	began := r.now()
-	revision, err := r.log.Accept(ctx, &n.Job, items, n.written)
+	err := r.accept(ctx, n, items)
 	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
 		"waiting_peers", peers, "parts", n.Parts, "accept_ms", r.now().Sub(began).Milliseconds(), "error", errorText(err))
+	if fault.CodeOf(err) == fault.CodeConflict {
+		r.findHolder(ctx, j.ID)
+
+		return nil
+	}
+
+	return err
+}
+
+// accept writes a job to the store and holds it from then on. If the outcome of the writes is unknown, it waits until they were repeated
+// successfully or ctx ends.
+func (r *Runner) accept(ctx context.Context, n *job, items []work.Item) error {
+	r.countSubmission(n.ID, 1)
+	defer r.countSubmission(n.ID, -1)
+	revision, err := r.log.Accept(ctx, &n.Job, items, n.written)
 	n.revision = revision
 	resolved := n.changed
 	switch fault.CodeOf(err) {
 	case "":
 		r.lock.Lock()
-		r.hold(j.ID, n)
+		r.hold(n.ID, n)
 		r.signal()
 		r.lock.Unlock()
-
-		return nil
-	case fault.CodeConflict:
-		return nil
 	case fault.CodeOutcomeUnknown:
 		r.lock.Lock()
-		r.unresolved[j.ID] = n
+		r.unresolved[n.ID] = n
 		r.signal()
 		r.lock.Unlock()
 		select {
 		case <-resolved:
 			return nil
 		case <-ctx.Done():
-			return err
 		}
-	default:
-		return err
 	}
+
+	return err
+}
+
+// findHolder announces a job that was submitted before if it has no holder: its record may have been written after jobs without a holder
+// were last looked for.
+func (r *Runner) findHolder(ctx context.Context, id string) {
+	record, revision, err := r.log.Job(ctx, id)
+	if err != nil {
+		r.logger.Warn("holder of a job that was submitted again not read", "job", id, "error", err.Error())
+
+		return
+	}
+	orphan := r.announceIfOrphan(record)
+	r.logger.Info("holder of a job that was submitted again read", "job", id, "holder", record.Holder, "revision", revision, "orphan", orphan)
+}
+
+// announceIfOrphan announces an unfinished job that has no holder and reports whether it did.
+func (r *Runner) announceIfOrphan(record *work.Job) bool {
+	if record.Finished || !r.orphan(record) {
+		return false
+	}
+	r.announceOrphan(record, r.now())
+
+	return true
 }
 
 func (r *Runner) countSubmission(id string, n int) {
