Never let the HTTP library send a request again

Cause: the transport of net/http repeats a request whose used connection fails before the response begins if it has no body and is a GET, HEAD, OPTIONS or TRACE, or has an Idempotency-Key or X-Idempotency-Key header. What may be repeated follows from the route alone; the second run was neither counted as an attempt nor logged, and if it was refused the caller was told that the request had not run.

Change: the connection notes when bytes of the present attempt are written. A connection that the transport takes for an attempt of which bytes were written is closed unused, and the attempt ends as outcome_unknown, so that core/forward decides. An attempt of which nothing was written still moves to another connection.

Ruled out: a body without GetBody for all requests. It stops the repetition, but POST, PUT and PATCH would be sent chunked instead of with Content-Length: 0, and a GET would cost a goroutine to probe the body.

TestLostAnswerIsNotAskedForAgain failed before in 9 of its 12 cases ("ran 2 times") and passes.

--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -156,6 +156,79 @@
 	return backend.Server{ID: "w", Address: netip.MustParseAddrPort(l.Addr().String())}
 }
 
+// Guards against a request that the HTTP library sends again by itself, and that runs twice, after its connection was lost without an
+// answer: it has no body and a method or a header by which the library takes it for idempotent.
+func TestLostAnswerIsNotAskedForAgain(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		header http.Header
+		body   string
+		reset  bool
+	}{
+		{method: http.MethodGet},
+		{method: http.MethodGet, reset: true},
+		{method: http.MethodHead},
+		{method: http.MethodOptions},
+		{method: http.MethodTrace},
+		{method: http.MethodDelete},
+		{method: http.MethodPost},
+		{method: http.MethodPost, header: http.Header{"Idempotency-Key": {"k"}}},
+		{method: http.MethodPost, header: http.Header{"Idempotency-Key": {"k"}}, reset: true},
+		{method: http.MethodPost, header: http.Header{"Idempotency-Key": {"k"}}, body: "x"},
+		{method: http.MethodPut, header: http.Header{"X-Idempotency-Key": {"k"}}},
+		{method: http.MethodDelete, header: http.Header{"Idempotency-Key": {"k"}}},
+	} {
+		t.Run(fmt.Sprint(c.method, " ", c.header, " ", c.body, " ", c.reset), func(t *testing.T) {
+			is := is.New(t)
+			runs := map[string]int{}
+			var lock sync.Mutex
+			s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					id := r.Header.Get(names.RequestID)
+					lock.Lock()
+					runs[id]++
+					lock.Unlock()
+					if strings.HasPrefix(id, "lost") {
+						if c.reset {
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+
+						return
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 204 No Content\r\n%s: %s\r\n\r\n", names.RequestID, id)
+				}
+			})
+			client := New(names, &departures{}, time.Now)
+			defer client.Close()
+			send := func(id string) error {
+				resp, err := client.Send(t.Context(), s, &call.Call{ID: id, Method: c.method, Target: "/x", Host: "h", Header: c.header.Clone(), Body: []byte(c.body)}, 0)
+				if err == nil {
+					resp.Body.Close()
+				}
+
+				return err
+			}
+			for n := range 3 {
+				is.NoErr(send(fmt.Sprint("kept", n)))
+				is.Equal(fault.CodeOf(send(fmt.Sprint("lost", n))), fault.CodeOutcomeUnknown)
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			is.Equal(len(runs), 6)
+			for id, n := range runs {
+				if n != 1 {
+					t.Errorf("request %s ran %d times", id, n)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a second copy of the answer to a request without an ID that reaches the next caller on the connection as its own.
 func TestSecondCopyOfAnswerWithoutID(t *testing.T) {
 	is := is.New(t)
--- a/io/backendhttp/connection.go
+++ b/io/backendhttp/connection.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"tarragonwalk/core/fault"
 )
 
+// errResent ends an attempt that the transport is about to send again, which it does with some requests without a body if a used connection
+// is lost before the response begins. The server may have run the request.
+var errResent = fault.Wrap(io.ErrUnexpectedEOF, fault.CodeOutcomeUnknown, "the connection was lost before the response began")
+
 // connection is a pooled connection. It is spent after a refusal and after a response to another request: a faulty server may write
 // that response once more, and if it then came in place of the next one, a request that runs would count as refused.
 type connection struct {
@@ -55,6 +61,18 @@
 	return false
 }
 
+// Write marks the present attempt as sent before it sends anything.
+func (c *connection) Write(p []byte) (int, error) {
+	c.lock.Lock()
+	user := c.user
+	c.lock.Unlock()
+	if user != nil {
+		user.sent.Store(true)
+	}
+
+	return c.Conn.Write(p)
+}
+
 // spend lets no further attempt take the connection, and closes it unless another one has taken it already.
 func (c *connection) spend(a *attempt) {
 	c.lock.Lock()
@@ -82,6 +100,8 @@
 	done chan struct{}
 	// unsent is set if the pool returned a spent connection, on which nothing was written.
 	unsent bool
+	// sent is set before the first bytes of the request are written.
+	sent atomic.Bool
 }
 
 func newAttempt() *attempt {
@@ -91,7 +111,10 @@
 }
 
 // trace returns a context with which the transport reports the connection that it has got for the attempt.
+// It ends the context if the transport is about to send a request again of which bytes were written before.
 func (a *attempt) trace(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// The transport writes the request after this call, and calls it again if it takes another connection.
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -99,6 +122,13 @@
 			if !ok {
 				return
 			}
+			if a.sent.Load() {
+				cancel(errResent)
+				// The transport may not look at the context before it writes.
+				c.Close()
+
+				return
+			}
 			a.connection, a.reused = c, info.Reused
 			a.unsent = !c.take(a)
 		},
