Never delete an open job because of its age

Cause: step removed every job older than status_s plus the clock skew, whether or not its items were listed. The search for orphans and the takeover deleted old open jobs without a holder in the same way.

Change: a job is deleted by age only if it is finished, was ended by its caller, or turns out at its takeover never to have been written completely. Open jobs without a holder are announced and taken over at any age.

--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -181,7 +181,8 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	record, revision := j.Job, j.revision
-	record.Finished = true
+	at := r.now().UTC()
+	record.Finished, record.FinishedAt = true, &at
 	var err error
 	if revision == 0 {
 		_, revision, err = r.log.Job(ctx, j.ID)
@@ -195,17 +196,10 @@
 	switch fault.CodeOf(err) {
 	case "", fault.CodeConflict:
 		// After a conflict another instance holds the job and closes it.
-		j.Finished = true
+		j.Finished, j.FinishedAt = true, record.FinishedAt
 		j.revision = revision
 	default:
 		j.retryAt = r.now().Add(retryPause)
 		r.logger.Warn("job not closed", "job", j.ID, "error", err.Error())
 	}
 }
-
-func (r *Runner) remove(ctx context.Context, j *work.Job, starts []int) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	err := r.log.Remove(ctx, j, starts)
-	r.logger.Info("old job removed", "job", j.ID, "submitted_at", j.SubmittedAt, "error", errorText(err))
-}
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -156,12 +156,9 @@
 	if record.Finished || !r.orphan(record) {
 		return nil
 	}
-	if r.now().Sub(record.SubmittedAt) > r.keepFor+maxClockSkew {
-		r.removeOld(claim, record)
-
-		return nil
+	if removed, err := r.removeEnded(claim, record); removed || err != nil {
+		return err
 	}
-
 	previous := *record
 	revision, claimed, err := r.claim(claim, record, revision)
 	if !claimed {
@@ -173,5 +170,26 @@
 	r.claimed[id] = r.now().Add(announcementTTL)
 	r.lock.Unlock()
 
-	return r.takeOver(ctx, *record, &previous, revision)
+	err = r.takeOver(ctx, *record, &previous, revision)
+	if fault.CodeOf(err) == fault.CodeNotFound && r.expired(record, r.now()) {
+		// Some of its items were never written, so it was not accepted.
+		r.removeOld(ctx, record)
+
+		return nil
+	}
+
+	return err
+}
+
+// removeEnded removes a job that has no holder, was ended by its caller and is no longer readable; it reports whether it did.
+func (r *Runner) removeEnded(ctx context.Context, record *work.Job) (bool, error) {
+	if !r.expired(record, r.now()) {
+		return false, nil
+	}
+	ended, err := r.log.Ended(ctx, record.ID)
+	if err == nil && ended {
+		r.removeOld(ctx, record)
+	}
+
+	return ended, err
 }
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -60,10 +60,12 @@
 	progress map[string]gossip.BatchProgress
 	// failureRate is the fraction of attempts that break off.
 	failureRate float64
+	// keepFor is how long jobs stay readable.
+	keepFor time.Duration
 }
 
 func newFleet(seed uint64, failureRate float64) *fleet {
-	return &fleet{random: rand.New(rand.NewPCG(seed, 1)), objects: fakeobjects.New(), alive: map[string]bool{}, failureRate: failureRate}
+	return &fleet{random: rand.New(rand.NewPCG(seed, 1)), objects: fakeobjects.New(), alive: map[string]bool{}, failureRate: failureRate, keepFor: time.Hour}
 }
 
 func noQuarantine() *quarantine.Quarantine {
@@ -190,7 +192,7 @@
 	f.alive[name] = true
 	f.lock.Unlock()
 	logger := slog.New(slog.DiscardHandler)
-	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), noQuarantine(), noSharedParts, name, name, time.Hour, time.Now, logger)
+	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), noQuarantine(), noSharedParts, name, name, f.keepFor, time.Now, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -87,7 +87,7 @@
 		case r.stopping && j.runningItems() == 0 && len(j.pending) == 0:
 			j.flushing = true
 			r.tasks.Go(func() { r.release(ctx, j) })
-		case at.Sub(j.SubmittedAt) > r.keepFor+maxClockSkew:
+		case (j.Finished || j.ended) && r.expired(&j.Job, at):
 			delete(r.jobs, id)
 			r.tasks.Go(func() { r.remove(ctx, &j.Job, j.starts) })
 		}
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -38,16 +38,15 @@
 	at := r.now()
 	for i := range jobs {
 		j := &jobs[i]
-		old := at.Sub(j.SubmittedAt) - r.keepFor - maxClockSkew
 		switch {
-		case j.Finished && old <= 0:
+		case j.Finished && !r.expired(j, at):
 		case !r.orphan(j):
 			// A holder that no heartbeat has named yet counts as alive for a grace period only, so the job has to be checked again.
 			remain = remain || !r.holds(j.ID) && !r.cluster.Alive(j.Holder, j.Incarnation, at.Add(time.Hour))
-		case old <= 0:
+		case !j.Finished:
 			remain = true
 			r.announceOrphan(j, at)
-		case old > time.Duration(r.rank(j.ID))*rankDelay:
+		case at.Sub(r.expiry(j)) > time.Duration(r.rank(j.ID))*rankDelay:
 			r.removeOld(ctx, j)
 		}
 	}
@@ -55,23 +54,6 @@
 	return remain, nil
 }
 
-// removeOld deletes the objects of a job that has no holder and is no longer readable.
-func (r *Runner) removeOld(ctx context.Context, j *work.Job) {
-	segments, err := r.segments(ctx, j)
-	if err != nil {
-		r.logger.Warn("results of an old job not read", "job", j.ID, "error", err.Error())
-
-		return
-	}
-	var starts []int
-	position := 0
-	for _, segment := range segments {
-		starts = append(starts, position)
-		position += len(segment)
-	}
-	r.remove(ctx, j, starts)
-}
-
 func (r *Runner) holds(id string) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -71,6 +71,9 @@
 	// Finished is set once all items are listed, so that the job needs no takeover.
 	Finished bool `json:"Finished,omitempty,omitzero"`
 
+	// FinishedAt is when Finished was set, by the holder's clock.
+	FinishedAt *time.Time `json:"FinishedAt,omitempty,omitzero"`
+
 	// Holder is the name of the instance that runs the items.
 	Holder string `json:"Holder"`
 
