Tell an accepted job from a half-written one before refusing it

Cause: refuse, which is reached over the limit of waiting tokens and at a stop, and refuseLate took a record for an accepted job. joblog.Accept creates the record at the same time as the parts.

Change: joblog.Accepted reads the record and the parts. A job that is whole is acknowledged, an unknown one refused as before. For a half-written one the refusal would be a promise that the instance which writes it may break, so the answer is 504 without a promise; an instance that only expects the job to be late completes it, as the first instance has admitted it.

Ruled out: 429 for a half-written job. It is due by the limit alone, but the job may still become whole and run, when late writes land or the first instance goes on.

--- a/core/joblog/log.go
+++ b/core/joblog/log.go
@@ -111,6 +111,24 @@
 	return j, revision, nil
 }
 
+// Accepted reports whether a job was accepted: whether its record and all its parts are in the store. It fails with code outcome_unknown
+// if only some of them are, since the instance that writes them may go on.
+func (l *Log) Accepted(ctx context.Context, id string) (bool, error) {
+	j, _, err := l.Job(ctx, id)
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return false, nil
+	}
+	if err != nil || j.Finished {
+		return err == nil, err
+	}
+	_, err = l.Items(ctx, j)
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return false, fault.Wrap(err, fault.CodeOutcomeUnknown, "the items of the job are not all in the store")
+	}
+
+	return err == nil, err
+}
+
 // Jobs returns the records of all jobs with their revisions.
 func (l *Log) Jobs(ctx context.Context) (jobs []work.Job, revisions []int64, err error) {
 	err = l.objects.List(ctx, jobKind, func(_ string, value json.RawMessage, revision int64) {
--- a/core/jobrun/feasible.go
+++ b/core/jobrun/feasible.go
@@ -1,7 +1,6 @@
 package jobrun
 
 import (
-	"context"
 	"expvar"
 	"log/slog"
 	"time"
@@ -98,13 +97,6 @@
 	}
 }
 
-// accepted reports whether the store has a job; known is false if the store does not say.
-func (r *Runner) accepted(ctx context.Context, id string) (accepted, known bool) {
-	_, _, err := r.log.Job(ctx, id)
-
-	return err == nil, err == nil || fault.CodeOf(err) == fault.CodeNotFound
-}
-
 // refuseLate returns the refusal of a job that cannot be completed in time, nil if it was accepted before.
 func (r *Runner) refuseLate(j *work.Job, l *lateJob, accepted bool) error {
 	outcome := "refused"
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -40,6 +40,7 @@
 type joblog interface {
 	Accept(ctx context.Context, j *work.Job, items []work.Item, written map[int]bool) (revision int64, err error)
 	Job(ctx context.Context, id string) (*work.Job, int64, error)
+	Accepted(ctx context.Context, id string) (bool, error)
 	Jobs(ctx context.Context) ([]work.Job, []int64, error)
 	Update(ctx context.Context, j work.Job, revision int64) (newRevision int64, err error)
 	Items(ctx context.Context, j *work.Job) ([]work.Item, error)
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -59,7 +59,7 @@
 		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
 	}
 	if late != nil {
-		if accepted, known := r.accepted(ctx, j.ID); known {
+		if accepted, err := r.log.Accepted(ctx, j.ID); err == nil {
 			return r.refuseLate(&j, late, accepted)
 		}
 	}
@@ -140,13 +140,17 @@
 
 // refuse returns why a job is not accepted, or nil if it was accepted before.
 func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
-	_, _, err := r.log.Job(ctx, j.ID)
-	if err == nil {
-		return nil
-	}
-	if fault.CodeOf(err) != fault.CodeNotFound {
+	accepted, err := r.log.Accepted(ctx, j.ID)
+	if err != nil {
+		r.logger.Warn("job neither accepted nor refused", "job", j.ID, "route", rt.Name, "error", err.Error())
+
 		return err
 	}
+	if accepted {
+		r.logger.Info("job submitted again", "job", j.ID, "route", rt.Name, "held", false, "outcome", "accepted before")
+
+		return nil
+	}
 	r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "tokens", j.Tokens, "waiting", tokens, "limit", rt.MaxTokens,
 		"stopping", stopping)
 	if stopping {
--- /dev/null
+++ b/core/jobrun/submit_test.go
@@ -0,0 +1,66 @@
+package jobrun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/fault"
+	logs "tarragonwalk/core/joblog"
+	"tarragonwalk/core/work"
+)
+
+// Guards against a job that is acknowledged without its items by an instance that does not take it, since its record alone is in the
+// store, and against a promise that it will not run while the instance that writes it may go on.
+func TestRepeatThatIsNotTaken(t *testing.T) {
+	items := newItems("job", 2)
+	j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), Holder: "gone"}
+	whole := func(t *testing.T, f *fleet) {
+		t.Helper()
+		record := j
+		_, err := logs.New(f.objects).Accept(t.Context(), &record, items, map[int]bool{})
+		is.New(t).NoErr(err)
+	}
+	partial := func(t *testing.T, f *fleet) {
+		t.Helper()
+		f.writeRecordOnly(t, j, items)
+	}
+	nothing := func(*testing.T, *fleet) {}
+	for _, c := range []struct {
+		name     string
+		stored   func(t *testing.T, f *fleet)
+		tokens   int
+		stopping bool
+		want     fault.Code
+	}{
+		{"over the limit, in the store", whole, 2000, false, ""},
+		{"over the limit, half written", partial, 2000, false, fault.CodeOutcomeUnknown},
+		{"over the limit, unknown", nothing, 2000, false, fault.CodeOverloaded},
+		{"stopping, in the store", whole, 20, true, ""},
+		{"stopping, half written", partial, 20, true, fault.CodeOutcomeUnknown},
+		{"stopping, unknown", nothing, 20, true, fault.CodeNotRun},
+		{"taken, half written", partial, 20, false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(1, 0)
+			f.setUsedSlots(100)
+			r, stop := f.start("e")
+			defer stop()
+			c.stored(t, f)
+			r.lock.Lock()
+			r.stopping = c.stopping
+			r.lock.Unlock()
+			repeat := j
+			repeat.Tokens, repeat.SubmittedAt = c.tokens, time.Now()
+			err := r.Submit(t.Context(), &testRoute, repeat, items)
+			is.Equal(fault.CodeOf(err), c.want)
+			if err == nil {
+				_, found, err := r.Body(t.Context(), "job", items[0].ID)
+				is.NoErr(err)
+				is.True(found)
+			}
+		})
+	}
+}
