Let closing an idle connection and beginning a request exclude each other

A request that arrived while its connection was closed as idle was sent to a backend server and never answered; on a new connection its caller got a 408, which promises that it was not run (LOST, REFUSED).

Cause: net/http calls a connection idle, or new, until it has read the head of a request. The limiter chose the connections to close, released its lock and closed them one after the other. A shorter limit closed all connections between the new and the old one at once, while callers still counted on the old one. Shutdown of net/http closes idle connections with the same gap.

Found by reading, on the way to the users' report of a request that was cut beside a change of the configuration.

Change: the decision to close marks the connection, and a handler drops a request on a marked connection before anything is sent. After the limit became shorter, connections get one period of it from then on.

--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -24,22 +25,33 @@
 type trackedConnection struct {
 	state http.ConnState
 	since time.Time
+	// closing is set once the limiter has decided to close the connection.
+	closing bool
 }
 
+// connectionKey is the context key of a request's connection.
+type connectionKey struct{}
+
 // Limiter is safe for concurrent use.
 type Limiter struct {
 	limits func() (header, idle time.Duration)
 	now    func() time.Time
-	// lock guards connections.
+	logger *slog.Logger
+	// lock guards the fields below.
 	lock        sync.Mutex
 	connections map[net.Conn]trackedConnection
+	// idleLimit is the limit at the last sweep, and loweredAt is when it last became shorter. Callers learn of a shorter limit late and
+	// may use their connections until then.
+	idleLimit time.Duration
+	loweredAt time.Time
 }
 
 // New returns a limiter; limits returns the current limits, 0 for none.
-func New(limits func() (header, idle time.Duration), now func() time.Time) *Limiter {
+func New(limits func() (header, idle time.Duration), now func() time.Time, logger *slog.Logger) *Limiter {
 	return &Limiter{
 		limits:      limits,
 		now:         now,
+		logger:      logger,
 		connections: map[net.Conn]trackedConnection{},
 	}
 }
@@ -48,6 +60,9 @@
 func (l *Limiter) Observe(c net.Conn, state http.ConnState) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	if state == http.StateActive && l.connections[c].closing {
+		return // ServeHTTP has to know
+	}
 	if state != http.StateNew && state != http.StateIdle {
 		delete(l.connections, c)
 
@@ -59,6 +74,55 @@
 	}
 }
 
+// ConnContext adds a connection to the context of its requests; it is used as the ConnContext hook of an http.Server.
+func (*Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// Handler returns a handler that drops a request whose connection the limiter closes. An http.Server counts a connection as idle, or as
+// new, until it has read the head of the request, so that a request may arrive while the connection is being closed. Its caller is told
+// nothing or that it was not run, so it must not reach next.
+func (l *Limiter) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connectionKey{}).(net.Conn); ok && !l.begin(c) {
+			closed.Add("WithRequest", 1)
+			l.logger.Info("request dropped, since its connection is being closed", "caller", r.RemoteAddr, "path", r.URL.Path)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// begin reports whether a request on a connection may be handled; if so, the connection is not closed before its response.
+func (l *Limiter) begin(c net.Conn) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.connections[c].closing {
+		return false
+	}
+	delete(l.connections, c)
+
+	return true
+}
+
+// CloseIdle closes the connections that are idle now.
+func (l *Limiter) CloseIdle() {
+	l.lock.Lock()
+	var idle []net.Conn
+	for c, w := range l.connections {
+		if w.state == http.StateIdle && !w.closing {
+			idle = append(idle, c)
+			w.closing = true
+			l.connections[c] = w
+		}
+	}
+	l.lock.Unlock()
+	for _, c := range idle {
+		closed.Add("Idle", 1)
+		_ = c.Close() // the caller may have closed it already
+	}
+}
+
 // Run closes connections that exceed the limits at each tick until ctx ends. Ticks are to come every SweepInterval.
 func (l *Limiter) Run(ctx context.Context, ticks <-chan time.Time) {
 	for {
@@ -85,19 +149,26 @@
 	}
 }
 
-// expired removes and returns the connections that exceed the limits.
+// expired returns the connections that exceed the limits; no request on them is handled any more.
 func (l *Limiter) expired(header, idle time.Duration, at time.Time) map[net.Conn]http.ConnState {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	if l.idleLimit == 0 || idle > 0 && idle < l.idleLimit {
+		l.loweredAt = at
+	}
+	l.idleLimit = idle
 	found := map[net.Conn]http.ConnState{}
 	for c, w := range l.connections {
-		limit := idle
+		limit, since := idle, w.since
 		if w.state == http.StateNew {
 			limit = header
+		} else if since.Before(l.loweredAt) {
+			since = l.loweredAt
 		}
-		if limit > 0 && at.Sub(w.since) > limit {
+		if limit > 0 && at.Sub(since) > limit && !w.closing {
 			found[c] = w.state
-			delete(l.connections, c)
+			w.closing = true
+			l.connections[c] = w
 		}
 	}
 
--- a/io/idleconn/limiter_test.go
+++ b/io/idleconn/limiter_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,7 +21,7 @@
 	t.Helper()
 	var idleLimit atomic.Int64
 	idleLimit.Store(int64(idle))
-	l := New(func() (time.Duration, time.Duration) { return header, time.Duration(idleLimit.Load()) }, time.Now)
+	l := New(func() (time.Duration, time.Duration) { return header, time.Duration(idleLimit.Load()) }, time.Now, slog.New(slog.DiscardHandler))
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(600 * time.Millisecond)
@@ -96,3 +98,109 @@
 	_, err = r.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// slowClose is a listener whose connections wait for a release before they close.
+type slowClose struct {
+	net.Listener
+	closing chan net.Conn
+	release chan struct{}
+}
+
+func (l *slowClose) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+
+	return &slowConn{
+		Conn:     c,
+		listener: l,
+	}, err
+}
+
+type slowConn struct {
+	net.Conn
+	listener *slowClose
+	once     sync.Once
+}
+
+func (c *slowConn) Close() error {
+	c.once.Do(func() {
+		c.listener.closing <- c
+		<-c.listener.release
+	})
+
+	return c.Conn.Close()
+}
+
+// Guards against a request that runs while its connection is closed as idle, so that its caller gets no answer or is told that it has not
+// run: it arrives after the limiter has decided to close the connection.
+func TestRequestOnClosingConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		close func(l *Limiter)
+		first string
+	}{
+		{"idle for too long", (*Limiter).sweep, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"closed at a stop", (*Limiter).CloseIdle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"late headers", (*Limiter).sweep, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(func() (time.Duration, time.Duration) { return time.Millisecond, time.Millisecond }, time.Now, slog.New(slog.DiscardHandler))
+			handled := make(chan string, 10)
+			s := httptest.NewUnstartedServer(l.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handled <- r.URL.Path })))
+			listener := &slowClose{
+				Listener: s.Listener,
+				closing:  make(chan net.Conn),
+				release:  make(chan struct{}),
+			}
+			s.Listener, s.Config.ConnState, s.Config.ConnContext = listener, l.Observe, l.ConnContext
+			s.Start()
+			defer s.Close()
+			conn, r := dial(t, s.Listener.Addr().String())
+			if c.first != "" {
+				ask(t, conn, r, "/first")
+				is.Equal(<-handled, "/first")
+			}
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for { // the connection has to be known, and idle for some time
+					time.Sleep(5 * time.Millisecond)
+					c.close(l)
+					select {
+					case <-listener.release:
+						return
+					default:
+					}
+				}
+			}()
+			<-listener.closing
+			_, err := io.WriteString(conn, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			select {
+			case path := <-handled:
+				t.Errorf("request %s was handled", path)
+			case <-time.After(200 * time.Millisecond):
+			}
+			close(listener.release)
+			<-stopped
+		})
+	}
+}
+
+// Guards against closing connections at once when the configured limit becomes shorter, while their callers still count on the longer one.
+func TestCallersLearnOfShorterLimit(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	limit := 10 * time.Second
+	l := New(func() (time.Duration, time.Duration) { return time.Minute, limit }, func() time.Time { return at }, slog.New(slog.DiscardHandler))
+	c, other := net.Pipe()
+	defer other.Close()
+	l.Observe(c, http.StateIdle)
+	l.sweep()
+	at = at.Add(8 * time.Second)
+	limit = 2 * time.Second
+	l.sweep()
+	is.Equal(len(l.expired(time.Minute, limit, at)), 0)
+	at = at.Add(limit + time.Millisecond)
+	is.Equal(len(l.expired(time.Minute, limit, at)), 1)
+}
