--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -114,7 +114,7 @@
 
 		return err
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, f.deadline(r, q), errTimeout)
+	ctx, cancel := context.WithDeadlineCause(ctx, f.Deadline(r, q), errTimeout)
 	defer cancel()
 	rs := &requestState{
 		forwarder: f,
@@ -156,7 +156,8 @@
 		"after_ms", at.Sub(rs.timing.startedAt).Milliseconds(), "target_ms", rs.route.TargetMillis, "ran", rs.ran, "refused", rs.refused)
 }
 
-func (f *Forwarder) deadline(r *route.Route, q *call.Call) time.Time {
+// Deadline returns when a request that begins now is given up.
+func (f *Forwarder) Deadline(r *route.Route, q *call.Call) time.Time {
 	limit := f.now().Add(defaultTimeout)
 	if r.TimeoutMillis > 0 {
 		limit = f.now().Add(time.Duration(r.TimeoutMillis) * time.Millisecond)
