Bound the memory of all responses together, and drop the largest

Cause: heads, events and items' output were bounded one by one or not at all, and whole bodies together by a figure that did not depend on the machine. So the memory grew with the number of requests in flight.

Heads are counted as they are read from the connection. An item's output ends at 512 KiB, which an object of the store can hold; the item then begins anew.

Ruled out: refusing whoever comes next once the budget is used, as the bodies' count did: ordinary responses would fail as long as a few endless ones hold the memory.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/histogram"
@@ -78,24 +79,27 @@
 
 // Forwarder runs requests on the backend servers that its placer chooses; its methods may be called concurrently.
 type Forwarder struct {
-	sender  sender
-	placer  placer
-	roster  roster
-	batch   preempter
-	parts   promptParts
-	buffers buffers
-	now     func() time.Time
-	log     *slog.Logger
+	sender sender
+	placer placer
+	roster roster
+	batch  preempter
+	parts  promptParts
+	budget *bytebudget.Budget
+	now    func() time.Time
+	log    *slog.Logger
 }
 
-// New returns a forwarder; batch preempts batch items whose slots online requests need.
-func New(s sender, p placer, r roster, batch preempter, parts promptParts, now func() time.Time, log *slog.Logger) *Forwarder {
+// New returns a forwarder; batch preempts batch items whose slots online requests need, and budget bounds the responses in memory.
+func New(s sender, p placer, r roster, batch preempter, parts promptParts, budget *bytebudget.Budget, now func() time.Time,
+	log *slog.Logger,
+) *Forwarder {
 	return &Forwarder{
 		sender: s,
 		placer: p,
 		roster: r,
 		batch:  batch,
 		parts:  parts,
+		budget: budget,
 		now:    now,
 		log:    log,
 	}
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -219,7 +219,7 @@
 			is := is.New(t)
 			f := &fake{replies: c.replies, free: true}
 			out := &recorder{}
-			err := New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
+			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
 			is.Equal(fault.CodeOf(err), c.code)
 			is.Equal(out.body.String(), c.body)
 			is.Equal(out.stamp, c.stamp)
@@ -260,7 +260,7 @@
 			is := is.New(t)
 			f := &fake{replies: []reply{c.first, c.second, c.second}, free: true}
 			out := &recorder{}
-			err := New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out)
+			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out)
 			is.Equal(out.body.String(), c.body)
 			is.Equal(fault.CodeOf(err), c.code)
 			is.Equal(out.stamp, "a")
@@ -291,7 +291,7 @@
 				f.replies[1].body = whole
 			}
 			out := &recorder{}
-			is.NoErr(New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
+			is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
 			is.Equal(out.body.String(), whole)
 			is.Equal(f.failed, c.suspected)
 		})
@@ -304,7 +304,7 @@
 	f := &fake{replies: []reply{{status: 200, body: "id: 1\ndata: x\n\n", hung: true}}}
 	r := route.Route{Kind: route.KindStream, TimeoutMillis: 30}
 	out := &recorder{}
-	err := New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+	err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 	is.Equal(len(f.failed), 0) // the server is not suspected
 }
@@ -314,7 +314,7 @@
 	is := is.New(t)
 	f := &fake{replies: []reply{{status: 200, body: whole}}, free: true}
 	r := route.Route{Kind: route.KindStream, Resumable: true, MaxAttempts: 2}
-	err := New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{fail: true})
+	err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{fail: true})
 	is.Equal(fault.CodeOf(err), fault.CodeCancelled)
 	is.Equal(len(f.servers), 1)
 	is.Equal(len(f.failed), 0)
@@ -337,7 +337,7 @@
 				is := is.New(t)
 				f := &fake{replies: []reply{c.first, {status: 200, body: whole[15:]}}, free: true}
 				out := &recorder{}
-				is.NoErr(New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
+				is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
 				is.Equal(strings.ReplaceAll(out.body.String(), ": wait\n\n", ""), whole)
 				is.Equal(len(f.servers), c.servers)
 			})
@@ -350,7 +350,7 @@
 	is := is.New(t)
 	f := &fake{replies: []reply{{status: 200, body: "id: 1\ndata: x\n\n", hung: true}}}
 	r := route.Route{Kind: route.KindStream, Resumable: true, MaxAttempts: 2, GapMillis: 10, TargetMillis: 10, TimeoutMillis: 200}
-	err := New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
+	err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
 	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 	is.Equal(len(f.servers), 1)
 }
@@ -374,7 +374,7 @@
 			if c.left > 0 {
 				q.Deadline = time.Now().Add(c.left)
 			}
-			is.New(t).NoErr(New(f, f, f, f, noQuarantine(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, q, &recorder{}))
+			is.New(t).NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, q, &recorder{}))
 			is.New(t).Equal(f.loadLimits, []float64{c.want})
 		})
 	}
--- /dev/null
+++ b/core/forward/read_test.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"tarragonwalk/core/bytebudget"
+)
+
+// endless is a stream that never ends; it counts the bytes that were read.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	e.read += len(p)
+
+	return len(p), nil
+}
+
+func noBudget() *bytebudget.Budget { return bytebudget.New(math.MaxInt) }
+
+// Guards against responses without end that fill the memory: one at a time, and of many servers at once; against ordinary responses that
+// are dropped for them, and against bodies that are changed.
+func TestResponsesInMemoryAreBounded(t *testing.T) {
+	is := is.New(t)
+	const budget = 1 << 20
+	b := bytebudget.New(budget)
+	open := func() *bytebudget.Share { return b.Open("test", func() {}) }
+	sent := strings.Repeat("0123456789", 10_000)
+	share := open()
+	content, err := readWhole(io.MultiReader(strings.NewReader(sent[:7]), strings.NewReader(sent[7:])), len(sent), share)
+	is.NoErr(err)
+	is.Equal(string(content), sent)
+	share.Close()
+	share = open()
+	_, err = readWhole(strings.NewReader(sent), len(sent)-1, share)
+	is.True(errors.Is(err, errTooLong))
+	share.Close()
+	held := 0
+	for range 100 {
+		e, share := &endless{}, open()
+		_, err := readWhole(e, maxBodyBytes, share)
+		is.True(errors.Is(err, bytebudget.ErrDropped))
+		held = max(held, e.read)
+		ordinary := open() // the others have not given theirs back yet
+		_, err = readWhole(strings.NewReader(sent), len(sent), ordinary)
+		is.NoErr(err)
+		ordinary.Close()
+	}
+	is.True(held <= budget)
+	share = open()
+	defer share.Close()
+	_, err = readWhole(io.MultiReader(strings.NewReader("x"), errorReader{}), 10, share)
+	is.True(err != nil)
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/coalesce"
 	"tarragonwalk/core/eventstream"
@@ -190,6 +191,8 @@
 	defer cancel(nil)
 	w := rs.startWatchdog(cancel)
 	defer w.stop()
+	share := rs.forwarder.budget.Open("responses", func() { cancel(bytebudget.ErrDropped) })
+	defer share.Close()
 	rs.sentAt = rs.forwarder.now()
 	rs.progressAt = rs.sentAt
 	after := int64(0)
@@ -199,23 +202,25 @@
 	}
 	resp, err := rs.forwarder.sender.Send(ctx, p.server, rs.call, after)
 	if err != nil {
-		return silenceError(ctx, err)
+		return attemptError(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.Status == http.StatusOK && rs.route.Kind == route.KindStream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return silenceError(ctx, rs.forwardStream(resp, p.server, w))
+		return attemptError(ctx, rs.forwardStream(resp, p.server, w, share))
 	}
 	if rs.began {
 		return errStatus
 	}
 
-	return silenceError(ctx, rs.forwardWhole(resp, w))
+	return attemptError(ctx, rs.forwardWhole(resp, w, share))
 }
 
-// silenceError replaces the error of an attempt that the watchdog has ended by errSilent.
-func silenceError(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
-		return errSilent
+// attemptError returns the reason for which this instance has ended an attempt in place of the error that this led to.
+func attemptError(ctx context.Context, err error) error {
+	for _, reason := range []error{errSilent, bytebudget.ErrDropped} {
+		if err != nil && errors.Is(context.Cause(ctx), reason) {
+			return reason
+		}
 	}
 
 	return err
@@ -223,11 +228,10 @@
 
 // forwardWhole passes on a response after all of it has been read, so that another attempt can still replace one that is cut
 // off.
-func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog) error {
-	body, release, err := rs.forwarder.buffers.read(resp.Body, maxBodyBytes)
-	defer release()
+func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, share *bytebudget.Share) error {
+	body, err := readWhole(resp.Body, maxBodyBytes, share)
 	w.stop()
-	if errors.Is(err, errTooLong) {
+	if errors.Is(err, errTooLong) || errors.Is(err, bytebudget.ErrDropped) {
 		return err
 	}
 	if err != nil {
@@ -250,7 +254,7 @@
 }
 
 // forwardStream passes on complete events as they arrive.
-func (rs *requestState) forwardStream(resp *response.Response, s backend.Server, w *watchdog) error {
+func (rs *requestState) forwardStream(resp *response.Response, s backend.Server, w *watchdog, share *bytebudget.Share) error {
 	if rs.splitter == nil {
 		rs.splitter = eventstream.New(rs.resumedAfter())
 	}
@@ -261,6 +265,9 @@
 		if n > 0 {
 			rs.splitter.Feed(buffer[:n])
 			delivered, err := rs.deliver(resp)
+			if err == nil {
+				err = share.Resize(rs.splitter.Pending())
+			}
 			if err != nil {
 				return err
 			}
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/coalesce"
 	"tarragonwalk/core/eventstream"
@@ -37,6 +38,8 @@
 	// more than the events that it returns.
 	readInterval = 50 * time.Millisecond
 	readBytes    = 16 << 10
+	// maxTextBytes bounds the output of an item, which has to fit into one object of the store.
+	maxTextBytes = 512 << 10
 )
 
 var (
@@ -46,6 +49,7 @@
 	errReleased  = fault.New(fault.CodeCancelled, "another instance holds the job")
 	errSilent    = fault.New(fault.CodeBackendSilent, "the backend server has been silent for too long")
 	errFailed    = fault.New(fault.CodeBackendFailed, "the backend server answered with a failure")
+	errTooLong   = fault.New(fault.CodeStreamLost, "the output of the item is too long")
 	errInvalid   = fault.New(fault.CodeInvalid, "the backend server rejected the item as invalid")
 )
 
@@ -109,6 +113,9 @@
 	it.state = waiting
 	code := fault.CodeOf(err)
 	account(it, first, outcome(code, j.due(rt), at), at)
+	if errors.Is(err, errTooLong) || errors.Is(err, bytebudget.ErrDropped) {
+		it.restart()
+	}
 	switch {
 	case err == nil:
 		r.logger.Info("item completed", "job", j.ID, "item", it.ID, "server", s.ID, "run_ms", at.Sub(it.startedAt).Milliseconds(),
@@ -176,7 +183,7 @@
 			return fault.New(fault.CodeStreamLost, "the backend server answered an item with content type "+strconv.Quote(t))
 		}
 
-		return cancelCause(ctx, r.collect(it, s, resp.Body, silence))
+		return cancelCause(ctx, r.collect(it, s, resp.Body, silence, func() { cancel(bytebudget.ErrDropped) }))
 	case http.StatusUnprocessableEntity:
 		return errInvalid
 	case http.StatusInternalServerError:
@@ -187,7 +194,9 @@
 }
 
 // collect appends the data of the stream's events to the item's text until the stream ends.
-func (r *Runner) collect(it *item, s backend.Server, body io.Reader, silence *time.Timer) error {
+func (r *Runner) collect(it *item, s backend.Server, body io.Reader, silence *time.Timer, cancel func()) error {
+	share := r.budget.Open("items", cancel)
+	defer share.Close()
 	splitter := eventstream.New(it.last)
 	stream := coalesce.New(body, readInterval, r.now)
 	buffer := make([]byte, readBytes)
@@ -196,6 +205,9 @@
 		if n > 0 {
 			splitter.Feed(buffer[:n])
 			appended, err := r.appendEvents(it, splitter)
+			if err == nil {
+				err = r.checkSize(it, share, splitter.Pending())
+			}
 			if err != nil {
 				return err
 			}
@@ -217,6 +229,19 @@
 	}
 }
 
+// checkSize fails if the output of an item, of which some bytes are in an incomplete event, is too long or the largest of more than there
+// is memory for.
+func (r *Runner) checkSize(it *item, share *bytebudget.Share, pending int) error {
+	r.lock.Lock()
+	size := len(it.text) + pending
+	r.lock.Unlock()
+	if size > maxTextBytes {
+		return errTooLong
+	}
+
+	return share.Resize(size)
+}
+
 // appendEvents appends the data of the events that have arrived to the item's text and reports whether there was any.
 func (r *Runner) appendEvents(it *item, splitter *eventstream.Splitter) (appended bool, err error) {
 	for {
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -41,6 +41,11 @@
 	cancel  context.CancelCauseFunc
 }
 
+// restart drops the output so far, which a backend server that does not stop has sent.
+func (it *item) restart() {
+	it.text, it.last, it.events = nil, 0, false
+}
+
 // job is the state of one job that this instance holds; the runner's lock guards it.
 type job struct {
 	work.Job
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -10,6 +10,7 @@
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/background"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/feasibility"
 	"tarragonwalk/core/gossip"
@@ -106,6 +107,7 @@
 	parts   promptParts
 	// sharedParts returns the prompt parts that an item with the given headers may share with others.
 	sharedParts func(headers map[string]string) []string
+	budget      *bytebudget.Budget
 	name        string
 	incarnation string
 	keepFor     time.Duration
@@ -153,9 +155,9 @@
 	wake     chan struct{}
 }
 
-// New returns a runner for the instance name; sharedParts returns the prompt parts that an item may share with others; jobs stay readable for keepFor after their submission.
+// New returns a runner for the instance name; sharedParts returns the prompt parts that an item may share with others, budget bounds the output of items that is being received; jobs stay readable for keepFor after their submission.
 func New(l joblog, s sender, p placer, ro roster, rt routes, c cluster, rd reader, parts promptParts,
-	sharedParts func(headers map[string]string) []string, name, incarnation string,
+	sharedParts func(headers map[string]string) []string, budget *bytebudget.Budget, name, incarnation string,
 	keepFor time.Duration, now func() time.Time, logger *slog.Logger,
 ) *Runner {
 	return &Runner{
@@ -168,6 +170,7 @@
 		reader:      rd,
 		parts:       parts,
 		sharedParts: sharedParts,
+		budget:      budget,
 		name:        name,
 		incarnation: incarnation,
 		keepFor:     keepFor,
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -19,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
@@ -72,6 +74,8 @@
 	return quarantine.New(nil, time.Now, slog.New(slog.DiscardHandler))
 }
 
+func noBudget() *bytebudget.Budget { return bytebudget.New(math.MaxInt) }
+
 func noSharedParts(map[string]string) []string { return nil }
 
 func (f *fleet) chance(p float64) bool {
@@ -192,7 +196,7 @@
 	f.alive[name] = true
 	f.lock.Unlock()
 	logger := slog.New(slog.DiscardHandler)
-	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), noQuarantine(), noSharedParts, name, name, f.keepFor, time.Now, logger)
+	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), noQuarantine(), noSharedParts, noBudget(), name, name, f.keepFor, time.Now, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -484,7 +488,7 @@
 		silence := time.AfterFunc(eventTimeout, func() { _ = w.CloseWithError(errSilent) })
 		defer silence.Stop()
 		began := time.Now()
-		err := r.collect(&item{}, backend.Server{ID: "w"}, pipe, silence)
+		err := r.collect(&item{}, backend.Server{ID: "w"}, pipe, silence, func() {})
 		is.True(errors.Is(err, errSilent))
 		is.True(time.Since(began) < 2*eventTimeout)
 	})
@@ -546,3 +550,41 @@
 		})
 	}
 }
+
+// endlessEvents is a stream of sound events that does not end.
+type endlessEvents struct{ last int }
+
+func (e *endlessEvents) Read(p []byte) (int, error) {
+	e.last++
+
+	return copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", e.last, strings.Repeat("x", 4<<10))), nil
+}
+
+// Guards against an item whose output never ends and fills the memory, and against going on after what was received of it.
+func TestItemWithoutEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		budget int
+		want   error
+	}{
+		{"longer than any result", math.MaxInt, errTooLong},
+		{"no memory left", maxTextBytes / 2, bytebudget.ErrDropped},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(1, 0)
+			r, stop := f.start("e")
+			defer stop()
+			r.budget = bytebudget.New(c.budget)
+			it := &item{}
+			silence := time.AfterFunc(testLimit, func() {})
+			defer silence.Stop()
+			err := r.collect(it, backend.Server{ID: "w"}, &endlessEvents{}, silence, func() {})
+			is.True(errors.Is(err, c.want))
+			is.True(len(it.text) <= maxTextBytes+readBytes)
+			it.restart()
+			is.Equal(it.last, int64(0))
+			is.Equal(len(it.text), 0)
+		})
+	}
+}
--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/headernames"
@@ -47,14 +48,17 @@
 	names     headernames.Names
 	transport *http.Transport
 	observer  observer
+	budget    *bytebudget.Budget
 	now       func() time.Time
 }
 
-// New returns a client that uses the header names of a platform and tells an observer which backend servers leave.
-func New(names headernames.Names, o observer, now func() time.Time) *Client {
+// New returns a client that uses the header names of a platform and tells an observer which backend servers leave; budget bounds the heads
+// of responses in memory.
+func New(names headernames.Names, o observer, budget *bytebudget.Budget, now func() time.Time) *Client {
 	return &Client{
 		names:    names,
 		observer: o,
+		budget:   budget,
 		now:      now,
 		transport: &http.Transport{
 			DialContext:           dial(tcp.NewDialer(dialTimeout).DialContext),
@@ -102,9 +106,13 @@
 // roundTrip makes attempts until one has got a connection that is not spent.
 func (c *Client) roundTrip(ctx context.Context, s backend.Server, q *call.Call, after int64) (*http.Response, *attempt, error) {
 	for {
-		a := newAttempt()
-		r, err := c.transport.RoundTrip(c.request(a.trace(ctx), s, q, after))
-		close(a.done)
+		a := &attempt{
+			done: make(chan struct{}),
+		}
+		ctx, cancel := context.WithCancelCause(ctx)
+		a.head = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
+		r, err := c.transport.RoundTrip(c.request(a.trace(ctx, cancel), s, q, after))
+		a.finish()
 		if !a.unsent {
 			return r, a, err
 		}
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/headernames"
@@ -28,6 +30,8 @@
 
 var names = headernames.Names{RequestID: "X-Id", DeadlineMillis: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", ServerLeaving: "X-Leaving"}
 
+func noBudget() *bytebudget.Budget { return bytebudget.New(math.MaxInt) }
+
 // departures records what a client reports.
 type departures struct {
 	lock sync.Mutex
@@ -61,7 +65,7 @@
 			" ", r.Header.Get("X-Other"), " ", left > 0 && left <= 2000, " ", r.Header.Get("Last-Event-Id"), " ", r.Header["User-Agent"])
 	}))
 	defer server.Close()
-	c := New(names, &departures{}, time.Now)
+	c := New(names, &departures{}, noBudget(), time.Now)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	resp, err := c.Send(ctx, backend.Server{ID: "s1", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}, newCall(), 7)
@@ -105,7 +109,7 @@
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = conn.Write([]byte(c.response))
 			}()
-			resp, err := New(names, &departures{}, time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
+			resp, err := New(names, &departures{}, noBudget(), time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
 			is.Equal(fault.CodeOf(err), c.code)
 			if resp != nil {
 				resp.Body.Close()
@@ -120,7 +124,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	l.Close()
-	_, err = New(names, &departures{}, time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
+	_, err = New(names, &departures{}, noBudget(), time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(l.Addr().String())}, newCall(), 0)
 	is.Equal(fault.CodeOf(err), fault.CodeBackendUnreachable)
 	is.True(fault.NotRun(err))
 }
@@ -203,7 +207,7 @@
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 204 No Content\r\n%s: %s\r\n\r\n", names.RequestID, id)
 				}
 			})
-			client := New(names, &departures{}, time.Now)
+			client := New(names, &departures{}, noBudget(), time.Now)
 			defer client.Close()
 			send := func(id string) error {
 				resp, err := client.Send(t.Context(), s, &call.Call{ID: id, Method: c.method, Target: "/x", Host: "h", Header: c.header.Clone(), Body: []byte(c.body)}, 0)
@@ -243,7 +247,7 @@
 			}
 		}
 	})
-	client := New(names, &departures{}, time.Now)
+	client := New(names, &departures{}, noBudget(), time.Now)
 	defer client.Close()
 	for _, id := range []string{"", "2"} {
 		resp, err := client.Send(t.Context(), s, &call.Call{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}, 0)
@@ -302,7 +306,7 @@
 					}
 				}
 			})
-			client := New(names, &departures{}, time.Now)
+			client := New(names, &departures{}, noBudget(), time.Now)
 			defer client.Close()
 			send := func(id string) (string, error) {
 				resp, err := client.Send(t.Context(), s, &call.Call{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}, 0)
@@ -367,7 +371,7 @@
 					sent.Add(int64(n))
 				}
 			})
-			client := New(names, &departures{}, time.Now)
+			client := New(names, &departures{}, noBudget(), time.Now)
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
@@ -423,7 +427,7 @@
 			})
 			s.StartedAt = 7
 			d := &departures{}
-			client := New(names, d, time.Now)
+			client := New(names, d, noBudget(), time.Now)
 			resp, err := client.Send(t.Context(), s, newCall(), 0)
 			d.lock.Lock()
 			is.Equal(d.list, c.want) // known with the head, before the body has ended
@@ -496,7 +500,7 @@
 						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+names.RequestID+": "+id+"\r\nContent-Length: 2\r\n\r\nok")
 					}
 				})
-				client := New(names, &departures{}, time.Now)
+				client := New(names, &departures{}, noBudget(), time.Now)
 				defer client.Close()
 				_, err := client.Send(t.Context(), s, newCall(), 0)
 				is.True(fault.NotRun(err))
@@ -530,7 +534,7 @@
 						_, _ = io.WriteString(conn, text)
 					}
 				})
-				client := New(names, &departures{}, time.Now)
+				client := New(names, &departures{}, noBudget(), time.Now)
 				defer client.Close()
 				_, err := client.Send(t.Context(), s, newCall(), 0)
 				is.True(fault.NotRun(err)) // no other response can have been sent on this connection
@@ -561,7 +565,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 204 OK\r\n"+names.RequestID+": "+id+"\r\n\r\n")
 		}
 	})
-	client := New(names, &departures{}, time.Now)
+	client := New(names, &departures{}, noBudget(), time.Now)
 	defer client.Close()
 	for n := range 5 {
 		q := newCall()
@@ -597,7 +601,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 204 OK\r\n"+names.RequestID+": "+id+"\r\n\r\n")
 		}
 	})
-	client := New(names, &departures{}, time.Now)
+	client := New(names, &departures{}, noBudget(), time.Now)
 	defer client.Close()
 	var wrong atomic.Int64
 	p := pool.New()
@@ -624,3 +628,68 @@
 	p.Wait()
 	is.Equal(wrong.Load(), int64(0))
 }
+
+// Guards against heads without end that fill the memory together, although each of them is short enough.
+func TestHeadsStayInMemory(t *testing.T) {
+	is := is.New(t)
+	const calls = 20
+	waiting := make(chan struct{}, calls)
+	s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := readRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("a", maxHeadBytes/2))
+		waiting <- struct{}{}
+		_, _ = io.Copy(io.Discard, reader) // until the client closes
+		<-waiting
+	})
+	client := New(names, &departures{}, bytebudget.New(4*maxHeadBytes), time.Now)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	ended := make(chan error, calls)
+	for n := range calls {
+		go func() {
+			resp, err := client.Send(ctx, s, &call.Call{ID: fmt.Sprint(n), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}, 0)
+			if err == nil {
+				resp.Body.Close()
+			}
+			ended <- err
+		}()
+	}
+	for range calls - 9 { // eight fit, and one may not have arrived whole
+		is.Equal(fault.CodeOf(<-ended), fault.CodeOutcomeUnknown)
+	}
+	is.NoErr(ctx.Err())
+}
+
+// Guards against an answer that ends within its head and counts as a success, however much of the head has come.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	for _, c := range []struct{ name, head string }{
+		{"stream", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"length", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 100\r\n\r\n"},
+		{"no body", "HTTP/1.1 204 No Content\r\nX-Id: r1\r\n\r\n"},
+		{"refusal", "HTTP/1.1 503 Full\r\nX-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"after an informational response", "HTTP/1.1 103 Early Hints\r\nX-Id: r1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for cut := range len(c.head) {
+				s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+					if _, err := readRequest(reader); err == nil {
+						_, _ = io.WriteString(conn, c.head[:cut])
+					}
+				})
+				client := New(names, &departures{}, noBudget(), time.Now)
+				resp, err := client.Send(t.Context(), s, newCall(), 0)
+				if fault.CodeOf(err) != fault.CodeOutcomeUnknown {
+					t.Errorf("cut after %q: %v", c.head[:cut], err)
+				}
+				if err == nil {
+					resp.Body.Close()
+				}
+				client.Close()
+			}
+		})
+	}
+}
--- a/io/backendhttp/connection.go
+++ b/io/backendhttp/connection.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/fault"
 )
 
@@ -61,6 +62,22 @@
 	return false
 }
 
+// Read counts the bytes of a response's head.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.lock.Lock()
+	user := c.user
+	c.lock.Unlock()
+	if user == nil || n == 0 {
+		return n, err
+	}
+	if failure := user.received(n); failure != nil {
+		return 0, failure
+	}
+
+	return n, err
+}
+
 // Write marks the present attempt as sent before it sends anything.
 func (c *connection) Write(p []byte) (int, error) {
 	c.lock.Lock()
@@ -102,19 +119,37 @@
 	unsent bool
 	// sent is set before the first bytes of the request are written.
 	sent atomic.Bool
+	// lock guards the fields below; a budget's lock may be taken while it is held.
+	lock sync.Mutex
+	// head is the memory of the response's head, nil once that is complete, and headBytes its size so far.
+	head      *bytebudget.Share
+	headBytes int
 }
 
-func newAttempt() *attempt {
-	return &attempt{
-		done: make(chan struct{}),
+// received records bytes of the response's head.
+func (a *attempt) received(n int) error {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if a.head == nil {
+		return nil
 	}
+	a.headBytes += n
+
+	return a.head.Resize(a.headBytes)
 }
 
-// trace returns a context with which the transport reports the connection that it has got for the attempt.
-// It ends the context if the transport is about to send a request again of which bytes were written before.
-func (a *attempt) trace(ctx context.Context) context.Context {
-	ctx, cancel := context.WithCancelCause(ctx)
+// finish records that the transport has returned.
+func (a *attempt) finish() {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.head.Close()
+	a.head = nil
+	close(a.done)
+}
 
+// trace returns a context with which the transport reports the connection that it has got for the attempt.
+// It cancels the context if the transport is about to send a request again of which bytes were written before.
+func (a *attempt) trace(ctx context.Context, cancel context.CancelCauseFunc) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// The transport writes the request after this call, and calls it again if it takes another connection.
 		GotConn: func(info httptrace.GotConnInfo) {
