Take no response without the request's ID for a success

Cause: a response counted as foreign only if it had another ID; one without an ID was taken for the answer. Workers repeat the ID in all answers.

Change: a success without the ID has an unknown outcome and ends the use of its connection, on a used connection any status does. Requests that have no ID get a connection of their own.

Tests: responses in TestRequestIsForwardedUnchanged, TestAnswersWithoutEnd and TestAnnouncedDeparture now repeat the request's ID, as workers do; what they assert is unchanged.

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -47,30 +47,40 @@
 type Client struct {
 	names     headernames.Names
 	transport *http.Transport
-	observer  observer
-	budget    *bytebudget.Budget
-	now       func() time.Time
+	// single opens a connection for each request.
+	single   *http.Transport
+	observer observer
+	budget   *bytebudget.Budget
+	now      func() time.Time
 }
 
 // New returns a client that uses the header names of a platform and tells an observer which backend servers leave; budget bounds the heads
 // of responses in memory.
 func New(names headernames.Names, o observer, budget *bytebudget.Budget, now func() time.Time) *Client {
+	single := newTransport()
+	single.DisableKeepAlives = true
+
 	return &Client{
-		names:    names,
-		observer: o,
-		budget:   budget,
-		now:      now,
-		transport: &http.Transport{
-			DialContext:           dial(tcp.NewDialer(dialTimeout).DialContext),
-			DisableCompression:    true,
-			MaxIdleConnsPerHost:   maxIdle,
-			IdleConnTimeout:       idleTimeout,
-			ReadBufferSize:        bufferBytes,
-			WriteBufferSize:       bufferBytes,
-			ExpectContinueTimeout: 0,
-			// Also bounds trailers and informational responses.
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		names:     names,
+		observer:  o,
+		budget:    budget,
+		now:       now,
+		transport: newTransport(),
+		single:    single,
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:           dial(tcp.NewDialer(dialTimeout).DialContext),
+		DisableCompression:    true,
+		MaxIdleConnsPerHost:   maxIdle,
+		IdleConnTimeout:       idleTimeout,
+		ReadBufferSize:        bufferBytes,
+		WriteBufferSize:       bufferBytes,
+		ExpectContinueTimeout: 0,
+		// Also bounds trailers and informational responses.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -89,8 +99,7 @@
 
 		return nil, err
 	}
-	// A late copy of an answer without an ID could not be told from the answer to the next request.
-	if r.StatusCode >= http.StatusInternalServerError || q.ID == "" {
+	if r.StatusCode >= http.StatusInternalServerError {
 		a.connection.retire()
 	}
 	stripHopByHop(r.Header)
@@ -111,7 +120,7 @@
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
 		a.head = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
-		r, err := c.transport.RoundTrip(c.request(a.trace(ctx, cancel), s, q, after))
+		r, err := c.transportFor(q).RoundTrip(c.request(a.trace(ctx, cancel), s, q, after))
 		a.finish()
 		if !a.unsent {
 			return r, a, err
@@ -122,6 +131,16 @@
 	}
 }
 
+// transportFor returns the transport for a request. Without an ID, an answer can be told from bytes that belong to no request only if nothing
+// was sent on the connection before.
+func (c *Client) transportFor(q *call.Call) *http.Transport {
+	if q.ID == "" {
+		return c.single
+	}
+
+	return c.transport
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
@@ -168,8 +187,8 @@
 	return r.WithContext(ctx)
 }
 
-// check returns an error for a response that is no answer to the request. A refusal without an ID may be a copy of an earlier one if
-// the connection was used before.
+// check returns an error for a response that is no answer to the request. Backend servers repeat the request's ID, so bytes without it belong
+// to no request; on a new connection, a failure without it says at least that something is wrong with this request.
 func (c *Client) check(r *http.Response, q *call.Call, reused bool) error {
 	id := r.Header.Get(c.names.RequestID)
 	misdirected := r.StatusCode == http.StatusMisdirectedRequest
@@ -177,8 +196,8 @@
 	switch {
 	case c.foreign(r, q):
 		return fault.New(fault.CodeOutcomeUnknown, "the response belongs to request "+id)
-	case refused && id == "" && reused:
-		return fault.New(fault.CodeOutcomeUnknown, "a refusal without a request ID on a used connection, with status "+strconv.Itoa(r.StatusCode))
+	case id != q.ID && (reused || r.StatusCode < http.StatusBadRequest):
+		return fault.New(fault.CodeOutcomeUnknown, "a response without the request's ID, with status "+strconv.Itoa(r.StatusCode))
 	case misdirected:
 		return fault.New(fault.CodeBackendLeaving, "another backend server has the address")
 	case refused:
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -61,6 +61,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		left, _ := strconv.Atoi(r.Header.Get("X-Left"))
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		fmt.Fprint(w, r.Method, " ", r.RequestURI, " ", r.Host, " ", string(body), " ", r.Header.Get("X-Id"), " ", r.Header.Get("X-Expect"),
 			" ", r.Header.Get("X-Other"), " ", left > 0 && left <= 2000, " ", r.Header.Get("Last-Event-Id"), " ", r.Header["User-Agent"])
 	}))
@@ -233,6 +234,65 @@
 	}
 }
 
+// Guards against bytes that belong to no request and reach a caller as a success: a server sends them after a complete answer, before the
+// next request on the connection, at the same time or a little after it; or in place of an answer on a new connection.
+func TestResponseWithoutIDIsNoSuccess(t *testing.T) {
+	const extra = "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nnot an answer 123"
+	for _, c := range []struct {
+		name  string
+		first bool
+		pause time.Duration
+		extra string
+	}{
+		{"at once", false, 0, extra},
+		{"with the next request", false, -1, extra},
+		{"while the next request runs", false, 5 * time.Millisecond, extra},
+		{"on a new connection", true, -1, extra},
+		{"as a failure", false, -1, strings.Replace(extra, "200 OK", "500 Oops", 1)},
+		{"as a stream", false, -1, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := rawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+				for n := 0; ; n++ {
+					id, err := readRequest(reader)
+					if err != nil {
+						return
+					}
+					if c.pause < 0 && (n > 0 || c.first) {
+						_, _ = io.WriteString(conn, c.extra)
+					}
+					time.Sleep(10 * time.Millisecond)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", names.RequestID, id, len(id), id)
+					if c.pause >= 0 {
+						time.AfterFunc(c.pause, func() { _, _ = io.WriteString(conn, c.extra) })
+					}
+				}
+			})
+			client := New(names, &departures{}, noBudget(), time.Now)
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			succeeded := 0
+			for n := range 20 {
+				id := fmt.Sprint(n)
+				resp, err := client.Send(ctx, s, &call.Call{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}, 0)
+				if err != nil {
+					is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
+
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				is.NoErr(err)
+				is.Equal(string(body), id)
+				succeeded++
+			}
+			is.True(c.first == (succeeded == 0)) // connections are not used again after such bytes
+		})
+	}
+}
+
 // Guards against a second copy of the answer to a request without an ID that reaches the next caller on the connection as its own.
 func TestSecondCopyOfAnswerWithoutID(t *testing.T) {
 	is := is.New(t)
@@ -352,8 +412,8 @@
 		{"endless headers", "HTTP/1.1 200 OK\r\n", "", "X: " + strings.Repeat("a", 100) + "\r\n", true},
 		{"endless informational responses", "", "", "HTTP/1.1 102 Processing\r\n\r\n", true},
 		{"no answer at all", "", "", strings.Repeat("x", 1000), true},
-		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", "half", "", false},
-		{"chunks without their end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n", "", false},
+		{"short body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 100\r\n\r\n", "half", "", false},
+		{"chunks without their end", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n", "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -398,21 +458,21 @@
 		name, response string
 		want           []string
 	}{
-		{"success", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok", []string{announced}},
+		{"success", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok", []string{announced}},
 		{"failure", "HTTP/1.1 500 Oops\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
 		{"refused", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
 		{"too many", "HTTP/1.1 429 Slow\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
 		{"another server", "HTTP/1.1 421 Misdirected\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{"not w r1"}},
-		{"head of a stream", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n", []string{announced}},
-		{"named as a header of the connection", "HTTP/1.1 200 OK\r\nConnection: close, X-Leaving\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
-		{"twice", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
-		{"twice with other values", "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nX-Leaving: 0\r\nContent-Length: 0\r\n\r\n", nil},
-		{"other value", "HTTP/1.1 200 OK\r\nX-Leaving: true\r\nContent-Length: 0\r\n\r\n", nil},
-		{"empty", "HTTP/1.1 200 OK\r\nX-Leaving:\r\nContent-Length: 0\r\n\r\n", nil},
-		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Leaving\r\n\r\n0\r\nX-Leaving: 1\r\n\r\n", nil},
-		{"informational", "HTTP/1.1 102 Wait\r\nX-Leaving: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", nil},
+		{"head of a stream", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n", []string{announced}},
+		{"named as a header of the connection", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nConnection: close, X-Leaving\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"twice", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", []string{announced}},
+		{"twice with other values", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: 1\r\nX-Leaving: 0\r\nContent-Length: 0\r\n\r\n", nil},
+		{"other value", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving: true\r\nContent-Length: 0\r\n\r\n", nil},
+		{"empty", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Leaving:\r\nContent-Length: 0\r\n\r\n", nil},
+		{"trailer", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\nTrailer: X-Leaving\r\n\r\n0\r\nX-Leaving: 1\r\n\r\n", nil},
+		{"informational", "HTTP/1.1 102 Wait\r\nX-Leaving: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n", nil},
 		{"another request's response", "HTTP/1.1 200 OK\r\nX-Id: r2\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", nil},
-		{"in no request's response", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", nil},
+		{"in no request's response", "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
