Forward request targets byte for byte, or refuse them

Cause: the path was given to net/http as an opaque URL, which the library sends in absolute form if it begins with two slashes. It also answered OPTIONS * with a 200 of its own.

Change: such a path is sent by its escaped form, which has to equal what the caller sent. A target that cannot be sent unchanged (not a path, or two slashes and then bytes that a URL cannot hold) gets 400 and nothing is sent; so does a job with such an item, and OPTIONS *.

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -147,7 +146,6 @@
 }
 
 func (c *Client) request(ctx context.Context, s backend.Server, q *call.Call, after int64) *http.Request {
-	path, query, hasQuery := strings.Cut(q.Target, "?")
 	h := q.Header.Clone()
 	if h == nil {
 		h = http.Header{}
@@ -167,14 +165,8 @@
 		h["User-Agent"] = nil
 	}
 	r := &http.Request{
-		Method: q.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       s.Address.String(),
-			Opaque:     path,
-			RawQuery:   query,
-			ForceQuery: hasQuery,
-		},
+		Method:        q.Method,
+		URL:           targetURL(q.Target, s.Address),
 		Host:          q.Host,
 		Header:        h,
 		ContentLength: int64(len(q.Body)),
