Give no two processes of a test fleet the same port

Cause: freeAddress draws ports at random, checks that nobody listens and returns them before they are in use, so one may be drawn twice (about 1 in 200 for a fleet). A fault of the test.

Change: an address is returned once.

--- a/cmd/tarragonwalk/process_test.go
+++ b/cmd/tarragonwalk/process_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -134,6 +135,9 @@
 	return path
 }
 
+// usedAddresses are those that freeAddress has returned.
+var usedAddresses sync.Map
+
 // freeAddress returns an address that nobody listens on. Its port is below those that the system gives to outgoing connections: one
 // of these took such a port before the process that was to listen there had started.
 func freeAddress(t *testing.T) string {
@@ -144,9 +148,11 @@
 		if err != nil {
 			continue
 		}
-		defer l.Close()
-
-		return l.Addr().String()
+		l.Close()
+		// The address may have been returned before and not be in use yet.
+		if _, used := usedAddresses.LoadOrStore(l.Addr().String(), true); !used {
+			return l.Addr().String()
+		}
 	}
 }
 
