--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -104,7 +104,7 @@
 		switch {
 		case o.running:
 			takeovers++
-		case at.After(o.forgetAt):
+		case at.After(o.forgetAt) && !o.claimed:
 			delete(r.orphans, id)
 		}
 	}
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -409,3 +409,33 @@
 		is.True(!r.holds("job"))
 	})
 }
+
+// Guards against a job that stands still because the instance that has claimed it forgets it while other takeovers use all places.
+func TestClaimedJobIsNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.abandonJobs(t, "job")
+		broken := &atomic.Bool{}
+		broken.Store(true)
+		r, stop := f.startOn("new", logs.New(unreadableParts{f.objects, broken}))
+		defer stop()
+		r.ObserveOrphan("job")
+		time.Sleep(time.Second)
+		r.lock.Lock()
+		is.True(r.orphans["job"].claimed)
+		for n := range maxTakeovers {
+			r.orphans[fmt.Sprint("busy", n)] = &orphan{running: true}
+		}
+		r.lock.Unlock()
+		time.Sleep(2 * orphanTTL)
+		broken.Store(false)
+		r.lock.Lock()
+		for n := range maxTakeovers {
+			delete(r.orphans, fmt.Sprint("busy", n))
+		}
+		r.lock.Unlock()
+		time.Sleep(2 * time.Second)
+		is.True(r.holds("job"))
+	})
+}
