Do not run a job that was ended while it was being submitted

Cause: only a takeover looked at announced ends and at the store. An instance that accepts a job, or learns later that it did, held it without a look at either.

Change: hold looks at the announced ends on all paths.

--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -96,6 +96,9 @@
 // hold adds a job to those that this instance runs; it needs the lock.
 func (r *Runner) hold(id string, j *job) {
 	r.jobs[id] = j
+	_, ended := r.ended[id]
+	_, endedByPeer := r.peerEnds[id]
+	j.ended = j.ended || ended || endedByPeer
 	if j.heldAt.IsZero() {
 		j.heldAt = r.now()
 	}
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -148,6 +148,14 @@
 		found, revision, err = r.log.Job(ctx, id)
 		held = err == nil && r.mine(found)
 	}
+	if err == nil && held {
+		// The announcement of an end may be forgotten by now.
+		var ended bool
+		ended, err = r.log.Ended(ctx, id)
+		r.lock.Lock()
+		j.ended = j.ended || ended
+		r.lock.Unlock()
+	}
 	if r.recordResolved(id, j, &record, revision, held, err) && !held {
 		r.announceIfOrphan(found)
 	}
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -64,3 +65,47 @@
 		})
 	}
 }
+
+// Guards against a job that runs although its caller has ended it at another instance while its submission was being written: shortly
+// before it is held, and long before.
+func TestEndDuringSubmission(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		outage time.Duration
+	}{
+		{"announced", 0},
+		{"announcement forgotten", 3 * announcementTTL},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(1, 0)
+				f.setUsedSlots(100)
+				r, stop := f.start("e")
+				defer stop()
+				lost := c.outage > 0
+				f.objects.Choose(func(kind string) fault.Code {
+					if lost && kind == "job-parts" {
+						return fault.CodeStoreUnavailable
+					}
+
+					return ""
+				})
+				items := newItems("job", 2)
+				r.ObserveEnd("job")
+				is.NoErr(logs.New(f.objects).End(t.Context(), "job", time.Now()))
+				err := r.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, items)
+				is.Equal(err != nil, lost)
+				time.Sleep(c.outage)
+				f.objects.Choose(nil)
+				time.Sleep(2 * maxResolvePause)
+				is.True(r.holds("job"))
+				f.setUsedSlots(0)
+				time.Sleep(5 * time.Second)
+				found, err := logs.New(f.objects).Segment(t.Context(), "job", 0)
+				is.NoErr(err)
+				is.Equal(len(found), 0) // nothing has run
+			})
+		})
+	}
+}
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -121,9 +121,6 @@
 	j.lateWritesUntil = r.now().Add(lateWriteWindow)
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	_, ended := r.ended[record.ID]
-	_, endedByPeer := r.peerEnds[record.ID]
-	j.ended = j.ended || ended || endedByPeer
 	if r.jobs[record.ID] != nil {
 		return nil
 	}
