Keep one exported type in core/bytebudget

The style test found two (TestTree: Budget, Share). Open now returns the functions that resize and end a message. No change of behaviour; the tests assert what they did.

--- a/core/bytebudget/budget.go
+++ b/core/bytebudget/budget.go
@@ -19,45 +19,48 @@
 // does not stop sends it rather than the others. It is safe for concurrent use.
 type Budget struct {
 	limit int
-	// lock guards all fields below, and those of the shares.
-	lock   sync.Mutex
-	used   int
-	shares map[*Share]struct{}
+	// lock guards all fields below, and those of the messages.
+	lock     sync.Mutex
+	used     int
+	messages map[*message]struct{}
 }
 
 // New returns a budget of a number of bytes.
 func New(limit int) *Budget {
 	return &Budget{
-		limit:  limit,
-		shares: map[*Share]struct{}{},
+		limit:    limit,
+		messages: map[*message]struct{}{},
 	}
 }
 
-// Open returns an empty share for a message of some kind; drop is called when the message is dropped on behalf of another one, and has to
-// end the goroutine that receives it. The share has to be closed.
-func (b *Budget) Open(kind string, drop func()) *Share {
-	return &Share{
+// Open begins a message of some kind. The first function sets its size in bytes; it fails with ErrDropped if the message was dropped, or has
+// to be. The second one ends the message and has to be called. When the message is dropped on behalf of another one, drop is called, which
+// has to end the goroutine that receives the message.
+func (b *Budget) Open(kind string, drop func()) (resize func(size int) error, end func()) {
+	m := &message{
 		budget: b,
 		kind:   kind,
 		drop:   drop,
 	}
+
+	return m.resize, m.end
 }
 
-// largest returns the share that holds the most, preferably the given one; it needs the lock.
-func (b *Budget) largest(preferred *Share) *Share {
+// largest returns the message that holds the most, preferably the given one; it needs the lock.
+func (b *Budget) largest(preferred *message) *message {
 	found := preferred
-	for s := range b.shares {
-		if s.held > found.held {
-			found = s
+	for m := range b.messages {
+		if m.held > found.held {
+			found = m
 		}
 	}
 
 	return found
 }
 
-// release takes a share out of the budget; it needs the lock.
-func (b *Budget) release(s *Share) {
-	b.used -= s.held
-	s.held = 0
-	delete(b.shares, s)
+// release takes a message out of the budget; it needs the lock.
+func (b *Budget) release(m *message) {
+	b.used -= m.held
+	m.held = 0
+	delete(b.messages, m)
 }
--- a/core/bytebudget/budget_test.go
+++ b/core/bytebudget/budget_test.go
@@ -13,36 +13,38 @@
 	is := is.New(t)
 	b := New(100 << 10)
 	var ended []string
-	open := func(name string) *Share {
+	open := func(name string) (resize func(int) error, end func()) {
 		return b.Open("test", func() { ended = append(ended, name) })
 	}
-	small, large, growing := open("small"), open("large"), open("growing")
-	is.NoErr(small.Resize(20 << 10))
-	is.NoErr(large.Resize(50 << 10))
-	is.NoErr(growing.Resize(30 << 10))
-	is.NoErr(growing.Resize(40 << 10))
+	small, endSmall := open("small")
+	large, endLarge := open("large")
+	growing, endGrowing := open("growing")
+	is.NoErr(small(20 << 10))
+	is.NoErr(large(50 << 10))
+	is.NoErr(growing(30 << 10))
+	is.NoErr(growing(40 << 10))
 	is.Equal(ended, []string{"large"})
-	is.True(errors.Is(large.Resize(1<<10), ErrDropped))
-	is.NoErr(growing.Resize(80 << 10))
-	is.True(errors.Is(growing.Resize(81<<10), ErrDropped)) // it is the largest itself
+	is.True(errors.Is(large(1<<10), ErrDropped))
+	is.NoErr(growing(80 << 10))
+	is.True(errors.Is(growing(81<<10), ErrDropped)) // it is the largest itself
 	is.Equal(ended, []string{"large"})
-	is.NoErr(small.Resize(100 << 10))
-	is.NoErr(small.Resize(0))
-	for _, s := range []*Share{small, large, growing} {
-		s.Close()
-	}
+	is.NoErr(small(100 << 10))
+	is.NoErr(small(0))
+	endSmall()
+	endLarge()
+	endGrowing()
 	is.Equal(b.used, 0)
-	is.Equal(len(b.shares), 0)
+	is.Equal(len(b.messages), 0)
 }
 
 // Guards against a message that is larger than the budget and is received all the same, and against counting ordinary ones.
 func TestSizeOfOneMessage(t *testing.T) {
 	is := is.New(t)
 	b := New(100 << 10)
-	s := b.Open("test", func() {})
-	defer s.Close()
-	is.NoErr(s.Resize(freeBytes))
-	is.Equal(len(b.shares), 0)
-	is.True(errors.Is(s.Resize(101<<10), ErrDropped))
-	is.True(errors.Is(s.Resize(freeBytes), ErrDropped))
+	resize, end := b.Open("test", func() {})
+	defer end()
+	is.NoErr(resize(freeBytes))
+	is.Equal(len(b.messages), 0)
+	is.True(errors.Is(resize(101<<10), ErrDropped))
+	is.True(errors.Is(resize(freeBytes), ErrDropped))
 }
--- a/core/forward/read.go
+++ b/core/forward/read.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 
-	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/fault"
 )
 
@@ -13,8 +12,8 @@
 var errTooLong = fault.New(fault.CodeOutcomeUnknown, "the response is too long")
 
 // readWhole reads a stream to its end. It fails with errTooLong if the stream is longer than limit, and with bytebudget.ErrDropped if there
-// is no memory for it.
-func readWhole(stream io.Reader, limit int, share *bytebudget.Share) ([]byte, error) {
+// is no memory for it; resize sets the bytes that it takes of a budget.
+func readWhole(stream io.Reader, limit int, resize func(size int) error) ([]byte, error) {
 	content := make([]byte, 0, firstBufferBytes)
 	for {
 		if len(content) == cap(content) {
@@ -22,11 +21,11 @@
 				return nil, errTooLong
 			}
 			// Both buffers are in memory while one is copied to the other.
-			if err := share.Resize(3 * cap(content)); err != nil {
+			if err := resize(3 * cap(content)); err != nil {
 				return nil, err
 			}
 			content = append(make([]byte, 0, 2*cap(content)), content...)
-			if err := share.Resize(cap(content)); err != nil {
+			if err := resize(cap(content)); err != nil {
 				return nil, err
 			}
 		}
--- a/core/forward/read_test.go
+++ b/core/forward/read_test.go
@@ -29,31 +29,33 @@
 	is := is.New(t)
 	const budget = 1 << 20
 	b := bytebudget.New(budget)
-	open := func() *bytebudget.Share { return b.Open("test", func() {}) }
+	open := func() (resize func(int) error, end func()) { return b.Open("test", func() {}) }
 	sent := strings.Repeat("0123456789", 10_000)
-	share := open()
-	content, err := readWhole(io.MultiReader(strings.NewReader(sent[:7]), strings.NewReader(sent[7:])), len(sent), share)
+	resize, end := open()
+	content, err := readWhole(io.MultiReader(strings.NewReader(sent[:7]), strings.NewReader(sent[7:])), len(sent), resize)
 	is.NoErr(err)
 	is.Equal(string(content), sent)
-	share.Close()
-	share = open()
-	_, err = readWhole(strings.NewReader(sent), len(sent)-1, share)
+	end()
+	resize, end = open()
+	_, err = readWhole(strings.NewReader(sent), len(sent)-1, resize)
 	is.True(errors.Is(err, errTooLong))
-	share.Close()
+	end()
 	held := 0
 	for range 100 {
-		e, share := &endless{}, open()
-		_, err := readWhole(e, maxBodyBytes, share)
+		e := &endless{}
+		endlessResize, endEndless := open()
+		defer endEndless()
+		_, err := readWhole(e, maxBodyBytes, endlessResize)
 		is.True(errors.Is(err, bytebudget.ErrDropped))
 		held = max(held, e.read)
-		ordinary := open() // the others have not given theirs back yet
+		ordinary, endOrdinary := open() // the others have not given theirs back yet
 		_, err = readWhole(strings.NewReader(sent), len(sent), ordinary)
 		is.NoErr(err)
-		ordinary.Close()
+		endOrdinary()
 	}
 	is.True(held <= budget)
-	share = open()
-	defer share.Close()
-	_, err = readWhole(io.MultiReader(strings.NewReader("x"), errorReader{}), 10, share)
+	resize, end = open()
+	defer end()
+	_, err = readWhole(io.MultiReader(strings.NewReader("x"), errorReader{}), 10, resize)
 	is.True(err != nil)
 }
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -191,8 +191,8 @@
 	defer cancel(nil)
 	w := rs.startWatchdog(cancel)
 	defer w.stop()
-	share := rs.forwarder.budget.Open("responses", func() { cancel(bytebudget.ErrDropped) })
-	defer share.Close()
+	resize, end := rs.forwarder.budget.Open("responses", func() { cancel(bytebudget.ErrDropped) })
+	defer end()
 	rs.sentAt = rs.forwarder.now()
 	rs.progressAt = rs.sentAt
 	after := int64(0)
@@ -206,13 +206,13 @@
 	}
 	defer resp.Body.Close()
 	if resp.Status == http.StatusOK && rs.route.Kind == route.KindStream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return attemptError(ctx, rs.forwardStream(resp, p.server, w, share))
+		return attemptError(ctx, rs.forwardStream(resp, p.server, w, resize))
 	}
 	if rs.began {
 		return errStatus
 	}
 
-	return attemptError(ctx, rs.forwardWhole(resp, w, share))
+	return attemptError(ctx, rs.forwardWhole(resp, w, resize))
 }
 
 // attemptError returns the reason for which this instance has ended an attempt in place of the error that this led to.
@@ -228,8 +228,8 @@
 
 // forwardWhole passes on a response after all of it has been read, so that another attempt can still replace one that is cut
 // off.
-func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, share *bytebudget.Share) error {
-	body, err := readWhole(resp.Body, maxBodyBytes, share)
+func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, resize func(size int) error) error {
+	body, err := readWhole(resp.Body, maxBodyBytes, resize)
 	w.stop()
 	if errors.Is(err, errTooLong) || errors.Is(err, bytebudget.ErrDropped) {
 		return err
@@ -254,7 +254,7 @@
 }
 
 // forwardStream passes on complete events as they arrive.
-func (rs *requestState) forwardStream(resp *response.Response, s backend.Server, w *watchdog, share *bytebudget.Share) error {
+func (rs *requestState) forwardStream(resp *response.Response, s backend.Server, w *watchdog, resize func(size int) error) error {
 	if rs.splitter == nil {
 		rs.splitter = eventstream.New(rs.resumedAfter())
 	}
@@ -266,7 +266,7 @@
 			rs.splitter.Feed(buffer[:n])
 			delivered, err := rs.deliver(resp)
 			if err == nil {
-				err = share.Resize(rs.splitter.Pending())
+				err = resize(rs.splitter.Pending())
 			}
 			if err != nil {
 				return err
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -195,8 +195,8 @@
 
 // collect appends the data of the stream's events to the item's text until the stream ends.
 func (r *Runner) collect(it *item, s backend.Server, body io.Reader, silence *time.Timer, cancel func()) error {
-	share := r.budget.Open("items", cancel)
-	defer share.Close()
+	resize, end := r.budget.Open("items", cancel)
+	defer end()
 	splitter := eventstream.New(it.last)
 	stream := coalesce.New(body, readInterval, r.now)
 	buffer := make([]byte, readBytes)
@@ -206,7 +206,7 @@
 			splitter.Feed(buffer[:n])
 			appended, err := r.appendEvents(it, splitter)
 			if err == nil {
-				err = r.checkSize(it, share, splitter.Pending())
+				err = r.checkSize(it, resize, splitter.Pending())
 			}
 			if err != nil {
 				return err
@@ -231,7 +231,7 @@
 
 // checkSize fails if the output of an item, of which some bytes are in an incomplete event, is too long or the largest of more than there
 // is memory for.
-func (r *Runner) checkSize(it *item, share *bytebudget.Share, pending int) error {
+func (r *Runner) checkSize(it *item, resize func(size int) error, pending int) error {
 	r.lock.Lock()
 	size := len(it.text) + pending
 	r.lock.Unlock()
@@ -239,7 +239,7 @@
 		return errTooLong
 	}
 
-	return share.Resize(size)
+	return resize(size)
 }
 
 // appendEvents appends the data of the events that have arrived to the item's text and reports whether there was any.
--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -118,7 +118,7 @@
 			done: make(chan struct{}),
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
-		a.head = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
+		a.resizeHead, a.endHead = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
 		r, err := c.transportFor(q).RoundTrip(c.request(a.trace(ctx, cancel), s, q, after))
 		a.finish()
 		if !a.unsent {
--- a/io/backendhttp/connection.go
+++ b/io/backendhttp/connection.go
@@ -8,7 +8,6 @@
 	"sync"
 	"sync/atomic"
 
-	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/fault"
 )
 
@@ -121,29 +120,31 @@
 	sent atomic.Bool
 	// lock guards the fields below; a budget's lock may be taken while it is held.
 	lock sync.Mutex
-	// head is the memory of the response's head, nil once that is complete, and headBytes its size so far.
-	head      *bytebudget.Share
-	headBytes int
+	// headBytes is the size of the response's head so far. resizeHead and endHead count it in a budget; resizeHead is nil once the head is
+	// complete.
+	headBytes  int
+	resizeHead func(size int) error
+	endHead    func()
 }
 
 // received records bytes of the response's head.
 func (a *attempt) received(n int) error {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	if a.head == nil {
+	if a.resizeHead == nil {
 		return nil
 	}
 	a.headBytes += n
 
-	return a.head.Resize(a.headBytes)
+	return a.resizeHead(a.headBytes)
 }
 
 // finish records that the transport has returned.
 func (a *attempt) finish() {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	a.head.Close()
-	a.head = nil
+	a.endHead()
+	a.resizeHead = nil
 	close(a.done)
 }
 
