--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -62,6 +62,8 @@
 	progress map[string]gossip.BatchProgress
 	// failureRate is the fraction of attempts that break off.
 	failureRate float64
+	// hideRoute is set while instances have a configuration without the route.
+	hideRoute atomic.Bool
 	// keepFor is how long jobs stay readable.
 	keepFor time.Duration
 }
@@ -86,6 +88,10 @@
 }
 
 func (f *fleet) Current() (*route.Table, int64) {
+	if f.hideRoute.Load() {
+		return &route.Table{Version: 1}, 1
+	}
+
 	return &route.Table{Version: 1, Routes: []route.Route{testRoute}}, 1
 }
 
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -36,6 +36,9 @@
 	j.Holder = r.name
 	j.Incarnation = r.incarnation
 	j.Items = len(items)
+	if _, version := r.routes.Current(); version > 0 {
+		j.RouteVersion = int(version)
+	}
 	r.lock.Lock()
 	held := r.jobs[j.ID] != nil
 	_, open := r.unresolved[j.ID]
--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -92,6 +92,10 @@
 	// Parts is how many objects hold the items.
 	Parts int `json:"Parts"`
 
+	// RouteVersion is the version of the configuration with which the job was
+	// accepted; older ones may not have its route.
+	RouteVersion int `json:"RouteVersion,omitempty,omitzero"`
+
 	// SubmittedAt is when the job was first received, by the accepting instance's
 	// clock.
 	SubmittedAt time.Time `json:"SubmittedAt"`
@@ -150,6 +154,12 @@
 	if 1 > plain.Parts {
 		return fmt.Errorf("field %s: must be >= %v", "Parts", 1)
 	}
+	if v, ok := raw["RouteVersion"]; !ok || v == nil {
+		plain.RouteVersion = 0
+	}
+	if 0 > plain.RouteVersion {
+		return fmt.Errorf("field %s: must be >= %v", "RouteVersion", 0)
+	}
 	if v, ok := raw["Tokens"]; !ok || v == nil {
 		plain.Tokens = 0
 	}
