--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -65,8 +65,9 @@
 	return nil
 }
 
-// Job is the record of a job; the job is accepted once its record exists. Holder
-// and Incarnation change when another instance takes the job over.
+// Job is the record of a job; the job is accepted once its record and all its
+// parts exist. Holder and Incarnation change when another instance takes the job
+// over.
 type Job struct {
 	// Finished is set once all items are listed, so that the job needs no takeover.
 	Finished bool `json:"Finished,omitempty,omitzero"`
