Look for a holder also when an accepted job is not taken

A job that was acknowledged by an instance that does not take it (over the limit, or expected to be late) could stand still for up to a minute: its record, written late by a lost instance, was not there when jobs without a holder were looked for.

Change: the instance reads who holds the job and announces it if nobody does, as on the path that writes what is missing.

--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -62,7 +62,11 @@
 		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
 	}
 	if late != nil {
-		if accepted, err := r.log.Accepted(ctx, j.ID); err == nil {
+		accepted, err := r.log.Accepted(ctx, j.ID)
+		if accepted {
+			r.findHolder(ctx, j.ID)
+		}
+		if err == nil {
 			return r.refuseLate(&j, late, accepted)
 		}
 	}
@@ -150,7 +154,7 @@
 		return err
 	}
 	if accepted {
-		r.logger.Info("job submitted again", "job", j.ID, "route", rt.Name, "held", false, "outcome", "accepted before")
+		r.findHolder(ctx, j.ID)
 
 		return nil
 	}
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -109,3 +109,40 @@
 		})
 	}
 }
+
+// Guards against a job that stands still although it was acknowledged: its record, written late by a lost instance, was not there when jobs
+// without a holder were looked for, and the instance that got the job again did not take it.
+func TestRepeatThatIsNotTakenFindsHolder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		tokens int
+		late   bool
+	}{
+		{"over the limit", 2000, false},
+		{"expected to be late", 20, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(1, 0)
+				l := logs.New(f.objects)
+				items := newItems("job", 2)
+				j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), Tokens: c.tokens, SubmittedAt: time.Now(), Holder: "gone"}
+				_, err := l.Accept(t.Context(), &j, items, map[int]bool{})
+				is.NoErr(err)
+				r, stop := f.start("e")
+				defer stop()
+				if c.late {
+					r.lock.Lock()
+					r.runTime.observe(time.Second, 10, 10)
+					r.lock.Unlock()
+					f.overload(3)
+					time.Sleep(20 * time.Second)
+				}
+				is.NoErr(r.Submit(t.Context(), &testRoute, j, items))
+				time.Sleep(8 * time.Second)
+				is.True(check(t, l, "job", len(items)))
+			})
+		})
+	}
+}
