--- a/models/check.sh
+++ b/models/check.sh
@@ -57,6 +57,10 @@
 for variant in NO_CREATE_IF_ABSENT NO_TAKEOVER NO_VIEW_AGE NO_CONDITION EARLY_END ACCEPT_BEFORE_RECORD REWRITES_INDEX; do
   check batch fails "$variant"
 done
+check accept holds
+for variant in CLAIM_PROVES RECORD_PROVES DELETE_BY_AGE NO_SEARCH; do
+  check accept fails "$variant"
+done
 check results holds
 for variant in NO_CREATE_IF_ABSENT NO_READ OWN_COUNT; do
   check results fails "$variant"
