Compare failures by identity where their code is not enough

errors.Is matches failures of this project by their code.

Change: fault.Caused compares by identity.

--- a/core/fault/error.go
+++ b/core/fault/error.go
@@ -58,6 +58,17 @@
 	return ok && t.Code == e.Code
 }
 
+// Caused reports whether a failure itself, and not only one with the same code, is in err's chain.
+func Caused(err, failure error) bool {
+	for ; err != nil; err = errors.Unwrap(err) {
+		if err == failure { //nolint:errorlint // the identity counts, which errors.Is does not compare.
+			return true
+		}
+	}
+
+	return false
+}
+
 // CodeOf returns the code of the outermost failure in err's chain, CodeInternal if there is none, or empty for nil.
 func CodeOf(err error) Code {
 	if err == nil {
--- a/core/fault/error_test.go
+++ b/core/fault/error_test.go
@@ -29,3 +29,13 @@
 		})
 	}
 }
+
+// Guards against taking a failure for another one that has the same code.
+func TestCausedComparesFailures(t *testing.T) {
+	is := is.New(t)
+	one, other := New(CodeStreamLost, "one"), New(CodeStreamLost, "other")
+	wrapped := Wrap(one, CodeOutcomeUnknown, "wrapped")
+	is.True(Caused(wrapped, one))
+	is.True(!Caused(wrapped, other))
+	is.True(!Caused(nil, one))
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -218,7 +218,7 @@
 // attemptError returns the reason for which this instance has ended an attempt in place of the error that this led to.
 func attemptError(ctx context.Context, err error) error {
 	for _, reason := range []error{errSilent, bytebudget.ErrDropped} {
-		if err != nil && errors.Is(context.Cause(ctx), reason) {
+		if err != nil && fault.Caused(context.Cause(ctx), reason) {
 			return reason
 		}
 	}
@@ -231,7 +231,7 @@
 func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, resize func(size int) error) error {
 	body, err := readWhole(resp.Body, maxBodyBytes, resize)
 	w.stop()
-	if errors.Is(err, errTooLong) || errors.Is(err, bytebudget.ErrDropped) {
+	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
 		return err
 	}
 	if err != nil {
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -113,7 +113,7 @@
 	it.state = waiting
 	code := fault.CodeOf(err)
 	account(it, first, outcome(code, j.due(rt), at), at)
-	if errors.Is(err, errTooLong) || errors.Is(err, bytebudget.ErrDropped) {
+	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
 		it.restart()
 	}
 	switch {
