Name the reader of a closing connection in a comment

The comment named ServeHTTP of another package; Handler of the limiter is what looks the connection up. Found in a last read of the change; a comment only. Tests of io/idleconn and the style check pass.

--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -61,7 +61,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if state == http.StateActive && l.connections[c].closing {
-		return // ServeHTTP has to know
+		return // Handler has to find it
 	}
 	if state != http.StateNew && state != http.StateIdle {
 		delete(l.connections, c)
