Log how long a server was silent, and count responses that were cut

`attempt ended` has `began` and `silent_ms` now, a cut response gets the line `response cut`, which says whether an attempt of its request was ended for silence, and ForwardCuts counts them by that. No logic changes.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -29,10 +29,11 @@
 	defaultTimeout = 60 * time.Second
 )
 
-// Metrics of forwarded requests: their ends by route kind and outcome, failed attempts by fault code, the time to the first
-// event or whole response, and the time to the end.
+// Metrics of forwarded requests: their ends by route kind and outcome, responses that were cut after they had begun by the code of their
+// last attempt, failed attempts by fault code, the time to the first event or whole response, and the time to the end.
 var (
 	ends       = expvar.NewMap("ForwardEnds")
+	cuts       = expvar.NewMap("ForwardCuts")
 	failures   = expvar.NewMap("ForwardFailures")
 	firstBytes = histogram.New("ForwardFirstByteMillis")
 	durations  = histogram.New("ForwardDurationMillis")
@@ -138,6 +139,9 @@
 		outcome = string(fault.CodeOf(err))
 	}
 	ends.Add(string(r.Kind)+" "+outcome, 1)
+	if err != nil && rs.began {
+		f.recordCut(rs, outcome)
+	}
 	at := f.now()
 	durations.Record(at.Sub(rs.timing.startedAt))
 	if err == nil {
@@ -147,6 +151,16 @@
 	return err
 }
 
+// recordCut counts a response that ends incomplete, and logs whether an attempt of its request was ended for the silence of its server.
+func (f *Forwarder) recordCut(rs *requestState, outcome string) {
+	if rs.silenced {
+		outcome += " after silence"
+	}
+	cuts.Add(outcome, 1)
+	f.log.Info("response cut", "request", rs.call.ID, "route", rs.route.Name, "server", rs.server, "code", outcome, "silenced", rs.silenced,
+		"last_event", rs.lastID(), "ran", rs.ran, "refused", rs.refused)
+}
+
 // logResponse logs a request that was answered. A response that was on time at the first attempt is logged at debug level, whose
 // lines are dropped first when the log's reader is slow. Failed requests are logged by the code that calls Run.
 func (f *Forwarder) logResponse(rs *requestState, at time.Time) {
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -61,6 +61,8 @@
 	// progressed is set when the current attempt has delivered an event, completed when it has delivered a successful response.
 	progressed bool
 	completed  bool
+	// silenced is set when an attempt was ended because its server was silent.
+	silenced bool
 	// lost is set when an attempt has lost its connection before anything was answered.
 	lost     bool
 	splitter *eventstream.Splitter
@@ -123,6 +125,7 @@
 // mayRetry reports whether another attempt is allowed after a failed one, and logs the decision.
 func (rs *requestState) mayRetry(ctx context.Context, p *reservation, err error) bool {
 	notRun := fault.NotRun(err)
+	rs.silenced = rs.silenced || fault.Caused(err, errSilent)
 	if notRun {
 		rs.refused++
 	} else {
@@ -135,12 +138,9 @@
 		allowed = allowed && rs.route.Repeatable() && rs.ran < max(1, rs.route.MaxAttempts)
 	}
 	allowed = allowed && !rs.dangerous()
-	var last int64
-	if rs.splitter != nil {
-		last = rs.splitter.LastID()
-	}
 	rs.forwarder.log.Info("attempt ended", "request", rs.call.ID, "route", rs.route.Name, "server", p.server.ID, "error", err.Error(),
-		"crowded", p.oversubscribed, "not_run", notRun, "attempts", rs.ran, "refusals", rs.refused, "last_event", last, "again", allowed)
+		"crowded", p.oversubscribed, "not_run", notRun, "attempts", rs.ran, "refusals", rs.refused, "began", rs.began, "last_event", rs.lastID(),
+		"silent_ms", rs.forwarder.now().Sub(rs.progressAt).Milliseconds(), "again", allowed)
 
 	return allowed
 }
@@ -195,12 +195,10 @@
 	defer end()
 	rs.sentAt = rs.forwarder.now()
 	rs.progressAt = rs.sentAt
-	after := int64(0)
 	if rs.splitter != nil {
-		after = rs.splitter.LastID()
 		rs.splitter.DropPartial()
 	}
-	resp, err := rs.forwarder.sender.Send(ctx, p.server, rs.call, after)
+	resp, err := rs.forwarder.sender.Send(ctx, p.server, rs.call, rs.lastID())
 	if err != nil {
 		return attemptError(ctx, err)
 	}
@@ -331,6 +329,15 @@
 	firstBytes.Record(rs.forwarder.now().Sub(rs.timing.startedAt))
 }
 
+// lastID returns the ID of the last event that was received on any attempt, 0 if there is none.
+func (rs *requestState) lastID() int64 {
+	if rs.splitter == nil {
+		return 0
+	}
+
+	return rs.splitter.LastID()
+}
+
 // resumedAfter returns the ID of the last event that the caller has from an earlier request, as it states in the header
 // Last-Event-Id; 0 if it has none.
 func (rs *requestState) resumedAfter() int64 {
