Reproduce requests that fail because a sound server was silent

TestSlowCallerIsNotSilence, found while the test was written: the time for which a write to the caller blocks counts as silence of the server, so a caller that reads slowly loses its stream to the second server: "reset".

--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,7 +31,11 @@
 	// broken ends the body with an error; hung lets it block until the attempt is canceled, dripping lets it send a comment now
 	// and then until then. slow is the pause before each event.
 	broken, hung, dripping bool
-	slow                   time.Duration
+	// mute lets the server accept the request and send nothing until the attempt is canceled.
+	mute bool
+	slow time.Duration
+	// first is the pause before the first event if it is another one, and wait the time until the server answers at all.
+	first, wait time.Duration
 	// stream sets the content type of an event stream, which a body that begins with an id has anyway.
 	stream bool
 }
@@ -40,10 +45,14 @@
 }
 
 type fake struct {
-	replies        []reply
-	after          []int64
-	servers        []string
-	released       int
+	// lock guards servers, after, released, ended and failed.
+	lock     sync.Mutex
+	replies  []reply
+	after    []int64
+	servers  []string
+	released int
+	// ended holds for how long each attempt has held its reservation, in the order of their ends.
+	ended          []time.Duration
 	failed         []string
 	free           bool
 	oversubscribed bool
@@ -51,9 +60,17 @@
 }
 
 func (f *fake) Send(ctx context.Context, s backend.Server, _ *call.Call, after int64) (*response.Response, error) {
+	f.lock.Lock()
 	r := f.replies[len(f.servers)]
 	f.servers = append(f.servers, s.ID)
 	f.after = append(f.after, after)
+	f.lock.Unlock()
+	time.Sleep(r.wait)
+	if r.mute {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
 	if r.err != nil {
 		return nil, r.err
 	}
@@ -66,7 +83,7 @@
 		body = io.MultiReader(body, errorReader{})
 	}
 	if r.slow > 0 {
-		body = &slowReader{events: strings.SplitAfter(r.body, "\n\n"), pause: r.slow}
+		body = &slowReader{ctx: ctx, events: strings.SplitAfter(r.body, "\n\n"), pause: r.slow, first: r.first}
 	}
 	if r.dripping {
 		body = io.MultiReader(body, drippingReader{ctx: ctx})
@@ -102,17 +119,27 @@
 	}
 }
 
-// slowReader returns one event at a time, each after a pause.
+// slowReader returns one event at a time, each after a pause, until the attempt is canceled.
 type slowReader struct {
+	ctx    context.Context
 	events []string
 	pause  time.Duration
+	first  time.Duration
 }
 
 func (s *slowReader) Read(p []byte) (int, error) {
 	if len(s.events) == 0 {
 		return 0, io.EOF
 	}
-	time.Sleep(s.pause)
+	pause := s.pause
+	if s.first > 0 {
+		pause, s.first = s.first, 0
+	}
+	select {
+	case <-time.After(pause):
+	case <-s.ctx.Done():
+		return 0, s.ctx.Err()
+	}
 	n := copy(p, s.events[0])
 	s.events = s.events[1:]
 
@@ -133,19 +160,30 @@
 	f.loadLimits = append(f.loadLimits, loadLimit)
 	for _, id := range []string{"a", "b", "c"} {
 		if !excluded[id] {
-			return backend.Server{ID: id}, func() { f.released++ }, true
+			reservedAt := time.Now()
+
+			return backend.Server{ID: id}, func() { f.release(time.Since(reservedAt)) }, true
 		}
 	}
 
 	return backend.Server{}, nil, false
 }
 
+func (f *fake) release(held time.Duration) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.released++
+	f.ended = append(f.ended, held)
+}
+
 func (f *fake) Excess(backend.Server, time.Time) int          { return 0 }
 func (f *fake) Oversubscribed(backend.Server, time.Time) bool { return f.oversubscribed }
 func (f *fake) Preempt(string, int)                           {}
 func (f *fake) RecordProgress(string, time.Time)              {}
 
 func (f *fake) RecordAttempt(id string, err error, _, _ time.Time) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
 	if err != nil {
 		f.failed = append(f.failed, id)
 	}
@@ -156,6 +194,8 @@
 	stamp  string
 	body   bytes.Buffer
 	fail   bool
+	// pause is how long each write takes.
+	pause time.Duration
 }
 
 func (r *recorder) Begin(status int, h http.Header, _ int64) error {
@@ -168,6 +208,7 @@
 	if r.fail {
 		return io.ErrClosedPipe
 	}
+	time.Sleep(r.pause)
 	r.body.Write(p)
 
 	return nil
