Keep a silent server until another one has accepted its request

What callers saw: streams that were cut in the middle, and requests that failed, though the server that worked on them was sound and only silent for a while.

Cause: the watchdog ended the attempt at a server that was silent for half of the gap target as soon as another server had a free slot by this instance's own count, and only then asked that server. From there on the request depended on it: where it refused, reset the connection, failed or was silent as well, a begun stream was cut, and another request got that failure. A stream without event ids was ended as well, though no other server could continue it. The class of fault: something that works is given up before its replacement is there.

Change: the watchdog sends the request to the second server while the current attempt goes on, and ends that attempt once the second one has answered with a stream, or with a whole response that is no failure. If the second server refuses or fails, the current attempt stays and further servers are asked within the same limits of attempts and refusals. Progress of the current attempt cancels the second one. Both run side by side for at most 300 ms; then a response that has begun stays with its server, and another one is left to the second server, as a server that is gone is silent as well. What the second attempt shows of its server (unreachable, connection lost) counts as for any attempt, and a silent server is reported to the roster at the same moment as before.

The test's slow server no longer pauses between its last event and the end of its stream, which only this fake did.

Ruled out: asking more servers after the current attempt has ended, which still depends on one of them; a longer time before the watchdog acts, which leaves callers of a server that is gone without events for longer and the fault as it is.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -204,26 +204,26 @@
 // recordAttempt reports to the roster how an attempt ended that last made progress at progressAt. It reports no attempt that
 // ended because of the caller, and no silence of a server on which online requests queue: at peak load they queue on all
 // servers, and if each server that kept a request waiting were suspected, the load would move to fewer and fewer servers.
-func (f *Forwarder) recordAttempt(ctx context.Context, p *reservation, progressAt time.Time, err error) {
+func (f *Forwarder) recordAttempt(ctx context.Context, a *attempt, progressAt time.Time, err error) {
 	if err != nil {
 		failures.Add(string(fault.CodeOf(err)), 1)
 	}
-	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil || p.oversubscribed && fault.CodeOf(err) == fault.CodeBackendSilent {
+	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil || a.oversubscribed && fault.CodeOf(err) == fault.CodeBackendSilent {
 		return
 	}
-	f.roster.RecordAttempt(p.server.ID, err, progressAt, f.now())
+	f.roster.RecordAttempt(a.server.ID, err, progressAt, f.now())
 }
 
 // recordParts reports to the quarantine how an attempt ended: whether the request has completed, or its connection was lost before
 // anything was answered.
-func (f *Forwarder) recordParts(ctx context.Context, rs *requestState, p *reservation, err error) {
+func (f *Forwarder) recordParts(ctx context.Context, rs *requestState, a *attempt, err error) {
 	switch at := f.now(); {
 	case rs.completed:
-		f.parts.RecordCompletion(p.server, rs.call.Parts, rs.sentAt, at)
+		f.parts.RecordCompletion(a.server, rs.call.Parts, rs.sentAt, at)
 	case err == nil:
-		f.parts.RecordProgress(p.server, rs.sentAt, at)
+		f.parts.RecordProgress(a.server, rs.sentAt, at)
 	case ctx.Err() == nil && !rs.progressed && response.ConnectionLost(err):
 		rs.lost = true
-		f.parts.RecordLoss(p.server, rs.call.Parts, at)
+		f.parts.RecordLoss(a.server, rs.call.Parts, at)
 	}
 }
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -83,7 +84,7 @@
 		body = io.MultiReader(body, errorReader{})
 	}
 	if r.slow > 0 {
-		body = &slowReader{ctx: ctx, events: strings.SplitAfter(r.body, "\n\n"), pause: r.slow, first: r.first}
+		body = &slowReader{ctx: ctx, events: slices.DeleteFunc(strings.SplitAfter(r.body, "\n\n"), func(e string) bool { return e == "" }), pause: r.slow, first: r.first}
 	}
 	if r.dripping {
 		body = io.MultiReader(body, drippingReader{ctx: ctx})
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"tarragonwalk/core/backend"
@@ -34,7 +35,7 @@
 	errStatus = fault.New(fault.CodeBackendFailed, "the backend server answered with a failure")
 )
 
-// requestState is the state of one request; it is used by one goroutine, except for its watchdog.
+// requestState is the state of one request. Its goroutine shares it with the watchdog of the current attempt.
 type requestState struct {
 	forwarder *Forwarder
 	route     *route.Route
@@ -43,6 +44,10 @@
 	service   string
 	// loadLimit is the limit of online requests per slot below which a server gets the request.
 	loadLimit float64
+
+	// lock guards the fields below while a watchdog runs. It is taken before the locks of the placer, the roster, the prompt parts and
+	// the batch runner.
+	lock sync.Mutex
 	// tried holds the IDs of the servers that the request was sent to.
 	tried map[string]bool
 	// ran counts attempts that may have run.
@@ -66,71 +71,72 @@
 	// lost is set when an attempt has lost its connection before anything was answered.
 	lost     bool
 	splitter *eventstream.Splitter
-	// next is the reservation for the next attempt, which the watchdog made before it ended the current one.
-	next *reservation
-}
-
-// reservation counts the request among those in flight on a server until release is called.
-type reservation struct {
-	server  backend.Server
-	release func()
-	// oversubscribed is set if the server has more online requests than slots: the request may have to wait in its queue, so
-	// silence does not mean that the server has failed.
-	oversubscribed bool
+	// next is the next attempt if the watchdog has started it already.
+	next *attempt
 }
 
 func (rs *requestState) run(ctx context.Context) error {
 	for {
-		p := rs.reserve()
-		if p == nil {
+		a := rs.nextAttempt(ctx)
+		if a == nil {
 			return rs.finalError(ctx, fault.New(fault.CodeOverloaded, "no backend server of service "+rs.service+" can take the request"))
 		}
-		at := rs.forwarder.now()
-		p.oversubscribed = rs.forwarder.placer.Oversubscribed(p.server, at)
-		if n := rs.forwarder.placer.Excess(p.server, at); n > 0 {
-			rs.forwarder.batch.Preempt(p.server.ID, n)
+		err := rs.perform(ctx, a)
+		// The watchdog has reported a silent server when it looked for another one.
+		if !fault.Caused(err, errSilent) {
+			rs.forwarder.recordAttempt(ctx, a, rs.progressAt, err)
 		}
-		err := rs.attempt(ctx, p)
-		rs.forwarder.recordAttempt(ctx, p, rs.progressAt, err)
-		rs.forwarder.recordParts(ctx, rs, p, err)
+		rs.forwarder.recordParts(ctx, rs, a, err)
 		if err == nil {
-			rs.releaseNext()
+			rs.abandonNext()
 
 			return nil
 		}
-		if !rs.mayRetry(ctx, p, err) {
+		if !rs.mayRetry(ctx, a, err) {
 			return rs.finalError(ctx, err)
 		}
 	}
 }
 
-func (rs *requestState) reserve() *reservation {
-	if p := rs.next; p != nil {
+// nextAttempt returns the attempt that the watchdog has started, or a new one, nil if no server can take the request.
+func (rs *requestState) nextAttempt(ctx context.Context) *attempt {
+	if a := rs.next; a != nil {
 		rs.next = nil
 
-		return p
+		return a
 	}
-	at := rs.forwarder.now()
-	s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at)
+	s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, rs.forwarder.now())
 	if !ok {
 		return nil
 	}
 
-	return &reservation{
-		server:  s,
-		release: release,
+	return rs.newAttempt(ctx, s, release)
+}
+
+// newAttempt returns an attempt on a server where a slot is reserved, and preempts batch items there that use more slots than there are.
+func (rs *requestState) newAttempt(ctx context.Context, s backend.Server, release func()) *attempt {
+	at := rs.forwarder.now()
+	rs.tried[s.ID] = true
+	if n := rs.forwarder.placer.Excess(s, at); n > 0 {
+		rs.forwarder.batch.Preempt(s.ID, n)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+
+	return &attempt{
+		server:         s,
+		release:        release,
+		oversubscribed: rs.forwarder.placer.Oversubscribed(s, at),
+		ctx:            ctx,
+		cancel:         cancel,
+		sentAt:         at,
+		answered:       make(chan struct{}),
 	}
 }
 
 // mayRetry reports whether another attempt is allowed after a failed one, and logs the decision.
-func (rs *requestState) mayRetry(ctx context.Context, p *reservation, err error) bool {
-	notRun := fault.NotRun(err)
+func (rs *requestState) mayRetry(ctx context.Context, a *attempt, err error) bool {
 	rs.silenced = rs.silenced || fault.Caused(err, errSilent)
-	if notRun {
-		rs.refused++
-	} else {
-		rs.ran++
-	}
+	notRun := rs.count(err)
 	allowed := ctx.Err() == nil && !errors.Is(err, errSink) && (!rs.began || rs.splitter.Resumable())
 	if notRun {
 		allowed = allowed && rs.refused < maxRefusals
@@ -138,13 +144,62 @@
 		allowed = allowed && rs.route.Repeatable() && rs.ran < max(1, rs.route.MaxAttempts)
 	}
 	allowed = allowed && !rs.dangerous()
-	rs.forwarder.log.Info("attempt ended", "request", rs.call.ID, "route", rs.route.Name, "server", p.server.ID, "error", err.Error(),
-		"crowded", p.oversubscribed, "not_run", notRun, "attempts", rs.ran, "refusals", rs.refused, "began", rs.began, "last_event", rs.lastID(),
-		"silent_ms", rs.forwarder.now().Sub(rs.progressAt).Milliseconds(), "again", allowed)
+	rs.logAttempt(a, err, rs.progressAt, "again", allowed)
 
 	return allowed
 }
 
+// count counts a failed attempt and reports whether the request has certainly not run there.
+func (rs *requestState) count(err error) (notRun bool) {
+	if fault.NotRun(err) {
+		rs.refused++
+
+		return true
+	}
+	rs.ran++
+
+	return false
+}
+
+// logAttempt logs a failed attempt that last made progress at progressAt, with a decision that follows from it.
+func (rs *requestState) logAttempt(a *attempt, err error, progressAt time.Time, decision string, taken bool) {
+	rs.forwarder.log.Info("attempt ended", "request", rs.call.ID, "route", rs.route.Name, "server", a.server.ID, "error", err.Error(),
+		"crowded", a.oversubscribed, "not_run", fault.NotRun(err), "attempts", rs.ran, "refusals", rs.refused, "began", rs.began,
+		"last_event", rs.lastID(), "silent_ms", rs.forwarder.now().Sub(progressAt).Milliseconds(), decision, taken)
+}
+
+// mayHedge reports whether a second server may get the request while the current one works on it. It needs the lock.
+func (rs *requestState) mayHedge() bool {
+	return rs.route.Repeatable() && rs.ran+1 < rs.route.MaxAttempts && rs.refused < maxRefusals &&
+		(!rs.began || rs.splitter.Resumable()) && !rs.dangerous()
+}
+
+// acceptance returns nil if the server of an attempt that was answered has accepted the request, and otherwise why not.
+func (rs *requestState) acceptance(a *attempt) error {
+	switch {
+	case a.err != nil:
+		return attemptError(a.ctx, a.err)
+	case rs.began && !rs.isStream(a.response), a.response.Status >= http.StatusInternalServerError:
+		return errStatus
+	default:
+		return nil
+	}
+}
+
+// recordHedge records how an attempt ended while the current one goes on. It needs the lock.
+func (rs *requestState) recordHedge(ctx context.Context, h *attempt, err error) {
+	rs.count(err)
+	rs.logAttempt(h, err, h.sentAt, "hedge", true)
+	if ctx.Err() != nil || errors.Is(err, errAbandoned) {
+		return
+	}
+	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
+	if response.ConnectionLost(err) {
+		rs.lost = true
+		rs.forwarder.parts.RecordLoss(h.server, rs.call.Parts, rs.forwarder.now())
+	}
+}
+
 // dangerous reports whether the request may crash another server: one of its parts is quarantined, or it has lost a connection and a
 // part is suspected.
 func (rs *requestState) dangerous() bool {
@@ -159,10 +214,10 @@
 	return quarantined
 }
 
-// releaseNext releases the reservation for a next attempt that is not made.
-func (rs *requestState) releaseNext() {
+// abandonNext abandons a next attempt that is not needed.
+func (rs *requestState) abandonNext() {
 	if rs.next != nil {
-		rs.next.release()
+		rs.next.abandon()
 		rs.next = nil
 	}
 }
@@ -170,7 +225,7 @@
 // finalError returns the error of the whole request after its last attempt: the time-out if that has passed, and
 // outcome_unknown if the last attempt has not run but an earlier one may have.
 func (rs *requestState) finalError(ctx context.Context, err error) error {
-	rs.releaseNext()
+	rs.abandonNext()
 	if errors.Is(context.Cause(ctx), errTimeout) {
 		return errTimeout
 	}
@@ -181,36 +236,41 @@
 	return err
 }
 
-// attempt sends the request once; a nil error means that the caller has the whole response.
-func (rs *requestState) attempt(ctx context.Context, p *reservation) error {
-	defer p.release()
-	rs.tried[p.server.ID] = true
-	rs.server = p.server.ID
+// perform sends the request once, unless the watchdog has done so, and passes the response on; a nil error means that the caller has the
+// whole response.
+func (rs *requestState) perform(ctx context.Context, a *attempt) (err error) {
+	defer a.end()
+	rs.server = a.server.ID
 	rs.progressed, rs.completed = false, false
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	w := rs.startWatchdog(cancel)
-	defer w.stop()
-	resize, end := rs.forwarder.budget.Open("responses", func() { cancel(bytebudget.ErrDropped) })
-	defer end()
-	rs.sentAt = rs.forwarder.now()
-	rs.progressAt = rs.sentAt
+	rs.sentAt, rs.progressAt = a.sentAt, a.sentAt
 	if rs.splitter != nil {
 		rs.splitter.DropPartial()
 	}
-	resp, err := rs.forwarder.sender.Send(ctx, p.server, rs.call, rs.lastID())
-	if err != nil {
-		return attemptError(ctx, err)
+	after := rs.lastID()
+	w := rs.startWatchdog(ctx, a)
+	defer func() { w.stop(err) }()
+	resize, end := rs.forwarder.budget.Open("responses", func() { a.cancel(bytebudget.ErrDropped) })
+	defer end()
+	if !a.started {
+		a.send(rs.forwarder.sender, rs.call, after)
+	}
+	<-a.answered
+	if a.err != nil {
+		return attemptError(a.ctx, a.err)
 	}
-	defer resp.Body.Close()
-	if resp.Status == http.StatusOK && rs.route.Kind == route.KindStream && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return attemptError(ctx, rs.forwardStream(resp, p.server, w, resize))
+	if rs.isStream(a.response) {
+		return attemptError(a.ctx, rs.forwardStream(a, w, resize))
 	}
 	if rs.began {
 		return errStatus
 	}
 
-	return attemptError(ctx, rs.forwardWhole(resp, w, resize))
+	return attemptError(a.ctx, rs.forwardWhole(a.response, w, resize))
+}
+
+// isStream reports whether a response is a stream of events that are passed on as they arrive.
+func (rs *requestState) isStream(r *response.Response) bool {
+	return r.Status == http.StatusOK && rs.route.Kind == route.KindStream && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
 }
 
 // attemptError returns the reason for which this instance has ended an attempt in place of the error that this led to.
@@ -228,18 +288,22 @@
 // off.
 func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, resize func(size int) error) error {
 	body, err := readWhole(resp.Body, maxBodyBytes, resize)
-	w.stop()
+	if err == nil && resp.Status >= http.StatusInternalServerError {
+		err = errStatus
+	}
+	w.stop(err)
 	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
 		return err
 	}
-	if err != nil {
-		return fault.Wrap(err, fault.CodeOutcomeUnknown, "the response broke off")
-	}
-	if resp.Status >= http.StatusInternalServerError && rs.route.Repeatable() && rs.ran+1 < rs.route.MaxAttempts {
+	if fault.Caused(err, errStatus) && rs.route.Repeatable() && (rs.next != nil || rs.ran+1 < rs.route.MaxAttempts) {
 		return errStatus
 	}
+	if err != nil && !fault.Caused(err, errStatus) {
+		return fault.Wrap(err, fault.CodeOutcomeUnknown, "the response broke off")
+	}
 	rs.completed = resp.Status < http.StatusMultipleChoices
-	rs.begin()
+	rs.began = true
+	rs.recordFirstByte()
 	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(body))); err != nil {
 		return errSink
 	}
@@ -252,36 +316,24 @@
 }
 
 // forwardStream passes on complete events as they arrive.
-func (rs *requestState) forwardStream(resp *response.Response, s backend.Server, w *watchdog, resize func(size int) error) error {
-	if rs.splitter == nil {
-		rs.splitter = eventstream.New(rs.resumedAfter())
-	}
-	body := coalesce.New(resp.Body, readInterval, rs.forwarder.now)
+func (rs *requestState) forwardStream(a *attempt, w *watchdog, resize func(size int) error) error {
+	body := coalesce.New(a.response.Body, readInterval, rs.forwarder.now)
 	buffer := make([]byte, readBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			rs.splitter.Feed(buffer[:n])
-			delivered, err := rs.deliver(resp)
-			if err == nil {
-				err = resize(rs.splitter.Pending())
-			}
-			if err != nil {
+			if err := rs.deliver(a, w, buffer[:n]); err != nil {
 				return err
 			}
-			if delivered {
-				rs.progressAt = rs.forwarder.now()
-				rs.forwarder.roster.RecordProgress(s.ID, rs.progressAt)
-				rs.forwarder.parts.RecordProgress(s, rs.sentAt, rs.progressAt)
-				rs.progressed = true
-				w.progress()
+			if err := resize(rs.splitter.Pending()); err != nil {
+				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if rs.splitter.Pending() > 0 || !rs.began {
+			if rs.splitter == nil || rs.splitter.Pending() > 0 || !rs.began {
 				return fault.Wrap(io.ErrUnexpectedEOF, fault.CodeOutcomeUnknown, "the stream ended inside an event")
 			}
-			rs.completed = resp.Status < http.StatusMultipleChoices
+			rs.completed = a.response.Status < http.StatusMultipleChoices
 
 			return nil
 		}
@@ -291,41 +343,62 @@
 	}
 }
 
-// deliver passes on all complete events that have arrived in one write, also those before one that is wrong: the next attempt goes on
-// after them. It reports whether any of them contains data. Bytes without data, such as comments or parts of an event, are no progress: a
-// server could send them without end.
-func (rs *requestState) deliver(resp *response.Response) (progress bool, err error) {
+// deliver passes on all events that are complete with the bytes p in one write, also those before one that is wrong: the next attempt goes
+// on after them. Events without data, such as comments, are no progress: a server could send them without end.
+func (rs *requestState) deliver(a *attempt, w *watchdog, p []byte) error {
 	var ready []byte
+	var progress, first bool
 	var failure error
+	ok := w.accept(func() bool {
+		ready, progress, failure = rs.split(p)
+		first = len(ready) > 0 && !rs.began
+		rs.began = rs.began || first
+
+		return progress
+	})
+	if !ok {
+		return errSilent
+	}
+	if first {
+		rs.recordFirstByte()
+		if err := rs.sink.Begin(a.response.Status, a.response.Header, -1); err != nil {
+			return errSink
+		}
+	}
+	if len(ready) > 0 {
+		if err := rs.sink.Write(ready); err != nil {
+			return errSink
+		}
+		rs.timing.deliver(rs.forwarder.now())
+	}
+	w.resume(progress)
+	if progress {
+		rs.forwarder.roster.RecordProgress(a.server.ID, rs.progressAt)
+		rs.forwarder.parts.RecordProgress(a.server, rs.sentAt, rs.progressAt)
+		rs.progressed = true
+	}
+
+	return failure
+}
+
+// split returns the events that are complete with the bytes p, and whether any of them contains data.
+func (rs *requestState) split(p []byte) (ready []byte, progress bool, failure error) {
+	if rs.splitter == nil {
+		rs.splitter = eventstream.New(rs.resumedAfter())
+	}
+	rs.splitter.Feed(p)
 	for {
-		var event []byte
-		event, failure = rs.splitter.Next()
+		event, err := rs.splitter.Next()
 		if event == nil {
-			break
+			return ready, progress, err
 		}
 		_, ok := eventstream.Data(event)
 		progress = progress || ok
 		ready = append(ready, event...)
 	}
-	if len(ready) == 0 {
-		return false, failure
-	}
-	if !rs.began {
-		rs.begin()
-		if err := rs.sink.Begin(resp.Status, resp.Header, -1); err != nil {
-			return false, errSink
-		}
-	}
-	if err := rs.sink.Write(ready); err != nil {
-		return false, errSink
-	}
-	rs.timing.deliver(rs.forwarder.now())
-
-	return progress, failure
 }
 
-func (rs *requestState) begin() {
-	rs.began = true
+func (rs *requestState) recordFirstByte() {
 	firstBytes.Record(rs.forwarder.now().Sub(rs.timing.startedAt))
 }
 
@@ -348,29 +421,3 @@
 
 	return id
 }
-
-// startWatchdog starts a watchdog for an attempt of a repeatable request. When the server is silent, the watchdog reserves a
-// free slot on another one and ends the attempt; while no other server has a free slot, the attempt goes on.
-func (rs *requestState) startWatchdog(cancel context.CancelCauseFunc) *watchdog {
-	if !rs.route.Repeatable() || rs.ran+1 >= rs.route.MaxAttempts {
-		return newWatchdog(0, 0, nil)
-	}
-	first := time.Duration(rs.route.TargetMillis) * time.Millisecond / 2
-	if rs.began {
-		first = time.Duration(rs.route.GapMillis) * time.Millisecond / 2
-	}
-
-	return newWatchdog(first, time.Duration(rs.route.GapMillis)*time.Millisecond/2, func() bool {
-		s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, rs.forwarder.now())
-		if !ok {
-			return false
-		}
-		rs.next = &reservation{
-			server:  s,
-			release: release,
-		}
-		cancel(errSilent)
-
-		return true
-	})
-}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -1,74 +1,225 @@
 package forward
 
 import (
-	"sync"
+	"context"
+	"errors"
 	"time"
 )
 
-// watchdog calls expired when there is no progress within an allowed time, and repeats the call until it returns true.
+// maxOverlap bounds the time for which two servers work on one request.
+const maxOverlap = 300 * time.Millisecond
+
+// watchdog watches the current attempt of a request. While the server is silent, it sends the request to a second server as well. Only
+// when that one has accepted the request, the current attempt ends: its server may be sound, and the second one may refuse or fail.
 type watchdog struct {
-	// lock guards done, and makes stop wait until a running call of expired has returned.
-	lock    sync.Mutex
-	done    bool
-	timer   *time.Timer
-	gap     time.Duration
-	expired func() bool
+	request *requestState
+	// ctx is the context of the request.
+	ctx     context.Context
+	current *attempt
+
+	// The lock of the request guards all fields below.
+
+	done bool
+	timer     *time.Timer
+	expiresAt time.Time
+	// gap is the allowed time from each progress to the next, any time if it is 0, and retry the time after which a search for a
+	// second server is repeated.
+	gap, retry time.Duration
+	// reported is set when the silence of the current server was reported to the roster.
+	reported bool
+	// hedge is the attempt on the second server until that has accepted it, and overlap bounds it.
+	hedge   *attempt
+	overlap *time.Timer
 }
 
-// newWatchdog starts a watchdog that allows the time first until the first progress, and then gap from each progress to the
-// next, or any time if gap is 0. Without expired, or if first is 0, it does nothing.
-func newWatchdog(first, gap time.Duration, expired func() bool) *watchdog {
+// startWatchdog starts a watchdog for an attempt of a repeatable request.
+func (rs *requestState) startWatchdog(ctx context.Context, a *attempt) *watchdog {
+	rs.lock.Lock()
+	defer rs.lock.Unlock()
+	gap := time.Duration(rs.route.GapMillis) * time.Millisecond / 2
+	first := time.Duration(rs.route.TargetMillis) * time.Millisecond / 2
+	if rs.began {
+		first = gap
+	}
 	w := &watchdog{
+		request: rs,
+		ctx:     ctx,
+		current: a,
 		gap:     gap,
-		expired: expired,
+		retry:   first / 2,
 	}
-	if expired == nil || first <= 0 {
+	if first <= 0 || !rs.mayHedge() {
 		w.done = true
 
 		return w
 	}
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.timer = time.AfterFunc(first, func() { w.fire(first / 2) })
+	w.expiresAt = rs.forwarder.now().Add(first)
+	w.timer = time.AfterFunc(first, w.expire)
 
 	return w
 }
 
-func (w *watchdog) fire(next time.Duration) {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if w.done {
+// expire begins a hedge if the server has been silent for the allowed time.
+func (w *watchdog) expire() {
+	w.request.lock.Lock()
+	defer w.request.lock.Unlock()
+	if w.done || w.hedge != nil {
 		return
 	}
-	if w.expired() {
+	if left := w.expiresAt.Sub(w.request.forwarder.now()); left > 0 {
+		w.timer.Reset(left)
+
+		return
+	}
+	w.startHedge()
+}
+
+// startHedge sends the request to a second server, or tries again later while no other server has a free slot.
+func (w *watchdog) startHedge() {
+	rs := w.request
+	if !rs.mayHedge() {
 		w.done = true
 
 		return
 	}
-	w.timer.Reset(next)
+	at := rs.forwarder.now()
+	s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at)
+	if !ok {
+		w.expiresAt = at.Add(w.retry)
+		w.timer.Reset(w.retry)
+
+		return
+	}
+	if !w.reported {
+		w.reported = true
+		rs.forwarder.recordAttempt(w.ctx, w.current, rs.progressAt, errSilent)
+	}
+	h := rs.newAttempt(w.ctx, s, release)
+	h.started = true
+	w.hedge = h
+	w.overlap = time.AfterFunc(maxOverlap, func() { w.endOverlap(h) })
+	after := rs.lastID()
+	rs.forwarder.log.Info("request hedged", "request", rs.call.ID, "route", rs.route.Name, "server", w.current.server.ID, "second", s.ID,
+		"began", rs.began, "last_event", after, "silent_ms", at.Sub(rs.progressAt).Milliseconds(), "attempts", rs.ran, "refusals", rs.refused)
+	go func() {
+		h.send(rs.forwarder.sender, rs.call, after)
+		w.resolve(h)
+	}()
 }
 
-// progress restarts the allowed time.
-func (w *watchdog) progress() {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if w.done {
+// resolve decides on a hedge that was answered: the current attempt ends if the second server has accepted the request.
+func (w *watchdog) resolve(h *attempt) {
+	rs := w.request
+	rs.lock.Lock()
+	defer rs.lock.Unlock()
+	if w.hedge != h {
 		return
 	}
-	if w.gap <= 0 {
-		w.done = true
-		w.timer.Stop()
+	err := rs.acceptance(h)
+	if err == nil {
+		w.replaceCurrent()
+
+		return
+	}
+	w.overlap.Stop()
+	w.hedge = nil
+	rs.recordHedge(w.ctx, h, err)
+	h.end()
+	w.startHedge()
+}
+
+// endOverlap ends one of two attempts that are both without an answer. A response that has begun depends on its server until another one
+// continues it; otherwise the second server is more likely to answer.
+func (w *watchdog) endOverlap(h *attempt) {
+	w.request.lock.Lock()
+	defer w.request.lock.Unlock()
+	if w.hedge != h {
+		return
+	}
+	if !w.request.began {
+		w.replaceCurrent()
 
 		return
 	}
-	w.timer.Reset(w.gap)
+	w.dropHedge()
+	w.expiresAt = w.request.forwarder.now().Add(w.retry)
+	w.timer.Reset(w.retry)
 }
 
-func (w *watchdog) stop() {
-	w.lock.Lock()
-	defer w.lock.Unlock()
+// replaceCurrent makes the hedge the next attempt and ends the current one.
+func (w *watchdog) replaceCurrent() {
+	w.overlap.Stop()
+	w.done = true
+	w.request.next = w.hedge
+	w.hedge = nil
+	w.current.cancel(errSilent)
+}
+
+// dropHedge abandons the hedge; the second server may have run the request.
+func (w *watchdog) dropHedge() {
+	w.overlap.Stop()
+	w.request.recordHedge(w.ctx, w.hedge, errAbandoned)
+	w.hedge.abandon()
+	w.hedge = nil
+}
+
+// accept calls split, which takes events from the current attempt and reports whether any of them contains data. It returns false without a call if another server continues the request.
+func (w *watchdog) accept(split func() (progress bool)) bool {
+	rs := w.request
+	rs.lock.Lock()
+	defer rs.lock.Unlock()
+	if rs.next != nil {
+		return false
+	}
+	last := rs.lastID()
+	progress := split()
+	if progress {
+		at := rs.forwarder.now()
+		rs.progressAt = at
+		w.expiresAt = at.Add(w.gap)
+		w.done = w.done || w.gap <= 0
+	}
+	if w.hedge != nil && (progress || rs.lastID() != last) {
+		w.dropHedge()
+	}
+
+	return true
+}
+
+// resume restarts the allowed time after accept, once the caller has the events.
+func (w *watchdog) resume(progress bool) {
+	rs := w.request
+	rs.lock.Lock()
+	defer rs.lock.Unlock()
+	if w.done || w.hedge != nil {
+		return
+	}
+	at := rs.forwarder.now()
+	if progress {
+		w.expiresAt = at.Add(w.gap)
+	}
+	w.timer.Reset(max(0, w.expiresAt.Sub(at)))
+}
+
+// stop ends the watchdog of an attempt that has ended with err. If the request has failed there, a hedge is its next attempt.
+func (w *watchdog) stop(err error) {
+	rs := w.request
+	rs.lock.Lock()
+	defer rs.lock.Unlock()
 	w.done = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	h := w.hedge
+	if h == nil {
+		return
+	}
+	w.hedge = nil
+	w.overlap.Stop()
+	if err == nil || w.ctx.Err() != nil || errors.Is(err, errSink) {
+		h.abandon()
+
+		return
+	}
+	rs.next = h
 }
