Do not take a caller's slow reading for silence of its server

What callers saw: a caller that reads its stream slowly could lose it, as the server was replaced by another one that refused or failed.

Cause: the watchdog's time went on while a write to the caller blocked. Nothing is read from the server meanwhile, so it counted as silent.

Change: the watchdog pauses from the moment at which events are taken from the stream until the caller has them. Events without data still do not extend the allowed time.

Evidence: TestSlowCallerIsNotSilence failed before ("reset": the second server was asked and lost the connection) and passes now, 20 runs, 5 with the race detector.

--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -20,6 +20,8 @@
 	// The lock of the request guards all fields below.
 
 	done bool
+	// paused is set while events are written to the caller, who may be slow.
+	paused    bool
 	timer     *time.Timer
 	expiresAt time.Time
 	// gap is the allowed time from each progress to the next, any time if it is 0, and retry the time after which a search for a
@@ -63,7 +65,7 @@
 func (w *watchdog) expire() {
 	w.request.lock.Lock()
 	defer w.request.lock.Unlock()
-	if w.done || w.hedge != nil {
+	if w.done || w.paused || w.hedge != nil {
 		return
 	}
 	if left := w.expiresAt.Sub(w.request.forwarder.now()); left > 0 {
@@ -163,7 +165,8 @@
 	w.hedge = nil
 }
 
-// accept calls split, which takes events from the current attempt and reports whether any of them contains data. It returns false without a call if another server continues the request.
+// accept calls split, which takes events from the current attempt and reports whether any of them contains data, and pauses the watchdog
+// until resume. It returns false without a call if another server continues the request.
 func (w *watchdog) accept(split func() (progress bool)) bool {
 	rs := w.request
 	rs.lock.Lock()
@@ -173,6 +176,7 @@
 	}
 	last := rs.lastID()
 	progress := split()
+	w.paused = true
 	if progress {
 		at := rs.forwarder.now()
 		rs.progressAt = at
@@ -186,11 +190,12 @@
 	return true
 }
 
-// resume restarts the allowed time after accept, once the caller has the events.
+// resume continues after accept, once the caller has the events.
 func (w *watchdog) resume(progress bool) {
 	rs := w.request
 	rs.lock.Lock()
 	defer rs.lock.Unlock()
+	w.paused = false
 	if w.done || w.hedge != nil {
 		return
 	}
