Do not suspect a server that is silent for one item only

Callers saw: online requests that were refused or sent elsewhere for 0.4 to 3 s, since a sound server was taken out of use.

Cause: roster.RecordSilence does not suspect a server that has sent something for another request since the silent one last made progress: it is busy. core/forward passes the time of that progress, but core/jobrun passed the present time, after which nothing can have come. So each item that was silent for a second, or for two before its first event, took its server out of use for all requests of the instance, whatever else the server sent meanwhile.

Change: a run of an item records when it began or last received an event, and reports that time. A server that is silent for all is suspected as before.

TestSilenceForOneItem before the change:

silence_test.go:78: 0 != 1 silence_test.go:78: 0 != 1 --- FAIL: TestSilenceForOneItem/before_the_first_event,_others_are_answered --- FAIL: TestSilenceForOneItem/after_some_events,_others_are_answered

Its two other cases, silence for all, pass before and after.

--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -99,7 +99,7 @@
 	first := it.last
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
-		r.roster.RecordAttempt(s.ID, err, r.now(), r.now())
+		r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
 		r.recordParts(it, s, first, err)
 	}
 	r.lock.Lock()
@@ -262,8 +262,9 @@
 			it.text = append(it.text, '\n')
 		}
 		it.text = append(it.text, data...)
+		it.progressAt = r.now()
 		if it.firstAt.IsZero() {
-			it.firstAt = r.now()
+			it.firstAt = it.progressAt
 		}
 		it.events = true
 		r.received.Add(it.routeName, int(splitter.LastID()-it.last), r.now())
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -36,9 +36,10 @@
 	parts     []string
 	partsRead bool
 	held      bool
-	// firstAt is when the present run received its first event, zero before that.
-	firstAt time.Time
-	cancel  context.CancelCauseFunc
+	// firstAt is when the present run received its first event, zero before that. progressAt is when it began or last received one.
+	firstAt    time.Time
+	progressAt time.Time
+	cancel     context.CancelCauseFunc
 }
 
 // restart drops the output so far, which a backend server that does not stop has sent.
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -153,7 +153,7 @@
 		c.item.state = running
 		c.item.server = s.ID
 		c.item.routeName = c.route.Name
-		c.item.startedAt = at
+		c.item.startedAt, c.item.progressAt = at, at
 		c.item.firstAt = time.Time{}
 		c.item.cancel = cancel
 		r.tasks.Go(func() {
