Do not pass on a status that ends no request

Callers saw: a connection that is closed without an answer, or, with 101, an answer that is none, although another server could have answered.

Cause: net/http returns statuses below 100, and 101, to the client of a server, and they were passed on. WriteHeader of net/http panics below 100 (by reading), which closes the caller's connection. Only a faulty server sends such a status with the request's ID.

Change: such a response counts as unknown outcome, like other responses that are no answer: a request that may be repeated goes on at another server, and any other gets 502.

TestStatusIsFinal before the change:

status_test.go:42: != outcome_unknown --- FAIL: TestStatusIsFinal/000_None --- FAIL: TestStatusIsFinal/099_None --- FAIL: TestStatusIsFinal/101_Switching_Protocols

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -190,6 +190,8 @@
 		return fault.New(fault.CodeOutcomeUnknown, "the response belongs to request "+id)
 	case id != q.ID && (reused || r.StatusCode < http.StatusBadRequest):
 		return fault.New(fault.CodeOutcomeUnknown, "a response without the request's ID, with status "+strconv.Itoa(r.StatusCode))
+	case r.StatusCode < http.StatusOK:
+		return fault.New(fault.CodeOutcomeUnknown, "a response with status "+strconv.Itoa(r.StatusCode)+", which ends no request")
 	case misdirected:
 		return fault.New(fault.CodeBackendLeaving, "another backend server has the address")
 	case refused:
