Do not cut an answer whose server leaves a long body unread

Callers saw: answers that broke off 2.5 s after a request with a body of some 400 KB or more was sent, or a failure in place of the answer, if the server had not read the body by then. A server may answer before it has read a long body and read on later, and may be silent for a while.

Cause: connections to servers have a TCP user timeout of 2 s, so that one whose peer is unreachable is noticed. The kernel also applies it while the peer acknowledges but does not read, and closes the connection in both directions.

Change: the user timeout is off on a connection while it carries a request whose body is over 32 KB, and on again for the next one. Keep-alive still closes it if the peer is unreachable and nothing is on the way. While such a body is on the way to an unreachable peer, the request ends at the watchdog or at its time-out, not after 2 s. Ruled out: no user timeout at all, since requests on connections that have gone silent would last that long too.

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -31,7 +31,9 @@
 	maxHeadBytes = 64 << 10
 	// bufferBytes is the size of a connection's buffers; most requests and events fit.
 	bufferBytes = 4 << 10
-	lastEventID = "Last-Event-Id"
+	// longBodyBytes is the size of a body that may not fit into the receive buffer of a server.
+	longBodyBytes = 32 << 10
+	lastEventID   = "Last-Event-Id"
 )
 
 // observer is told of backend servers that announce in a response that they stop.
@@ -116,6 +118,7 @@
 	for {
 		a := &attempt{
 			done: make(chan struct{}),
+			long: len(q.Body) > longBodyBytes,
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
 		a.resizeHead, a.endHead = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
--- a/io/backendhttp/connection.go
+++ b/io/backendhttp/connection.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/io/tcp"
 )
 
 // errResent ends an attempt that the transport is about to send again, which it does with some requests without a body if a used connection
@@ -24,6 +25,8 @@
 	spent bool
 	// user is the attempt that took the connection last.
 	user *attempt
+	// unread is set while the server may leave what was sent unread.
+	unread bool
 }
 
 func dial(
@@ -61,6 +64,15 @@
 	return false
 }
 
+// allowUnread sets whether the server may leave a request unread for long. Servers may answer before they have read a long body.
+func (c *connection) allowUnread(allowed bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.unread != allowed && tcp.AllowUnread(c.Conn, allowed) == nil {
+		c.unread = allowed
+	}
+}
+
 // Read counts the bytes of a response's head.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -110,6 +122,8 @@
 // attempt is one request on one connection.
 type attempt struct {
 	connection *connection
+	// long is set if the request has a long body.
+	long bool
 	// reused is set if an earlier request was sent on the connection.
 	reused bool
 	// done is closed when the transport has returned the response.
@@ -167,6 +181,9 @@
 			}
 			a.connection, a.reused = c, info.Reused
 			a.unsent = !c.take(a)
+			if !a.unsent {
+				c.allowUnread(a.long)
+			}
 		},
 	})
 }
--- a/io/tcp/dialer.go
+++ b/io/tcp/dialer.go
@@ -1,11 +1,14 @@
 package tcp
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tarragonwalk/core/fault"
 )
 
 const (
@@ -14,7 +17,8 @@
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
 	probeCount    = 2
-	// userTimeout is how long sent bytes may stay unacknowledged before the kernel closes the connection.
+	// userTimeout is how long sent bytes may stay unacknowledged, or unsent because the peer does not read, before the kernel closes the
+	// connection.
 	userTimeout = 2 * time.Second
 )
 
@@ -29,15 +33,35 @@
 			Count:    probeCount,
 		},
 		Control: func(_, _ string, c syscall.RawConn) error {
-			var failure error
-			err := c.Control(func(fd uintptr) {
-				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-
-			return failure
+			return setUserTimeout(c, userTimeout)
 		},
 	}
 }
+
+// AllowUnread sets whether a connection of such a dialer stays open while its peer acknowledges bytes but does not read them. An unreachable
+// peer is then not detected while bytes are on the way.
+func AllowUnread(c net.Conn, allowed bool) error {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, "cannot access the connection")
+	}
+	timeout := userTimeout
+	if allowed {
+		timeout = 0
+	}
+
+	return setUserTimeout(raw, timeout)
+}
+
+func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
+	var failure error
+	err := c.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+
+	return errors.Join(err, failure)
+}
