--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -31,7 +31,9 @@
 	maxHeadBytes = 64 << 10
 	// bufferBytes is the size of a connection's buffers; most requests and events fit.
 	bufferBytes = 4 << 10
-	lastEventID = "Last-Event-Id"
+	// longBodyBytes is the size of a body that may not fit into the receive buffer of a server.
+	longBodyBytes = 32 << 10
+	lastEventID   = "Last-Event-Id"
 )
 
 // observer is told of backend servers that announce in a response that they stop.
@@ -116,6 +118,7 @@
 	for {
 		a := &attempt{
 			done: make(chan struct{}),
+			long: len(q.Body) > longBodyBytes,
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
 		a.resizeHead, a.endHead = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
@@ -190,6 +193,8 @@
 		return fault.New(fault.CodeOutcomeUnknown, "the response belongs to request "+id)
 	case id != q.ID && (reused || r.StatusCode < http.StatusBadRequest):
 		return fault.New(fault.CodeOutcomeUnknown, "a response without the request's ID, with status "+strconv.Itoa(r.StatusCode))
+	case r.StatusCode < http.StatusOK:
+		return fault.New(fault.CodeOutcomeUnknown, "a response with status "+strconv.Itoa(r.StatusCode)+", which ends no request")
 	case misdirected:
 		return fault.New(fault.CodeBackendLeaving, "another backend server has the address")
 	case refused:
