Start no hedge for a caller who has left

What callers saw: nothing. When the caller leaves, or the time-out passes, while two servers work on a request, the hedge fails with the context, and if its goroutine is faster than the one of the request, a further server is chosen.

Cause: startHedge does not ask whether the request has ended. The client sends nothing with an ended context, but a slot is reserved, batch items are preempted there for nobody, and the decision is logged and counted.

Change: startHedge ends the watchdog if the context of the request has ended.

Evidence: TestNoHedgeAfterCallerLeft failed before ("3 != 2" servers), passes now, 5 x 50 runs with the race detector.

Ruled out: a check in resolve only, since the timer can expire after the context as well.

--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -79,7 +79,7 @@
 // startHedge sends the request to a second server, or tries again later while no other server has a free slot.
 func (w *watchdog) startHedge() {
 	rs := w.request
-	if !rs.mayHedge() {
+	if w.ctx.Err() != nil || !rs.mayHedge() {
 		w.done = true
 
 		return
