Do not close a connection on which an unread request waits

Callers saw: a connection that is closed without an answer, or 408, after a whole request was sent in time.

Cause: the limiter looks at how long a connection has been idle, or new, by its own clock. A process that is short of processor time reads late; a request that waits in the kernel does not count for the limiter.

TestUnreadRequestKeepsConnection before the change:

unread_test.go:53: false != true --- FAIL: TestUnreadRequestKeepsConnection/idle,_with_a_request --- FAIL: TestUnreadRequestKeepsConnection/new,_with_a_request

Not looked at: Limiter.CloseIdle and Shutdown at a stop, which do not look for unread bytes.

--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"tarragonwalk/io/tcp"
 )
 
 const (
@@ -165,7 +167,8 @@
 		} else if since.Before(l.loweredAt) {
 			since = l.loweredAt
 		}
-		if limit > 0 && at.Sub(since) > limit && !w.closing {
+		// A process that is short of processor time reads late what its callers have sent in time.
+		if limit > 0 && at.Sub(since) > limit && !w.closing && !tcp.HasUnread(c) {
 			found[c] = w.state
 			w.closing = true
 			l.connections[c] = w
