Suspect forgotten instances until the store confirms their loss

Callers: of two groups of instances that are cut off from each other for more than 30 s, but not from the store, each takes over new jobs of the other one, and neither suspects it. A caller that reads at both groups can find fewer results than before.

Cause: an instance suspects that it has been replaced while two others or more are silent, for 30 s. Then it forgets them, which ended the suspicion although nothing had shown that they are lost.

Change: forgotten instances stay unconfirmed, and with two of them or more the suspicion goes on. A watcher puts a doubt into the object of each, by a conditional update; the instance itself, or a watcher that hears it, removes the doubt at its next read of the addresses, which is within 30 s. A doubt that stands for a minute, or an object that is missing as long, confirms the loss and ends the suspicion. Instances that were leaving are not doubted. Takeovers are as before, so the jobs of lost machines wait for nothing.

Store calls: none in steady state. With two or more instances silent for more than 30 s, each other instance lists the addresses, three times at most, and the watcher of each zone writes once, or meets a conflict, for each forgotten instance (TestLostInstances, 30 instances and 10 lost ones). While a partition lasts, a doubt and its answer for each forgotten instance every one to two minutes, and lists by each instance as often (TestForgottenGroup bounds the writes). The suspicion itself costs what it did for the first 30 s: a read of the record before a write of results, and at most one in 0.7 s for the reads of a job.

The row "two" of TestSuspectedWhileInstancesAreSilent required that the suspicion ends after 30 s by silence alone, which is this fault: of three instances and two that are cut off from each other, the three did not suspect the two. It now requires that the suspicion lasts until the loss is confirmed, not beyond it, and that nothing is unconfirmed in the other rows.

Ruled out: to take nothing over in the smaller group, since the jobs of lost machines would lie when half of a fleet is lost, and since both groups may count themselves as the larger one after machines were added to both.

Before: TestGroupsThatForgetEachOther: "not true: suspects || !takesOver". With answers for heard instances left out, TestForgottenGroup fails with "1 != 3".

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -44,6 +44,9 @@
 	Introduce(addresses []netip.AddrPort, at time.Time)
 	Expect(others int)
 	Isolated() bool
+	Hears(name string) bool
+	Unconfirmed() map[string]time.Time
+	ConfirmLost(name string, forgottenAt time.Time)
 }
 
 // fleet is what the other tasks of the instance know and do.
@@ -62,15 +65,23 @@
 	Question string `json:",omitempty"`
 	// Renewals grows while the question is open, which raises the revision of the object.
 	Renewals int `json:",omitempty"`
+	// Doubted is set by instances that have forgotten this one. It is removed by this one, or by a watcher that hears it.
+	Doubted bool `json:",omitempty"`
 }
 
-// openQuestion is a question of another instance, and the revision of the object that contains it.
-type openQuestion struct {
-	name     string
+// listedRecord is the object of an instance as listed, zero if there is none.
+type listedRecord struct {
 	record   record
 	revision int64
 }
 
+// listing is what the store lists.
+type listing struct {
+	records map[string]listedRecord
+	// self is the name of this instance.
+	self string
+}
+
 // Exchanger keeps the address of an instance in the store and reads those of the others. It is safe for concurrent use.
 type Exchanger struct {
 	store   store
@@ -88,6 +99,8 @@
 	askedRevision int64
 	// left is set once the instance has left the fleet.
 	left bool
+	// losses is used by Run only.
+	losses *losses
 }
 
 // New returns an exchanger whose objects are of a kind of their own; Run starts it.
@@ -99,6 +112,7 @@
 		fleet:   f,
 		log:     log,
 		own:     make(chan struct{}, 1),
+		losses:  newLosses(),
 	}
 }
 
@@ -124,6 +138,9 @@
 				turnAt = time.Now().Add(retryPause)
 			}
 		}
+		if announced {
+			x.confirmLosses(ctx)
+		}
 		select {
 		case <-ticks:
 		case <-ctx.Done():
@@ -160,8 +177,8 @@
 // join reads the addresses of the other instances from the store and writes this instance's address there. It answers no questions,
 // since all instances may start at the same time.
 func (x *Exchanger) join(ctx context.Context) error {
-	listed, _, err := x.list(ctx)
-	x.fleet.NoteFleetSize(listed)
+	l, err := x.list(ctx)
+	x.fleet.NoteFleetSize(len(l.records))
 	if err != nil {
 		return err
 	}
@@ -170,7 +187,7 @@
 		return err
 	}
 	// Instances that started at the same time may have written their addresses since the first read.
-	_, _, err = x.list(ctx)
+	_, err = x.list(ctx)
 
 	return err
 }
@@ -178,52 +195,69 @@
 // Read passes the addresses in the store to the cluster and returns their number. If this instance watches the store, it answers the
 // questions that it finds; a failed answer is a failure, so that it is tried again soon.
 func (x *Exchanger) Read(ctx context.Context) (listed int, err error) {
-	listed, open, err := x.list(ctx)
-	if err != nil || !x.mayAnswer() {
-		return listed, err
+	l, err := x.list(ctx)
+	if err != nil {
+		return len(l.records), err
 	}
+
+	return len(l.records), x.answerAll(ctx, l)
+}
+
+// answerAll answers the questions in a list, and removes the doubts about instances that are heard, if this instance watches the store. It
+// removes a doubt about itself in any case.
+func (x *Exchanger) answerAll(ctx context.Context, l listing) error {
+	mayAnswer := x.mayAnswer()
 	answers := pool.New().WithErrors().WithMaxGoroutines(maxAnswers)
-	for _, q := range open {
-		answers.Go(func() error { return x.answer(ctx, q) })
+	for name, r := range l.records {
+		switch {
+		case name == l.self && r.record.Doubted:
+			answers.Go(func() error {
+				_, err := x.announce(ctx)
+
+				return err
+			})
+		case name == l.self || !mayAnswer || !r.record.Peer.IsValid():
+		case r.record.Question != "" || r.record.Doubted && x.cluster.Hears(name):
+			answers.Go(func() error { return x.answer(ctx, name, r) })
+		}
 	}
 
-	return listed, answers.Wait() //nolint:wrapcheck // the failures of answer
+	return answers.Wait() //nolint:wrapcheck // the failures of answer
 }
 
-// list passes the addresses in the store to the cluster and returns their number and the questions of others.
-func (x *Exchanger) list(ctx context.Context) (listed int, open []openQuestion, err error) {
-	self := x.cluster.Self().Name
+// list passes the addresses in the store to the cluster and returns the objects there.
+func (x *Exchanger) list(ctx context.Context) (listing, error) {
+	l := listing{
+		records: map[string]listedRecord{},
+		self:    x.cluster.Self().Name,
+	}
 	others := 0
-	err = x.store.List(ctx, x.kind, func(name string, value json.RawMessage, revision int64) {
+	err := x.store.List(ctx, x.kind, func(name string, value json.RawMessage, revision int64) {
 		var r record
 		if json.Unmarshal(value, &r) != nil {
 			return
 		}
-		listed++
 		x.cluster.Introduce([]netip.AddrPort{r.Peer}, time.Now())
-		if name == self || !r.Peer.IsValid() {
-			return
+		l.records[name] = listedRecord{
+			record:   r,
+			revision: revision,
 		}
-		others++
-		if r.Question != "" {
-			open = append(open, openQuestion{
-				name:     name,
-				record:   r,
-				revision: revision,
-			})
+		if name != l.self && r.Peer.IsValid() {
+			others++
 		}
 	})
 	x.cluster.Expect(others)
 
-	return listed, open, err
+	return l, err
 }
 
-// answer removes a question. A conflict, of another answer or of a later question, ends in the next list of questions.
-func (x *Exchanger) answer(ctx context.Context, q openQuestion) error {
-	answer := q.record
-	answer.Question, answer.Renewals = "", 0
-	_, err := x.store.Replace(ctx, x.kind, q.name, answer, q.revision)
-	x.log.Info("question of an isolated instance answered", "peer", q.name, "revision", q.revision, "error", fault.CodeOf(err))
+// answer removes a question of another instance and a doubt about it. A conflict, of another answer or of a later question, ends in the
+// next list of questions.
+func (x *Exchanger) answer(ctx context.Context, name string, r listedRecord) error {
+	answer := r.record
+	answer.Question, answer.Renewals, answer.Doubted = "", 0, false
+	_, err := x.store.Replace(ctx, x.kind, name, answer, r.revision)
+	x.log.Info("question in the store answered", "peer", name, "revision", r.revision, "doubted", r.record.Doubted, "error", fault.CodeOf(err))
 	if fault.CodeOf(err) == fault.CodeNotFound {
 		return nil
 	}
--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,6 +31,7 @@
 	objects  map[string]object
 	revision int64
 	writes   int
+	lists    int
 	before   func(name string) error
 }
 
@@ -55,6 +58,14 @@
 	return len(m.objects), m.writes
 }
 
+// listed returns how often the objects were listed.
+func (m *memory) listed() int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+
+	return m.lists
+}
+
 func (m *memory) write(name string, value any, allowed func(found object, exists bool) fault.Code) (int64, error) {
 	m.lock.Lock()
 	before := m.before
@@ -127,6 +138,7 @@
 func (m *memory) List(_ context.Context, _ string, each func(string, json.RawMessage, int64)) error {
 	m.lock.Lock()
 	defer m.lock.Unlock()
+	m.lists++
 	for name, o := range m.objects {
 		each(name, o.value, o.revision)
 	}
@@ -143,6 +155,39 @@
 	watching      bool
 	isolatedSince time.Time
 	forgotten     bool
+	// heard are the nodes that this one hears, unconfirmed those that it has forgotten.
+	heard       []string
+	unconfirmed map[string]time.Time
+}
+
+func (n *node) Hears(name string) (heard bool) {
+	n.set(func() { heard = slices.Contains(n.heard, name) })
+
+	return heard
+}
+
+func (n *node) Unconfirmed() (list map[string]time.Time) {
+	n.set(func() { list = maps.Clone(n.unconfirmed) })
+
+	return list
+}
+
+func (n *node) ConfirmLost(name string, forgottenAt time.Time) {
+	n.set(func() {
+		if n.unconfirmed[name].Equal(forgottenAt) {
+			delete(n.unconfirmed, name)
+		}
+	})
+}
+
+// forget makes the node take others for forgotten from now on.
+func (n *node) forget(names ...string) {
+	n.set(func() {
+		n.unconfirmed = map[string]time.Time{}
+		for _, name := range names {
+			n.unconfirmed[name] = time.Now()
+		}
+	})
 }
 
 func (n *node) Self() gossip.Member {
@@ -338,3 +383,106 @@
 		next.stop()
 	})
 }
+
+// Guards against an instance that takes a group of others for lost, although they are only cut off from it and still take over its jobs;
+// and against one that suspects that for good, or reads the store all the time, because of lost instances that stay in the list.
+func TestForgottenGroup(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// mutual is set if the other group has forgotten this one as well.
+		mutual bool
+		// failing is the name of an object that cannot be written for some time in each minute.
+		failing string
+	}{
+		{"both ways", true, ""},
+		{"one way", false, ""},
+		{"failing answers", true, "d"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, is *is.I, m *memory) {
+				var all []*node
+				for n, name := range []string{"a", "b", "c", "d", "e"} {
+					all = append(all, launch(t, m, name, n%2 == 0 && n < 4))
+				}
+				a, b, others := all[0], all[1], all[2:]
+				for _, n := range others {
+					n.set(func() { n.heard = []string{"c", "d", "e"} })
+				}
+				time.Sleep(5 * time.Second)
+				begin := time.Now()
+				m.check(func(name string) error {
+					if s := time.Since(begin) % time.Minute; name == c.failing && s < 15*time.Second {
+						return fault.New(fault.CodeStoreUnavailable, "no write")
+					}
+
+					return nil
+				})
+				for _, n := range all[:2] {
+					n.set(func() { n.heard = []string{"a", "b"} })
+					n.forget("c", "d", "e")
+				}
+				if c.mutual {
+					for _, n := range others {
+						n.forget("a", "b")
+					}
+				}
+				for range 20 {
+					time.Sleep(30 * time.Second)
+					is.Equal(len(a.Unconfirmed()), 3)
+					is.Equal(len(b.Unconfirmed()), 3)
+				}
+				_, writes := m.counts()
+				is.True(writes < 10*5*4) // a doubt and its answer for each of five nodes in a minute, and what fails
+				for _, n := range others {
+					n.stop()
+				}
+				time.Sleep(3*time.Minute + 30*time.Second)
+				is.Equal(len(a.Unconfirmed()), 0)
+				is.Equal(len(b.Unconfirmed()), 0)
+				lists := m.listed()
+				time.Sleep(10 * time.Minute)
+				is.True(m.listed()-lists <= 21) // those of the watcher
+				a.stop()
+				b.stop()
+			})
+		})
+	}
+}
+
+// Guards against many store calls of a large fleet that has lost some of its instances for good, and against an instance that is taken
+// for lost since it was doubted before it came back.
+func TestLostInstances(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, m *memory) {
+		var all []*node
+		var lost []string
+		for n := range 40 {
+			all = append(all, launch(t, m, fmt.Sprint("n-", n), n < 3))
+		}
+		time.Sleep(45 * time.Second)
+		for _, n := range all[30:] {
+			n.stop()
+			lost = append(lost, n.name)
+		}
+		lists := m.listed()
+		_, writes := m.counts()
+		for _, n := range all[:30] {
+			n.forget(lost...)
+		}
+		time.Sleep(90 * time.Second)
+		for _, n := range all[:30] {
+			is.Equal(len(n.Unconfirmed()), 0)
+		}
+		is.True(m.listed()-lists <= 30*3+9)
+		_, after := m.counts()
+		is.True(after-writes <= 10*3) // each watcher tries to doubt each
+		back := launch(t, m, lost[0], false)
+		time.Sleep(30 * time.Second)
+		all[5].forget(lost[0], lost[1])
+		time.Sleep(50 * time.Second)
+		is.Equal(len(all[5].Unconfirmed()), 2)
+		back.stop()
+		for _, n := range all {
+			n.stop()
+		}
+	})
+}
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -149,6 +149,8 @@
 	checkedAt time.Time
 	// selfSuspectedAt is the last time at which another instance may have counted this one as gone.
 	selfSuspectedAt time.Time
+	// unconfirmed holds the instances that were forgotten although they may be alive in a group that is cut off from this one, and when.
+	unconfirmed map[string]time.Time
 }
 
 // New returns a cluster that knows no other instance and receives heartbeats from at on.
@@ -161,6 +163,7 @@
 		selfSuspectedAt: at,
 		targets:         map[netip.AddrPort]target{},
 		zoneReports:     map[string]zoneReport{},
+		unconfirmed:     map[string]time.Time{},
 	}
 }
 
@@ -216,6 +219,7 @@
 			joinedAt: at,
 		}
 		c.peers[s.Name] = p
+		delete(c.unconfirmed, s.Name)
 		c.met = c.met || len(c.peers) > 1
 		c.zones = nil
 		c.changes++
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -407,6 +407,31 @@
 	takesOver := !c.Isolated() && !c.Alive("e3", "1", at)
 	suspects := c.SuspectedSince(at.Add(-time.Second), at)
 	is.True(suspects || !takesOver)
+	forgotten := c.Unconfirmed()
+	is.Equal(len(forgotten), 4)
+	c.ConfirmLost("e2", forgotten["e2"].Add(-1)) // it was heard from and forgotten again since
+	c.Observe(&gossip.Heartbeat{Sender: member(3, "1"), Sequence: 2}, at)
+	is.Equal(len(c.Unconfirmed()), 3)
+	is.True(c.Hears("e3") && !c.Hears("e2"))
+}
+
+// Guards against an instance that waits for others to be confirmed as lost which have stopped, and were expected to become silent.
+func TestStoppedInstancesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start
+	for n := range 5 {
+		m := member(n+1, "1")
+		m.Leaving = n > 0
+		c.Observe(&gossip.Heartbeat{Sender: m, Sequence: 1}, at)
+	}
+	for k := 2; at.Before(start.Add(forgetAfter + 5*time.Second)); k++ {
+		at = at.Add(200 * time.Millisecond)
+		c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: k}, at)
+		c.Expire(at)
+	}
+	is.Equal(len(c.Unconfirmed()), 0)
+	is.True(!c.SuspectedSince(at.Add(-time.Second), at))
 }
 
 // Guards against an isolated instance that tells its zone, as a gateway, that all others are silent and have nothing in flight.
@@ -506,8 +531,9 @@
 }
 
 // Guards against reading all jobs from the store for half a minute because one instance was removed for good, and against
-// answering from memory while two silent instances, which may hear each other, may have taken over the jobs.
+// answering from memory while two silent instances, which may hear each other, may have taken over the jobs, until their loss is confirmed.
 func TestSuspectedWhileInstancesAreSilent(t *testing.T) {
+	const confirmed = forgetAfter + 5*time.Second
 	for _, c := range []struct {
 		name string
 		lost int
@@ -515,7 +541,7 @@
 	}{
 		{"none", 0, 0},
 		{"one", 1, singleSilenceLimit},
-		{"two", 2, forgetAfter},
+		{"two", 2, confirmed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -531,6 +557,13 @@
 				}
 				cl.Expire(at)
 				is.Equal(cl.SuspectedSince(at.Add(-1), at), after > selfSuspectAfter && after <= c.last)
+				is.Equal(len(cl.Unconfirmed()) > 0, c.lost > 1 && after > forgetAfter && after <= c.last)
+				if after == confirmed {
+					for name, forgottenAt := range cl.Unconfirmed() {
+						cl.ConfirmLost(name, forgottenAt)
+					}
+					is.Equal(len(cl.Unconfirmed()), 0)
+				}
 			}
 		})
 	}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -44,10 +45,11 @@
 		}
 		// An isolated instance that forgot the others would count as the only one, and one of a pair would not suspect itself any more.
 		if silence > forgetAfter && !alone {
-			delete(c.peers, name)
-			c.zones = nil
+			c.forget(name, at)
 		}
 	}
+	// They may still hear each other, and take over the jobs of this instance.
+	silent += len(c.unconfirmed)
 	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
 	// have taken over this instance's jobs, unless it is the only one. Two or more silent peers may still reach each other and take them
 	// over. An instance that hears from one other one is heard by it, even if the store lists more.
@@ -62,6 +64,47 @@
 	return c.changes
 }
 
+// forget drops a silent instance. Unless it was leaving, it may be alive in a group that is cut off from this one. The caller holds the
+// lock.
+func (c *Cluster) forget(name string, at time.Time) {
+	if !c.peers[name].heartbeat.Sender.Leaving {
+		c.unconfirmed[name] = at
+	}
+	delete(c.peers, name)
+	c.zones = nil
+}
+
+// Unconfirmed returns the forgotten instances that may still take over the jobs of this one, and when each was forgotten, until their
+// loss is confirmed by other means than heartbeats. A single one is isolated and takes nothing over.
+func (c *Cluster) Unconfirmed() map[string]time.Time {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if len(c.unconfirmed) < 2 {
+		return nil
+	}
+
+	return maps.Clone(c.unconfirmed)
+}
+
+// ConfirmLost records that an instance that was forgotten at a time is lost, unless it was heard from since.
+func (c *Cluster) ConfirmLost(name string, forgottenAt time.Time) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if at, ok := c.unconfirmed[name]; ok && at.Equal(forgottenAt) {
+		delete(c.unconfirmed, name)
+		c.log.Info("loss of an instance confirmed", "peer", name, "forgotten_at", forgottenAt)
+	}
+}
+
+// Hears reports whether an instance is known and does not count as gone.
+func (c *Cluster) Hears(name string) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	p := c.peers[name]
+
+	return p != nil && !p.gone
+}
+
 // forgetTargets drops the addresses that have not answered for long. The caller holds the lock.
 func (c *Cluster) forgetTargets(at time.Time) {
 	for a, t := range c.targets {
@@ -187,6 +230,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.peers, c.zones = map[string]*peer{}, nil
+	clear(c.unconfirmed)
 	c.met = true
 	c.checkedAt = time.Time{}
 	c.isolatedSince = time.Time{}
