Suspect a takeover when a silent instance returns

When the partition ends, a former holder answers from memory until its own next write of results, with fewer results than the other one has listed.

Cause: a single silent instance is suspected for 10 s only, since an isolated one takes nothing over as long as its question is answered. Its announcements of the jobs end after 4 s, so that none need come when it is heard again.

Change: when an instance returns that was silent for longer than 10 s, or that was forgotten, this instance suspects that it has been replaced. Each job that it holds is verified once in the store, at its next read or write. No call is added in steady state.

Before: TestReturnOfSilentInstance: "false != true" in the rows "for long", "for long, heard by a gateway" and "forgotten".

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -219,7 +219,10 @@
 			joinedAt: at,
 		}
 		c.peers[s.Name] = p
-		delete(c.unconfirmed, s.Name)
+		if _, ok := c.unconfirmed[s.Name]; ok {
+			delete(c.unconfirmed, s.Name)
+			c.selfSuspectedAt = later(c.selfSuspectedAt, at)
+		}
 		c.met = c.met || len(c.peers) > 1
 		c.zones = nil
 		c.changes++
@@ -227,7 +230,7 @@
 	case b.Sequence <= p.heartbeat.Sequence:
 		return false
 	default:
-		c.recordReturn(p)
+		c.recordReturn(p, at)
 	}
 	c.lastHeardAt = later(c.lastHeardAt, at)
 	c.endIsolation(at)
@@ -247,8 +250,13 @@
 	return true
 }
 
-// recordReturn counts and logs the return of an instance that had been counted as gone. The caller holds the lock.
-func (c *Cluster) recordReturn(p *peer) {
+// recordReturn counts and logs the return of an instance that had been counted as gone. One that was silent for long may have taken
+// itself for the last one and taken over the jobs of this instance, if nobody reached the store to answer its question. The caller holds
+// the lock.
+func (c *Cluster) recordReturn(p *peer, at time.Time) {
+	if at.Sub(p.heardAt) > singleSilenceLimit {
+		c.selfSuspectedAt = later(c.selfSuspectedAt, at)
+	}
 	if p.gone {
 		c.changes++
 		c.log.Info("instance is back", "peer", p.heartbeat.Sender.Name, "silent_since", p.heardAt)
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -415,6 +415,44 @@
 	is.True(c.Hears("e3") && !c.Hears("e2"))
 }
 
+// Guards against an instance that goes on answering from memory when one that was silent for long is heard again, which may have taken over
+// its jobs as the last one while neither this instance nor the others reached the store to answer its question.
+func TestReturnOfSilentInstance(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		silence     time.Duration
+		incarnation string
+		digest      bool
+		suspects    bool
+	}{
+		{"briefly", 2 * time.Second, "1", false, false},
+		{"for long", 20 * time.Second, "1", false, true},
+		{"for long, heard by a gateway", 20 * time.Second, "1", true, true},
+		{"forgotten", forgetAfter + 10*time.Second, "1", false, true},
+		{"another process", 20 * time.Second, "2", false, false}, // the former one, which held jobs, is lost
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(0)
+			at := start
+			cl.Observe(&gossip.Heartbeat{Sender: member(2, "1"), Sequence: 1}, at)
+			for k := 1; at.Before(start.Add(c.silence)); k++ {
+				at = at.Add(200 * time.Millisecond)
+				cl.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: k}, at)
+				cl.Expire(at)
+			}
+			is.True(!cl.SuspectedSince(at.Add(-1), at))
+			at = at.Add(200 * time.Millisecond)
+			if c.digest {
+				cl.ObserveDigest(&gossip.Report{Zone: "a", Heard: []gossip.MemberStatus{{Name: "e2", Incarnation: "1"}}}, nil, at)
+			} else {
+				cl.Observe(&gossip.Heartbeat{Sender: member(2, c.incarnation), Sequence: 2}, at)
+			}
+			is.Equal(cl.SuspectedSince(at.Add(-1), at), c.suspects)
+		})
+	}
+}
+
 // Guards against an instance that waits for others to be confirmed as lost which have stopped, and were expected to become silent.
 func TestStoppedInstancesAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -164,7 +164,7 @@
 		if p == nil || p.heartbeat.Sender.Incarnation != s.Incarnation || !heardAt.After(p.heardAt) {
 			continue
 		}
-		c.recordReturn(p)
+		c.recordReturn(p, heardAt)
 		c.lastHeardAt = later(c.lastHeardAt, heardAt)
 		c.endIsolation(heardAt)
 		p.markHeard(heardAt)
