Do not promise that a request has not run while a hedge of it runs

What callers saw: 429 or 503 for a repeatable request that a second server was working on, and no answer of that one.

Cause: if the current server refuses while a hedge is on its way, and this was the last allowed refusal or a part has been quarantined meanwhile, the request ends, the hedge is abandoned without being counted, and the refusal is passed on.

Change: a hedge that is on its way is the next attempt, whatever the number of refusals; one that is abandoned at the end counts as an attempt that may have run.

Evidence: TestLastRefusalWhileHedged (two forms of three) and TestQuarantineWhileHedged failed before, for example "overloaded != outcome_unknown"; they pass now, once with the race detector.

Ruled out: more refusals, which only moves the limit.

--- a/core/forward/hedge_test.go
+++ b/core/forward/hedge_test.go
@@ -12,6 +12,7 @@
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/route"
 )
 
@@ -50,3 +51,60 @@
 		})
 	}
 }
+
+// Guards against "not run" for a request that a second server has got, and against its end while that one works on it.
+func TestLastRefusalWhileHedged(t *testing.T) {
+	full := reply{err: refused}
+	for _, c := range []struct {
+		name  string
+		last  reply
+		code  fault.Code
+		body  string
+		sends int
+	}{
+		{"second server answers", reply{status: 200, body: "ok", wait: 60 * time.Millisecond}, "", "ok", 5},
+		{"second server loses the connection", reply{err: lost, wait: 60 * time.Millisecond}, fault.CodeOutcomeUnknown, "", 6},
+		{"second server refuses as well", reply{err: refused, wait: 60 * time.Millisecond}, fault.CodeOverloaded, "", 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := route.Route{Kind: route.KindIdempotent, MaxAttempts: 2, TargetMillis: 40, TimeoutMillis: 4000}
+				first := reply{err: refused, wait: 50 * time.Millisecond}
+				f := &fakeMany{fake: fake{replies: []reply{first, full, full, full, c.last, {err: lost}}, free: true}}
+				out := &recorder{}
+				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				time.Sleep(time.Second)
+				is.Equal(fault.CodeOf(err), c.code)
+				is.Equal(out.body.String(), c.body)
+				is.Equal(len(f.servers), c.sends)
+				is.Equal(f.released, c.sends)
+			})
+		})
+	}
+}
+
+// Guards against "not run" for a request that a second server has got, if a part of it is quarantined before the first one refuses.
+func TestQuarantineWhileHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindIdempotent, MaxAttempts: 2, TargetMillis: 40, TimeoutMillis: 4000}
+		f := &fakeMany{fake: fake{replies: []reply{{err: refused, wait: 50 * time.Millisecond}, {mute: true}}, free: true}}
+		parts := &laterQuarantined{promptParts: noQuarantine(), at: time.Now().Add(40 * time.Millisecond)}
+		err := New(f, f, f, f, parts, noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
+		synctest.Wait()
+		is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
+		is.Equal(f.released, 2)
+	})
+}
+
+// laterQuarantined quarantines all parts from a time on.
+type laterQuarantined struct {
+	promptParts
+
+	at time.Time
+}
+
+func (q *laterQuarantined) Quarantined([]string) (part string, until time.Time, ok bool) {
+	return "p", time.Now().Add(time.Minute), !time.Now().Before(q.at)
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -139,7 +139,8 @@
 	notRun := rs.count(err)
 	allowed := ctx.Err() == nil && !errors.Is(err, errSink) && (!rs.began || rs.splitter.Resumable())
 	if notRun {
-		allowed = allowed && rs.refused < maxRefusals
+		// A hedge was allowed before this refusal, and its server may work on the request.
+		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil)
 	} else {
 		allowed = allowed && rs.route.Repeatable() && rs.ran < max(1, rs.route.MaxAttempts)
 	}
@@ -225,7 +226,10 @@
 // finalError returns the error of the whole request after its last attempt: the time-out if that has passed, and
 // outcome_unknown if the last attempt has not run but an earlier one may have.
 func (rs *requestState) finalError(ctx context.Context, err error) error {
-	rs.abandonNext()
+	if rs.next != nil {
+		rs.ran++
+		rs.abandonNext()
+	}
 	if errors.Is(context.Cause(ctx), errTimeout) {
 		return errTimeout
 	}
