Take a stream from a silent server only for an event of another one

What callers saw: a stream that was cut, or a request that failed, after a sound server had been silent for a while: the second server sent the head of a stream, and then broke off or was silent itself.

Cause: the head counted as acceptance, and the attempt at the silent server ended with it.

Change: a hedge reads its stream up to the first event with data, or to the end where the current stream has no further event, before it replaces the current attempt. What was read stays in the response.

Ruled out: waiting for more than one event, which makes both servers work for longer and shows little more.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -1,11 +1,15 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"time"
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
+	"tarragonwalk/core/eventstream"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/response"
 )
@@ -29,10 +33,55 @@
 	err      error
 }
 
-// send sends the request, of which the caller has the events up to the ID after.
-func (a *attempt) send(s sender, q *call.Call, after int64) {
+// send sends the request, of which the caller has the events up to the ID after, and checks the response.
+func (a *attempt) send(s sender, q *call.Call, after int64, check func() error) {
 	defer close(a.answered)
 	a.response, a.err = s.Send(a.ctx, a.server, q, after)
+	if a.err == nil {
+		a.err = check()
+	}
+}
+
+// awaitEvent reads a stream that continues after the event last up to its first event with data, which stays in the response. A stream
+// that ends before fails, unless it is the rest of one that has begun.
+func (a *attempt) awaitEvent(last int64, began bool) error {
+	body := a.response.Body
+	var read []byte
+	defer func() {
+		a.response.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(read), body), body}
+	}()
+	splitter := eventstream.New(last)
+	buffer := make([]byte, readBytes)
+	for {
+		n, err := body.Read(buffer)
+		read = append(read, buffer[:n]...)
+		splitter.Feed(buffer[:n])
+		if found, err := nextData(splitter); found || err != nil {
+			return err
+		}
+		switch {
+		case errors.Is(err, io.EOF) && began && splitter.Pending() == 0, len(read) >= readBytes:
+			return nil
+		case err != nil:
+			return fault.Wrap(err, fault.CodeOutcomeUnknown, "the stream broke off before its first event")
+		}
+	}
+}
+
+// nextData reports whether there is an event with data among those that are complete.
+func nextData(s *eventstream.Splitter) (bool, error) {
+	for {
+		event, err := s.Next()
+		if event == nil {
+			return false, err
+		}
+		if _, ok := eventstream.Data(event); ok {
+			return true, nil
+		}
+	}
 }
 
 // end cancels the request on the server and releases its slot. It must not be called while send runs.
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -256,7 +256,7 @@
 	resize, end := rs.forwarder.budget.Open("responses", func() { a.cancel(bytebudget.ErrDropped) })
 	defer end()
 	if !a.started {
-		a.send(rs.forwarder.sender, rs.call, after)
+		a.send(rs.forwarder.sender, rs.call, after, func() error { return nil })
 	}
 	<-a.answered
 	if a.err != nil {
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -103,8 +103,18 @@
 	after := rs.lastID()
 	rs.forwarder.log.Info("request hedged", "request", rs.call.ID, "route", rs.route.Name, "server", w.current.server.ID, "second", s.ID,
 		"began", rs.began, "last_event", after, "silent_ms", at.Sub(rs.progressAt).Milliseconds(), "attempts", rs.ran, "refusals", rs.refused)
+	began, last := rs.began, after
+	if rs.splitter == nil {
+		last = rs.resumedAfter()
+	}
 	go func() {
-		h.send(rs.forwarder.sender, rs.call, after)
+		h.send(rs.forwarder.sender, rs.call, after, func() error {
+			if !rs.isStream(h.response) {
+				return nil
+			}
+
+			return h.awaitEvent(last, began)
+		})
 		w.resolve(h)
 	}()
 }
