Replace a server that is gone although the first hedge came to nothing

And a stream whose server went on after a hedge, and was lost later, had no attempt left.

Cause: the end of the overlap decided by whether the response had begun, which says nothing about either server; and a dropped hedge counted as a server that the request has had, although the limit of attempts is one of servers.

Change: at the end of the overlap the second attempt is dropped, unless the first server has been silent for 1.3 s, longer than a sound one; then that attempt ends. A server whose hedge was dropped may get the request again when no further one may: after that silence, or when the current server has failed.

Ruled out: asking a further server, which is more servers than max_attempts allows; a longer overlap, in which two servers could work on one request.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -49,6 +49,7 @@
 	RandomPoint() float64
 	Online(service string, excluded map[string]bool, loadLimit float64, at time.Time) (s backend.Server, release func(), ok bool)
 	Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool)
+	FreeOn(service, id string, at time.Time) (s backend.Server, release func(), ok bool)
 	Excess(s backend.Server, at time.Time) int
 	Oversubscribed(s backend.Server, at time.Time) bool
 }
--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -37,3 +37,51 @@
 		})
 	}
 }
+
+// Guards against a begun stream that stays at a server that is gone, because the second one takes longer than the overlap to answer.
+func TestGoneServerOfBegunStreamIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+		second := reply{status: 200, body: whole[15:], wait: 400 * time.Millisecond}
+		f := &fake{replies: []reply{{status: 200, body: whole[:15], hung: true}, second, second}, free: true}
+		out := &recorder{}
+		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		time.Sleep(time.Second)
+		is.NoErr(err)
+		is.Equal(out.body.String(), whole)
+	})
+}
+
+// Guards against a request that has not begun and is taken from its sound server when the overlap ends, before the second one has accepted it.
+func TestOverlapKeepsSoundServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+		first := reply{status: 200, body: whole, slow: 5 * time.Millisecond, first: 350 * time.Millisecond}
+		other := reply{err: lost, wait: 400 * time.Millisecond}
+		f := &fake{replies: []reply{first, other, other}, free: true}
+		out := &recorder{}
+		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		time.Sleep(time.Second)
+		is.NoErr(err)
+		is.Equal(out.body.String(), whole)
+	})
+}
+
+// Guards against a stream that is cut with its server because a hedge, which was dropped when the server went on, used up its attempts.
+func TestDroppedHedgeIsNoFurtherServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+		first := reply{status: 200, body: whole[:30], slow: 60 * time.Millisecond, first: time.Millisecond}
+		f := &fake{replies: []reply{first, {mute: true}, {status: 200, body: whole[30:]}}, free: true}
+		f.replies[0].body += "id: 3\ndata: z" // the connection ends inside an event
+		out := &recorder{}
+		is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
+		synctest.Wait()
+		is.Equal(out.body.String(), whole)
+		is.Equal(f.servers, []string{"a", "b", "b"})
+		is.Equal(f.released, 3)
+	})
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -71,6 +71,8 @@
 	// lost is set when an attempt has lost its connection before anything was answered.
 	lost     bool
 	splitter *eventstream.Splitter
+	// dropped is the ID of the last server whose hedge was dropped without an answer. It may get the request again when no further server may.
+	dropped string
 	// next is the next attempt if the watchdog has started it already.
 	next *attempt
 }
@@ -105,10 +107,26 @@
 
 		return a
 	}
-	s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, rs.forwarder.now())
+	at := rs.forwarder.now()
+	if rs.ran >= max(1, rs.route.MaxAttempts) {
+		return rs.repeatDropped(ctx, at)
+	}
+	s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at)
+	if !ok {
+		return nil
+	}
+
+	return rs.newAttempt(ctx, s, release)
+}
+
+// repeatDropped returns an attempt on the server whose hedge was dropped, nil if there is none or it has no free slot. Attempts are limited
+// by the number of servers, so this one is no further server.
+func (rs *requestState) repeatDropped(ctx context.Context, at time.Time) *attempt {
+	s, release, ok := rs.forwarder.placer.FreeOn(rs.service, rs.dropped, at)
 	if !ok {
 		return nil
 	}
+	rs.dropped = ""
 
 	return rs.newAttempt(ctx, s, release)
 }
@@ -142,7 +160,7 @@
 		// A hedge was allowed before this refusal, and its server may work on the request.
 		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil)
 	} else {
-		allowed = allowed && rs.route.Repeatable() && rs.ran < max(1, rs.route.MaxAttempts)
+		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "")
 	}
 	allowed = allowed && !rs.dangerous()
 	rs.logAttempt(a, err, rs.progressAt, "again", allowed)
@@ -169,10 +187,28 @@
 		"last_event", rs.lastID(), "silent_ms", rs.forwarder.now().Sub(progressAt).Milliseconds(), decision, taken)
 }
 
-// mayHedge reports whether a second server may get the request while the current one works on it. It needs the lock.
-func (rs *requestState) mayHedge() bool {
-	return rs.route.Repeatable() && rs.ran+1 < rs.route.MaxAttempts && rs.refused < maxRefusals &&
-		(!rs.began || rs.splitter.Resumable()) && !rs.dangerous()
+// exhausted reports whether no second server may get the request any more while the current one works on it. It needs the lock.
+func (rs *requestState) exhausted() bool {
+	return !rs.route.Repeatable() || rs.refused >= maxRefusals || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == ""
+}
+
+// newHedge returns an attempt on a second server, nil if there is none at present. When no further server may get the request, it is the one
+// whose hedge was dropped, once the current server has been silent for longer than a sound one. It needs the lock.
+func (rs *requestState) newHedge(ctx context.Context, at time.Time) *attempt {
+	switch {
+	case rs.began && !rs.splitter.Resumable(), rs.dangerous():
+		return nil
+	case rs.ran+1 >= rs.route.MaxAttempts && at.Sub(rs.progressAt) < maxSilence:
+		return nil
+	case rs.ran+1 >= rs.route.MaxAttempts:
+		return rs.repeatDropped(ctx, at)
+	}
+	s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at)
+	if !ok {
+		return nil
+	}
+
+	return rs.newAttempt(ctx, s, release)
 }
 
 // acceptance returns nil if the server of an attempt that was answered has accepted the request, and otherwise why not.
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// maxOverlap bounds the time for which two servers work on one request.
-const maxOverlap = 300 * time.Millisecond
+const (
+	// maxOverlap bounds the time for which two servers work on one request.
+	maxOverlap = 300 * time.Millisecond
+	// maxSilence is the time after which a server that sends nothing is more likely to be gone than to go on.
+	maxSilence = 1300 * time.Millisecond
+)
 
 // watchdog watches the current attempt of a request. While the server is silent, it sends the request to a second server as well. Only
 // when that one has accepted the request, the current attempt ends: its server may be sound, and the second one may refuse or fail.
@@ -50,7 +54,7 @@
 		gap:     gap,
 		retry:   first / 2,
 	}
-	if first <= 0 || !rs.mayHedge() {
+	if first <= 0 || rs.exhausted() {
 		w.done = true
 
 		return w
@@ -79,14 +83,14 @@
 // startHedge sends the request to a second server, or tries again later while no other server has a free slot.
 func (w *watchdog) startHedge() {
 	rs := w.request
-	if w.ctx.Err() != nil || !rs.mayHedge() {
+	if w.ctx.Err() != nil || rs.exhausted() {
 		w.done = true
 
 		return
 	}
 	at := rs.forwarder.now()
-	s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at)
-	if !ok {
+	h := rs.newHedge(w.ctx, at)
+	if h == nil {
 		w.expiresAt = at.Add(w.retry)
 		w.timer.Reset(w.retry)
 
@@ -96,12 +100,11 @@
 		w.reported = true
 		rs.forwarder.recordAttempt(w.ctx, w.current, rs.progressAt, errSilent)
 	}
-	h := rs.newAttempt(w.ctx, s, release)
 	h.started = true
 	w.hedge = h
 	w.overlap = time.AfterFunc(maxOverlap, func() { w.endOverlap(h) })
 	after := rs.lastID()
-	rs.forwarder.log.Info("request hedged", "request", rs.call.ID, "route", rs.route.Name, "server", w.current.server.ID, "second", s.ID,
+	rs.forwarder.log.Info("request hedged", "request", rs.call.ID, "route", rs.route.Name, "server", w.current.server.ID, "second", h.server.ID,
 		"began", rs.began, "last_event", after, "silent_ms", at.Sub(rs.progressAt).Milliseconds(), "attempts", rs.ran, "refusals", rs.refused)
 	began, last := rs.began, after
 	if rs.splitter == nil {
@@ -140,21 +143,21 @@
 	w.startHedge()
 }
 
-// endOverlap ends one of two attempts that are both without an answer. A response that has begun depends on its server until another one
-// continues it; otherwise the second server is more likely to answer.
+// endOverlap ends one of two attempts that are both without an answer: the second one for as long as the first server may be sound.
 func (w *watchdog) endOverlap(h *attempt) {
 	w.request.lock.Lock()
 	defer w.request.lock.Unlock()
 	if w.hedge != h {
 		return
 	}
-	if !w.request.began {
+	at := w.request.forwarder.now()
+	if at.Sub(w.request.progressAt) >= maxSilence {
 		w.replaceCurrent()
 
 		return
 	}
 	w.dropHedge()
-	w.expiresAt = w.request.forwarder.now().Add(w.retry)
+	w.expiresAt = at.Add(w.retry)
 	w.timer.Reset(w.retry)
 }
 
@@ -171,6 +174,7 @@
 func (w *watchdog) dropHedge() {
 	w.overlap.Stop()
 	w.request.recordHedge(w.ctx, w.hedge, errAbandoned)
+	w.request.dropped = w.hedge.server.ID
 	w.hedge.abandon()
 	w.hedge = nil
 }
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -95,26 +95,39 @@
 // region, and otherwise one with fewer than loadLimit times its slots, where the request waits. A slot that a batch item uses
 // counts as free, since the item can be preempted. release ends the reservation.
 func (p *Placer) Online(service string, excluded map[string]bool, loadLimit float64, at time.Time) (s backend.Server, release func(), ok bool) {
-	return p.reserve(service, excluded, []float64{1, loadLimit}, func(slots, online, _ int, limit float64) bool {
+	return p.reserve(p.roster.Usable(service, at), excluded, []float64{1, loadLimit}, func(slots, online, _ int, limit float64) bool {
 		return float64(online) < limit*float64(slots)
 	}, at)
 }
 
 // Free reserves a slot for an online request on a server where neither an online request nor a batch item uses it.
 func (p *Placer) Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool) {
-	return p.reserve(service, excluded, []float64{1}, func(slots, online, batch int, _ float64) bool {
-		return online+batch < slots
-	}, at)
+	return p.reserve(p.roster.Usable(service, at), excluded, []float64{1}, free, at)
+}
+
+// FreeOn is like Free for one server of a service.
+func (p *Placer) FreeOn(service, id string, at time.Time) (s backend.Server, release func(), ok bool) {
+	usable := p.roster.Usable(service, at)
+	for n, s := range usable {
+		if s.ID == id {
+			return p.reserve(usable[n:n+1], nil, []float64{1}, free, at)
+		}
+	}
+
+	return backend.Server{}, nil, false
+}
+
+func free(slots, online, batch int, _ float64) bool {
+	return online+batch < slots
 }
 
 // reserve tries each limit at all distances before the next limit. Among the allowed servers at a distance it chooses the one
 // with the fewest requests per slot, where an online request counts onlineWeight times.
 func (p *Placer) reserve(
-	service string, excluded map[string]bool, limits []float64, allowed func(slots, online, batch int, limit float64) bool, at time.Time,
+	usable []backend.Server, excluded map[string]bool, limits []float64, allowed func(slots, online, batch int, limit float64) bool, at time.Time,
 ) (s backend.Server, release func(), ok bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	usable := p.roster.Usable(service, at)
 	for _, limit := range limits {
 		for distance := range distances {
 			s, ok := p.choose(usable, excluded, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -232,3 +232,23 @@
 	is.True(queued*200 < requests) // four of five slots are free on average
 	is.True(total/instances <= backends/2)
 }
+
+// Guards against a request that is sent to another server than the one that may get it again, or to one without a free slot.
+func TestFreeOn(t *testing.T) {
+	is := is.New(t)
+	l := load.New()
+	p := newPlacer(l, always{}, fleet("c", "b", "a"))
+	s, release, ok := p.FreeOn("s", "s0", start)
+	is.True(ok)
+	is.Equal(s.ID, "s0")
+	online, _ := l.InFlight("s0", start)
+	is.Equal(online, 1)
+	release()
+	online, _ = l.InFlight("s0", start)
+	is.Equal(online, 0)
+	l.Add("s0", 7, 1)
+	_, _, ok = p.FreeOn("s", "s0", start)
+	is.True(!ok)
+	_, _, ok = p.FreeOn("s", "s3", start)
+	is.True(!ok)
+}
