Count the tokens of jobs that are being written

Cause: the limit was checked before the writes of a job, and its tokens counted only after them, so that submissions that came together passed the limit with the same count. Those with an unknown outcome were counted at the instance and missing in its heartbeats.

Change: the check and the reservation of a job's tokens are one step under the runner's lock. What is reserved, and what has an unknown outcome, is in the waiting tokens of heartbeats. A job that comes again while it is written is not counted against itself. No message and no call to the store is added.

Failing before (the former sums put back): TestSubmissionsThatComeTogether: submit_test.go:186: 0 != 600 TestUnknownSubmissionIsAnnounced: submit_test.go:219: 0 != 20

--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -47,15 +47,23 @@
 }
 
 // FillHeartbeat fills in the parts of a heartbeat that concern jobs: those that were accepted, taken over, ended or released
-// recently, the waiting tokens and the progress by route, and the number of items that found no free slot.
+// recently, the waiting tokens, with those of jobs that are being written, and the progress by route, and the number of items that found
+// no free slot.
 func (r *Runner) FillHeartbeat(b *gossip.Heartbeat) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	at := r.now()
 	b.Waiting = gossip.HeartbeatWaiting{}
-	for _, j := range r.jobs {
-		if rt := r.routeOf(j); rt != nil {
-			b.Waiting[rt.Name] += j.waitingTokens()
+	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
+		for _, j := range jobs {
+			if rt := r.routeOf(j); rt != nil {
+				b.Waiting[rt.Name] += j.waitingTokens()
+			}
+		}
+	}
+	for id, s := range r.submitting {
+		if !r.counted(id) {
+			b.Waiting[s.route] += s.tokens
 		}
 	}
 	b.Progress = r.progress(at)
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -122,8 +122,8 @@
 	// jobs are those that this instance holds, unresolved those whose submission has an unknown outcome.
 	jobs       map[string]*job
 	unresolved map[string]*job
-	// submitting counts, by job, the submissions whose objects are being written.
-	submitting map[string]int
+	// submitting are the jobs whose objects are being written.
+	submitting map[string]*submission
 	// ended are the ended jobs that this instance announces, peerEnds those that other instances announce; each is kept until
 	// the given time. A takeover checks both, since a job may end after the takeover has read the store.
 	ended    map[string]time.Time
@@ -179,7 +179,7 @@
 		returned:    highmark.New(now),
 		jobs:        map[string]*job{},
 		unresolved:  map[string]*job{},
-		submitting:  map[string]int{},
+		submitting:  map[string]*submission{},
 		ended:       map[string]time.Time{},
 		peerEnds:    map[string]time.Time{},
 		held:        map[string]time.Time{},
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -16,6 +16,14 @@
 	acceptTimes = histogram.New("JobAcceptMillis")
 )
 
+// submission is a job whose objects are being written; its tokens count from before the writes.
+type submission struct {
+	route  string
+	tokens int
+	// writers is the number of submissions of the job at this instance.
+	writers int
+}
+
 // Submit accepts a job. It fails with code overloaded if the job's tokens exceed the route's limit, with store_unavailable if
 // nothing was written, and with outcome_unknown if the job may have been accepted. It succeeds for a job that was accepted
 // before; it asks the store only if no instance has announced the job as its own.
@@ -39,15 +47,21 @@
 	if _, version := r.routes.Current(); version > 0 {
 		j.RouteVersion = int(version)
 	}
+	announced := r.reader.Announced(j.ID)
 	r.lock.Lock()
 	held := r.jobs[j.ID] != nil
 	_, open := r.unresolved[j.ID]
-	tokens := r.waitingTokens(rt.Name)
+	tokens, peers := r.waitingTokens(rt.Name, j.ID), r.cluster.Waiting(rt.Name, r.now())
+	refused := rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || r.stopping
 	stopping := r.stopping
 	j.SubmittedAt = r.firstSubmission(rt, &j, r.now())
 	late := r.expectedLate(rt, &j, r.now())
+	// One that is expected to be late is written only if the store does not say whether it is known.
+	if !held && !announced && !open && !refused && late == nil {
+		r.reserve(rt, &j)
+	}
 	r.lock.Unlock()
-	if held || r.reader.Announced(j.ID) {
+	if held || announced {
 		r.logger.Info("job submitted again", "job", j.ID, "route", rt.Name, "held", held, "outcome", "accepted before")
 
 		return nil
@@ -57,8 +71,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	peers := r.cluster.Waiting(rt.Name, r.now())
-	if rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || stopping {
+	if refused {
 		return r.refuse(ctx, rt, &j, tokens+peers, stopping)
 	}
 	if late != nil {
@@ -69,6 +82,9 @@
 		if err == nil {
 			return r.refuseLate(&j, late, accepted)
 		}
+		r.lock.Lock()
+		r.reserve(rt, &j)
+		r.lock.Unlock()
 	}
 	n := newJob(j, items)
 	began := r.now()
@@ -84,11 +100,10 @@
 	return err
 }
 
-// accept writes a job to the store and holds it from then on. If the outcome of the writes is unknown, it waits until they were repeated
-// successfully or ctx ends.
+// accept writes a job, whose tokens are reserved, to the store and holds it from then on. If the outcome of the writes is unknown, it
+// waits until they were repeated successfully or ctx ends.
 func (r *Runner) accept(ctx context.Context, n *job, items []work.Item) error {
-	r.countSubmission(n.ID, 1)
-	defer r.countSubmission(n.ID, -1)
+	defer r.unreserve(n.ID)
 	revision, err := r.log.Accept(ctx, &n.Job, items, n.written)
 	n.revision = revision
 	resolved := n.changed
@@ -136,15 +151,34 @@
 	return true
 }
 
-func (r *Runner) countSubmission(id string, n int) {
+// reserve counts the tokens of a job that is about to be written; it needs the lock.
+func (r *Runner) reserve(rt *route.Route, j *work.Job) {
+	s := r.submitting[j.ID]
+	if s == nil {
+		s = &submission{
+			route:  rt.Name,
+			tokens: j.Tokens,
+		}
+		r.submitting[j.ID] = s
+	}
+	s.writers++
+}
+
+// unreserve ends a reservation once the job is held, refused, or among those whose outcome is unknown.
+func (r *Runner) unreserve(id string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.submitting[id] += n
-	if r.submitting[id] == 0 {
+	s := r.submitting[id]
+	if s.writers--; s.writers == 0 {
 		delete(r.submitting, id)
 	}
 }
 
+// counted reports whether a job that is being written counts as one that this instance holds already; it needs the lock.
+func (r *Runner) counted(id string) bool {
+	return r.jobs[id] != nil || r.unresolved[id] != nil
+}
+
 // refuse returns why a job is not accepted, or nil if it was accepted before.
 func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
 	accepted, err := r.log.Accepted(ctx, j.ID)
@@ -167,8 +201,9 @@
 	return fault.New(fault.CodeOverloaded, "the job's tokens exceed the limit of waiting tokens on its route")
 }
 
-// waitingTokens returns the tokens of all unfinished items on a route; it needs the lock.
-func (r *Runner) waitingTokens(name string) int {
+// waitingTokens returns the tokens of all unfinished items on a route, with those of jobs that are being written except for one that
+// comes again; it needs the lock.
+func (r *Runner) waitingTokens(name, except string) int {
 	n := 0
 	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
 		for _, j := range jobs {
@@ -177,6 +212,11 @@
 			}
 		}
 	}
+	for id, s := range r.submitting {
+		if s.route == name && id != except && !r.counted(id) {
+			n += s.tokens
+		}
+	}
 
 	return n
 }
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -1,6 +1,7 @@
 package jobrun
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/gossip"
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/work"
 )
@@ -146,3 +148,74 @@
 		})
 	}
 }
+
+// slowLog is a job log that takes a second to accept a job.
+type slowLog struct {
+	joblog
+}
+
+func (l slowLog) Accept(ctx context.Context, j *work.Job, items []work.Item, written map[int]bool) (int64, error) {
+	time.Sleep(time.Second)
+
+	return l.joblog.Accept(ctx, j, items, written)
+}
+
+// Guards against jobs past the limit of waiting tokens, accepted while others are being written and are counted by nobody.
+func TestSubmissionsThatComeTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.setUsedSlots(100)
+		r, stop := f.start("e")
+		defer stop()
+		r.lock.Lock()
+		r.log = slowLog{joblog: r.log}
+		r.lock.Unlock()
+		submit := func(id string) error {
+			items := newItems(id, 60)
+
+			return r.Submit(t.Context(), &testRoute, work.Job{ID: id, Host: "h", Target: "/b/1", Tokens: 600, SubmittedAt: time.Now()}, items)
+		}
+		outcomes := make(chan error, 2)
+		for range 2 {
+			go func() { outcomes <- submit("job") }() // a job that comes again while it is written fits
+		}
+		time.Sleep(time.Millisecond)
+		b := &gossip.Heartbeat{}
+		r.FillHeartbeat(b)
+		is.Equal(b.Waiting["jobs"], 600)
+		is.Equal(fault.CodeOf(submit("other")), fault.CodeOverloaded)
+		for range 2 {
+			is.NoErr(<-outcomes)
+		}
+		r.FillHeartbeat(b)
+		is.Equal(b.Waiting["jobs"], 600)
+		r.StopEnded("job")
+		is.NoErr(submit("other")) // nothing stays reserved
+		r.FillHeartbeat(b)
+		is.Equal(b.Waiting["jobs"], 600)
+	})
+}
+
+// Guards against other instances that no longer see the tokens of a job whose submission has an unknown outcome and may run.
+func TestUnknownSubmissionIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.setUsedSlots(100)
+		r, stop := f.start("e")
+		defer stop()
+		f.objects.Choose(func(kind string) fault.Code {
+			if kind == "job-parts" {
+				return fault.CodeStoreUnavailable
+			}
+
+			return ""
+		})
+		err := r.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", Tokens: 20, SubmittedAt: time.Now()}, newItems("job", 2))
+		is.True(err != nil)
+		b := &gossip.Heartbeat{}
+		r.FillHeartbeat(b)
+		is.Equal(b.Waiting["jobs"], 20)
+	})
+}
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -66,7 +66,7 @@
 func (r *Runner) orphan(j *work.Job) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.jobs[j.ID] != nil || r.unresolved[j.ID] != nil || r.submitting[j.ID] > 0 {
+	if r.jobs[j.ID] != nil || r.unresolved[j.ID] != nil || r.submitting[j.ID] != nil {
 		return false
 	}
 
