Count the jobs of a lost instance until they are taken over

A process that restarts lost the tokens of its predecessor in the same way, and reports on zones left out an instance after 0.8 s of silence.

Change: the last waiting tokens of a process that is gone or was replaced go on counting, less what was taken over from it since. An instance that takes a job over says in its heartbeats how many tokens it has taken from which process, for 2 s; its own waiting tokens contain them from the same moment, so the sum stays the same. The rest, jobs that were finished or ended meanwhile, counts for 4 s after the last takeover, or 12 s after the last heartbeat if there is none. Reports on zones contain the same. There is no message and no call to the store more; the list has at most 32 processes in a heartbeat.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -126,6 +126,10 @@
 	own peer
 	// zoneReports holds the newest report on each other zone.
 	zoneReports map[string]zoneReport
+	// replaced holds the processes in whose place another one has started, taken what was taken over from processes that are gone;
+	// the keys are incarnations.
+	replaced map[string]replacedProcess
+	taken    map[string]*takenJobs
 	// lastContenders are those of the window in which MayStartBatch was last called.
 	lastContenders windowContenders
 	// listeningSince is when this instance began to receive heartbeats, or resumed after a pause.
@@ -161,6 +165,8 @@
 		selfSuspectedAt: at,
 		targets:         map[netip.AddrPort]target{},
 		zoneReports:     map[string]zoneReport{},
+		replaced:        map[string]replacedProcess{},
+		taken:           map[string]*takenJobs{},
 	}
 }
 
@@ -210,6 +216,7 @@
 		return false
 	case p == nil || p.heartbeat.Sender.Incarnation != s.Incarnation:
 		if p != nil {
+			c.replace(p)
 			delete(c.targets, s.Peer) // no heartbeat was sent to the new process yet
 		}
 		p = &peer{
@@ -234,6 +241,7 @@
 		c.zones = nil
 	}
 	p.update(b, at)
+	c.observeTakeovers(b, at)
 	c.checkedAt = later(c.checkedAt, p.checkedAt)
 	if b.SearchedMillis > 0 {
 		c.searchedAt = later(c.searchedAt, gossip.Before(at, b.SearchedMillis))
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -113,6 +113,10 @@
 	if len(c.peers) > largeFleet {
 		refresh = largeRefreshInterval
 	}
+	for route, tokens := range own.Waiting {
+		report.Waiting[route] += tokens
+	}
+	c.addZoneWaiting(report.Waiting, at)
 	var relayed []gossip.RelayedHeartbeat
 	for _, p := range append(slices.Clip(c.inZone(c.self.Zone)), &c.own) {
 		if !p.heardRecently(at) {
@@ -126,9 +130,6 @@
 			Queued:      p.heartbeat.Queued,
 			QueuedLate:  p.heartbeat.QueuedLate,
 		})
-		for route, tokens := range p.heartbeat.Waiting {
-			report.Waiting[route] += tokens
-		}
 		gossip.AddProgress(report.Progress, p.heartbeat.Progress)
 		if at.Sub(p.changedAt) <= changeRepeat || at.Sub(p.relayedAt) >= refresh {
 			p.relayedAt = at
@@ -178,12 +179,16 @@
 func relevantChange(before, now *gossip.Heartbeat) bool {
 	return before.Sender != now.Sender || before.RouteVersion != now.RouteVersion || before.ServerDigest != now.ServerDigest ||
 		before.StoreLost != now.StoreLost || !slices.Equal(before.Held, now.Held) || !slices.Equal(before.Claimed, now.Claimed) || !slices.Equal(before.Ended, now.Ended) ||
-		!slices.Equal(before.Released, now.Released) || !slices.EqualFunc(before.Crashes, now.Crashes, sameCrash) ||
+		!slices.Equal(before.Released, now.Released) || !slices.EqualFunc(before.TakenOver, now.TakenOver, sameTakeover) || !slices.EqualFunc(before.Crashes, now.Crashes, sameCrash) ||
 		!slices.EqualFunc(before.SoundParts, now.SoundParts, func(a, b gossip.SoundPart) bool { return a.Part == b.Part }) ||
 		!slices.EqualFunc(before.QuarantinedParts, now.QuarantinedParts, func(a, b gossip.QuarantinedPart) bool { return a.Part == b.Part }) ||
 		!slices.Equal(before.Departures, now.Departures)
 }
 
+func sameTakeover(a, b gossip.TakenOver) bool {
+	return a.Incarnation == b.Incarnation && maps.Equal(a.Waiting, b.Waiting)
+}
+
 // sameCrash compares without ages, which differ in each heartbeat.
 func sameCrash(a, b gossip.Crash) bool {
 	return a.Server == b.Server && a.StartedAt == b.StartedAt && slices.Equal(a.Parts, b.Parts)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -54,6 +54,7 @@
 	if recent || silent > 1 || alone || len(c.peers) == 0 && c.unheard() > 1 {
 		c.selfSuspectedAt = at
 	}
+	c.forgetLost(at)
 	// An instance that hears nobody may be heard by the others, who would count it as gone if it became silent.
 	if !alone {
 		c.forgetTargets(at)
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -7,15 +7,20 @@
 	"tarragonwalk/core/gossip"
 )
 
-// Waiting returns the sum of the waiting tokens of a batch route at all other instances. A report on a zone that has not expired
-// replaces the values of its instances.
+// Waiting returns the sum of the waiting tokens of a batch route at all other instances, with those of processes that are gone until
+// their jobs are taken over. A report on a zone that has not expired replaces the values of its instances.
 func (c *Cluster) Waiting(route string, at time.Time) int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	n := 0
 	for _, p := range c.peers {
-		if !p.gone && at.Sub(c.zoneReports[p.heartbeat.Sender.Zone].madeAt) > gossip.ReportLife {
-			n += p.heartbeat.Waiting[route]
+		if at.Sub(c.zoneReports[p.heartbeat.Sender.Zone].madeAt) > gossip.ReportLife {
+			n += c.peerWaiting(p, route, at)
+		}
+	}
+	for incarnation, r := range c.replaced {
+		if at.Sub(c.zoneReports[r.zone].madeAt) > gossip.ReportLife {
+			n += c.replacedWaiting(incarnation, route, at)
 		}
 	}
 	for _, z := range c.zoneReports {
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -256,8 +256,12 @@
 	// StoreLost says that the sender cannot reach the store.
 	StoreLost bool `json:"StoreLost,omitempty,omitzero"`
 
+	// TakenOver says how much of Waiting the sender has taken over in the last
+	// seconds, by the process that it was taken from.
+	TakenOver []TakenOver `json:"TakenOver,omitempty,omitzero"`
+
 	// Waiting is the number of waiting tokens by batch route, of the jobs that the
-	// sender holds.
+	// sender holds or writes to the store.
 	Waiting HeartbeatWaiting `json:"Waiting,omitempty,omitzero"`
 }
 
@@ -265,7 +269,7 @@
 type HeartbeatProgress map[string]BatchProgress
 
 // Waiting is the number of waiting tokens by batch route, of the jobs that the
-// sender holds.
+// sender holds or writes to the store.
 type HeartbeatWaiting map[string]int
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -654,3 +658,35 @@
 	*j = SoundPart(plain)
 	return nil
 }
+
+// TakenOver says how much an instance has taken over from a process that is gone.
+type TakenOver struct {
+	// Incarnation identifies the process that is gone.
+	Incarnation string `json:"Incarnation"`
+
+	// Waiting is the number of tokens by batch route that waited in the jobs when
+	// they were taken over.
+	Waiting TakenOverWaiting `json:"Waiting,omitempty,omitzero"`
+}
+
+// Waiting is the number of tokens by batch route that waited in the jobs when they
+// were taken over.
+type TakenOverWaiting map[string]int
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TakenOver) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Incarnation"]; raw != nil && !ok {
+		return fmt.Errorf("field Incarnation in TakenOver: required")
+	}
+	type Plain TakenOver
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TakenOver(plain)
+	return nil
+}
--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -69,6 +69,7 @@
 	b.Progress = r.progress(at)
 	r.heartbeats++
 	b.Refused = r.announcedRefusals(at)
+	b.TakenOver = someOf(r.cluster.Takeovers(at), r.heartbeats)
 	b.Held = someOf(dropExpired(r.held, at), r.heartbeats)
 	b.Claimed = someOf(dropExpired(r.claimed, at), r.heartbeats)
 	b.Ended = someOf(dropExpired(r.ended, at), r.heartbeats)
@@ -116,11 +117,11 @@
 }
 
 // someOf returns at most maxAnnounced entries of a list; successive rounds step through the whole list.
-func someOf(list []string, round int) []string {
+func someOf[T any](list []T, round int) []T {
 	if len(list) <= maxAnnounced {
 		return list
 	}
-	some := make([]string, 0, maxAnnounced)
+	some := make([]T, 0, maxAnnounced)
 	for n := range maxAnnounced {
 		some = append(some, list[(round*maxAnnounced+n)%len(list)])
 	}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -210,6 +210,12 @@
 	if j.ended {
 		return 0
 	}
+
+	return j.unfinishedTokens()
+}
+
+// unfinishedTokens returns the tokens of all items that are not done, even if the job has ended.
+func (j *job) unfinishedTokens() int {
 	n := 0
 	for _, it := range j.items {
 		if it.state != done {
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -125,6 +125,12 @@
 func (i *loadInstance) Isolated() bool                           { return false }
 func (i *loadInstance) Waiting(r string, at time.Time) int       { return i.cluster.Waiting(r, at) }
 
+func (i *loadInstance) RecordTakeover(incarnation, rt string, tokens int, at time.Time) {
+	i.cluster.RecordTakeover(incarnation, rt, tokens, at)
+}
+
+func (i *loadInstance) Takeovers(at time.Time) []gossip.TakenOver { return i.cluster.Takeovers(at) }
+
 func (i *loadInstance) Progress(at time.Time) (sum map[string]gossip.BatchProgress, complete bool) {
 	sum, complete = i.cluster.Progress(at)
 
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -31,6 +31,8 @@
 	// running is set while this instance tries to take the job over, claimed once the job's record names it.
 	running bool
 	claimed bool
+	// lost is the incarnation that the record named before it named this instance. A repeated attempt no longer finds it there.
+	lost string
 }
 
 // ObserveOrphan records a job that another instance announces as having no holder.
@@ -160,6 +162,9 @@
 		return err
 	}
 	previous := *record
+	if !r.mine(record) {
+		o.lost = record.Incarnation
+	}
 	revision, claimed, err := r.claim(claim, record, revision)
 	if !claimed {
 		return err
@@ -170,7 +175,7 @@
 	r.claimed[id] = r.now().Add(announcementTTL)
 	r.lock.Unlock()
 
-	err = r.takeOver(ctx, *record, &previous, revision)
+	err = r.takeOver(ctx, *record, &previous, o.lost, revision)
 	if fault.CodeOf(err) == fault.CodeNotFound && r.expired(record, r.now()) {
 		// Some of its items were never written, so it was not accepted.
 		r.removeOld(ctx, record)
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -84,6 +84,8 @@
 	Paused(at time.Time) bool
 	Isolated() bool
 	Waiting(route string, at time.Time) int
+	RecordTakeover(incarnation, route string, tokens int, at time.Time)
+	Takeovers(at time.Time) []gossip.TakenOver
 	Progress(at time.Time) (sum map[string]gossip.BatchProgress, complete bool)
 }
 
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -66,10 +66,12 @@
 	hideRoute atomic.Bool
 	// keepFor is how long jobs stay readable.
 	keepFor time.Duration
+	// takenOver are the tokens of jobs that were taken over, by the process that held them.
+	takenOver map[string]int
 }
 
 func newFleet(seed uint64, failureRate float64) *fleet {
-	return &fleet{random: rand.New(rand.NewPCG(seed, 1)), objects: fakeobjects.New(), alive: map[string]bool{}, failureRate: failureRate, keepFor: time.Hour}
+	return &fleet{random: rand.New(rand.NewPCG(seed, 1)), objects: fakeobjects.New(), alive: map[string]bool{}, failureRate: failureRate, keepFor: time.Hour, takenOver: map[string]int{}}
 }
 
 func noQuarantine() *quarantine.Quarantine {
@@ -128,6 +130,14 @@
 
 func (f *fleet) Waiting(string, time.Time) int { return 0 }
 
+func (f *fleet) RecordTakeover(incarnation, _ string, tokens int, _ time.Time) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.takenOver[incarnation] += tokens
+}
+
+func (f *fleet) Takeovers(time.Time) []gossip.TakenOver { return nil }
+
 func (f *fleet) Progress(time.Time) (sum map[string]gossip.BatchProgress, complete bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -94,8 +94,9 @@
 }
 
 // takeOver reads the items and results of a job that this instance has claimed, and runs it from then on. The claim comes first: over
-// a slow link the reads may take several attempts, and instances that read before they claim would all read the same jobs.
-func (r *Runner) takeOver(ctx context.Context, record work.Job, previous *work.Job, revision int64) error {
+// a slow link the reads may take several attempts, and instances that read before they claim would all read the same jobs. Lost is the
+// incarnation of the process that held the job, empty if that released it.
+func (r *Runner) takeOver(ctx context.Context, record work.Job, previous *work.Job, lost string, revision int64) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	claimedAt := r.now()
@@ -125,6 +126,10 @@
 		return nil
 	}
 	r.hold(record.ID, j)
+	if rt := r.routeOf(j); rt != nil && lost != "" {
+		// The lost process may not have learned of the job's end.
+		r.cluster.RecordTakeover(lost, rt.Name, j.unfinishedTokens(), r.now())
+	}
 	r.logger.Info("job taken over", "job", record.ID, "from", previous.Holder, "listed", len(j.results), "items", record.Items,
 		"ended", j.ended, "revision", revision)
 	r.signal()
--- a/core/jobrun/takeover_test.go
+++ b/core/jobrun/takeover_test.go
@@ -1,6 +1,7 @@
 package jobrun
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,3 +48,43 @@
 		})
 	}
 }
+
+// Guards against tokens that go on counting for a lost holder after a takeover, if the first attempt has claimed the job and could not read
+// it, or if the job has ended meanwhile.
+func TestTakeoverIsCounted(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		t.Run(fmt.Sprint("ended ", ended), func(t *testing.T) { testTakeoverIsCounted(t, ended) })
+	}
+}
+
+func testTakeoverIsCounted(t *testing.T, ended bool) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.setUsedSlots(100)
+		l := logs.New(f.objects)
+		items := newItems("job", 2)
+		j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), Tokens: 20, SubmittedAt: time.Now(), Holder: "gone", Incarnation: "gone-1"}
+		f.writeRecordOnly(t, j, items)
+		r, stop := f.start("e")
+		defer stop()
+		_, err := r.AnnounceOrphans(t.Context())
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		record, _, err := l.Job(t.Context(), "job")
+		is.NoErr(err)
+		is.Equal(record.Holder, "e")
+		is.True(!r.holds("job"))
+		if ended {
+			is.NoErr(l.End(t.Context(), "job", time.Now()))
+		}
+		repeat := j
+		is.NoErr(r.Submit(t.Context(), &testRoute, repeat, items)) // writes the items
+		time.Sleep(2 * incompletePause)
+		is.True(r.holds("job"))
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		is.Equal(f.takenOver, map[string]int{"gone-1": 20})
+	})
+}
