--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -47,20 +47,29 @@
 }
 
 // FillHeartbeat fills in the parts of a heartbeat that concern jobs: those that were accepted, taken over, ended or released
-// recently, the waiting tokens and the progress by route, and the number of items that found no free slot.
+// recently, the waiting tokens, with those of jobs that are being written, and the progress by route, and the number of items that found
+// no free slot.
 func (r *Runner) FillHeartbeat(b *gossip.Heartbeat) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	at := r.now()
 	b.Waiting = gossip.HeartbeatWaiting{}
-	for _, j := range r.jobs {
-		if rt := r.routeOf(j); rt != nil {
-			b.Waiting[rt.Name] += j.waitingTokens()
+	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
+		for _, j := range jobs {
+			if rt := r.routeOf(j); rt != nil {
+				b.Waiting[rt.Name] += j.waitingTokens()
+			}
+		}
+	}
+	for id, s := range r.submitting {
+		if !r.counted(id) {
+			b.Waiting[s.route] += s.tokens
 		}
 	}
 	b.Progress = r.progress(at)
 	r.heartbeats++
 	b.Refused = r.announcedRefusals(at)
+	b.TakenOver = someOf(r.cluster.Takeovers(at), r.heartbeats)
 	b.Held = someOf(dropExpired(r.held, at), r.heartbeats)
 	b.Claimed = someOf(dropExpired(r.claimed, at), r.heartbeats)
 	b.Ended = someOf(dropExpired(r.ended, at), r.heartbeats)
@@ -108,11 +117,11 @@
 }
 
 // someOf returns at most maxAnnounced entries of a list; successive rounds step through the whole list.
-func someOf(list []string, round int) []string {
+func someOf[T any](list []T, round int) []T {
 	if len(list) <= maxAnnounced {
 		return list
 	}
-	some := make([]string, 0, maxAnnounced)
+	some := make([]T, 0, maxAnnounced)
 	for n := range maxAnnounced {
 		some = append(some, list[(round*maxAnnounced+n)%len(list)])
 	}
