--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -85,3 +85,31 @@
 		is.Equal(f.released, 3)
 	})
 }
+
+// Guards against a request that stays at a server that is gone, or fails with it, because no further server has a free slot and the one whose
+// hedge was dropped is not asked again.
+func TestDroppedHedgeIsRepeatedWithoutFurtherServer(t *testing.T) {
+	rest := reply{status: 200, body: whole[15:], wait: 400 * time.Millisecond}
+	for _, c := range []struct {
+		name  string
+		first reply
+	}{
+		{"gone", reply{status: 200, body: whole[:15], hung: true}},
+		{"lost later", reply{status: 200, body: whole[:15] + "id: 2\n", slow: 800 * time.Millisecond, first: time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := route.Route{Kind: route.KindStream, MaxAttempts: 4, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+				f := &fake{replies: []reply{c.first, rest, rest, rest, rest}, free: true}
+				out := &recorder{}
+				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				time.Sleep(time.Second)
+				is.NoErr(err)
+				is.Equal(out.body.String(), whole)
+				is.Equal(f.servers, []string{"a", "b", "c", "c"})
+				is.Equal(f.released, 4)
+			})
+		})
+	}
+}
