Ask the server of a dropped hedge again when no other one is free

What callers saw: a stream that stayed until its time-out at a server that is gone, or was cut with it, although a server of the service was free.

Cause: the server of a dropped hedge got the request again only when max_attempts was reached. Below it a further server was looked for, without end, among servers that all have had the request.

Change: the server of the dropped hedge is also asked when the search for a further one finds none, after the same silence as before, or when the current attempt has failed. It is no further server, so max_attempts holds.

--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -71,7 +71,8 @@
 	// lost is set when an attempt has lost its connection before anything was answered.
 	lost     bool
 	splitter *eventstream.Splitter
-	// dropped is the ID of the last server whose hedge was dropped without an answer. It may get the request again when no further server may.
+	// dropped is the ID of the last server whose hedge was dropped without an answer. It may get the request again when no further one may
+	// or can.
 	dropped string
 	// next is the next attempt if the watchdog has started it already.
 	next *attempt
@@ -108,20 +109,21 @@
 		return a
 	}
 	at := rs.forwarder.now()
-	if rs.ran >= max(1, rs.route.MaxAttempts) {
-		return rs.repeatDropped(ctx, at)
-	}
-	s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at)
-	if !ok {
-		return nil
+	if rs.ran < max(1, rs.route.MaxAttempts) {
+		if s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at); ok {
+			return rs.newAttempt(ctx, s, release)
+		}
 	}
 
-	return rs.newAttempt(ctx, s, release)
+	return rs.repeatDropped(ctx, at)
 }
 
 // repeatDropped returns an attempt on the server whose hedge was dropped, nil if there is none or it has no free slot. Attempts are limited
 // by the number of servers, so this one is no further server.
 func (rs *requestState) repeatDropped(ctx context.Context, at time.Time) *attempt {
+	if rs.dropped == "" {
+		return nil
+	}
 	s, release, ok := rs.forwarder.placer.FreeOn(rs.service, rs.dropped, at)
 	if !ok {
 		return nil
@@ -192,23 +194,22 @@
 	return !rs.route.Repeatable() || rs.refused >= maxRefusals || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == ""
 }
 
-// newHedge returns an attempt on a second server, nil if there is none at present. When no further server may get the request, it is the one
-// whose hedge was dropped, once the current server has been silent for longer than a sound one. It needs the lock.
+// newHedge returns an attempt on a second server, nil if there is none at present. When no further server may or can get the request, it is
+// the one whose hedge was dropped, once the current server has been silent for longer than a sound one. It needs the lock.
 func (rs *requestState) newHedge(ctx context.Context, at time.Time) *attempt {
-	switch {
-	case rs.began && !rs.splitter.Resumable(), rs.dangerous():
-		return nil
-	case rs.ran+1 >= rs.route.MaxAttempts && at.Sub(rs.progressAt) < maxSilence:
+	if rs.began && !rs.splitter.Resumable() || rs.dangerous() {
 		return nil
-	case rs.ran+1 >= rs.route.MaxAttempts:
-		return rs.repeatDropped(ctx, at)
 	}
-	s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at)
-	if !ok {
+	if rs.ran+1 < rs.route.MaxAttempts {
+		if s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at); ok {
+			return rs.newAttempt(ctx, s, release)
+		}
+	}
+	if at.Sub(rs.progressAt) < maxSilence {
 		return nil
 	}
 
-	return rs.newAttempt(ctx, s, release)
+	return rs.repeatDropped(ctx, at)
 }
 
 // acceptance returns nil if the server of an attempt that was answered has accepted the request, and otherwise why not.
