--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -113,3 +113,19 @@
 		})
 	}
 }
+
+// Guards against a sound server that is taken for a silent one because its caller has read slowly before.
+func TestSlowCallerIsNoLongSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 9000}
+		first := reply{status: 200, body: whole, slow: 500 * time.Millisecond, first: time.Millisecond}
+		other := reply{err: lost, wait: 400 * time.Millisecond}
+		f := &fake{replies: []reply{first, other, other}, free: true}
+		out := &recorder{pause: 1500 * time.Millisecond}
+		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		time.Sleep(time.Second)
+		is.NoErr(err)
+		is.Equal(out.body.String(), whole)
+	})
+}
