Count no time in which the caller reads as silence of a gone server

What callers saw: a stream that was cut after its caller had not read for a second: its sound server was replaced by a second one that had not answered yet and then failed.

Cause: the 1.3 s after which a server counts as gone were measured from its last event, and included the time in which that event was written to the caller.

Change: the watchdog measures them from the moment at which the server is read again, as it does for the gap.

Ruled out: moving progressAt itself, which is the time of the last event in the log and in the roster.

--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -195,8 +195,8 @@
 }
 
 // newHedge returns an attempt on a second server, nil if there is none at present. When no further server may or can get the request, it is
-// the one whose hedge was dropped, once the current server has been silent for longer than a sound one. It needs the lock.
-func (rs *requestState) newHedge(ctx context.Context, at time.Time) *attempt {
+// the one whose hedge was dropped, if the current server has been silent for longer than a sound one. It needs the lock.
+func (rs *requestState) newHedge(ctx context.Context, at time.Time, gone bool) *attempt {
 	if rs.began && !rs.splitter.Resumable() || rs.dangerous() {
 		return nil
 	}
@@ -205,7 +205,7 @@
 			return rs.newAttempt(ctx, s, release)
 		}
 	}
-	if at.Sub(rs.progressAt) < maxSilence {
+	if !gone {
 		return nil
 	}
 
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -28,6 +28,8 @@
 	paused    bool
 	timer     *time.Timer
 	expiresAt time.Time
+	// silentFrom is when the current server was last asked for more: the time in which events are written to the caller is no silence.
+	silentFrom time.Time
 	// gap is the allowed time from each progress to the next, any time if it is 0, and retry the time after which a search for a
 	// second server is repeated.
 	gap, retry time.Duration
@@ -48,11 +50,12 @@
 		first = gap
 	}
 	w := &watchdog{
-		request: rs,
-		ctx:     ctx,
-		current: a,
-		gap:     gap,
-		retry:   first / 2,
+		request:    rs,
+		ctx:        ctx,
+		current:    a,
+		silentFrom: rs.progressAt,
+		gap:        gap,
+		retry:      first / 2,
 	}
 	if first <= 0 || rs.exhausted() {
 		w.done = true
@@ -89,7 +92,7 @@
 		return
 	}
 	at := rs.forwarder.now()
-	h := rs.newHedge(w.ctx, at)
+	h := rs.newHedge(w.ctx, at, at.Sub(w.silentFrom) >= maxSilence)
 	if h == nil {
 		w.expiresAt = at.Add(w.retry)
 		w.timer.Reset(w.retry)
@@ -151,7 +154,7 @@
 		return
 	}
 	at := w.request.forwarder.now()
-	if at.Sub(w.request.progressAt) >= maxSilence {
+	if at.Sub(w.silentFrom) >= maxSilence {
 		w.replaceCurrent()
 
 		return
@@ -215,6 +218,7 @@
 	}
 	at := rs.forwarder.now()
 	if progress {
+		w.silentFrom = at
 		w.expiresAt = at.Add(w.gap)
 	}
 	w.timer.Reset(max(0, w.expiresAt.Sub(at)))
