--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -129,3 +129,20 @@
 		is.Equal(out.body.String(), whole)
 	})
 }
+
+// Guards against a stream that is cut because a second server replaced its server after an event without an id, from which none can go on.
+func TestUnnumberedStreamIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const unnumbered = "retry: 1000\n\ndata: x\n\n"
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+		first := reply{status: 200, body: unnumbered, stream: true, slow: 100 * time.Millisecond, first: 50 * time.Millisecond}
+		f := &fake{replies: []reply{first, {status: 200, body: whole, wait: 60 * time.Millisecond}}, free: true}
+		out := &recorder{}
+		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		time.Sleep(time.Second)
+		is.NoErr(err)
+		is.Equal(out.body.String(), unnumbered)
+		is.Equal(f.released, 2)
+	})
+}
