Keep the server of a stream that no other one can continue

What callers saw: a stream that was cut although its server was sound, if it began with an event that has neither an id nor data, such as "retry: 1000", while a second server was asked.

Cause: such an event is no progress and left the hedge running, but after it no other server can continue the stream. The hedge replaced the attempt, and the retry was then refused.

Change: the hedge is dropped when the stream can't be continued any more.

Evidence: TestUnnumberedStreamIsNotReplaced fails before and passes now.

Ruled out: taking such events for progress: a server could send them without end.

--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -200,7 +200,7 @@
 		w.expiresAt = at.Add(w.gap)
 		w.done = w.done || w.gap <= 0
 	}
-	if w.hedge != nil && (progress || rs.lastID() != last) {
+	if w.hedge != nil && (progress || rs.lastID() != last || !rs.splitter.Resumable()) {
 		w.dropHedge()
 	}
 
