Take no empty end of a second stream for the end of a silent one

What callers saw: a stream that ended as complete with its last events missing, after its sound server had been silent for half of the gap target: the second server sent the head of a stream and its end.

Cause: a hedge of a begun stream that ended without an event counted as accepted at once, since all events may have been there. Nothing tells whether they were.

Evidence: TestEmptyStreamIsNoReplacement failed before in the form with a sound server and passes now, also in the form with a server that is gone after its last event. Package tests once with the race detector.

Ruled out: never taking such an end, which holds a stream that lacks only its end until its time-out.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -31,6 +31,8 @@
 	answered chan struct{}
 	response *response.Response
 	err      error
+	// empty is set if awaitEvent has found a stream that ends without an event.
+	empty bool
 }
 
 // send sends the request, of which the caller has the events up to the ID after, and checks the response.
@@ -63,7 +65,11 @@
 			return err
 		}
 		switch {
-		case errors.Is(err, io.EOF) && began && splitter.Pending() == 0, len(read) >= readBytes:
+		case errors.Is(err, io.EOF) && began && splitter.Pending() == 0:
+			a.empty = true
+
+			return nil
+		case len(read) >= readBytes:
 			return nil
 		case err != nil:
 			return fault.Wrap(err, fault.CodeOutcomeUnknown, "the stream broke off before its first event")
--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -147,18 +147,24 @@
 	})
 }
 
-// Guards against a stream that ends as complete before its last event, because a second server ended its stream without one.
+// Guards against a stream that ends as complete before its last event, because a second server ended its stream without one, and against one
+// that has all events and waits for its end at a server that is gone.
 func TestEmptyStreamIsNoReplacement(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
-		first := reply{status: 200, body: whole, slow: 60 * time.Millisecond, first: time.Millisecond}
-		empty := reply{status: 200, stream: true}
-		f := &fake{replies: []reply{first, empty, empty}, free: true}
-		out := &recorder{}
-		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
-		synctest.Wait()
-		is.NoErr(err)
-		is.Equal(out.body.String(), whole)
-	})
+	for _, first := range []reply{
+		{status: 200, body: whole, slow: 60 * time.Millisecond, first: time.Millisecond},
+		{status: 200, body: whole, hung: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+			empty := reply{status: 200, stream: true}
+			f := &fake{replies: []reply{first, empty, empty}, free: true}
+			out := &recorder{}
+			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+			synctest.Wait()
+			is.NoErr(err)
+			is.Equal(out.body.String(), whole)
+			is.Equal(f.released, len(f.servers))
+		})
+	}
 }
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -134,6 +134,11 @@
 		return
 	}
 	err := rs.acceptance(h)
+	if err == nil && h.empty {
+		w.settle()
+
+		return
+	}
 	if err == nil {
 		w.replaceCurrent()
 
@@ -150,9 +155,13 @@
 func (w *watchdog) endOverlap(h *attempt) {
 	w.request.lock.Lock()
 	defer w.request.lock.Unlock()
-	if w.hedge != h {
-		return
+	if w.hedge == h {
+		w.settle()
 	}
+}
+
+// settle chooses between two attempts of which none has an event. It needs the lock.
+func (w *watchdog) settle() {
 	at := w.request.forwarder.now()
 	if at.Sub(w.silentFrom) >= maxSilence {
 		w.replaceCurrent()
