--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -85,3 +85,86 @@
 		is.Equal(f.released, 3)
 	})
 }
+
+// Guards against a request that stays at a server that is gone, or fails with it, because no further server has a free slot and the one whose
+// hedge was dropped is not asked again.
+func TestDroppedHedgeIsRepeatedWithoutFurtherServer(t *testing.T) {
+	rest := reply{status: 200, body: whole[15:], wait: 400 * time.Millisecond}
+	for _, c := range []struct {
+		name  string
+		first reply
+	}{
+		{"gone", reply{status: 200, body: whole[:15], hung: true}},
+		{"lost later", reply{status: 200, body: whole[:15] + "id: 2\n", slow: 800 * time.Millisecond, first: time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := route.Route{Kind: route.KindStream, MaxAttempts: 4, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+				f := &fake{replies: []reply{c.first, rest, rest, rest, rest}, free: true}
+				out := &recorder{}
+				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				time.Sleep(time.Second)
+				is.NoErr(err)
+				is.Equal(out.body.String(), whole)
+				is.Equal(f.servers, []string{"a", "b", "c", "c"})
+				is.Equal(f.released, 4)
+			})
+		})
+	}
+}
+
+// Guards against a sound server that is taken for a silent one because its caller has read slowly before.
+func TestSlowCallerIsNoLongSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 9000}
+		first := reply{status: 200, body: whole, slow: 500 * time.Millisecond, first: time.Millisecond}
+		other := reply{err: lost, wait: 400 * time.Millisecond}
+		f := &fake{replies: []reply{first, other, other}, free: true}
+		out := &recorder{pause: 1500 * time.Millisecond}
+		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		time.Sleep(time.Second)
+		is.NoErr(err)
+		is.Equal(out.body.String(), whole)
+	})
+}
+
+// Guards against a stream that is cut because a second server replaced its server after an event without an id, from which none can go on.
+func TestUnnumberedStreamIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const unnumbered = "retry: 1000\n\ndata: x\n\n"
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+		first := reply{status: 200, body: unnumbered, stream: true, slow: 100 * time.Millisecond, first: 50 * time.Millisecond}
+		f := &fake{replies: []reply{first, {status: 200, body: whole, wait: 60 * time.Millisecond}}, free: true}
+		out := &recorder{}
+		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		time.Sleep(time.Second)
+		is.NoErr(err)
+		is.Equal(out.body.String(), unnumbered)
+		is.Equal(f.released, 2)
+	})
+}
+
+// Guards against a stream that ends as complete before its last event, because a second server ended its stream without one, and against one
+// that has all events and waits for its end at a server that is gone.
+func TestEmptyStreamIsNoReplacement(t *testing.T) {
+	for _, first := range []reply{
+		{status: 200, body: whole, slow: 60 * time.Millisecond, first: time.Millisecond},
+		{status: 200, body: whole, hung: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+			empty := reply{status: 200, stream: true}
+			f := &fake{replies: []reply{first, empty, empty}, free: true}
+			out := &recorder{}
+			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+			synctest.Wait()
+			is.NoErr(err)
+			is.Equal(out.body.String(), whole)
+			is.Equal(f.released, len(f.servers))
+		})
+	}
+}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -28,6 +28,8 @@
 	paused    bool
 	timer     *time.Timer
 	expiresAt time.Time
+	// silentFrom is when the current server was last asked for more: the time in which events are written to the caller is no silence.
+	silentFrom time.Time
 	// gap is the allowed time from each progress to the next, any time if it is 0, and retry the time after which a search for a
 	// second server is repeated.
 	gap, retry time.Duration
@@ -48,11 +50,12 @@
 		first = gap
 	}
 	w := &watchdog{
-		request: rs,
-		ctx:     ctx,
-		current: a,
-		gap:     gap,
-		retry:   first / 2,
+		request:    rs,
+		ctx:        ctx,
+		current:    a,
+		silentFrom: rs.progressAt,
+		gap:        gap,
+		retry:      first / 2,
 	}
 	if first <= 0 || rs.exhausted() {
 		w.done = true
@@ -89,7 +92,7 @@
 		return
 	}
 	at := rs.forwarder.now()
-	h := rs.newHedge(w.ctx, at)
+	h := rs.newHedge(w.ctx, at, at.Sub(w.silentFrom) >= maxSilence)
 	if h == nil {
 		w.expiresAt = at.Add(w.retry)
 		w.timer.Reset(w.retry)
@@ -131,6 +134,11 @@
 		return
 	}
 	err := rs.acceptance(h)
+	if err == nil && h.empty {
+		w.settle()
+
+		return
+	}
 	if err == nil {
 		w.replaceCurrent()
 
@@ -147,11 +155,15 @@
 func (w *watchdog) endOverlap(h *attempt) {
 	w.request.lock.Lock()
 	defer w.request.lock.Unlock()
-	if w.hedge != h {
-		return
+	if w.hedge == h {
+		w.settle()
 	}
+}
+
+// settle chooses between two attempts of which none has an event. It needs the lock.
+func (w *watchdog) settle() {
 	at := w.request.forwarder.now()
-	if at.Sub(w.request.progressAt) >= maxSilence {
+	if at.Sub(w.silentFrom) >= maxSilence {
 		w.replaceCurrent()
 
 		return
@@ -197,7 +209,7 @@
 		w.expiresAt = at.Add(w.gap)
 		w.done = w.done || w.gap <= 0
 	}
-	if w.hedge != nil && (progress || rs.lastID() != last) {
+	if w.hedge != nil && (progress || rs.lastID() != last || !rs.splitter.Resumable()) {
 		w.dropHedge()
 	}
 
@@ -215,6 +227,7 @@
 	}
 	at := rs.forwarder.now()
 	if progress {
+		w.silentFrom = at
 		w.expiresAt = at.Add(w.gap)
 	}
 	w.timer.Reset(max(0, w.expiresAt.Sub(at)))
