Give a server the latency objective before it counts as gone

What callers saw, on routes whose objective is 2 s or more: a request was taken from a sound server that needs longer than half of the objective, and failed with the second one.

Cause: the second server is asked after half of the objective, so the 1.3 s after which a silent server counts as gone had passed at the end of every overlap.

Change: before the first event, a server counts as gone after 1.3 s or the objective, whichever is longer.

Ruled out: asking the second server later, which makes answers late where a server is gone.

--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -168,3 +168,28 @@
 		})
 	}
 }
+
+// Guards against a request that is taken from its sound server, which needs longer than half of a long objective, for one that then fails.
+func TestOverlapKeepsSoundServerOfLongObjective(t *testing.T) {
+	other := reply{err: lost, wait: 500 * time.Millisecond}
+	for _, c := range []struct {
+		kind  route.Kind
+		first reply
+	}{
+		{route.KindIdempotent, reply{status: 200, body: "ok", slow: 1600 * time.Millisecond}},
+		{route.KindStream, reply{status: 200, body: whole, slow: 5 * time.Millisecond, first: 1600 * time.Millisecond}},
+	} {
+		t.Run(string(c.kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := route.Route{Kind: c.kind, MaxAttempts: 2, Resumable: true, TargetMillis: 2400, GapMillis: 40, TimeoutMillis: 9000}
+				f := &fake{replies: []reply{c.first, other, other}, free: true}
+				out := &recorder{}
+				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				time.Sleep(time.Second)
+				is.NoErr(err)
+				is.Equal(out.body.String(), c.first.body)
+			})
+		})
+	}
+}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -28,8 +28,9 @@
 	paused    bool
 	timer     *time.Timer
 	expiresAt time.Time
-	// silentFrom is when the current server was last asked for more: the time in which events are written to the caller is no silence.
-	silentFrom time.Time
+	// goneAt is when the current server counts as gone unless it makes progress. The time in which events are written to the caller is
+	// no silence.
+	goneAt time.Time
 	// gap is the allowed time from each progress to the next, any time if it is 0, and retry the time after which a search for a
 	// second server is repeated.
 	gap, retry time.Duration
@@ -45,17 +46,18 @@
 	rs.lock.Lock()
 	defer rs.lock.Unlock()
 	gap := time.Duration(rs.route.GapMillis) * time.Millisecond / 2
-	first := time.Duration(rs.route.TargetMillis) * time.Millisecond / 2
+	target := time.Duration(rs.route.TargetMillis) * time.Millisecond
+	first, silence := target/2, max(maxSilence, target)
 	if rs.began {
-		first = gap
+		first, silence = gap, maxSilence
 	}
 	w := &watchdog{
-		request:    rs,
-		ctx:        ctx,
-		current:    a,
-		silentFrom: rs.progressAt,
-		gap:        gap,
-		retry:      first / 2,
+		request: rs,
+		ctx:     ctx,
+		current: a,
+		goneAt:  rs.progressAt.Add(silence),
+		gap:     gap,
+		retry:   first / 2,
 	}
 	if first <= 0 || rs.exhausted() {
 		w.done = true
@@ -92,7 +94,7 @@
 		return
 	}
 	at := rs.forwarder.now()
-	h := rs.newHedge(w.ctx, at, at.Sub(w.silentFrom) >= maxSilence)
+	h := rs.newHedge(w.ctx, at, !at.Before(w.goneAt))
 	if h == nil {
 		w.expiresAt = at.Add(w.retry)
 		w.timer.Reset(w.retry)
@@ -163,7 +165,7 @@
 // settle chooses between two attempts of which none has an event. It needs the lock.
 func (w *watchdog) settle() {
 	at := w.request.forwarder.now()
-	if at.Sub(w.silentFrom) >= maxSilence {
+	if !at.Before(w.goneAt) {
 		w.replaceCurrent()
 
 		return
@@ -227,7 +229,7 @@
 	}
 	at := rs.forwarder.now()
 	if progress {
-		w.silentFrom = at
+		w.goneAt = at.Add(maxSilence)
 		w.expiresAt = at.Add(w.gap)
 	}
 	w.timer.Reset(max(0, w.expiresAt.Sub(at)))
