--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -118,21 +118,6 @@
 	return rs.repeatDropped(ctx, at)
 }
 
-// repeatDropped returns an attempt on the server whose hedge was dropped, nil if there is none or it has no free slot. Attempts are limited
-// by the number of servers, so this one is no further server.
-func (rs *requestState) repeatDropped(ctx context.Context, at time.Time) *attempt {
-	if rs.dropped == "" {
-		return nil
-	}
-	s, release, ok := rs.forwarder.placer.FreeOn(rs.service, rs.dropped, at)
-	if !ok {
-		return nil
-	}
-	rs.dropped = ""
-
-	return rs.newAttempt(ctx, s, release)
-}
-
 // newAttempt returns an attempt on a server where a slot is reserved, and preempts batch items there that use more slots than there are.
 func (rs *requestState) newAttempt(ctx context.Context, s backend.Server, release func()) *attempt {
 	at := rs.forwarder.now()
@@ -189,55 +174,6 @@
 		"last_event", rs.lastID(), "silent_ms", rs.forwarder.now().Sub(progressAt).Milliseconds(), decision, taken)
 }
 
-// exhausted reports whether no second server may get the request any more while the current one works on it. It needs the lock.
-func (rs *requestState) exhausted() bool {
-	return !rs.route.Repeatable() || rs.refused >= maxRefusals || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == ""
-}
-
-// newHedge returns an attempt on a second server, nil if there is none at present. When no further server may or can get the request, it is
-// the one whose hedge was dropped, if the current server has been silent for longer than a sound one. It needs the lock.
-func (rs *requestState) newHedge(ctx context.Context, at time.Time, gone bool) *attempt {
-	if rs.began && !rs.splitter.Resumable() || rs.dangerous() {
-		return nil
-	}
-	if rs.ran+1 < rs.route.MaxAttempts {
-		if s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at); ok {
-			return rs.newAttempt(ctx, s, release)
-		}
-	}
-	if !gone {
-		return nil
-	}
-
-	return rs.repeatDropped(ctx, at)
-}
-
-// acceptance returns nil if the server of an attempt that was answered has accepted the request, and otherwise why not.
-func (rs *requestState) acceptance(a *attempt) error {
-	switch {
-	case a.err != nil:
-		return attemptError(a.ctx, a.err)
-	case rs.began && !rs.isStream(a.response), a.response.Status >= http.StatusInternalServerError:
-		return errStatus
-	default:
-		return nil
-	}
-}
-
-// recordHedge records how an attempt ended while the current one goes on. It needs the lock.
-func (rs *requestState) recordHedge(ctx context.Context, h *attempt, err error) {
-	rs.count(err)
-	rs.logAttempt(h, err, h.sentAt, "hedge", true)
-	if ctx.Err() != nil || errors.Is(err, errAbandoned) {
-		return
-	}
-	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
-	if response.ConnectionLost(err) {
-		rs.lost = true
-		rs.forwarder.parts.RecordLoss(h.server, rs.call.Parts, rs.forwarder.now())
-	}
-}
-
 // dangerous reports whether the request may crash another server: one of its parts is quarantined, or it has lost a connection and a
 // part is suspected.
 func (rs *requestState) dangerous() bool {
