Sum the waiting tokens in one place

The heartbeat and the limit of waiting tokens each walked the held jobs, those with an unknown outcome and those that are being written, with the same rules. waitingTokens returns the sum by route, and both use it. No behaviour changes; the tests of core/jobrun pass unchanged.

--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -53,19 +53,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	at := r.now()
-	b.Waiting = gossip.HeartbeatWaiting{}
-	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
-		for _, j := range jobs {
-			if rt := r.routeOf(j); rt != nil {
-				b.Waiting[rt.Name] += j.waitingTokens()
-			}
-		}
-	}
-	for id, s := range r.submitting {
-		if !r.counted(id) {
-			b.Waiting[s.route] += s.tokens
-		}
-	}
+	b.Waiting = r.waitingTokens("")
 	b.Progress = r.progress(at)
 	r.heartbeats++
 	b.Refused = r.announcedRefusals(at)
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -51,7 +51,7 @@
 	r.lock.Lock()
 	held := r.jobs[j.ID] != nil
 	_, open := r.unresolved[j.ID]
-	tokens, peers := r.waitingTokens(rt.Name, j.ID), r.cluster.Waiting(rt.Name, r.now())
+	tokens, peers := r.waitingTokens(j.ID)[rt.Name], r.cluster.Waiting(rt.Name, r.now())
 	refused := rt.MaxTokens > 0 && tokens+peers+j.Tokens > rt.MaxTokens || r.stopping
 	stopping := r.stopping
 	j.SubmittedAt = r.firstSubmission(rt, &j, r.now())
@@ -201,22 +201,22 @@
 	return fault.New(fault.CodeOverloaded, "the job's tokens exceed the limit of waiting tokens on its route")
 }
 
-// waitingTokens returns the tokens of all unfinished items on a route, with those of jobs that are being written except for one that
-// comes again; it needs the lock.
-func (r *Runner) waitingTokens(name, except string) int {
-	n := 0
+// waitingTokens returns the tokens of all unfinished items by route, with those of jobs that are being written except for one that comes
+// again; it needs the lock.
+func (r *Runner) waitingTokens(except string) map[string]int {
+	sum := map[string]int{}
 	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
 		for _, j := range jobs {
-			if rt := r.routeOf(j); rt != nil && rt.Name == name {
-				n += j.waitingTokens()
+			if rt := r.routeOf(j); rt != nil {
+				sum[rt.Name] += j.waitingTokens()
 			}
 		}
 	}
 	for id, s := range r.submitting {
-		if s.route == name && id != except && !r.counted(id) {
-			n += s.tokens
+		if id != except && !r.counted(id) {
+			sum[s.route] += s.tokens
 		}
 	}
 
-	return n
+	return sum
 }
