Drop state of a request that its attempt has already

requestState.sentAt was a copy of the current attempt's, which all its readers have at hand. The watchdog set the end of the allowed time when events arrived and again when the caller had them; only the second counts, since it is paused in between. No behaviour changes; the tests of core/forward pass unchanged, with the race detector.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -220,9 +220,9 @@
 func (f *Forwarder) recordParts(ctx context.Context, rs *requestState, a *attempt, err error) {
 	switch at := f.now(); {
 	case rs.completed:
-		f.parts.RecordCompletion(a.server, rs.call.Parts, rs.sentAt, at)
+		f.parts.RecordCompletion(a.server, rs.call.Parts, a.sentAt, at)
 	case err == nil:
-		f.parts.RecordProgress(a.server, rs.sentAt, at)
+		f.parts.RecordProgress(a.server, a.sentAt, at)
 	case ctx.Err() == nil && !rs.progressed && response.ConnectionLost(err):
 		rs.lost = true
 		f.parts.RecordLoss(a.server, rs.call.Parts, at)
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -59,8 +59,6 @@
 	timing timing
 	// server is the ID of the server of the latest attempt.
 	server string
-	// sentAt is when the current attempt began.
-	sentAt time.Time
 	// progressAt is when the current attempt was sent or last received bytes.
 	progressAt time.Time
 	// progressed is set when the current attempt has delivered an event, completed when it has delivered a successful response.
@@ -219,7 +217,7 @@
 	defer a.end()
 	rs.server = a.server.ID
 	rs.progressed, rs.completed = false, false
-	rs.sentAt, rs.progressAt = a.sentAt, a.sentAt
+	rs.progressAt = a.sentAt
 	if rs.splitter != nil {
 		rs.splitter.DropPartial()
 	}
@@ -351,7 +349,7 @@
 	w.resume(progress)
 	if progress {
 		rs.forwarder.roster.RecordProgress(a.server.ID, rs.progressAt)
-		rs.forwarder.parts.RecordProgress(a.server, rs.sentAt, rs.progressAt)
+		rs.forwarder.parts.RecordProgress(a.server, a.sentAt, rs.progressAt)
 		rs.progressed = true
 	}
 
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -206,9 +206,7 @@
 	progress := split()
 	w.paused = true
 	if progress {
-		at := rs.forwarder.now()
-		rs.progressAt = at
-		w.expiresAt = at.Add(w.gap)
+		rs.progressAt = rs.forwarder.now()
 		w.done = w.done || w.gap <= 0
 	}
 	if w.hedge != nil && (progress || rs.lastID() != last || !rs.splitter.Resumable()) {
