--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -47,6 +47,18 @@
 
 type span struct{ from, to time.Time }
 
+// backends are the fake backend servers with all that depends on them.
+type backends interface {
+	sender
+	placer
+	roster
+	preempter
+}
+
+func newForwarder(b backends) *Forwarder {
+	return New(b, b, b, b, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler))
+}
+
 type fake struct {
 	// lock guards servers, after, released, spans and failed.
 	lock     sync.Mutex
@@ -270,7 +282,7 @@
 			is := is.New(t)
 			f := &fake{replies: c.replies, free: true}
 			out := &recorder{}
-			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
+			err := newForwarder(f).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
 			is.Equal(fault.CodeOf(err), c.code)
 			is.Equal(out.body.String(), c.body)
 			is.Equal(out.stamp, c.stamp)
@@ -311,7 +323,7 @@
 			is := is.New(t)
 			f := &fake{replies: []reply{c.first, c.second, c.second}, free: true}
 			out := &recorder{}
-			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out)
+			err := newForwarder(f).Run(t.Context(), &stream, &call.Call{ID: "1"}, out)
 			is.Equal(out.body.String(), c.body)
 			is.Equal(fault.CodeOf(err), c.code)
 			is.Equal(out.stamp, "a")
@@ -342,7 +354,7 @@
 				f.replies[1].body = whole
 			}
 			out := &recorder{}
-			is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
+			is.NoErr(newForwarder(f).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
 			is.Equal(out.body.String(), whole)
 			is.Equal(f.failed, c.suspected)
 		})
@@ -355,7 +367,7 @@
 	f := &fake{replies: []reply{{status: 200, body: "id: 1\ndata: x\n\n", hung: true}}}
 	r := route.Route{Kind: route.KindStream, TimeoutMillis: 30}
 	out := &recorder{}
-	err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+	err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 	is.Equal(len(f.failed), 0) // the server is not suspected
 }
@@ -365,7 +377,7 @@
 	is := is.New(t)
 	f := &fake{replies: []reply{{status: 200, body: whole}}, free: true}
 	r := route.Route{Kind: route.KindStream, Resumable: true, MaxAttempts: 2}
-	err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{fail: true})
+	err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{fail: true})
 	is.Equal(fault.CodeOf(err), fault.CodeCancelled)
 	is.Equal(len(f.servers), 1)
 	is.Equal(len(f.failed), 0)
@@ -388,7 +400,7 @@
 				is := is.New(t)
 				f := &fake{replies: []reply{c.first, {status: 200, body: whole[15:]}}, free: true}
 				out := &recorder{}
-				is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
+				is.NoErr(newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
 				is.Equal(strings.ReplaceAll(out.body.String(), ": wait\n\n", ""), whole)
 				is.Equal(len(f.servers), c.servers)
 			})
@@ -401,7 +413,7 @@
 	is := is.New(t)
 	f := &fake{replies: []reply{{status: 200, body: "id: 1\ndata: x\n\n", hung: true}}}
 	r := route.Route{Kind: route.KindStream, Resumable: true, MaxAttempts: 2, GapMillis: 10, TargetMillis: 10, TimeoutMillis: 200}
-	err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
+	err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
 	is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 	is.Equal(len(f.servers), 1)
 }
@@ -425,7 +437,7 @@
 			if c.left > 0 {
 				q.Deadline = time.Now().Add(c.left)
 			}
-			is.New(t).NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, q, &recorder{}))
+			is.New(t).NoErr(newForwarder(f).Run(t.Context(), &r, q, &recorder{}))
 			is.New(t).Equal(f.loadLimits, []float64{c.want})
 		})
 	}
--- a/core/forward/hedge_test.go
+++ b/core/forward/hedge_test.go
@@ -43,7 +43,7 @@
 			f := &fakeMany{fake: fake{replies: []reply{mute, mute, mute}, free: true}}
 			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 			defer cancel()
-			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(ctx, &r, &call.Call{ID: "1"}, &recorder{})
+			err := newForwarder(f).Run(ctx, &r, &call.Call{ID: "1"}, &recorder{})
 			synctest.Wait()
 			is.True(err != nil)
 			is.Equal(len(f.servers), 2)
@@ -73,7 +73,7 @@
 				first := reply{err: refused, wait: 50 * time.Millisecond}
 				f := &fakeMany{fake: fake{replies: []reply{first, full, full, full, c.last, {err: lost}}, free: true}}
 				out := &recorder{}
-				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 				time.Sleep(time.Second)
 				is.Equal(fault.CodeOf(err), c.code)
 				is.Equal(out.body.String(), c.body)
--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +30,7 @@
 				is := is.New(t)
 				f := &fake{replies: []reply{c.first, c.other, c.other, c.other}, free: true}
 				out := &recorder{}
-				is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
+				is.NoErr(newForwarder(f).Run(t.Context(), &stream, &call.Call{ID: "1"}, out))
 				is.Equal(out.body.String(), whole)
 			})
 		})
@@ -46,7 +45,7 @@
 		second := reply{status: 200, body: whole[15:], wait: 400 * time.Millisecond}
 		f := &fake{replies: []reply{{status: 200, body: whole[:15], hung: true}, second, second}, free: true}
 		out := &recorder{}
-		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 		time.Sleep(time.Second)
 		is.NoErr(err)
 		is.Equal(out.body.String(), whole)
@@ -62,7 +61,7 @@
 		other := reply{err: lost, wait: 400 * time.Millisecond}
 		f := &fake{replies: []reply{first, other, other}, free: true}
 		out := &recorder{}
-		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 		time.Sleep(time.Second)
 		is.NoErr(err)
 		is.Equal(out.body.String(), whole)
@@ -78,7 +77,7 @@
 		f := &fake{replies: []reply{first, {mute: true}, {status: 200, body: whole[30:]}}, free: true}
 		f.replies[0].body += "id: 3\ndata: z" // the connection ends inside an event
 		out := &recorder{}
-		is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
+		is.NoErr(newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
 		synctest.Wait()
 		is.Equal(out.body.String(), whole)
 		is.Equal(f.servers, []string{"a", "b", "b"})
@@ -103,7 +102,7 @@
 				r := route.Route{Kind: route.KindStream, MaxAttempts: 4, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
 				f := &fake{replies: []reply{c.first, rest, rest, rest, rest}, free: true}
 				out := &recorder{}
-				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 				time.Sleep(time.Second)
 				is.NoErr(err)
 				is.Equal(out.body.String(), whole)
@@ -123,7 +122,7 @@
 		other := reply{err: lost, wait: 400 * time.Millisecond}
 		f := &fake{replies: []reply{first, other, other}, free: true}
 		out := &recorder{pause: 1500 * time.Millisecond}
-		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 		time.Sleep(time.Second)
 		is.NoErr(err)
 		is.Equal(out.body.String(), whole)
@@ -139,7 +138,7 @@
 		first := reply{status: 200, body: unnumbered, stream: true, slow: 100 * time.Millisecond, first: 50 * time.Millisecond}
 		f := &fake{replies: []reply{first, {status: 200, body: whole, wait: 60 * time.Millisecond}}, free: true}
 		out := &recorder{}
-		err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 		time.Sleep(time.Second)
 		is.NoErr(err)
 		is.Equal(out.body.String(), unnumbered)
@@ -160,7 +159,7 @@
 			empty := reply{status: 200, stream: true}
 			f := &fake{replies: []reply{first, empty, empty}, free: true}
 			out := &recorder{}
-			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+			err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 			synctest.Wait()
 			is.NoErr(err)
 			is.Equal(out.body.String(), whole)
@@ -185,7 +184,7 @@
 				r := route.Route{Kind: c.kind, MaxAttempts: 2, Resumable: true, TargetMillis: 2400, GapMillis: 40, TimeoutMillis: 9000}
 				f := &fake{replies: []reply{c.first, other, other}, free: true}
 				out := &recorder{}
-				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+				err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
 				time.Sleep(time.Second)
 				is.NoErr(err)
 				is.Equal(out.body.String(), c.first.body)
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"log/slog"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -49,7 +48,7 @@
 				is := is.New(t)
 				f := &fake{replies: []reply{c.first, c.other, c.other, c.other}, free: true}
 				out := &recorder{}
-				err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
+				err := newForwarder(f).Run(t.Context(), &c.route, &call.Call{ID: "1"}, out)
 				synctest.Wait()
 				is.NoErr(err)
 				is.Equal(out.body.String(), c.body)
@@ -68,7 +67,7 @@
 		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
 		f := &fake{replies: []reply{{status: 200, body: whole, slow: 5 * time.Millisecond}, {err: lost}}, free: true}
 		out := &recorder{pause: 100 * time.Millisecond}
-		is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
+		is.NoErr(newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
 		is.Equal(out.body.String(), whole)
 		is.Equal(strings.Join(f.servers, " "), "a")
 	})
@@ -82,7 +81,7 @@
 		second := reply{status: 200, body: whole, wait: time.Second}
 		f := &fake{replies: []reply{{mute: true}, second, second}, free: true}
 		out := &recorder{}
-		is.NoErr(New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
+		is.NoErr(newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out))
 		is.Equal(out.body.String(), whole)
 		is.Equal(out.stamp, "b")
 	})
@@ -95,7 +94,7 @@
 		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
 		for _, first := range []reply{{mute: true}, {status: 200, body: whole[:15], hung: true}} {
 			f := &fake{replies: []reply{first, {mute: true}, {mute: true}}, free: true}
-			err := New(f, f, f, f, noQuarantine(), noBudget(), time.Now, slog.New(slog.DiscardHandler)).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
+			err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, &recorder{})
 			synctest.Wait()
 			is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 			is.True(len(f.spans) >= 2)
