Log every end of a caller's connection on this side

The limiter sees a connection become active and end without its handler being called, which covers all of net/http's own ends of a first request. On a kept connection net/http reports no state before a malformed request, so that one still leaves no line; the caller gets a 400.

--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -24,6 +24,7 @@
 
 var closed = expvar.NewMap("CallerConnectionsClosed")
 
+// trackedConnection is a connection without a request that is being handled. In state active, bytes of a request have arrived.
 type trackedConnection struct {
 	state http.ConnState
 	since time.Time
@@ -65,8 +66,8 @@
 	if state == http.StateActive && l.connections[c].closing {
 		return // Handler has to find it
 	}
-	if state != http.StateNew && state != http.StateIdle {
-		delete(l.connections, c)
+	if state == http.StateClosed || state == http.StateHijacked {
+		l.forget(c)
 
 		return
 	}
@@ -76,6 +77,17 @@
 	}
 }
 
+// forget removes a connection that has ended. The library answers what it cannot read as a request with a 4xx or 5xx of its own, and does
+// not answer at all if the caller has left or the server is shutting down. It needs the lock.
+func (l *Limiter) forget(c net.Conn) {
+	w, ok := l.connections[c]
+	delete(l.connections, c)
+	if ok && w.state == http.StateActive {
+		closed.Add("Unhandled", 1)
+		l.logger.Info("caller's connection ended before its request was handled", "caller", c.RemoteAddr().String())
+	}
+}
+
 // ConnContext adds a connection to the context of its requests; it is used as the ConnContext hook of an http.Server.
 func (*Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, c)
@@ -121,6 +133,7 @@
 	l.lock.Unlock()
 	for _, c := range idle {
 		closed.Add("Idle", 1)
+		l.logger.Debug("caller's connection closed", "caller", c.RemoteAddr().String(), "cause", "stopping")
 		_ = c.Close() // the caller may have closed it already
 	}
 }
@@ -140,27 +153,33 @@
 func (l *Limiter) sweep() {
 	header, idle := l.limits()
 	at := l.now()
-	for c, state := range l.expired(header, idle, at) {
-		if state == http.StateNew {
+	for c, w := range l.expired(header, idle, at) {
+		caller, age := c.RemoteAddr().String(), at.Sub(w.since).Milliseconds()
+		if w.state == http.StateNew {
 			closed.Add("LateHeaders", 1)
+			l.logger.Info("caller's connection closed", "caller", caller, "cause", "headers late", "age_ms", age, "limit_ms", header.Milliseconds())
 			writeRequestTimeout(c, at)
 		} else {
 			closed.Add("Idle", 1)
+			l.logger.Debug("caller's connection closed", "caller", caller, "cause", "idle", "age_ms", age, "limit_ms", idle.Milliseconds())
 		}
 		_ = c.Close() // the caller may have closed it already
 	}
 }
 
 // expired returns the connections that exceed the limits; no request on them is handled any more.
-func (l *Limiter) expired(header, idle time.Duration, at time.Time) map[net.Conn]http.ConnState {
+func (l *Limiter) expired(header, idle time.Duration, at time.Time) map[net.Conn]trackedConnection {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if l.idleLimit == 0 || idle > 0 && idle < l.idleLimit {
 		l.loweredAt = at
 	}
 	l.idleLimit = idle
-	found := map[net.Conn]http.ConnState{}
+	found := map[net.Conn]trackedConnection{}
 	for c, w := range l.connections {
+		if w.state == http.StateActive {
+			continue
+		}
 		limit, since := idle, w.since
 		if w.state == http.StateNew {
 			limit = header
@@ -169,8 +188,8 @@
 		}
 		// A process that is short of processor time reads late what its callers have sent in time.
 		if limit > 0 && at.Sub(since) > limit && !w.closing && !tcp.HasUnread(c) {
-			found[c] = w.state
 			w.closing = true
+			found[c] = w
 			l.connections[c] = w
 		}
 	}
