Count the buffer of an incomplete event, not only its bytes

Under events without end, the buffers of incomplete events held 42 MiB while the budget of responses was 26.8 (heap profile of a process with memory_mb 134, 400 callers, three faulty servers): the budget counted the bytes that were pending, and a buffer that grows by append is up to twice as large. The splitter now says what it holds, and both the forwarder and the batch runner count that. A buffer that one long event has enlarged is no longer kept for the rest of its stream, and the search for the end of an event goes on where it stopped: with reads of 4 KiB, an event of 1 MiB was searched 256 times.

TestLongEvent does not compile before; with Held returning the pending bytes it would not tell the difference, so it also checks that the buffer shrinks.

--- a/core/eventstream/splitter.go
+++ b/core/eventstream/splitter.go
@@ -10,11 +10,16 @@
 // maxEventBytes is the size limit of one event, so that a stream without blank lines cannot fill the memory.
 const maxEventBytes = 1 << 20
 
+// keptBytes is the size of the buffer that is kept for further events.
+const keptBytes = 64 << 10
+
 // Splitter splits a stream into events and checks that their ids increase by one. It is not safe for concurrent use.
 type Splitter struct {
 	buffer []byte
 	start  int
-	last   int64
+	// scanned is the position before which no blank line begins after start.
+	scanned int
+	last    int64
 	// unnumbered is set after an event without an id that is more than a comment.
 	unnumbered bool
 }
@@ -34,14 +39,18 @@
 // DropPartial drops an incomplete event, for a stream that continues on another connection.
 func (s *Splitter) DropPartial() {
 	s.buffer = s.buffer[:0]
-	s.start = 0
+	s.start, s.scanned = 0, 0
 }
 
 // Feed appends bytes read from the stream.
 func (s *Splitter) Feed(p []byte) {
 	if s.start > 0 {
-		n := copy(s.buffer, s.buffer[s.start:])
-		s.buffer = s.buffer[:n]
+		rest := s.buffer[s.start:]
+		if cap(s.buffer) > keptBytes && len(rest) < keptBytes/2 {
+			s.buffer = make([]byte, 0, keptBytes)
+		}
+		s.buffer = append(s.buffer[:0], rest...)
+		s.scanned -= s.start
 		s.start = 0
 	}
 	s.buffer = append(s.buffer, p...)
@@ -57,21 +66,28 @@
 	return len(s.buffer) - s.start
 }
 
+// Held returns the number of bytes that the splitter takes in memory, which may be more than are pending.
+func (s *Splitter) Held() int {
+	return cap(s.buffer)
+}
+
 // Next returns the next whole event with its closing blank line, or nil if there is none. The slice is valid until the
 // next Feed. An event that is out of order or too long is an error with code stream_lost, and so is one without an id after one
 // with an id: it is the error or the head of another response. Only comments need none.
 func (s *Splitter) Next() ([]byte, error) {
-	rest := s.buffer[s.start:]
-	end := blankLine(rest)
+	begin := max(s.start, s.scanned-len("\r\n\r"))
+	end := blankLine(s.buffer[begin:])
 	if end < 0 {
-		if len(rest) > maxEventBytes {
+		s.scanned = len(s.buffer)
+		if s.Pending() > maxEventBytes {
 			return nil, fault.New(fault.CodeStreamLost, "the backend server sent an event that is too long")
 		}
 
 		return nil, nil
 	}
-	event := rest[:end]
-	s.start += end
+	event := s.buffer[s.start : begin+end]
+	s.start = begin + end
+	s.scanned = s.start
 	id, ok := ID(event)
 	switch {
 	case !ok && comment(event):
--- a/core/eventstream/splitter_test.go
+++ b/core/eventstream/splitter_test.go
@@ -41,6 +41,37 @@
 	}
 }
 
+// Guards against a long event whose buffer is larger than what is counted for it, or is kept for the rest of the stream, and that is searched
+// again from its beginning with each read.
+func TestLongEvent(t *testing.T) {
+	is := is.New(t)
+	s := New(0)
+	piece := bytes.Repeat([]byte("x"), 4<<10)
+	s.Feed([]byte("id: 1\ndata: "))
+	for s.Pending() < maxEventBytes-len(piece) {
+		s.Feed(piece)
+		event, err := s.Next()
+		is.NoErr(err)
+		is.True(event == nil)
+		is.True(s.Held() >= s.Pending())
+		is.Equal(s.scanned, s.Pending())
+	}
+	s.Feed([]byte("\r\n\r"))
+	event, err := s.Next()
+	is.NoErr(err)
+	is.True(event == nil)
+	s.Feed([]byte("\nid: 2\ndata: a\n\n"))
+	whole, err := collect(s)
+	is.NoErr(err)
+	is.True(bytes.HasSuffix(whole, []byte("x\r\n\r\nid: 2\ndata: a\n\n")))
+	s.Feed([]byte("id: 3\n"))
+	is.True(s.Held() <= keptBytes)
+	s.Feed([]byte("\n"))
+	whole, err = collect(s)
+	is.NoErr(err)
+	is.Equal(string(whole), "id: 3\n\n")
+}
+
 // Guards against a gap, a repetition or the events of another run in a continued stream.
 func TestOrder(t *testing.T) {
 	for _, c := range []struct {
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -300,7 +300,7 @@
 			if err := rs.deliver(a, w, buffer[:n]); err != nil {
 				return err
 			}
-			if err := resize(rs.splitter.Pending()); err != nil {
+			if err := resize(rs.splitter.Held()); err != nil {
 				return err
 			}
 		}
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -206,7 +206,7 @@
 			splitter.Feed(buffer[:n])
 			appended, err := r.appendEvents(it, splitter)
 			if err == nil {
-				err = r.checkSize(it, resize, splitter.Pending())
+				err = r.checkSize(it, resize, splitter)
 			}
 			if err != nil {
 				return err
@@ -231,15 +231,15 @@
 
 // checkSize fails if the output of an item, of which some bytes are in an incomplete event, is too long or the largest of more than there
 // is memory for.
-func (r *Runner) checkSize(it *item, resize func(size int) error, pending int) error {
+func (r *Runner) checkSize(it *item, resize func(size int) error, splitter *eventstream.Splitter) error {
 	r.lock.Lock()
-	size := len(it.text) + pending
+	size, held := len(it.text)+splitter.Pending(), cap(it.text)+splitter.Held()
 	r.lock.Unlock()
 	if size > maxTextBytes {
 		return errTooLong
 	}
 
-	return resize(size)
+	return resize(held)
 }
 
 // appendEvents appends the data of the events that have arrived to the item's text and reports whether there was any.
