Reuse the buffers of responses whose length is not known

Under answers without end, responses left more garbage behind than the collector could take away near the memory limit: a whole response was read into a buffer that doubles, so that up to three times its size was needed for a moment, and an incomplete event grew by a quarter at a time, which leaves some four times its size behind. In a heap profile (memory_mb 134, 400 callers, three faulty servers) the live heap was 34 MiB under bodies without end and the peak of the process 102 MiB, 8 above the limit of the runtime (80.4) and the mapped program (14) together.

Lowering the limit of the runtime alone was tried first (64 MiB, buffers as before): under a load of 38 the collector did not keep up, and the peak rose to 112 MiB with bodies and 164 MiB with events.

--- a/core/eventstream/splitter.go
+++ b/core/eventstream/splitter.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 
+	"tarragonwalk/core/bufferpool"
 	"tarragonwalk/core/fault"
 )
 
@@ -13,6 +14,8 @@
 // keptBytes is the size of the buffer that is kept for further events.
 const keptBytes = 64 << 10
 
+var buffers bufferpool.Pool
+
 // Splitter splits a stream into events and checks that their ids increase by one. It is not safe for concurrent use.
 type Splitter struct {
 	buffer []byte
@@ -44,16 +47,24 @@
 
 // Feed appends bytes read from the stream.
 func (s *Splitter) Feed(p []byte) {
-	if s.start > 0 {
-		rest := s.buffer[s.start:]
-		if cap(s.buffer) > keptBytes && len(rest) < keptBytes/2 {
-			s.buffer = make([]byte, 0, keptBytes)
-		}
+	rest := s.buffer[s.start:]
+	needed := len(rest) + len(p)
+	if needed > cap(s.buffer) || cap(s.buffer) > keptBytes && needed < keptBytes/2 {
+		buffer := append(buffers.Get(needed), rest...)
+		buffers.Put(s.buffer)
+		s.buffer = buffer
+	} else if s.start > 0 {
 		s.buffer = append(s.buffer[:0], rest...)
-		s.scanned -= s.start
-		s.start = 0
 	}
 	s.buffer = append(s.buffer, p...)
+	s.scanned = max(0, s.scanned-s.start)
+	s.start = 0
+}
+
+// Release gives the memory of the splitter back, which must not be used afterwards, nor must its events.
+func (s *Splitter) Release() {
+	buffers.Put(s.buffer)
+	s.buffer, s.start, s.scanned = nil, 0, 0
 }
 
 // Resumable reports whether another stream can continue this one, which no id tells after events without one.
--- a/core/eventstream/splitter_test.go
+++ b/core/eventstream/splitter_test.go
@@ -70,6 +70,8 @@
 	whole, err = collect(s)
 	is.NoErr(err)
 	is.Equal(string(whole), "id: 3\n\n")
+	s.Release()
+	is.Equal(s.Held(), 0)
 }
 
 // Guards against a gap, a repetition or the events of another run in a continued stream.
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -77,6 +77,11 @@
 }
 
 func (rs *requestState) run(ctx context.Context) error {
+	defer func() {
+		if rs.splitter != nil {
+			rs.splitter.Release()
+		}
+	}()
 	for {
 		a := rs.nextAttempt(ctx)
 		if a == nil {
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -198,6 +198,7 @@
 	resize, end := r.budget.Open("items", cancel)
 	defer end()
 	splitter := eventstream.New(it.last)
+	defer splitter.Release()
 	stream := coalesce.New(body, readInterval, r.now)
 	buffer := make([]byte, readBytes)
 	for {
