Count dropped responses until their receivers notice

The budget gave the bytes of a dropped response to others at once, although its receiver holds them until it runs again.

Dropped responses now count until their receivers notice, and may take half of the budget; beyond that, responses over 64 KiB are refused, so that all take no more than one and a half times the budget whatever the processor does.

TestDroppedMessagesCountUntilTheyEnd does not compile before, as there was nothing to count; the other tests of the package are unchanged.

--- a/core/bytebudget/budget.go
+++ b/core/bytebudget/budget.go
@@ -7,8 +7,12 @@
 	"tarragonwalk/core/fault"
 )
 
-// freeBytes of each message are not counted, so that ordinary messages take no lock.
-const freeBytes = 8 << 10
+const (
+	// freeBytes of each message are not counted, so that ordinary messages take no lock.
+	freeBytes = 8 << 10
+	// patientBytes is the size up to which a message is not dropped only because dropped ones still hold their memory.
+	patientBytes = 64 << 10
+)
 
 // ErrDropped is the reason for which the largest message is dropped when there is no memory for all.
 var ErrDropped = fault.New(fault.CodeOutcomeUnknown, "the message is the largest in memory, and there is no memory for more")
@@ -16,12 +20,15 @@
 var dropped = expvar.NewMap("MessagesDropped")
 
 // Budget is the number of bytes that messages may take together. When they take more, the largest one is dropped, since a sender that
-// does not stop sends it rather than the others. It is safe for concurrent use.
+// does not stop sends it rather than the others. Dropped messages may take half as much again until their receivers notice: on a busy
+// machine that takes long, while others grow in their place. It is safe for concurrent use.
 type Budget struct {
 	limit int
 	// lock guards all fields below, and those of the messages.
-	lock     sync.Mutex
+	lock sync.Mutex
+	// used is what the messages take that are not dropped, ending what the dropped ones take.
 	used     int
+	ending   int
 	messages map[*message]struct{}
 }
 
@@ -58,9 +65,22 @@
 	return found
 }
 
+// dropMessage drops a message on behalf of another one. It holds its memory until its receiver notices; it needs the lock.
+func (b *Budget) dropMessage(m *message) {
+	m.dropped = true
+	dropped.Add(m.kind, 1)
+	b.used -= m.held
+	b.ending += m.held
+	delete(b.messages, m)
+}
+
 // release takes a message out of the budget; it needs the lock.
 func (b *Budget) release(m *message) {
-	b.used -= m.held
+	if m.dropped {
+		b.ending -= m.held
+	} else {
+		b.used -= m.held
+	}
 	m.held = 0
 	delete(b.messages, m)
 }
--- a/core/bytebudget/budget_test.go
+++ b/core/bytebudget/budget_test.go
@@ -48,3 +48,35 @@
 	is.True(errors.Is(resize(101<<10), ErrDropped))
 	is.True(errors.Is(resize(freeBytes), ErrDropped))
 }
+
+// Guards against messages that were dropped, and whose receivers have no processor time to notice, and others that grow in their place
+// beyond the memory.
+func TestDroppedMessagesCountUntilTheyEnd(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	b := New(limit)
+	var ends []func()
+	for range 100 {
+		resize, end := b.Open("test", func() {})
+		ends = append(ends, end)
+		size := 0
+		for size < limit && resize(size+patientBytes) == nil {
+			size += patientBytes
+		}
+		is.True(b.used+b.ending <= limit+limit/2+patientBytes)
+	}
+	is.True(b.ending > limit/2)
+	resize, end := b.Open("test", func() {})
+	is.NoErr(resize(patientBytes))
+	is.True(errors.Is(resize(patientBytes+1), ErrDropped))
+	end()
+	for _, end := range ends {
+		end()
+		end() // a second call has no effect
+	}
+	is.Equal(b.used, 0)
+	is.Equal(b.ending, 0)
+	resize, end = b.Open("test", func() {})
+	defer end()
+	is.NoErr(resize(limit))
+}
--- a/core/bytebudget/message.go
+++ b/core/bytebudget/message.go
@@ -32,10 +32,13 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if m.dropped {
+		b.release(m)
+
 		return nil, ErrDropped
 	}
 	m.counted = true
 	b.messages[m] = struct{}{}
+	grows := size > m.held
 	b.used += size - m.held
 	m.held = size
 	for b.used > b.limit {
@@ -43,18 +46,28 @@
 		if v.held == 0 {
 			break
 		}
-		b.release(v)
-		v.dropped = true
-		dropped.Add(v.kind, 1)
 		if v == m {
-			return victims, ErrDropped
+			return victims, m.refuse()
 		}
+		b.dropMessage(v)
 		victims = append(victims, v)
 	}
+	if grows && size > patientBytes && b.ending > b.limit/2 {
+		return victims, m.refuse()
+	}
 
 	return victims, nil
 }
 
+// refuse drops a message that has asked for more than there is; it needs the budget's lock.
+func (m *message) refuse() error {
+	m.budget.release(m)
+	m.dropped = true
+	dropped.Add(m.kind, 1)
+
+	return ErrDropped
+}
+
 func (m *message) end() {
 	if !m.counted {
 		return
