Keep a connection while its server handles what it has read

Cause: an http.Server counts a connection as new, or idle, until it has read and parsed the whole head of a request. A request that the server has taken from the kernel and not parsed yet is in neither. A process that stands still at that moment finds the time of the connection over when it goes on, and closes it.

Change: the limiter wraps the accepted connections. A connection is closed for its limits only while its server waits in a read, after having found nothing, and the kernel holds nothing. Bytes are taken from the kernel, and the decision to close is made, under one lock, so that no request gets in between; after the decision nothing is read. The sending side is closed with the decision, as Close waits for the reader.

Evidence: TestLimitsKeepRequestsNotHandledYet forces the order of events with a listener whose connections pause in a read. All pass now.

--- /dev/null
+++ b/io/idleconn/connection.go
@@ -0,0 +1,131 @@
+package idleconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"tarragonwalk/io/tcp"
+)
+
+// connection is a TCP connection of a caller that knows whether its server waits for the caller or still has bytes to work on.
+type connection struct {
+	net.Conn
+	raw syscall.RawConn
+	// lock guards the fields below, and bytes are taken from the kernel under it only.
+	lock sync.Mutex
+	// waiting is whether the server has read all that has arrived and waits for more.
+	waiting bool
+	// received is whether anything was read since the connection was accepted, or since its last response.
+	received bool
+	// closing is set once the connection is to be closed; nothing is read any more.
+	closing bool
+}
+
+func newConnection(c *net.TCPConn) (*connection, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // a connection that is closed already
+	}
+
+	return &connection{
+		Conn: c,
+		raw:  raw,
+	}, nil
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	var n int
+	var failure error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, failure = c.take(int(fd), p)
+
+		return !errors.Is(failure, unix.EAGAIN)
+	})
+	if err != nil {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		c.waiting = false
+
+		return 0, c.readError(errors.Unwrap(err))
+	}
+	switch {
+	case errors.Is(failure, net.ErrClosed):
+		return 0, c.readError(failure)
+	case failure != nil:
+		return 0, c.readError(os.NewSyscallError("read", failure))
+	case n == 0:
+		return 0, io.EOF
+	}
+
+	return n, nil
+}
+
+// take reads what the kernel has.
+func (c *connection) take(fd int, p []byte) (int, error) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	n, err := unix.Read(fd, p)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Read(fd, p)
+	}
+	c.waiting = errors.Is(err, unix.EAGAIN)
+	if err != nil {
+		return 0, err //nolint:wrapcheck // Read wraps it.
+	}
+	c.received = c.received || n > 0
+
+	return n, nil
+}
+
+func (c *connection) readError(err error) error {
+	return &net.OpError{
+		Op:     "read",
+		Net:    "tcp",
+		Source: c.LocalAddr(),
+		Addr:   c.RemoteAddr(),
+		Err:    err,
+	}
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *connection) SyscallConn() (syscall.RawConn, error) {
+	return c.raw, nil
+}
+
+// CloseWrite closes the sending side.
+func (c *connection) CloseWrite() error {
+	return c.Conn.(*net.TCPConn).CloseWrite() //nolint:forcetypeassert,wrapcheck // see newConnection
+}
+
+// becameIdle records that the response to all that was read is complete.
+func (c *connection) becameIdle() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.received = false
+}
+
+// beginClosing reports whether the server has nothing to work on but, if part is set, a part of a request. If so, nothing is read any
+// more, and the connection has to be closed.
+func (c *connection) beginClosing(part bool) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if !c.waiting || c.received && !part || tcp.HasUnread(c.Conn) {
+		return false
+	}
+	c.closing = true
+
+	return true
+}
--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -25,6 +25,8 @@
 var closed = expvar.NewMap("CallerConnectionsClosed")
 
 type trackedConnection struct {
+	// outer is the connection that the server uses, such as one for TLS.
+	outer net.Conn
 	state http.ConnState
 	since time.Time
 	// closing is set once the limiter has decided to close the connection.
@@ -58,24 +60,50 @@
 	}
 }
 
-// Observe records the state of a connection; it is used as the ConnState hook of an http.Server.
+// Listen returns a listener for a server whose ConnState hook calls Observe. Without it, the limiter does not know of bytes that the server
+// has read and not handled yet.
+func (l *Limiter) Listen(inner net.Listener) net.Listener {
+	return &listener{
+		Listener: inner,
+		limiter:  l,
+	}
+}
+
+// Observe records the state of a connection; it is used as the ConnState hook of a server.
 func (l *Limiter) Observe(c net.Conn, state http.ConnState) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if state == http.StateActive && l.connections[c].closing {
-		return // Handler has to find it
-	}
-	if state != http.StateNew && state != http.StateIdle {
-		delete(l.connections, c)
+	inner := innermost(c)
+	w := l.connections[inner]
+	switch {
+	case state == http.StateClosed || state == http.StateHijacked:
+		delete(l.connections, inner)
 
 		return
+	case state == http.StateActive && w.closing:
+		return // Handler has to find it
 	}
-	l.connections[c] = trackedConnection{
+	if known, ok := inner.(*connection); ok && state == http.StateIdle {
+		known.becameIdle()
+	}
+	l.connections[inner] = trackedConnection{
+		outer: c,
 		state: state,
 		since: l.now(),
 	}
 }
 
+// innermost returns the connection that the listener has accepted.
+func innermost(c net.Conn) net.Conn {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
+	}
+}
+
 // ConnContext adds a connection to the context of its requests; it is used as the ConnContext hook of an http.Server.
 func (*Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, c)
@@ -99,10 +127,13 @@
 func (l *Limiter) begin(c net.Conn) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if l.connections[c].closing {
+	inner := innermost(c)
+	w := l.connections[inner]
+	if w.closing {
 		return false
 	}
-	delete(l.connections, c)
+	w.outer, w.state = c, http.StateActive
+	l.connections[inner] = w
 
 	return true
 }
@@ -111,11 +142,10 @@
 func (l *Limiter) CloseIdle() {
 	l.lock.Lock()
 	var idle []net.Conn
-	for c, w := range l.connections {
-		if w.state == http.StateIdle && !w.closing {
-			idle = append(idle, c)
-			w.closing = true
-			l.connections[c] = w
+	for inner, w := range l.connections {
+		if w.state == http.StateIdle && l.beginClosing(inner, w, true) {
+			endSending(w.outer)
+			idle = append(idle, w.outer)
 		}
 	}
 	l.lock.Unlock()
@@ -125,6 +155,29 @@
 	}
 }
 
+// endSending tells the caller at once that the connection closes. Close does so only after the read in progress has returned.
+func endSending(c net.Conn) {
+	if known, ok := c.(*connection); ok {
+		_ = known.CloseWrite() // the caller may have closed it already
+	}
+}
+
+// beginClosing reports whether a connection is to be closed now, which is so if the server has nothing to work on but, if part is set, a
+// part of a request. No request on it is handled any more. lock is held.
+func (l *Limiter) beginClosing(inner net.Conn, w trackedConnection, part bool) bool {
+	if w.closing {
+		return false
+	}
+	known, ok := inner.(*connection)
+	if ok && !known.beginClosing(part) || !ok && tcp.HasUnread(inner) {
+		return false
+	}
+	w.closing = true
+	l.connections[inner] = w
+
+	return true
+}
+
 // Run closes connections that exceed the limits at each tick until ctx ends. Ticks are to come every SweepInterval.
 func (l *Limiter) Run(ctx context.Context, ticks <-chan time.Time) {
 	for {
@@ -160,18 +213,22 @@
 	}
 	l.idleLimit = idle
 	found := map[net.Conn]http.ConnState{}
-	for c, w := range l.connections {
+	for inner, w := range l.connections {
 		limit, since := idle, w.since
-		if w.state == http.StateNew {
+		switch {
+		case w.state == http.StateActive:
+			continue
+		case w.state == http.StateNew:
 			limit = header
-		} else if since.Before(l.loweredAt) {
+		case since.Before(l.loweredAt):
 			since = l.loweredAt
 		}
-		// A process that is short of processor time reads late what its callers have sent in time.
-		if limit > 0 && at.Sub(since) > limit && !w.closing && !tcp.HasUnread(c) {
-			found[c] = w.state
-			w.closing = true
-			l.connections[c] = w
+		// A process that is short of processor time reads and handles late what its callers have sent in time.
+		if limit > 0 && at.Sub(since) > limit && l.beginClosing(inner, w, true) {
+			found[w.outer] = w.state
+			if w.state == http.StateIdle {
+				endSending(w.outer)
+			}
 		}
 	}
 
