Answer requests that arrive while the entry instance stops

What callers saw: a request on its way while an instance is stopped got neither an answer nor a refusal; its connection ended.

Cause: the stop relied on http.Server.Shutdown. From its begin on, an http.Server closes a connection once it has read the head of a request on it, without calling the handler. It closes idle connections whatever has arrived on them, and so did the limiter's own CloseIdle before it.

TestShutdownAnswersRequestsNotHandledYet forces the moments in between with pauses in the server's reads: on (CloseIdle, then Shutdown) all of its four cases fail, those of a request that was read with unexpected EOF, the one that waits unread on a kept connection with a reset.

It takes what waits for the listeners, closes these, closes each connection on which nothing has arrived, and waits until the others have had their answers, which announce the end of the connection as before. The limiter knows a connection from Accept on, and closing the listener waits for an Accept in progress, so that none is missed. A new connection without a request is kept for 5 s, as by http.Server.

What remains: a request that reaches the kernel after the sending side was closed is not answered; HTTP allows this, and the process has not read it. A connection that the kernel accepts between the last look at the queue of the listener and its close is reset.

--- a/io/idleconn/handled_test.go
+++ b/io/idleconn/handled_test.go
@@ -94,6 +94,21 @@
 	is.True(a.Close)
 }
 
+// Guards against a request that gets neither an answer nor a refusal since it had arrived, and was not handled yet, when the process closed
+// its connection at a stop.
+func TestShutdownAnswersRequestsNotHandledYet(t *testing.T) {
+	for _, c := range arrivals {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPausedServer(t, c.kept, c.read)
+			stopped := make(chan error, 1)
+			go func() { stopped <- p.limiter.Shutdown(t.Context()) }()
+			time.Sleep(200 * time.Millisecond)
+			p.resume(t)
+			is.New(t).NoErr(<-stopped)
+		})
+	}
+}
+
 // Guards against a request that gets 408, or no answer, since it had arrived in time and was not handled yet when the time of its connection
 // was over.
 func TestLimitsKeepRequestsNotHandledYet(t *testing.T) {
--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -6,9 +6,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"tarragonwalk/core/fault"
+	"tarragonwalk/io/drain"
 	"tarragonwalk/io/tcp"
 )
 
@@ -17,6 +22,10 @@
 	SweepInterval = 200 * time.Millisecond
 	// writeTimeout bounds the write of the response to a caller whose headers are late.
 	writeTimeout = 100 * time.Millisecond
+	// unusedTime is how long after its begin a connection without a request is kept at a stop.
+	unusedTime = 5 * time.Second
+	// shutdownInterval is how often Shutdown looks for connections that can be closed.
+	shutdownInterval = 10 * time.Millisecond
 	// requestTimeoutResponse is the response on a connection whose first request has not arrived in time. Its status promises that
 	// nothing was run.
 	requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -43,6 +52,7 @@
 	logger *slog.Logger
 	// lock guards the fields below.
 	lock        sync.Mutex
+	listeners   []*listener
 	connections map[net.Conn]trackedConnection
 	// idleLimit is the limit at the last sweep, and loweredAt is when it last became shorter. Callers learn of a shorter limit late and
 	// may use their connections until then.
@@ -63,10 +73,17 @@
 // Listen returns a listener for a server whose ConnState hook calls Observe. Without it, the limiter does not know of bytes that the server
 // has read and not handled yet.
 func (l *Limiter) Listen(inner net.Listener) net.Listener {
-	return &listener{
-		Listener: inner,
-		limiter:  l,
-	}
+	n := newListener(inner, l)
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.listeners = append(l.listeners, n)
+
+	return n
+}
+
+// add records a connection that was accepted.
+func (l *Limiter) add(c net.Conn) {
+	l.Observe(c, http.StateNew)
 }
 
 // Observe records the state of a connection; it is used as the ConnState hook of a server.
@@ -138,12 +155,47 @@
 	return true
 }
 
-// CloseIdle closes the connections that are idle now.
-func (l *Limiter) CloseIdle() {
+// Shutdown closes the listeners once no connection waits to be accepted, and each connection once nothing is to be answered on it. Unlike
+// the shutdown of an http.Server, it does not drop requests that have arrived and are not handled yet. It returns when no connection is
+// left, or the error of ctx if that ends before. The responses have to announce that their connections close.
+func (l *Limiter) Shutdown(ctx context.Context) error {
 	l.lock.Lock()
+	listeners := slices.Clone(l.listeners)
+	l.lock.Unlock()
+	group := conc.WaitGroup{}
+	for _, n := range listeners {
+		group.Go(func() {
+			if err := drain.WaitBacklog(ctx, n.Listener); err != nil {
+				l.logger.Warn("waiting connections may be reset", "error", err.Error())
+			}
+			if err := n.Close(); err != nil {
+				l.logger.Debug("cannot close listener", "error", err.Error())
+			}
+		})
+	}
+	group.Wait()
+	ticker := time.NewTicker(shutdownInterval)
+	defer ticker.Stop()
+	for l.closeIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.CodeDeadlinePassed, "connections are still in use")
+		}
+	}
+
+	return nil
+}
+
+// closeIdle closes the connections on which no request is on its way, and returns how many were open.
+func (l *Limiter) closeIdle() int {
+	l.lock.Lock()
+	open := len(l.connections)
+	at := l.now()
 	var idle []net.Conn
 	for inner, w := range l.connections {
-		if w.state == http.StateIdle && l.beginClosing(inner, w, true) {
+		usable := w.state == http.StateActive || w.state == http.StateNew && at.Sub(w.since) <= unusedTime
+		if !usable && l.beginClosing(inner, w, false) {
 			endSending(w.outer)
 			idle = append(idle, w.outer)
 		}
@@ -153,6 +205,8 @@
 		closed.Add("Idle", 1)
 		_ = c.Close() // the caller may have closed it already
 	}
+
+	return open
 }
 
 // endSending tells the caller at once that the connection closes. Close does so only after the read in progress has returned.
--- a/io/idleconn/limiter_test.go
+++ b/io/idleconn/limiter_test.go
@@ -139,7 +139,7 @@
 		first string
 	}{
 		{"idle for too long", (*Limiter).sweep, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
-		{"closed at a stop", (*Limiter).CloseIdle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"closed at a stop", func(l *Limiter) { l.closeIdle() }, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
 		{"late headers", (*Limiter).sweep, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
