Merge the log lines of every end of a caller's connection

The limiter now keeps a connection among those it knows while its request is handled, so the line for a request that was never handled depends on whether the handler was called.

--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -33,11 +33,14 @@
 
 var closed = expvar.NewMap("CallerConnectionsClosed")
 
+// trackedConnection is an open connection. In state active, bytes of a request have arrived.
 type trackedConnection struct {
 	// outer is the connection that the server uses, such as one for TLS.
 	outer net.Conn
 	state http.ConnState
 	since time.Time
+	// handled is set in state active once the handler of the request was called.
+	handled bool
 	// closing is set once the limiter has decided to close the connection.
 	closing bool
 }
@@ -94,7 +97,7 @@
 	w := l.connections[inner]
 	switch {
 	case state == http.StateClosed || state == http.StateHijacked:
-		delete(l.connections, inner)
+		l.forget(inner)
 
 		return
 	case state == http.StateActive && w.closing:
@@ -121,6 +124,17 @@
 	}
 }
 
+// forget removes a connection that has ended. The library answers what it cannot read as a request with a 4xx or 5xx of its own, and does
+// not answer at all if the caller has left. It needs the lock.
+func (l *Limiter) forget(inner net.Conn) {
+	w, ok := l.connections[inner]
+	delete(l.connections, inner)
+	if ok && w.state == http.StateActive && !w.handled {
+		closed.Add("Unhandled", 1)
+		l.logger.Info("caller's connection ended before its request was handled", "caller", inner.RemoteAddr().String())
+	}
+}
+
 // ConnContext adds a connection to the context of its requests; it is used as the ConnContext hook of an http.Server.
 func (*Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, c)
@@ -149,7 +163,7 @@
 	if w.closing {
 		return false
 	}
-	w.outer, w.state = c, http.StateActive
+	w.outer, w.state, w.handled = c, http.StateActive, true
 	l.connections[inner] = w
 
 	return true
@@ -203,6 +217,7 @@
 	l.lock.Unlock()
 	for _, c := range idle {
 		closed.Add("Idle", 1)
+		l.logger.Debug("caller's connection closed", "caller", c.RemoteAddr().String(), "cause", "stopping")
 		_ = c.Close() // the caller may have closed it already
 	}
 
@@ -247,26 +262,29 @@
 func (l *Limiter) sweep() {
 	header, idle := l.limits()
 	at := l.now()
-	for c, state := range l.expired(header, idle, at) {
-		if state == http.StateNew {
+	for c, w := range l.expired(header, idle, at) {
+		caller, age := c.RemoteAddr().String(), at.Sub(w.since).Milliseconds()
+		if w.state == http.StateNew {
 			closed.Add("LateHeaders", 1)
+			l.logger.Info("caller's connection closed", "caller", caller, "cause", "headers late", "age_ms", age, "limit_ms", header.Milliseconds())
 			writeRequestTimeout(c, at)
 		} else {
 			closed.Add("Idle", 1)
+			l.logger.Debug("caller's connection closed", "caller", caller, "cause", "idle", "age_ms", age, "limit_ms", idle.Milliseconds())
 		}
 		_ = c.Close() // the caller may have closed it already
 	}
 }
 
 // expired returns the connections that exceed the limits; no request on them is handled any more.
-func (l *Limiter) expired(header, idle time.Duration, at time.Time) map[net.Conn]http.ConnState {
+func (l *Limiter) expired(header, idle time.Duration, at time.Time) map[net.Conn]trackedConnection {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if l.idleLimit == 0 || idle > 0 && idle < l.idleLimit {
 		l.loweredAt = at
 	}
 	l.idleLimit = idle
-	found := map[net.Conn]http.ConnState{}
+	found := map[net.Conn]trackedConnection{}
 	for inner, w := range l.connections {
 		limit, since := idle, w.since
 		switch {
@@ -279,7 +297,7 @@
 		}
 		// A process that is short of processor time reads and handles late what its callers have sent in time.
 		if limit > 0 && at.Sub(since) > limit && l.beginClosing(inner, w, true) {
-			found[w.outer] = w.state
+			found[w.outer] = w
 			if w.state == http.StateIdle {
 				endSending(w.outer)
 			}
