Keep an attempt until another one has a whole response

On a route for whole responses, a caller got 504 "the response broke off" although its server was sound: that server was silent for 0.7 s, the request was sent to a second one as well, and the head of the second response ended the first attempt. The rest of the second response did not come.

Cause: the head of a response counted as acceptance of the request. A response that is passed on whole is read whole first, so its head has nothing to decide. The same was true at the end of the overlap after 1.3 s of silence, where the first attempt ended for a second one without any answer.

The attempt itself now reads a whole response, also while it runs beside another one, and counts it in the budget of memory until it ends. The watchdog replaces the current attempt when the second one is complete and no failure. On routes for whole responses the end of the overlap never ends the first attempt; the second one ends there only while the first server may be sound, or for a third server. Streaming routes keep their rules, since two servers may not work on one stream for longer. An answer that is complete is also no longer thrown away because a part of its prompt is quarantined while it arrives.

In the fake of the tests, a response can now be slow and broken off at once.

Ruled out: reading only the length or the first bytes, which says nothing about the rest.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/eventstream"
 	"tarragonwalk/core/fault"
@@ -31,19 +32,35 @@
 	answered chan struct{}
 	response *response.Response
 	err      error
+	// body is the whole body of a response that is not passed on as it arrives.
+	body []byte
+	// resize sets the bytes of the response in memory, and endBody gives them back.
+	resize  func(size int) error
+	endBody func()
 	// empty is set if awaitEvent has found a stream that ends without an event.
 	empty bool
 }
 
-// send sends the request, of which the caller has the events up to the ID after, and checks the response.
-func (a *attempt) send(s sender, q *call.Call, after int64, check func() error) {
+// send sends the request, of which the caller has the events up to the ID after, and receives what of the response has to be there before
+// any of it is passed on.
+func (a *attempt) send(s sender, q *call.Call, after int64, receive func() error) {
 	defer close(a.answered)
 	a.response, a.err = s.Send(a.ctx, a.server, q, after)
 	if a.err == nil {
-		a.err = check()
+		a.err = receive()
 	}
 }
 
+// readBody reads the body to its end.
+func (a *attempt) readBody() (err error) {
+	a.body, err = readWhole(a.response.Body, maxBodyBytes, a.resize)
+	if err == nil || fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
+		return err
+	}
+
+	return fault.Wrap(err, fault.CodeOutcomeUnknown, "the response broke off")
+}
+
 // awaitEvent reads a stream that continues after the event last up to its first event with data, which stays in the response. A stream
 // that ends before fails, unless it is the rest of one that has begun.
 func (a *attempt) awaitEvent(last int64, began bool) error {
@@ -96,6 +113,8 @@
 	if a.response != nil {
 		a.response.Body.Close()
 	}
+	a.body = nil
+	a.endBody()
 	a.release()
 }
 
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -94,12 +94,12 @@
 		h.Set("Content-Type", "text/event-stream")
 	}
 	body := io.Reader(strings.NewReader(r.body))
-	if r.broken {
-		body = io.MultiReader(body, errorReader{})
-	}
 	if r.slow > 0 {
 		body = &slowReader{ctx: ctx, events: slices.DeleteFunc(strings.SplitAfter(r.body, "\n\n"), func(e string) bool { return e == "" }), pause: r.slow, first: r.first}
 	}
+	if r.broken {
+		body = io.MultiReader(body, errorReader{})
+	}
 	if r.dripping {
 		body = io.MultiReader(body, drippingReader{ctx: ctx})
 	}
--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -20,16 +20,24 @@
 	if rs.began && !rs.splitter.Resumable() || rs.dangerous() {
 		return nil
 	}
-	if rs.ran+1 < rs.route.MaxAttempts {
-		if s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at); ok {
-			return rs.newAttempt(ctx, s, release)
-		}
+	if a := rs.newFurther(ctx, at, 1); a != nil || !gone {
+		return a
 	}
-	if !gone {
+
+	return rs.repeatDropped(ctx, at)
+}
+
+// newFurther returns an attempt on a server that has not got the request, while a number of others work on it; nil if there is none.
+func (rs *requestState) newFurther(ctx context.Context, at time.Time, working int) *attempt {
+	if rs.ran+working >= rs.route.MaxAttempts {
+		return nil
+	}
+	s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at)
+	if !ok {
 		return nil
 	}
 
-	return rs.repeatDropped(ctx, at)
+	return rs.newAttempt(ctx, s, release)
 }
 
 // repeatDropped returns an attempt on the server whose hedge was dropped, nil if there is none or it has no free slot. Attempts are limited
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -124,6 +124,7 @@
 		rs.forwarder.batch.Preempt(s.ID, n)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	resize, end := rs.forwarder.budget.Open("responses", func() { cancel(bytebudget.ErrDropped) })
 
 	return &attempt{
 		server:         s,
@@ -133,6 +134,8 @@
 		cancel:         cancel,
 		sentAt:         at,
 		answered:       make(chan struct{}),
+		resize:         resize,
+		endBody:        end,
 	}
 }
 
@@ -147,7 +150,7 @@
 	} else {
 		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "")
 	}
-	allowed = allowed && !rs.dangerous()
+	allowed = allowed && (rs.nextAccepted() || !rs.dangerous())
 	rs.logAttempt(a, err, rs.progressAt, "again", allowed)
 
 	return allowed
@@ -186,6 +189,19 @@
 	return quarantined
 }
 
+// nextAccepted reports whether the server of the next attempt has accepted the request.
+func (rs *requestState) nextAccepted() bool {
+	if rs.next == nil {
+		return false
+	}
+	select {
+	case <-rs.next.answered:
+		return rs.acceptance(rs.next) == nil
+	default:
+		return false
+	}
+}
+
 // abandonNext abandons a next attempt that is not needed.
 func (rs *requestState) abandonNext() {
 	if rs.next != nil {
@@ -224,23 +240,27 @@
 	after := rs.lastID()
 	w := rs.startWatchdog(ctx, a)
 	defer func() { w.stop(err) }()
-	resize, end := rs.forwarder.budget.Open("responses", func() { a.cancel(bytebudget.ErrDropped) })
-	defer end()
 	if !a.started {
-		a.send(rs.forwarder.sender, rs.call, after, func() error { return nil })
+		a.send(rs.forwarder.sender, rs.call, after, func() error {
+			if rs.began || rs.isStream(a.response) {
+				return nil
+			}
+
+			return a.readBody()
+		})
 	}
 	<-a.answered
 	if a.err != nil {
 		return attemptError(a.ctx, a.err)
 	}
 	if rs.isStream(a.response) {
-		return attemptError(a.ctx, rs.forwardStream(a, w, resize))
+		return attemptError(a.ctx, rs.forwardStream(a, w))
 	}
 	if rs.began {
 		return errStatus
 	}
 
-	return attemptError(a.ctx, rs.forwardWhole(a.response, w, resize))
+	return rs.forwardWhole(a, w)
 }
 
 // isStream reports whether a response is a stream of events that are passed on as they arrive.
@@ -259,30 +279,25 @@
 	return err
 }
 
-// forwardWhole passes on a response after all of it has been read, so that another attempt can still replace one that is cut
-// off.
-func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, resize func(size int) error) error {
-	body, err := readWhole(resp.Body, maxBodyBytes, resize)
-	if err == nil && resp.Status >= http.StatusInternalServerError {
-		err = errStatus
-	}
-	w.stop(err)
-	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
-		return err
+// forwardWhole passes on a response of which all has been read.
+func (rs *requestState) forwardWhole(a *attempt, w *watchdog) error {
+	resp := a.response
+	failed := resp.Status >= http.StatusInternalServerError
+	if failed {
+		w.stop(errStatus)
+	} else {
+		w.stop(nil)
 	}
-	if fault.Caused(err, errStatus) && rs.route.Repeatable() && (rs.next != nil || rs.ran+1 < rs.route.MaxAttempts) {
+	if failed && rs.route.Repeatable() && (rs.next != nil || rs.ran+1 < rs.route.MaxAttempts) {
 		return errStatus
 	}
-	if err != nil && !fault.Caused(err, errStatus) {
-		return fault.Wrap(err, fault.CodeOutcomeUnknown, "the response broke off")
-	}
 	rs.completed = resp.Status < http.StatusMultipleChoices
 	rs.began = true
 	rs.recordFirstByte()
-	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(body))); err != nil {
+	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(a.body))); err != nil {
 		return errSink
 	}
-	if err := rs.sink.Write(body); err != nil {
+	if err := rs.sink.Write(a.body); err != nil {
 		return errSink
 	}
 	rs.timing.deliver(rs.forwarder.now())
@@ -291,7 +306,7 @@
 }
 
 // forwardStream passes on complete events as they arrive.
-func (rs *requestState) forwardStream(a *attempt, w *watchdog, resize func(size int) error) error {
+func (rs *requestState) forwardStream(a *attempt, w *watchdog) error {
 	body := coalesce.New(a.response.Body, readInterval, rs.forwarder.now)
 	buffer := make([]byte, readBytes)
 	for {
@@ -300,7 +315,7 @@
 			if err := rs.deliver(a, w, buffer[:n]); err != nil {
 				return err
 			}
-			if err := resize(rs.splitter.Pending()); err != nil {
+			if err := a.resize(rs.splitter.Pending()); err != nil {
 				return err
 			}
 		}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
+
+	"tarragonwalk/core/route"
 )
 
 const (
@@ -14,7 +17,8 @@
 )
 
 // watchdog watches the current attempt of a request. While the server is silent, it sends the request to a second server as well. Only
-// when that one has accepted the request, the current attempt ends: its server may be sound, and the second one may refuse or fail.
+// when that one has accepted the request, the current attempt ends: its server may be sound, and the second one may refuse or fail. A stream
+// is accepted with its first event, and a response that is passed on whole when all of it has been received.
 type watchdog struct {
 	request *requestState
 	// ctx is the context of the request.
@@ -31,6 +35,8 @@
 	// goneAt is when the current server counts as gone unless it makes progress. The time in which events are written to the caller is
 	// no silence.
 	goneAt time.Time
+	// silence is the time without progress after which a server counts as gone.
+	silence time.Duration
 	// gap is the allowed time from each progress to the next, any time if it is 0, and retry the time after which a search for a
 	// second server is repeated.
 	gap, retry time.Duration
@@ -55,6 +61,7 @@
 		request: rs,
 		ctx:     ctx,
 		current: a,
+		silence: silence,
 		goneAt:  rs.progressAt.Add(silence),
 		gap:     gap,
 		retry:   first / 2,
@@ -101,6 +108,12 @@
 
 		return
 	}
+	w.begin(h)
+}
+
+// begin sends the request to a second server. It needs the lock.
+func (w *watchdog) begin(h *attempt) {
+	rs := w.request
 	if !w.reported {
 		w.reported = true
 		rs.forwarder.recordAttempt(w.ctx, w.current, rs.progressAt, errSilent)
@@ -110,23 +123,37 @@
 	w.overlap = time.AfterFunc(maxOverlap, func() { w.endOverlap(h) })
 	after := rs.lastID()
 	rs.forwarder.log.Info("request hedged", "request", rs.call.ID, "route", rs.route.Name, "server", w.current.server.ID, "second", h.server.ID,
-		"began", rs.began, "last_event", after, "silent_ms", at.Sub(rs.progressAt).Milliseconds(), "attempts", rs.ran, "refusals", rs.refused)
+		"began", rs.began, "last_event", after, "silent_ms", h.sentAt.Sub(rs.progressAt).Milliseconds(), "attempts", rs.ran, "refusals", rs.refused)
 	began, last := rs.began, after
 	if rs.splitter == nil {
 		last = rs.resumedAfter()
 	}
 	go func() {
 		h.send(rs.forwarder.sender, rs.call, after, func() error {
-			if !rs.isStream(h.response) {
+			switch {
+			case rs.isStream(h.response):
+				return h.awaitEvent(last, began)
+			case began:
 				return nil
 			}
+			w.extendOverlap(h)
 
-			return h.awaitEvent(last, began)
+			return h.readBody()
 		})
 		w.resolve(h)
 	}()
 }
 
+// extendOverlap lets the second server go on with a response that it has begun to answer.
+func (w *watchdog) extendOverlap(h *attempt) {
+	rs := w.request
+	rs.lock.Lock()
+	defer rs.lock.Unlock()
+	if w.hedge == h && rs.route.Kind != route.KindStream && h.response.Status < http.StatusInternalServerError {
+		w.overlap.Reset(w.silence)
+	}
+}
+
 // resolve decides on a hedge that was answered: the current attempt ends if the second server has accepted the request.
 func (w *watchdog) resolve(h *attempt) {
 	rs := w.request
@@ -162,17 +189,28 @@
 	}
 }
 
-// settle chooses between two attempts of which none has an event. It needs the lock.
+// settle chooses between two attempts of which none has an event or a whole response. It needs the lock.
 func (w *watchdog) settle() {
-	at := w.request.forwarder.now()
-	if !at.Before(w.goneAt) {
+	rs := w.request
+	at := rs.forwarder.now()
+	switch {
+	case at.Before(w.goneAt):
+		w.dropHedge()
+		w.expiresAt = at.Add(w.retry)
+		w.timer.Reset(w.retry)
+	case rs.route.Kind == route.KindStream:
 		w.replaceCurrent()
-
-		return
+	default:
+		// Both may be sound, so the second attempt ends only for a further one.
+		w.overlap.Reset(w.retry)
+		if w.ctx.Err() != nil || rs.dangerous() {
+			return
+		}
+		if h := rs.newFurther(w.ctx, at, 2); h != nil {
+			w.dropHedge()
+			w.begin(h)
+		}
 	}
-	w.dropHedge()
-	w.expiresAt = at.Add(w.retry)
-	w.timer.Reset(w.retry)
 }
 
 // replaceCurrent makes the hedge the next attempt and ends the current one.
