Let a begun stream wait while all servers are full

A caller's stream was cut after its server had broken off, although the stream could be resumed and its deadline was seconds away: four servers refused it, or no server had a free slot, for a moment. A stream whose server was silent was not moved any more after four refusals either, and in a small fleet after each server had refused once.

Cause: the limit of refusals and the list of servers that were asked hold for the whole request. They are meant for a request that has not begun, whose caller can be told "not run" and send it again. A begun response has no such way out.

A server that has refused may now get the request again after 200 ms. A begun stream pauses for as long and asks again, one server at a time once four have refused, until its deadline or until its caller leaves. So does the watchdog of a silent server. A request that has not begun still ends at the fourth refusal. max_attempts is not touched: a server that refused has not run the request.

Ruled out: to wait without a pause, or with four servers each time, which would load a full fleet with refusals.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -24,9 +24,11 @@
 	// oversubscribed is set if the server has more online requests than slots: the request may have to wait in its queue, so
 	// silence does not mean that the server has failed.
 	oversubscribed bool
-	ctx            context.Context
-	cancel         context.CancelCauseFunc
-	sentAt         time.Time
+	// again is set if the server has had the request before.
+	again  bool
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	sentAt time.Time
 	// started is set once send has been called, and answered is closed when it has set response or err.
 	started  bool
 	answered chan struct{}
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -20,6 +20,8 @@
 const (
 	// maxRefusals is how many servers may refuse one request before its caller gets an error and has to retry later.
 	maxRefusals = 4
+	// refusalPause is the time after which servers that were full may have a free slot.
+	refusalPause = 200 * time.Millisecond
 	// onTimeLoadLimit is the limit of online requests per slot below which a server gets a request that can still meet its
 	// latency objective. Behind a longer queue the request would be late, so its caller gets an error at once and has to retry later.
 	onTimeLoadLimit = 1.25
--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"tarragonwalk/core/response"
@@ -11,7 +12,7 @@
 
 // exhausted reports whether no second server may get the request any more while the current one works on it. It needs the lock.
 func (rs *requestState) exhausted() bool {
-	return !rs.route.Repeatable() || rs.refused >= maxRefusals || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == ""
+	return !rs.route.Repeatable() || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == ""
 }
 
 // newHedge returns an attempt on a second server, nil if there is none at present. When no further server may or can get the request, it is
@@ -24,7 +25,7 @@
 		return a
 	}
 
-	return rs.repeatDropped(ctx, at)
+	return rs.repeat(ctx, at, &rs.dropped)
 }
 
 // newFurther returns an attempt on a server that has not got the request, while a number of others work on it; nil if there is none.
@@ -32,6 +33,7 @@
 	if rs.ran+working >= rs.route.MaxAttempts {
 		return nil
 	}
+	rs.readmit(at)
 	s, release, ok := rs.forwarder.placer.Free(rs.service, rs.tried, at)
 	if !ok {
 		return nil
@@ -40,19 +42,22 @@
 	return rs.newAttempt(ctx, s, release)
 }
 
-// repeatDropped returns an attempt on the server whose hedge was dropped, nil if there is none or it has no free slot. Attempts are limited
-// by the number of servers, so this one is no further server.
-func (rs *requestState) repeatDropped(ctx context.Context, at time.Time) *attempt {
-	if rs.dropped == "" {
+// repeat returns an attempt on a server that has had the request before and clears its ID, nil if there is none or it can't take it at present.
+// Attempts are limited by the number of servers, so this one is no further server.
+func (rs *requestState) repeat(ctx context.Context, at time.Time, id *string) *attempt {
+	rs.readmit(at)
+	if *id == "" || slices.Contains(rs.refusers, *id) {
 		return nil
 	}
-	s, release, ok := rs.forwarder.placer.FreeOn(rs.service, rs.dropped, at)
+	s, release, ok := rs.forwarder.placer.FreeOn(rs.service, *id, at)
 	if !ok {
 		return nil
 	}
-	rs.dropped = ""
+	*id = ""
+	a := rs.newAttempt(ctx, s, release)
+	a.again = true
 
-	return rs.newAttempt(ctx, s, release)
+	return a
 }
 
 // acceptance returns nil if the server of an attempt that was answered has accepted the request, and otherwise why not.
@@ -69,7 +74,7 @@
 
 // recordHedge records how an attempt ended while the current one goes on. It needs the lock.
 func (rs *requestState) recordHedge(ctx context.Context, h *attempt, err error) {
-	rs.count(err)
+	rs.count(h, err)
 	rs.logAttempt(h, err, h.sentAt, "hedge", true)
 	if ctx.Err() != nil || errors.Is(err, errAbandoned) {
 		return
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -54,6 +54,9 @@
 	ran int
 	// refused counts attempts that have not run.
 	refused int
+	// refusers holds the IDs of servers that have refused the request and may get it again from readmitAt on.
+	refusers  []string
+	readmitAt time.Time
 	// began is set when the status line is sent to the caller.
 	began  bool
 	timing timing
@@ -106,14 +109,55 @@
 
 		return a
 	}
+	for full := rs.began && rs.refused >= maxRefusals; ; full = true {
+		if full && !rs.awaitSlot(ctx) {
+			return nil
+		}
+		if a := rs.place(ctx); a != nil {
+			return a
+		}
+	}
+}
+
+// place returns an attempt on a server that can take the request, nil if there is none at present.
+func (rs *requestState) place(ctx context.Context) *attempt {
 	at := rs.forwarder.now()
+	rs.readmit(at)
 	if rs.ran < max(1, rs.route.MaxAttempts) {
 		if s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at); ok {
 			return rs.newAttempt(ctx, s, release)
 		}
 	}
 
-	return rs.repeatDropped(ctx, at)
+	return rs.repeat(ctx, at, &rs.dropped)
+}
+
+// awaitSlot pauses before servers that were full are asked again, and reports whether they may be. A response that has begun waits until its
+// deadline, but not for long for a server that may be gone, since its caller can resume it. Other callers have to retry later.
+func (rs *requestState) awaitSlot(ctx context.Context) bool {
+	pending := rs.ran < rs.route.MaxAttempts ||
+		rs.dropped != "" && rs.forwarder.now().Sub(rs.timing.lastAt) < maxSilence
+	if !rs.began || !pending {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(refusalPause):
+	}
+
+	return true
+}
+
+// readmit lets servers that have refused the request get it again once they may have a free slot.
+func (rs *requestState) readmit(at time.Time) {
+	if at.Before(rs.readmitAt) {
+		return
+	}
+	for _, id := range rs.refusers {
+		delete(rs.tried, id)
+	}
+	rs.refusers = nil
 }
 
 // newAttempt returns an attempt on a server where a slot is reserved, and preempts batch items there that use more slots than there are.
@@ -142,11 +186,11 @@
 // mayRetry reports whether another attempt is allowed after a failed one, and logs the decision.
 func (rs *requestState) mayRetry(ctx context.Context, a *attempt, err error) bool {
 	rs.silenced = rs.silenced || fault.Caused(err, errSilent)
-	notRun := rs.count(err)
+	notRun := rs.count(a, err)
 	allowed := ctx.Err() == nil && !errors.Is(err, errSink) && (!rs.began || rs.splitter.Resumable())
 	if notRun {
 		// A hedge was allowed before this refusal, and its server may work on the request.
-		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil)
+		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil || rs.began)
 	} else {
 		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "")
 	}
@@ -157,9 +201,14 @@
 }
 
 // count counts a failed attempt and reports whether the request has certainly not run there.
-func (rs *requestState) count(err error) (notRun bool) {
+func (rs *requestState) count(a *attempt, err error) (notRun bool) {
 	if fault.NotRun(err) {
 		rs.refused++
+		rs.refusers = append(rs.refusers, a.server.ID)
+		rs.readmitAt = rs.forwarder.now().Add(refusalPause)
+		if a.again {
+			rs.dropped = a.server.ID
+		}
 
 		return true
 	}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -101,16 +101,26 @@
 		return
 	}
 	at := rs.forwarder.now()
+	if rs.refused >= maxRefusals && at.Before(rs.readmitAt) {
+		w.searchAgain(rs.readmitAt.Sub(at))
+
+		return
+	}
 	h := rs.newHedge(w.ctx, at, !at.Before(w.goneAt))
 	if h == nil {
-		w.expiresAt = at.Add(w.retry)
-		w.timer.Reset(w.retry)
+		w.searchAgain(w.retry)
 
 		return
 	}
 	w.begin(h)
 }
 
+// searchAgain searches a second server again after a pause. It needs the lock.
+func (w *watchdog) searchAgain(pause time.Duration) {
+	w.expiresAt = w.request.forwarder.now().Add(pause)
+	w.timer.Reset(pause)
+}
+
 // begin sends the request to a second server. It needs the lock.
 func (w *watchdog) begin(h *attempt) {
 	rs := w.request
@@ -196,8 +206,7 @@
 	switch {
 	case at.Before(w.goneAt):
 		w.dropHedge()
-		w.expiresAt = at.Add(w.retry)
-		w.timer.Reset(w.retry)
+		w.searchAgain(w.retry)
 	case rs.route.Kind == route.KindStream:
 		w.replaceCurrent()
 	default:
