Ask a replaced server again when its replacement fails

A silent server was replaced by a second one that had sent the first event of the stream. When that one broke off and max_attempts was used up, the caller's stream was cut, though the first server was sound.

Cause: an attempt that this side ends in favour of another one counted as lost, while the server of a dropped hedge may be asked again.

The last server that was replaced may now get the request again, when the attempt that replaced it has failed and no further server may or can get it. max_attempts limits servers, and this is no further one. It is not asked because the new server is silent: two slow servers would take the request from each other without end.

Ruled out: keeping the first server at work until the second one has delivered more. Its events could not follow those of another run, and two servers may not work on one stream for longer.

--- a/core/forward/full_test.go
+++ b/core/forward/full_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,3 +152,46 @@
 		})
 	}
 }
+
+// Guards against a request that fails because the server that replaced a silent one breaks off, though the silent one is sound.
+func TestReplacedServerIsAskedAgain(t *testing.T) {
+	silent, second := reply{status: 200, body: whole[:15], hung: true}, reply{status: 200, body: whole[15:30], broken: true}
+	rest := reply{status: 200, body: whole[30:]}
+	for _, c := range []struct {
+		name    string
+		replies []reply
+		servers string
+	}{
+		{"at once", []reply{silent, second, rest}, "0 1 0"},
+		{"refuses at first", []reply{silent, second, {err: refused}, {err: refused}, rest}, "0 1 0 0 0"},
+		{"not begun", []reply{{mute: true}, {mute: true}, {err: lost, wait: 400 * time.Millisecond}, {status: 200, body: whole}}, "0 1 1 0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeMany{fake: fake{replies: c.replies, free: true}}
+				out := &recorder{}
+				err := newForwarder(f).Run(t.Context(), &resumable, &call.Call{ID: "1"}, out)
+				synctest.Wait()
+				is.NoErr(err)
+				is.Equal(out.body.String(), whole)
+				is.Equal(strings.Join(f.servers, " "), c.servers)
+				is.Equal(f.released, len(f.servers))
+			})
+		})
+	}
+}
+
+// Guards against a stream that is held for a replaced server that is gone, until its caller has given up.
+func TestReplacedServerThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		first := reply{status: 200, body: whole[:15], hung: true}
+		second := reply{status: 200, body: whole[15:30], broken: true}
+		f := &fakeMany{fake: fake{replies: append([]reply{first, second}, refusals(100)...), free: true}}
+		startedAt := time.Now()
+		err := newForwarder(f).Run(t.Context(), &resumable, &call.Call{ID: "1"}, &recorder{})
+		is.Equal(fault.CodeOf(err), fault.CodeOutcomeUnknown)
+		is.True(time.Since(startedAt) < 2*time.Second)
+	})
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -75,6 +75,9 @@
 	// dropped is the ID of the last server whose hedge was dropped without an answer. It may get the request again when no further one may
 	// or can.
 	dropped string
+	// replaced is the ID of the last server whose attempt ended in favour of another one. It may be sound, and gets the request again if that
+	// one fails and no further server may or can get it.
+	replaced string
 	// next is the next attempt if the watchdog has started it already.
 	next *attempt
 }
@@ -128,15 +131,18 @@
 			return rs.newAttempt(ctx, s, release)
 		}
 	}
+	if a := rs.repeat(ctx, at, &rs.dropped); a != nil {
+		return a
+	}
 
-	return rs.repeat(ctx, at, &rs.dropped)
+	return rs.repeat(ctx, at, &rs.replaced)
 }
 
 // awaitSlot pauses before servers that were full are asked again, and reports whether they may be. A response that has begun waits until its
 // deadline, but not for long for a server that may be gone, since its caller can resume it. Other callers have to retry later.
 func (rs *requestState) awaitSlot(ctx context.Context) bool {
 	pending := rs.ran < rs.route.MaxAttempts ||
-		rs.dropped != "" && rs.forwarder.now().Sub(rs.timing.lastAt) < maxSilence
+		(rs.dropped != "" || rs.replaced != "") && rs.forwarder.now().Sub(rs.timing.lastAt) < maxSilence
 	if !rs.began || !pending {
 		return false
 	}
@@ -192,7 +198,7 @@
 		// A hedge was allowed before this refusal, and its server may work on the request.
 		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil || rs.began)
 	} else {
-		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "")
+		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "" || rs.replaced != "")
 	}
 	allowed = allowed && (rs.nextAccepted() || !rs.dangerous())
 	rs.logAttempt(a, err, rs.progressAt, "again", allowed)
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -227,6 +227,7 @@
 	w.overlap.Stop()
 	w.done = true
 	w.request.next = w.hedge
+	w.request.replaced = w.current.server.ID
 	w.hedge = nil
 	w.current.cancel(errSilent)
 }
