Know within the overlap that a second server is out of reach

Callers of a server that was gone had their streams cut although other servers were free.

Cause: a connection attempt took up to 300 ms, as long as two servers may work on one request, so the hedge was dropped before its failure was known. Nor was the server suspected, so further requests were sent there.

A connection attempt now ends after 250 ms. The hedge then fails with "not run", the server is suspected, and the next one is asked at once.

Evidence before the change: TestUnreachableWithinOverlap failed (a listener with a full queue, five tries of 300 ms). TestUnreachableSecondServerHasNotRun guards what the forwarder makes of it, and passed before.

Ruled out: taking back the count when the dropped hedge turns out never to have been connected. The count would change while another goroutine decides by it.

--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -107,3 +107,19 @@
 		}
 	})
 }
+
+// Guards against a request that gets no third server because the second one, which cannot be reached, counts as one that has run it.
+func TestUnreachableSecondServerHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
+		gone := reply{err: fault.New(fault.CodeBackendUnreachable, "no connection"), wait: 250 * time.Millisecond}
+		f := &fake{replies: []reply{{status: 200, body: whole[:15], hung: true}, gone, {status: 200, body: whole[15:]}}, free: true}
+		out := &recorder{}
+		err := newForwarder(f).Run(t.Context(), &r, &call.Call{ID: "1"}, out)
+		synctest.Wait()
+		is.NoErr(err)
+		is.Equal(out.body.String(), whole)
+		is.Equal(f.servers, []string{"a", "b", "c"})
+	})
+}
--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	// dialTimeout allows for two round trips between regions and a busy accept queue.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout allows for two round trips between regions and a busy accept queue. It is below the time for which two servers work on one
+	// request, so that a second server that cannot be reached is known not to have run it.
+	dialTimeout = 250 * time.Millisecond
 	// idleTimeout is below the idle timeout of the backend servers.
 	idleTimeout = 4 * time.Second
 	// maxIdle bounds the idle connections to one backend server.
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -130,6 +131,36 @@
 	is.True(fault.NotRun(err))
 }
 
+// Guards against a connection attempt that lasts as long as two servers may work on one request: the second server is given up then, and
+// counts as one that may have run the request.
+func TestUnreachableWithinOverlap(t *testing.T) {
+	const overlap = 300 * time.Millisecond
+	is := is.New(t)
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	is.NoErr(err)
+	defer syscall.Close(socket)
+	is.NoErr(syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(socket, 0))
+	bound, err := syscall.Getsockname(socket)
+	is.NoErr(err)
+	server := backend.Server{Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(bound.(*syscall.SockaddrInet4).Port))}
+	// Once the queue of the listener is full, it answers no further connection.
+	for err == nil {
+		var c net.Conn
+		if c, err = net.DialTimeout("tcp4", server.Address.String(), time.Second/2); err == nil {
+			defer c.Close()
+		}
+	}
+	shortest := time.Hour
+	for range 5 {
+		startedAt := time.Now()
+		_, err = New(names, &departures{}, noBudget(), time.Now).Send(t.Context(), server, newCall(), 0)
+		shortest = min(shortest, time.Since(startedAt))
+		is.Equal(fault.CodeOf(err), fault.CodeBackendUnreachable)
+	}
+	is.True(shortest < overlap)
+}
+
 // Guards against forwarding hop-by-hop headers.
 func TestEndToEnd(t *testing.T) {
 	is := is.New(t)
