Refuse connections before a stopping process closes its listener

Cause: between the last look at the queue of the listener and its close, the kernel goes on accepting connections, and the close resets them with the requests that were sent on them. On a busy machine this moment is longer than it looks.

Change: the listener is bound to an interface that does not exist. The kernel then refuses new connections at once, as if nobody listened, and keeps those that wait. 100 ms later, when connections that were being opened are open, the process accepts what waits and closes the listener. Where it is not supported the moment stays, with a line in the log.

Evidence: TestShutdownRefusesConnections connects and sends a request just before the listener closes. Without the new call the connection is made, and reset; with it, it is refused.

--- a/io/idleconn/handled_test.go
+++ b/io/idleconn/handled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"tarragonwalk/internal/pausinglistener"
 )
@@ -109,6 +111,37 @@
 	}
 }
 
+// dialing is a listener to which a caller connects, and sends a request, just before it closes.
+type dialing struct {
+	*net.TCPListener
+	dialed chan error
+}
+
+func (l *dialing) Close() error {
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err == nil {
+		_, err = io.WriteString(c, request)
+	}
+	l.dialed <- err
+
+	return l.TCPListener.Close()
+}
+
+// Guards against a request that is reset with its connection, which was made while the stopping process closed its listener.
+func TestShutdownRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := New(func() (time.Duration, time.Duration) { return time.Minute, time.Minute }, time.Now, slog.New(slog.DiscardHandler))
+	d := &dialing{
+		TCPListener: listener.(*net.TCPListener),
+		dialed:      make(chan error, 1),
+	}
+	l.Listen(d)
+	is.NoErr(l.Shutdown(t.Context()))
+	is.True(errors.Is(<-d.dialed, unix.ECONNREFUSED))
+}
+
 // Guards against a request that gets 408, or no answer, since it had arrived in time and was not handled yet when the time of its connection
 // was over.
 func TestLimitsKeepRequestsNotHandledYet(t *testing.T) {
--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -24,6 +24,8 @@
 	writeTimeout = 100 * time.Millisecond
 	// unusedTime is how long after its begin a connection without a request is kept at a stop.
 	unusedTime = 5 * time.Second
+	// handshakeTime is more than the round trip in which a connection that the kernel has begun to open is open.
+	handshakeTime = 100 * time.Millisecond
 	// shutdownInterval is how often Shutdown looks for connections that can be closed.
 	shutdownInterval = 10 * time.Millisecond
 	// requestTimeoutResponse is the response on a connection whose first request has not arrived in time. Its status promises that
@@ -164,14 +166,7 @@
 	l.lock.Unlock()
 	group := conc.WaitGroup{}
 	for _, n := range listeners {
-		group.Go(func() {
-			if err := drain.WaitBacklog(ctx, n.Listener); err != nil {
-				l.logger.Warn("waiting connections may be reset", "error", err.Error())
-			}
-			if err := n.Close(); err != nil {
-				l.logger.Debug("cannot close listener", "error", err.Error())
-			}
-		})
+		group.Go(func() { l.stopListening(ctx, n) })
 	}
 	group.Wait()
 	ticker := time.NewTicker(shutdownInterval)
@@ -187,6 +182,24 @@
 	return nil
 }
 
+// stopListening closes a listener once the process has accepted the connections that the kernel has accepted for it.
+func (l *Limiter) stopListening(ctx context.Context, n *listener) {
+	if err := drain.RefuseNew(n.Listener); err != nil {
+		l.logger.Debug("connections made while the listener closes are reset", "error", err.Error())
+	} else {
+		select {
+		case <-time.After(handshakeTime):
+		case <-ctx.Done():
+		}
+	}
+	if err := drain.WaitBacklog(ctx, n.Listener); err != nil {
+		l.logger.Warn("waiting connections may be reset", "error", err.Error())
+	}
+	if err := n.Close(); err != nil {
+		l.logger.Debug("cannot close listener", "error", err.Error())
+	}
+}
+
 // closeIdle closes the connections on which no request is on its way, and returns how many were open.
 func (l *Limiter) closeIdle() int {
 	l.lock.Lock()
