Answer requests that arrive while tarragonwalk serve stops

What callers saw: a request on a kept connection got no answer when its instance stopped: unexpected EOF, or a reset.

Cause: Shutdown of fasthttp closes each connection that has been idle for less than a second already, whatever has arrived on it. A request is lost if it waits unread in the kernel (reset), or if the server has read it and not begun to handle it (unexpected EOF; the handler still runs).

Change: the server stops through the limiter of idleconn, as the platform's entry instance does; fasthttp's Shutdown finds no connection any more. The limiter counts below TLS, so that a listener for TLS is drained as well; until now only a plain one was.

TestShutdownAnswersWaitingConnections waited for a field of the server that is gone; it waits for the first Accept of its own listener now.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return err
 	}
-	i.listeners[callerIndex] = r.Listen(i.listeners[callerIndex])
+	i.caller.Secure(r.Listen)
 	i.listeners[operatorIndex] = r.Listen(i.listeners[operatorIndex])
 
 	return nil
--- a/io/caller/listener.go
+++ b/io/caller/listener.go
@@ -25,6 +25,11 @@
 	return &conn{Conn: c}, nil
 }
 
+// NetConn returns the connection below, as that of a TLS connection does.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -25,6 +25,7 @@
 	"tarragonwalk/core/membership"
 	"tarragonwalk/io/drain"
 	"tarragonwalk/io/httperror"
+	"tarragonwalk/io/idleconn"
 	"tarragonwalk/io/settings"
 	"tarragonwalk/io/tcp"
 )
@@ -92,7 +93,8 @@
 	stop       context.CancelFunc
 	closing    atomic.Bool
 	drain      *drain.Tracker
-	listener   atomic.Pointer[net.Listener]
+	idle       *idleconn.Limiter
+	secure     func(net.Listener) net.Listener
 }
 
 // New returns a server for an instance in a zone; grace is how long a stopping instance still accepts connections.
@@ -116,7 +118,10 @@
 		base:       base,
 		stop:       stop,
 		drain:      drain.New(clock),
+		secure:     func(l net.Listener) net.Listener { return l },
 	}
+	// fasthttp applies the limits.
+	v.idle = idleconn.New(func() (header, idle time.Duration) { return 0, 0 }, clock, log)
 	v.app = fiber.New(fiber.Config{
 		AppName:               "tarragonwalk",
 		BodyLimit:             limits.BodyBytes,
@@ -135,11 +140,14 @@
 	return v
 }
 
+// Secure makes Serve use the listener that secure returns, such as one for TLS. It must be called before Serve.
+func (s *Server) Secure(secure func(net.Listener) net.Listener) {
+	s.secure = secure
+}
+
 // Serve answers requests on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	s.listener.Store(&l)
-
-	return eris.Wrap(s.app.Listener(&listener{Listener: tcp.NewListener(l, s.log)}), "serve callers")
+	return eris.Wrap(s.app.Listener(&listener{Listener: tcp.NewListener(s.secure(s.idle.Listen(l)), s.log)}), "serve callers")
 }
 
 // Shutdown makes the readiness check fail, still accepts requests for the grace time and until connections that were in use at its
@@ -155,16 +163,17 @@
 	case <-ctx.Done():
 	}
 	s.drain.Wait(ctx)
-	if l := s.listener.Load(); l != nil {
-		if err := drain.WaitBacklog(ctx, *l); err != nil {
-			s.log.Warn("waiting connections may be reset", "error", err.Error())
-		}
+	// fasthttp would close connections with requests that it has not read.
+	err := s.idle.Shutdown(ctx)
+	if e := s.app.ShutdownWithContext(ctx); err == nil {
+		err = e
 	}
 
-	return eris.Wrap(s.app.ShutdownWithContext(ctx), "stop serving callers")
+	return eris.Wrap(err, "stop serving callers")
 }
 
 func (s *Server) observe(c net.Conn, state fasthttp.ConnState) {
+	s.idle.Observe(c, http.ConnState(state)) // the values are the same
 	if state == fasthttp.StateActive {
 		s.drain.Began(c)
 	} else {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,11 +130,14 @@
 	return startOn(t, l, run)
 }
 
-func startOn(t *testing.T, l net.Listener, run func(context.Context, func(inference.Event) error) error) (*Server, string) {
+func startOn(t *testing.T, l net.Listener, run func(context.Context, func(inference.Event) error) error, options ...func(*Server)) (*Server, string) {
 	t.Helper()
 	f := &fake{run: run}
 	s := New(f, files{}, f, f, f, services{}, settings.LimitSettings{BodyBytes: 2048, FileBytes: 4096}, "z",
 		100*time.Millisecond, slog.New(slog.DiscardHandler), time.Now)
+	for _, o := range options {
+		o(s)
+	}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(l) }()
 	t.Cleanup(func() {
@@ -296,10 +300,12 @@
 // gated is a listener whose Accept waits until a gate opens, as that of a process that gets no processor time.
 type gated struct {
 	*net.TCPListener
-	gate chan struct{}
+	gate  chan struct{}
+	begun atomic.Bool
 }
 
 func (g *gated) Accept() (net.Conn, error) {
+	g.begun.Store(true)
 	<-g.gate
 
 	return g.TCPListener.Accept()
@@ -313,7 +319,7 @@
 	is.NoErr(err)
 	g := &gated{TCPListener: l.(*net.TCPListener), gate: make(chan struct{})}
 	s, address := startOn(t, g, tokens(3, time.Millisecond))
-	for s.listener.Load() == nil {
+	for !g.begun.Load() {
 		time.Sleep(time.Millisecond)
 	}
 	var waiting []net.Conn
