Tell a request that crosses an idle close from one that is cut

TestStopCutsNoRequest counted a request as cut that arrived after its idle connection had been closed, which HTTP allows and no server can answer. The caller looks before each request whether the connection is closed, and can be held up between the look and the request.

The test asks the kernel now. A request is not cut if the kernel of the instance has not acknowledged one byte of it, on a kept connection on which the last answer arrived 250 ms before or earlier. All others are cut as before, among them each that has been acknowledged, each on a new connection, and each that was closed sooner after an answer. That time is taken from the kernel as well (with its precision, 10 ms), since a caller that reads late has read its answer for less than 250 ms when the instance closes the connection 250 ms after the answer.

--- a/core/instance/stop_test.go
+++ b/core/instance/stop_test.go
@@ -25,9 +25,12 @@
 )
 
 // reuseTime is how long after an answer its connection has to stay open if the answer does not announce that it closes.
-const reuseTime = 250 * time.Millisecond
+const reuseTime = 250*time.Millisecond - clockTick
 
-// errNotSent is the error of a request whose connection is refused.
+// clockTick is the precision of the times that the kernel tells of a connection.
+const clockTick = 10 * time.Millisecond
+
+// errNotSent is the error of a request whose connection is refused, or was closed as idle before it arrived.
 var errNotSent = errors.New("the request was not sent")
 
 // looping is a caller that sends one request after the other on a connection as long as it stays open. Unlike the client of the
@@ -36,10 +39,12 @@
 	address    string
 	connection *net.TCPConn
 	reader     *bufio.Reader
-	// answeredAt is when the last complete answer had been read.
-	answeredAt time.Time
+	// answers counts the complete answers on the connection.
+	answers int
 	// closedIdle counts the connections that were found closed.
 	closedIdle int
+	// crossed counts the requests that arrived after their idle connection was closed.
+	crossed int
 }
 
 func (l *looping) open() error {
@@ -48,9 +53,10 @@
 	}
 	if l.connection != nil {
 		l.closedIdle++
+		_, idle, err := kernelState(l.connection)
 		l.connection.Close()
 		l.connection = nil
-		if idle := time.Since(l.answeredAt); idle < reuseTime {
+		if err != nil || idle < reuseTime {
 			return fmt.Errorf("the connection was closed within %s of an answer that did not announce it", idle)
 		}
 	}
@@ -63,6 +69,7 @@
 	}
 	l.connection = c.(*net.TCPConn)
 	l.reader = bufio.NewReader(c)
+	l.answers = 0
 
 	return nil
 }
@@ -82,16 +89,51 @@
 	return err != nil || closed
 }
 
+// kernelState returns how many bytes the peer's kernel has taken from a connection, and the time since bytes last arrived on it,
+// which the caller may have read later.
+func kernelState(c *net.TCPConn) (acknowledged uint64, idle time.Duration, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, 0, err
+	}
+	var info *unix.TCPInfo
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		info, failure = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err = errors.Join(err, failure); err != nil {
+		return 0, 0, err
+	}
+
+	return info.Bytes_acked, time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
+
 // send returns the tokens of the complete answer. After a failure the connection is not used again.
 func (l *looping) send(body []byte, id string) (string, error) {
 	if err := l.open(); err != nil {
 		return "", err
 	}
-	text, err := l.exchange(body, id)
+	before, _, err := kernelState(l.connection)
 	if err != nil {
-		l.connection.Close()
-		l.connection = nil
+		return "", err
+	}
+	kept := l.answers > 0
+	text, err := l.exchange(body, id)
+	if err == nil {
+		return text, nil
+	}
+	after, idle, failure := kernelState(l.connection)
+	switch {
+	case failure != nil:
+		err = errors.Join(err, failure)
+	case after == before && kept && idle >= reuseTime:
+		l.crossed++
+		err = errors.Join(errNotSent, err)
+	default:
+		err = fmt.Errorf("%w; kept connection: %t, idle for %s, %d bytes acknowledged", err, kept, idle, after-before)
 	}
+	l.connection.Close()
+	l.connection = nil
 
 	return text, err
 }
@@ -116,7 +158,7 @@
 	if err != nil || p.StatusCode != http.StatusOK {
 		return "", fmt.Errorf("status %d, %w", p.StatusCode, err)
 	}
-	l.answeredAt = time.Now()
+	l.answers++
 	text, done := strings.Builder{}, false
 	for line := range strings.Lines(string(answer)) {
 		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
@@ -145,14 +187,14 @@
 }
 
 // Guards against a planned stop that cuts requests. Callers keep sending while the instance stops. A request whose connection
-// is refused, or has been idle and is found closed before the request is sent, is not cut; every other one has to get its complete
-// answer.
+// is refused, or has been idle and is closed before any byte of the request arrives, is not cut; every other one has to get its
+// complete answer.
 func TestStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	const callers = 12
 	is := is.New(t)
 	f := startFleet(t, 3)
-	answered, refused, closedIdle, cut := atomic.Int64{}, atomic.Int64{}, atomic.Int64{}, atomic.Int64{}
+	answered, refused, closedIdle, crossed, cut := atomic.Int64{}, atomic.Int64{}, atomic.Int64{}, atomic.Int64{}, atomic.Int64{}
 	done := atomic.Bool{}
 	p := pool.New()
 	address := f.Instances["entry-1"].CallerAddress().String()
@@ -176,6 +218,7 @@
 				}
 			}
 			closedIdle.Add(int64(c.closedIdle))
+			crossed.Add(int64(c.crossed))
 		})
 	}
 	is.NoErr(fleet.Await(func() bool { return answered.Load() >= callers }))
@@ -185,8 +228,9 @@
 	is.NoErr(f.Stop(ctx, "entry-1"))
 	done.Store(true)
 	p.Wait()
-	t.Logf("%d answered, %d of them during the stop, %d not sent, %d connections found closed, %d cut", answered.Load(),
-		answered.Load()-before, refused.Load(), closedIdle.Load(), cut.Load())
+	t.Logf("%d answered, %d of them during the stop, %d not sent, %d of them after the close of an idle connection, "+
+		"%d connections found closed, %d cut", answered.Load(), answered.Load()-before, refused.Load(), crossed.Load(),
+		closedIdle.Load(), cut.Load())
 	is.Equal(cut.Load(), int64(0))
 }
 
