Take no bytes on a connection once it is to be closed

Cause: between the decision to close an idle connection and its close, the kernel went on taking bytes. The close takes effect only once the read in progress has returned, milliseconds later on a busy machine, and resets the connection then if bytes have arrived. The sending side was to be closed with the decision, but that did nothing for connections that the server wraps, as io/caller does.

Change: the decision, the last look for unread bytes and the shutdown of both directions are one step, under the lock that each read needs. After it the kernel answers further bytes with a reset, and the caller sees the end of the connection at once.

Evidence: TestClosingConnectionTakesNothing holds the close up.

--- a/io/idleconn/connection.go
+++ b/io/idleconn/connection.go
@@ -118,14 +118,20 @@
 }
 
 // beginClosing reports whether the server has nothing to work on but, if part is set, a part of a request. If so, nothing is read any
-// more, and the connection has to be closed.
-func (c *connection) beginClosing(part bool) bool {
+// more, and the connection has to be closed. Unless something is to be written to the caller before, the kernel takes nothing more for it
+// either: Close takes effect only once the read in progress has returned, and what has arrived by then would be lost.
+func (c *connection) beginClosing(part, write bool) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if !c.waiting || c.received && !part || tcp.HasUnread(c.Conn) {
 		return false
 	}
 	c.closing = true
+	if !write {
+		_ = c.raw.Control(func(fd uintptr) {
+			_ = unix.Shutdown(int(fd), unix.SHUT_RDWR) // the caller may have closed it already
+		})
+	}
 
 	return true
 }
--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -222,8 +222,7 @@
 	var idle []net.Conn
 	for inner, w := range l.connections {
 		usable := w.state == http.StateActive || w.state == http.StateNew && at.Sub(w.since) <= unusedTime
-		if !usable && l.beginClosing(inner, w, false) {
-			endSending(w.outer)
+		if !usable && l.beginClosing(inner, w, false, false) {
 			idle = append(idle, w.outer)
 		}
 	}
@@ -237,21 +236,14 @@
 	return open
 }
 
-// endSending tells the caller at once that the connection closes. Close does so only after the read in progress has returned.
-func endSending(c net.Conn) {
-	if known, ok := c.(*connection); ok {
-		_ = known.CloseWrite() // the caller may have closed it already
-	}
-}
-
 // beginClosing reports whether a connection is to be closed now, which is so if the server has nothing to work on but, if part is set, a
-// part of a request. No request on it is handled any more. lock is held.
-func (l *Limiter) beginClosing(inner net.Conn, w trackedConnection, part bool) bool {
+// part of a request. No request on it is handled any more, and unless write is set, nothing can be written. lock is held.
+func (l *Limiter) beginClosing(inner net.Conn, w trackedConnection, part, write bool) bool {
 	if w.closing {
 		return false
 	}
 	known, ok := inner.(*connection)
-	if ok && !known.beginClosing(part) || !ok && tcp.HasUnread(inner) {
+	if ok && !known.beginClosing(part, write) || !ok && tcp.HasUnread(inner) {
 		return false
 	}
 	w.closing = true
@@ -309,11 +301,8 @@
 			since = l.loweredAt
 		}
 		// A process that is short of processor time reads and handles late what its callers have sent in time.
-		if limit > 0 && at.Sub(since) > limit && l.beginClosing(inner, w, true) {
+		if limit > 0 && at.Sub(since) > limit && l.beginClosing(inner, w, true, w.state == http.StateNew) {
 			found[w.outer] = w
-			if w.state == http.StateIdle {
-				endSending(w.outer)
-			}
 		}
 	}
 
--- a/io/idleconn/limiter_test.go
+++ b/io/idleconn/limiter_test.go
@@ -121,6 +121,10 @@
 	once     sync.Once
 }
 
+func (c *slowConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 func (c *slowConn) Close() error {
 	c.once.Do(func() {
 		c.listener.closing <- c
@@ -187,6 +191,38 @@
 	}
 }
 
+// Guards against a request that the kernel takes after the decision to close its connection, which resets it without an answer.
+func TestClosingConnectionTakesNothing(t *testing.T) {
+	is := is.New(t)
+	l := New(func() (time.Duration, time.Duration) { return time.Minute, time.Minute }, time.Now, slog.New(slog.DiscardHandler))
+	s := httptest.NewUnstartedServer(l.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+	listener := &slowClose{
+		Listener: l.Listen(s.Listener),
+		closing:  make(chan net.Conn),
+		release:  make(chan struct{}),
+	}
+	s.Listener, s.Config.ConnState, s.Config.ConnContext = listener, l.Observe, l.ConnContext
+	s.Start()
+	defer s.Close()
+	conn, r := dial(t, s.Listener.Addr().String())
+	ask(t, conn, r, "/")
+	release := sync.OnceFunc(func() { close(listener.release) })
+	defer release()
+	stopped := make(chan error, 1)
+	go func() { stopped <- l.Shutdown(t.Context()) }()
+	<-listener.closing
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF) // the caller knows before the connection is closed
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	_, err = conn.Write([]byte(" "))
+	for ; err == nil; _, err = conn.Write([]byte(" ")) { // the answer to the first write may be on its way
+		time.Sleep(time.Millisecond)
+	}
+	release()
+	is.NoErr(<-stopped)
+}
+
 // Guards against closing connections at once when the configured limit becomes shorter, while their callers still count on the longer one.
 func TestCallersLearnOfShorterLimit(t *testing.T) {
 	is := is.New(t)
