Send counts to each batch owner on its own

What happened: while one batch owner did not answer, the counts of online requests for all others waited for up to half a second, and so did the totals that these answer with.

Cause: the notifier sent a round of messages and waited for all of them.

Change: each batch owner has at most one message in flight of its own. Counts that change meanwhile go into the next one, as before, and the limit of 16 messages at once stays.

Evidence: TestSilentBatchOwnerDelaysNoOther fails without the change (0 != 1) and passes with it.

--- a/core/onlinecount/notifier.go
+++ b/core/onlinecount/notifier.go
@@ -7,15 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-
+	"tarragonwalk/core/background"
 	"tarragonwalk/core/membership"
 	"tarragonwalk/core/message"
 )
 
 const (
 	callTimeout = 500 * time.Millisecond
-	maxWorkers  = 16
+	maxMessages = 16
 	// repeatInterval is less than half of the 10 s after which a batch owner drops a count, so that one message may be lost.
 	repeatInterval = 4 * time.Second
 	// fullMeshLimit is the number of instances up to which the regular exchange repeats the counts to every batch owner.
@@ -38,8 +37,8 @@
 	Live(at time.Time) []membership.Instance
 }
 
-// Notifier sends counts to batch owners without blocking its caller. A count that changes while a message is in flight is
-// sent in the next one, so that a burst costs few messages.
+// Notifier sends counts to batch owners without blocking its caller. A count that changes while a message is in flight to a batch owner
+// is sent in the next one, so that a burst costs few messages.
 type Notifier struct {
 	sender  sender
 	members members
@@ -48,8 +47,12 @@
 	log     *slog.Logger
 	wake    chan struct{}
 
+	tasks background.Tasks
+
+	// lock guards the fields below.
 	lock    sync.Mutex
 	pending map[string]map[string]int // batch owner to backend server to count
+	sending map[string]bool           // batch owners to which a message is in flight
 }
 
 // New returns a notifier.
@@ -62,6 +65,7 @@
 		log:     log,
 		wake:    make(chan struct{}, 1),
 		pending: map[string]map[string]int{},
+		sending: map[string]bool{},
 	}
 }
 
@@ -75,6 +79,10 @@
 	}
 	counts[count.BackendServer] = count.InFlight
 	n.lock.Unlock()
+	n.signal()
+}
+
+func (n *Notifier) signal() {
 	select {
 	case n.wake <- struct{}{}:
 	default:
@@ -85,6 +93,7 @@
 func (n *Notifier) Run(ctx context.Context) {
 	t := time.NewTicker(repeatInterval)
 	defer t.Stop()
+	defer n.tasks.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,22 +121,36 @@
 	}
 }
 
+// flush starts a message to each batch owner that has pending counts and no message in flight, so that one that does not answer
+// delays no other.
 func (n *Notifier) flush(ctx context.Context) {
-	n.lock.Lock()
-	pending := n.pending
-	n.pending = map[string]map[string]int{}
-	n.lock.Unlock()
 	addresses := map[string]netip.AddrPort{}
 	for _, i := range n.members.Live(n.clock()) {
 		addresses[i.Name] = i.PeerAddress
 	}
-	p := pool.New().WithMaxGoroutines(maxWorkers)
-	for batchOwner, counts := range pending {
-		if a, ok := addresses[batchOwner]; ok {
-			p.Go(func() { n.send(ctx, batchOwner, a, counts) })
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	for batchOwner, counts := range n.pending {
+		a, ok := addresses[batchOwner]
+		if ok && (n.sending[batchOwner] || len(n.sending) >= maxMessages) {
+			continue
 		}
+		delete(n.pending, batchOwner)
+		if !ok {
+			continue
+		}
+		n.sending[batchOwner] = true
+		n.tasks.Go(func() {
+			n.send(ctx, batchOwner, a, counts)
+			n.lock.Lock()
+			delete(n.sending, batchOwner)
+			more := len(n.pending) > 0
+			n.lock.Unlock()
+			if more {
+				n.signal()
+			}
+		})
 	}
-	p.Wait()
 }
 
 // send makes a single attempt, since the next regular exchange or repeat sends the count again.
--- a/core/onlinecount/notifier_test.go
+++ b/core/onlinecount/notifier_test.go
@@ -39,7 +39,10 @@
 func (f *fakeFleet) Live(time.Time) []membership.Instance {
 	list := []membership.Instance{}
 	for n := range f.size {
-		list = append(list, membership.Instance{Name: fmt.Sprintf("entry-%d", n)})
+		list = append(list, membership.Instance{
+			Name:        fmt.Sprintf("entry-%d", n),
+			PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n)),
+		})
 	}
 
 	return list
@@ -80,6 +83,46 @@
 	})
 }
 
+// silent is a fleet of which one instance does not answer.
+type silent struct {
+	*fakeFleet
+	address netip.AddrPort
+}
+
+func (s *silent) Online(ctx context.Context, a netip.AddrPort, counts []message.OnlineCount) ([]message.OnlineCount, error) {
+	if a == s.address {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
+
+	return s.fakeFleet.Online(ctx, a, counts)
+}
+
+// Guards against a batch owner that does not answer and delays the counts for the others.
+func TestSilentBatchOwnerDelaysNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &silent{
+			fakeFleet: &fakeFleet{size: 3},
+			address:   netip.MustParseAddrPort("127.0.0.1:2"),
+		}
+		n := New(f, f, f, time.Now, slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { n.Run(ctx) })
+		n.Notify("entry-2", message.OnlineCount{BackendServer: "w2", InFlight: 1})
+		synctest.Wait()
+		for count := range 3 {
+			n.Notify("entry-1", message.OnlineCount{BackendServer: "w1", InFlight: count + 1})
+			synctest.Wait()
+			is.Equal(len(f.sent), count+1)
+		}
+		stop()
+		running.Wait()
+	})
+}
+
 // Guards against the batch owner dropping the counts of long streams in a large fleet, and against needless repeats in a
 // small one.
 func TestRepeat(t *testing.T) {
