Bound the search of models by processor time

The bound was on wall time. It is on the processor time of the search now, 60 s as before, so that it does not depend on the load of the machine. A search that does not end is still cut off and reported; its number of states is not printed then.

--- a/models/check.sh
+++ b/models/check.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
 # Explores the Promela models and their broken variants. A model must hold in a complete search; a variant must yield a
-# counterexample. Each search is bounded by memory, depth and time, and a search that meets a bound does not count.
+# counterexample. Each search is bounded by memory, depth and processor time, which does not depend on the load of the machine. A search
+# that meets a bound does not count.
 set -uo pipefail
 models="$(cd "$(dirname "$0")" && pwd)"
 memory=4000 # MB for each search
 depth=100000
-limit=60 # seconds for each search
+limit=60 # seconds of processor time for each search
 searches=4 # at a time
 if ! command -v spin >/dev/null; then
   if ! apt-get install -y spin >/dev/null 2>&1 || ! command -v spin >/dev/null; then
@@ -35,7 +36,7 @@
     result="not built"
     cat "$work"/*.txt >&2
   else
-    (cd "$work" && timeout -s INT "$limit" ./pan -m"$depth" -w23 >out.txt 2>&1)
+    (cd "$work" && ulimit -S -t "$limit" && exec ./pan -m"$depth" -w23 >out.txt 2>&1) 2>/dev/null
     # A counterexample counts only if it violates an assertion or is a deadlock, and not if the search met a bound.
     if grep -qE '^pan:[0-9]*:? *(assertion violated|invalid end state)' "$work/out.txt"; then
       result="fails"
