Take over released jobs without knowing who lives

What callers saw: the results of a job came 52 to 57 s after its instance had stopped, although that had released the job.

Cause: an instance that hears from no other one takes no job over, since its holder may live. It did not look whether the job has a holder. When the instances that come before it in turn are lost while the job is released, it waits for its turn, and by then hears nobody.

TestIsolatedInstanceTakesReleasedJob fails without the change.

Change: such an instance reads the record of a job that was announced to it, once, and takes it over if that names no holder; the conditional update of the record decides between several. If the record names a holder, it waits as before.

--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	incompletePause = 4 * time.Second
 )
 
+// errHeld is the failure to take over a job whose holder may live.
+var errHeld = fault.New(fault.CodeUnavailable, "the job's holder may live")
+
 // orphan is a job that this instance or another one has found without a holder; the runner's lock guards it.
 type orphan struct {
 	// dueAt is when this instance takes the job over, unless another one has done so.
@@ -31,6 +35,8 @@
 	// running is set while this instance tries to take the job over, claimed once the job's record names it.
 	running bool
 	claimed bool
+	// held is set if the job's record named another instance when this one read it and could not judge whether that one lives.
+	held bool
 	// lost is the incarnation that the record named before it named this instance. A repeated attempt no longer finds it there.
 	lost string
 }
@@ -100,7 +106,7 @@
 	if len(r.orphans) == 0 {
 		return
 	}
-	blind := r.cluster.Isolated() || r.cluster.Paused(at)
+	blind := r.blind(at)
 	takeovers := 0
 	for id, o := range r.orphans {
 		switch {
@@ -115,7 +121,7 @@
 			return
 		}
 		// Nobody else takes over a job that this instance has claimed.
-		if o.dismissed || o.running || at.Before(o.dueAt) || blind && !o.claimed {
+		if o.dismissed || o.running || at.Before(o.dueAt) || blind && o.held && !o.claimed {
 			continue
 		}
 		takeovers++
@@ -126,6 +132,11 @@
 			defer r.lock.Unlock()
 			defer r.signal()
 			o.running = false
+			if errors.Is(err, errHeld) {
+				o.held = true
+
+				return
+			}
 			if err != nil {
 				pause := retryPause
 				if fault.CodeOf(err) == fault.CodeNotFound {
@@ -144,7 +155,13 @@
 	}
 }
 
-// takeOverOrphan takes a job over unless it has a holder or has ended.
+// blind reports whether what this instance knows of the others does not show whether one of them lives.
+func (r *Runner) blind(at time.Time) bool {
+	return r.cluster.Isolated() || r.cluster.Paused(at)
+}
+
+// takeOverOrphan takes a job over unless it has a holder or has ended. A job that its holder has released may be taken over whatever is
+// known of other instances; for others it fails with errHeld while that is not enough.
 func (r *Runner) takeOverOrphan(ctx context.Context, id string, o *orphan) error {
 	claim, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -155,6 +172,9 @@
 	if err != nil {
 		return err
 	}
+	if !record.Finished && record.Holder != "" && !r.mine(record) && r.blind(r.now()) {
+		return errHeld
+	}
 	if record.Finished || !r.orphan(record) {
 		return nil
 	}
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -150,6 +150,27 @@
 	})
 }
 
+// Guards against a released job that stays without a holder since the only instance left hears from no other one.
+func TestIsolatedInstanceTakesReleasedJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		old, stopOld := f.start("old")
+		is.NoErr(old.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", 2)))
+		old.Stop(t.Context(), time.Now())
+		released := announced(old).Released
+		is.Equal(released, []string{"job"})
+		stopOld()
+		r, stop := f.start("new")
+		defer stop()
+		f.isolated.Store(true)
+		r.ObserveOrphan(released[0])
+		time.Sleep(time.Second)
+		is.True(r.holds("job"))
+	})
+}
+
 // Guards against an instance that resumes after a pause and takes over the job of a live holder, before it has noticed the pause or read
 // the heartbeats that arrived meanwhile.
 func TestPausedInstanceTakesNothingOver(t *testing.T) {
