--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -370,7 +370,7 @@
 			if err := rs.deliver(a, w, buffer[:n]); err != nil {
 				return err
 			}
-			if err := a.resize(rs.splitter.Pending()); err != nil {
+			if err := a.resize(rs.splitter.Held()); err != nil {
 				return err
 			}
 		}
