Log how long a begun stream has waited for a server

The wait for a free slot left no line, so a log did not tell a stream that was cut after a wait from one that was cut at once. One line for each search of a begun response now has the wait and whether a server was found. The comments on the lock order and on the servers that were asked say what holds now.

--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -45,10 +45,10 @@
 	// loadLimit is the limit of online requests per slot below which a server gets the request.
 	loadLimit float64
 
-	// lock guards the fields below while a watchdog runs. It is taken before the locks of the placer, the roster, the prompt parts and
-	// the batch runner.
+	// lock guards the fields below while a watchdog runs. It is taken before the locks of the placer, the roster, the prompt parts, the
+	// batch runner and the budget of memory.
 	lock sync.Mutex
-	// tried holds the IDs of the servers that the request was sent to.
+	// tried holds the IDs of the servers that have got the request, without those that have refused it and may get it again.
 	tried map[string]bool
 	// ran counts attempts that may have run.
 	ran int
@@ -112,14 +112,20 @@
 
 		return a
 	}
-	for full := rs.began && rs.refused >= maxRefusals; ; full = true {
-		if full && !rs.awaitSlot(ctx) {
-			return nil
-		}
-		if a := rs.place(ctx); a != nil {
-			return a
-		}
+	at := rs.forwarder.now()
+	var a *attempt
+	if !rs.began || rs.refused < maxRefusals {
+		a = rs.place(ctx)
 	}
+	for a == nil && rs.awaitSlot(ctx) {
+		a = rs.place(ctx)
+	}
+	if rs.began {
+		rs.forwarder.log.Info("further server searched", "request", rs.call.ID, "route", rs.route.Name, "last_event", rs.lastID(),
+			"attempts", rs.ran, "refusals", rs.refused, "waited_ms", rs.forwarder.now().Sub(at).Milliseconds(), "found", a != nil)
+	}
+
+	return a
 }
 
 // place returns an attempt on a server that can take the request, nil if there is none at present.
