Say of an accepted job never that it will not run, for want of memory

What callers could see: a job that had been accepted by one instance was sent again, since the 202 was lost, and another instance answered 503 because it had no memory for the body or for further jobs. A 503 promises that no part of the job runs, and it does run.

Cause: the bound on memory came before the check that every other refusal of a job makes, whether it is held, announced, being written, or in the store.

A job that is being written at this moment gets 504 in place of a refusal as well.

--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -179,26 +179,46 @@
 	return r.jobs[id] != nil || r.unresolved[id] != nil
 }
 
-// refuse returns why a job is not accepted, or nil if it was accepted before.
-func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
-	accepted, err := r.log.Accepted(ctx, j.ID)
+// Refuse returns nil for a job that was accepted before, the reason for one that was not, and a failure if that is not known.
+func (r *Runner) Refuse(ctx context.Context, id string, reason error) error {
+	if r.holds(id) || r.reader.Announced(id) {
+		return nil
+	}
+	r.lock.Lock()
+	_, open := r.unresolved[id]
+	_, writing := r.submitting[id]
+	r.lock.Unlock()
+	if open || writing {
+		return fault.New(fault.CodeOutcomeUnknown, "the outcome of an earlier submission of the job is not known yet")
+	}
+	accepted, err := r.log.Accepted(ctx, id)
 	if err != nil {
-		r.logger.Warn("job neither accepted nor refused", "job", j.ID, "route", rt.Name, "error", err.Error())
+		r.logger.Warn("job neither accepted nor refused", "job", id, "reason", reason.Error(), "error", err.Error())
 
 		return err
 	}
 	if accepted {
-		r.findHolder(ctx, j.ID)
+		r.findHolder(ctx, id)
 
 		return nil
 	}
-	r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "tokens", j.Tokens, "waiting", tokens, "limit", rt.MaxTokens,
-		"stopping", stopping)
+
+	return reason
+}
+
+// refuse returns why a job is not accepted, or nil if it was accepted before.
+func (r *Runner) refuse(ctx context.Context, rt *route.Route, j *work.Job, tokens int, stopping bool) error {
+	reason := fault.New(fault.CodeOverloaded, "the job's tokens exceed the limit of waiting tokens on its route")
 	if stopping {
-		return fault.New(fault.CodeNotRun, "the instance is stopping")
+		reason = fault.New(fault.CodeNotRun, "the instance is stopping")
+	}
+	err := r.Refuse(ctx, j.ID, reason)
+	if fault.Caused(err, reason) {
+		r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "tokens", j.Tokens, "waiting", tokens, "limit", rt.MaxTokens,
+			"stopping", stopping)
 	}
 
-	return fault.New(fault.CodeOverloaded, "the job's tokens exceed the limit of waiting tokens on its route")
+	return err
 }
 
 // waitingTokens returns the tokens of all unfinished items by route, with those of jobs that are being written except for one that comes
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -68,6 +68,43 @@
 	}
 }
 
+// Guards against a promise that a job will not run, made for a reason of this instance alone, while the job was accepted or is being written.
+func TestRefusalOfKnownJob(t *testing.T) {
+	reason := fault.New(fault.CodeNotRun, "no memory")
+	j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: 2, Holder: "gone"}
+	for _, c := range []struct {
+		name  string
+		known func(t *testing.T, f *fleet, r *Runner)
+		want  fault.Code
+	}{
+		{"held", func(t *testing.T, _ *fleet, r *Runner) {
+			is.New(t).NoErr(r.Submit(t.Context(), &testRoute, j, newItems("job", 2)))
+		}, ""},
+		{"announced", func(_ *testing.T, _ *fleet, r *Runner) { r.ObserveHolder("job", "other", "1") }, ""},
+		{"in the store", func(t *testing.T, f *fleet, _ *Runner) {
+			record := j
+			_, err := logs.New(f.objects).Accept(t.Context(), &record, newItems("job", 2), map[int]bool{})
+			is.New(t).NoErr(err)
+		}, ""},
+		{"half written", func(t *testing.T, f *fleet, _ *Runner) { f.writeRecordOnly(t, j, newItems("job", 2)) }, fault.CodeOutcomeUnknown},
+		{"being written", func(_ *testing.T, _ *fleet, r *Runner) {
+			r.lock.Lock()
+			defer r.lock.Unlock()
+			r.reserve(&testRoute, &work.Job{ID: "job"})
+		}, fault.CodeOutcomeUnknown},
+		{"unknown", func(*testing.T, *fleet, *Runner) {}, fault.CodeNotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(1, 0)
+			f.setUsedSlots(100)
+			r, stop := f.start("e")
+			defer stop()
+			c.known(t, f, r)
+			is.New(t).Equal(fault.CodeOf(r.Refuse(t.Context(), "job", reason)), c.want)
+		})
+	}
+}
+
 // Guards against a job that runs although its caller has ended it at another instance while its submission was being written: shortly
 // before it is held, and long before.
 func TestEndDuringSubmission(t *testing.T) {
