--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -45,15 +45,18 @@
 	// loadLimit is the limit of online requests per slot below which a server gets the request.
 	loadLimit float64
 
-	// lock guards the fields below while a watchdog runs. It is taken before the locks of the placer, the roster, the prompt parts and
-	// the batch runner.
+	// lock guards the fields below while a watchdog runs. It is taken before the locks of the placer, the roster, the prompt parts, the
+	// batch runner and the budget of memory.
 	lock sync.Mutex
-	// tried holds the IDs of the servers that the request was sent to.
+	// tried holds the IDs of the servers that have got the request, without those that have refused it and may get it again.
 	tried map[string]bool
 	// ran counts attempts that may have run.
 	ran int
 	// refused counts attempts that have not run.
 	refused int
+	// refusers holds the IDs of servers that have refused the request and may get it again from readmitAt on.
+	refusers  []string
+	readmitAt time.Time
 	// began is set when the status line is sent to the caller.
 	began  bool
 	timing timing
@@ -72,6 +75,9 @@
 	// dropped is the ID of the last server whose hedge was dropped without an answer. It may get the request again when no further one may
 	// or can.
 	dropped string
+	// replaced is the ID of the last server whose attempt ended in favour of another one. It may be sound, and gets the request again if that
+	// one fails and no further server may or can get it.
+	replaced string
 	// next is the next attempt if the watchdog has started it already.
 	next *attempt
 }
@@ -112,13 +118,63 @@
 		return a
 	}
 	at := rs.forwarder.now()
+	var a *attempt
+	if !rs.began || rs.refused < maxRefusals {
+		a = rs.place(ctx)
+	}
+	for a == nil && rs.awaitSlot(ctx) {
+		a = rs.place(ctx)
+	}
+	if rs.began {
+		rs.forwarder.log.Info("further server searched", "request", rs.call.ID, "route", rs.route.Name, "last_event", rs.lastID(),
+			"attempts", rs.ran, "refusals", rs.refused, "waited_ms", rs.forwarder.now().Sub(at).Milliseconds(), "found", a != nil)
+	}
+
+	return a
+}
+
+// place returns an attempt on a server that can take the request, nil if there is none at present.
+func (rs *requestState) place(ctx context.Context) *attempt {
+	at := rs.forwarder.now()
+	rs.readmit(at)
 	if rs.ran < max(1, rs.route.MaxAttempts) {
 		if s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at); ok {
 			return rs.newAttempt(ctx, s, release)
 		}
 	}
+	if a := rs.repeat(ctx, at, &rs.dropped); a != nil {
+		return a
+	}
+
+	return rs.repeat(ctx, at, &rs.replaced)
+}
+
+// awaitSlot pauses before servers that were full are asked again, and reports whether they may be. A response that has begun waits until its
+// deadline, but not for long for a server that may be gone, since its caller can resume it. Other callers have to retry later.
+func (rs *requestState) awaitSlot(ctx context.Context) bool {
+	pending := rs.ran < rs.route.MaxAttempts ||
+		(rs.dropped != "" || rs.replaced != "") && rs.forwarder.now().Sub(rs.timing.lastAt) < maxSilence
+	if !rs.began || !pending {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(refusalPause):
+	}
 
-	return rs.repeatDropped(ctx, at)
+	return true
+}
+
+// readmit lets servers that have refused the request get it again once they may have a free slot.
+func (rs *requestState) readmit(at time.Time) {
+	if at.Before(rs.readmitAt) {
+		return
+	}
+	for _, id := range rs.refusers {
+		delete(rs.tried, id)
+	}
+	rs.refusers = nil
 }
 
 // newAttempt returns an attempt on a server where a slot is reserved, and preempts batch items there that use more slots than there are.
@@ -129,6 +185,7 @@
 		rs.forwarder.batch.Preempt(s.ID, n)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	resize, end := rs.forwarder.budget.Open("responses", func() { cancel(bytebudget.ErrDropped) })
 
 	return &attempt{
 		server:         s,
@@ -138,30 +195,37 @@
 		cancel:         cancel,
 		sentAt:         at,
 		answered:       make(chan struct{}),
+		resize:         resize,
+		endBody:        end,
 	}
 }
 
 // mayRetry reports whether another attempt is allowed after a failed one, and logs the decision.
 func (rs *requestState) mayRetry(ctx context.Context, a *attempt, err error) bool {
 	rs.silenced = rs.silenced || fault.Caused(err, errSilent)
-	notRun := rs.count(err)
+	notRun := rs.count(a, err)
 	allowed := ctx.Err() == nil && !errors.Is(err, errSink) && (!rs.began || rs.splitter.Resumable())
 	if notRun {
 		// A hedge was allowed before this refusal, and its server may work on the request.
-		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil)
+		allowed = allowed && (rs.refused < maxRefusals || rs.next != nil || rs.began)
 	} else {
-		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "")
+		allowed = allowed && rs.route.Repeatable() && (rs.ran < max(1, rs.route.MaxAttempts) || rs.next != nil || rs.dropped != "" || rs.replaced != "")
 	}
-	allowed = allowed && !rs.dangerous()
+	allowed = allowed && (rs.nextAccepted() || !rs.dangerous())
 	rs.logAttempt(a, err, rs.progressAt, "again", allowed)
 
 	return allowed
 }
 
 // count counts a failed attempt and reports whether the request has certainly not run there.
-func (rs *requestState) count(err error) (notRun bool) {
+func (rs *requestState) count(a *attempt, err error) (notRun bool) {
 	if fault.NotRun(err) {
 		rs.refused++
+		rs.refusers = append(rs.refusers, a.server.ID)
+		rs.readmitAt = rs.forwarder.now().Add(refusalPause)
+		if a.again {
+			rs.dropped = a.server.ID
+		}
 
 		return true
 	}
@@ -191,6 +255,19 @@
 	return quarantined
 }
 
+// nextAccepted reports whether the server of the next attempt has accepted the request.
+func (rs *requestState) nextAccepted() bool {
+	if rs.next == nil {
+		return false
+	}
+	select {
+	case <-rs.next.answered:
+		return rs.acceptance(rs.next) == nil
+	default:
+		return false
+	}
+}
+
 // abandonNext abandons a next attempt that is not needed.
 func (rs *requestState) abandonNext() {
 	if rs.next != nil {
@@ -229,23 +306,27 @@
 	after := rs.lastID()
 	w := rs.startWatchdog(ctx, a)
 	defer func() { w.stop(err) }()
-	resize, end := rs.forwarder.budget.Open("responses", func() { a.cancel(bytebudget.ErrDropped) })
-	defer end()
 	if !a.started {
-		a.send(rs.forwarder.sender, rs.call, after, func() error { return nil })
+		a.send(rs.forwarder.sender, rs.call, after, func() error {
+			if rs.began || rs.isStream(a.response) {
+				return nil
+			}
+
+			return a.readBody()
+		})
 	}
 	<-a.answered
 	if a.err != nil {
 		return attemptError(a.ctx, a.err)
 	}
 	if rs.isStream(a.response) {
-		return attemptError(a.ctx, rs.forwardStream(a, w, resize))
+		return attemptError(a.ctx, rs.forwardStream(a, w))
 	}
 	if rs.began {
 		return errStatus
 	}
 
-	return attemptError(a.ctx, rs.forwardWhole(a.response, w, resize))
+	return rs.forwardWhole(a, w)
 }
 
 // isStream reports whether a response is a stream of events that are passed on as they arrive.
@@ -264,30 +345,25 @@
 	return err
 }
 
-// forwardWhole passes on a response after all of it has been read, so that another attempt can still replace one that is cut
-// off.
-func (rs *requestState) forwardWhole(resp *response.Response, w *watchdog, resize func(size int) error) error {
-	body, err := readWhole(resp.Body, maxBodyBytes, resize)
-	if err == nil && resp.Status >= http.StatusInternalServerError {
-		err = errStatus
-	}
-	w.stop(err)
-	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
-		return err
+// forwardWhole passes on a response of which all has been read.
+func (rs *requestState) forwardWhole(a *attempt, w *watchdog) error {
+	resp := a.response
+	failed := resp.Status >= http.StatusInternalServerError
+	if failed {
+		w.stop(errStatus)
+	} else {
+		w.stop(nil)
 	}
-	if fault.Caused(err, errStatus) && rs.route.Repeatable() && (rs.next != nil || rs.ran+1 < rs.route.MaxAttempts) {
+	if failed && rs.route.Repeatable() && (rs.next != nil || rs.ran+1 < rs.route.MaxAttempts) {
 		return errStatus
 	}
-	if err != nil && !fault.Caused(err, errStatus) {
-		return fault.Wrap(err, fault.CodeOutcomeUnknown, "the response broke off")
-	}
 	rs.completed = resp.Status < http.StatusMultipleChoices
 	rs.began = true
 	rs.recordFirstByte()
-	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(body))); err != nil {
+	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(a.body))); err != nil {
 		return errSink
 	}
-	if err := rs.sink.Write(body); err != nil {
+	if err := rs.sink.Write(a.body); err != nil {
 		return errSink
 	}
 	rs.timing.deliver(rs.forwarder.now())
@@ -296,7 +372,7 @@
 }
 
 // forwardStream passes on complete events as they arrive.
-func (rs *requestState) forwardStream(a *attempt, w *watchdog, resize func(size int) error) error {
+func (rs *requestState) forwardStream(a *attempt, w *watchdog) error {
 	body := coalesce.New(a.response.Body, readInterval, rs.forwarder.now)
 	buffer := make([]byte, readBytes)
 	for {
@@ -305,7 +381,7 @@
 			if err := rs.deliver(a, w, buffer[:n]); err != nil {
 				return err
 			}
-			if err := resize(rs.splitter.Held()); err != nil {
+			if err := a.resize(rs.splitter.Held()); err != nil {
 				return err
 			}
 		}
