Give a request on a kept connection the time for its head

A caller that used its connection again in time, and sent the head of the next request in parts, could have the connection closed in the middle of the head, without a word: net/http counts a connection as idle until it has read the whole head, so the limit for idle connections went on, and what had come was in the memory of the process, not in the kernel, where the limiter looks. With limits of 2 s for idle connections it took a pause of 1.6 s and a head that arrives within 0.4 s. Nothing of such a request was sent to a server.

Once a part of a head has been read, the limit for headers applies, from when the limiter first sees it, and a head that is late gets 408 as on a new connection. TestLateHeadOnKeptConnection fails before in both cases, with "unexpected EOF".

--- a/io/idleconn/connection.go
+++ b/io/idleconn/connection.go
@@ -110,6 +110,14 @@
 	return c.Conn.(*net.TCPConn).CloseWrite() //nolint:forcetypeassert,wrapcheck // see newConnection
 }
 
+// hasBegun reports whether a part of the next request has been read.
+func (c *connection) hasBegun() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.received
+}
+
 // becameIdle records that the response to all that was read is complete.
 func (c *connection) becameIdle() {
 	c.lock.Lock()
--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -41,12 +41,19 @@
 	outer net.Conn
 	state http.ConnState
 	since time.Time
+	// headSince is when a part of the next request's head was first seen, zero before.
+	headSince time.Time
 	// handled is set in state active once the handler of the request was called.
 	handled bool
 	// closing is set once the limiter has decided to close the connection.
 	closing bool
 }
 
+// inHead reports whether the connection waits for the head of a request, or for the rest of it.
+func (w trackedConnection) inHead() bool {
+	return w.state == http.StateNew || !w.headSince.IsZero()
+}
+
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
@@ -269,7 +276,7 @@
 	at := l.now()
 	for c, w := range l.expired(header, idle, at) {
 		caller, age := c.RemoteAddr().String(), at.Sub(w.since).Milliseconds()
-		if w.state == http.StateNew {
+		if w.inHead() {
 			closed.Add("LateHeaders", 1)
 			l.logger.Info("caller's connection closed", "caller", caller, "cause", "headers late", "age_ms", age, "limit_ms", header.Milliseconds())
 			writeRequestTimeout(c, at)
@@ -292,16 +299,23 @@
 	found := map[net.Conn]trackedConnection{}
 	for inner, w := range l.connections {
 		limit, since := idle, w.since
+		known, ok := inner.(*connection)
+		if ok && w.state == http.StateIdle && w.headSince.IsZero() && known.hasBegun() {
+			w.headSince = at
+			l.connections[inner] = w
+		}
 		switch {
 		case w.state == http.StateActive:
 			continue
 		case w.state == http.StateNew:
 			limit = header
+		case w.inHead():
+			limit, since = header, w.headSince
 		case since.Before(l.loweredAt):
 			since = l.loweredAt
 		}
 		// A process that is short of processor time reads and handles late what its callers have sent in time.
-		if limit > 0 && at.Sub(since) > limit && l.beginClosing(inner, w, true, w.state == http.StateNew) {
+		if limit > 0 && at.Sub(since) > limit && l.beginClosing(inner, w, true, w.inHead()) {
 			found[w.outer] = w
 		}
 	}
