--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -149,12 +149,19 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
+// ConnectionOf returns the connection of a request, nil if it is not known.
+func ConnectionOf(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connectionKey{}).(net.Conn)
+
+	return c
+}
+
 // Handler returns a handler that drops a request whose connection the limiter closes. An http.Server counts a connection as idle, or as
 // new, until it has read the head of the request, so that a request may arrive while the connection is being closed. Its caller is told
 // nothing or that it was not run, so it must not reach next.
 func (l *Limiter) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connectionKey{}).(net.Conn); ok && !l.begin(c) {
+		if c := ConnectionOf(r); c != nil && !l.begin(c) {
 			closed.Add("WithRequest", 1)
 			l.logger.Info("request dropped, since its connection is being closed", "caller", r.RemoteAddr, "path", r.URL.Path)
 			panic(http.ErrAbortHandler)
