Drop an answer that a read finds nothing if it is outdated

What callers saw: a read that finds nothing at a position that others had been returned.

Cause: an answer that there is nothing yet is true when it is made only. Nothing bounded the time until it is passed on.

Change: a read that finds nothing, or no job, looks again if what it found is older than 600 ms when it is about to be passed on, and fails with store_unavailable if that is always so. Results that were found are passed on whatever their age, since they never change.

--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -8,12 +8,39 @@
 	"tarragonwalk/core/jobpage"
 )
 
+// maxAnswerAge is how old the knowledge may be from which a read is answered that finds nothing. Callers rely on results that were returned to
+// others a second ago.
+const maxAnswerAge = 600 * time.Millisecond
+
 var errUnverified = fault.New(fault.CodeStoreUnavailable, "the store does not say whether there are further results")
 
 // Read returns the results of a job from a position on and waits for one until the given time. It fails with code not_found
-// if there is no such job, and with store_unavailable if that cannot be determined. A result that this instance has returned before is
-// read from the store if the job's holder does not know it: there may be two holders that do not know of each other.
+// if there is no such job, and with store_unavailable if that cannot be determined. What is known when the wait ends can be passed on much
+// later, by a process that gets no processor time or whose answer of the holder is on its way for long; others may have returned a result
+// by then, so that it is looked for again.
 func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+	for {
+		knownAt := r.now()
+		if until.After(knownAt) {
+			knownAt = until
+		}
+		page, err := r.read(ctx, id, after, until)
+		at := r.now()
+		nothing := err == nil && len(page.Results) == 0 && after < page.Total || fault.CodeOf(err) == fault.CodeNotFound
+		if !nothing || at.Sub(knownAt) <= maxAnswerAge {
+			return page, err
+		}
+		r.logger.Info("outdated answer of a read dropped", "job", id, "after", after, "age_ms", at.Sub(knownAt).Milliseconds())
+		if ctx.Err() != nil {
+			return jobpage.Page{}, errUnverified
+		}
+		until = at
+	}
+}
+
+// read is Read without regard to the age of the answer. A result that this instance has returned before is read from the store if the job's
+// holder does not know it: there may be two holders that do not know of each other.
+func (r *Runner) read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
 	returned := r.returned.Position(id)
 	exists := returned > after
 	if exists {
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -191,6 +191,71 @@
 	}
 }
 
+// slowPages answers from the memory of a holder, and delivers each answer after a time.
+type slowPages struct {
+	*jobread.Reader
+
+	holder *Runner
+	times  []time.Duration
+	reads  int
+}
+
+func (p *slowPages) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+	page, _, err := p.holder.ReadHeldResults(ctx, id, after, until)
+	time.Sleep(p.times[min(p.reads, len(p.times)-1)])
+	p.reads++
+
+	return page, err
+}
+
+// Guards against a read that finds nothing, since its answer was determined long before it is passed on, where others have been returned a
+// result meanwhile.
+func TestOutdatedAnswerIsNotPassedOn(t *testing.T) {
+	const soon, late = 100 * time.Millisecond, 2 * time.Second
+	for _, c := range []struct {
+		name    string
+		times   []time.Duration
+		listed  bool
+		reads   int
+		results int
+		code    fault.Code
+	}{
+		{"in time", []time.Duration{soon}, false, 1, 0, ""},
+		{"late, nothing yet", []time.Duration{late, soon}, false, 2, 0, ""},
+		{"late, listed meanwhile", []time.Duration{late, soon}, true, 2, 1, ""},
+		{"always late", []time.Duration{late}, false, 3, 0, fault.CodeStoreUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(1, 0)
+				holder, stop := f.startHolder(t, 2)
+				defer stop()
+				reader, stopReader := f.start("e2")
+				defer stopReader()
+				p := &slowPages{
+					holder: holder,
+					times:  c.times,
+				}
+				reader.reader = p
+				if c.listed {
+					time.AfterFunc(late/2, func() {
+						holder.lock.Lock()
+						defer holder.lock.Unlock()
+						holder.jobs["j"].list(0, []work.Result{{Item: "j-0", State: work.StateDead}})
+					})
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				page, err := reader.Read(ctx, "j", 0, time.Now())
+				is.Equal(fault.CodeOf(err), c.code)
+				is.Equal(len(page.Results), c.results)
+				is.Equal(p.reads, c.reads)
+			})
+		})
+	}
+}
+
 // Guards against a stopping holder that answers from memory after its release of a job has taken effect without an acknowledgement: the
 // job's new holder has listed further results.
 func TestReadDuringUnacknowledgedRelease(t *testing.T) {
