Return to a replaced server when its replacement falls silent

A stream was taken from a server that was silent for a moment by a second one, which sent an event or two and nothing more. With max_attempts used up it stayed there until its deadline, though the first server was sound.

Cause: the replaced server was asked again only if the new one failed. Silence was left out so that two slow servers do not take a request from each other without end. That cannot happen if the new server has made progress.

The watchdog now asks the replaced server again once the new one has made progress and then counts as gone, if no further server may get the request.

--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -12,7 +12,7 @@
 
 // exhausted reports whether no second server may get the request any more while the current one works on it. It needs the lock.
 func (rs *requestState) exhausted() bool {
-	return !rs.route.Repeatable() || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == ""
+	return !rs.route.Repeatable() || rs.ran+1 >= rs.route.MaxAttempts && rs.dropped == "" && rs.replaced == ""
 }
 
 // newHedge returns an attempt on a second server, nil if there is none at present. When no further server may or can get the request, it is
@@ -24,8 +24,12 @@
 	if a := rs.newFurther(ctx, at, 1); a != nil || !gone {
 		return a
 	}
+	if a := rs.repeat(ctx, at, &rs.dropped); a != nil || !rs.progressed {
+		return a
+	}
 
-	return rs.repeat(ctx, at, &rs.dropped)
+	// Without progress, two slow servers would take the request from each other without end.
+	return rs.repeat(ctx, at, &rs.replaced)
 }
 
 // newFurther returns an attempt on a server that has not got the request, while a number of others work on it; nil if there is none.
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -76,7 +76,7 @@
 	// or can.
 	dropped string
 	// replaced is the ID of the last server whose attempt ended in favour of another one. It may be sound, and gets the request again if that
-	// one fails and no further server may or can get it.
+	// one fails, or stops after some progress, and no further server may or can get it.
 	replaced string
 	// next is the next attempt if the watchdog has started it already.
 	next *attempt
@@ -426,7 +426,6 @@
 	if progress {
 		rs.forwarder.roster.RecordProgress(a.server.ID, rs.progressAt)
 		rs.forwarder.parts.RecordProgress(a.server, a.sentAt, rs.progressAt)
-		rs.progressed = true
 	}
 
 	return failure
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -87,6 +87,16 @@
 	})
 }
 
+func longestOverlap(spans []span) (longest time.Duration) {
+	for n, s := range spans {
+		for _, other := range spans[n+1:] {
+			longest = max(longest, time.Duration(min(s.to.UnixNano(), other.to.UnixNano())-max(s.from.UnixNano(), other.from.UnixNano())))
+		}
+	}
+
+	return longest
+}
+
 // Guards against two servers that work on one request for longer than the time that a change of server may take.
 func TestOverlapIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -98,12 +108,7 @@
 			synctest.Wait()
 			is.Equal(fault.CodeOf(err), fault.CodeDeadlinePassed)
 			is.True(len(f.spans) >= 2)
-			for n, s := range f.spans {
-				for _, other := range f.spans[n+1:] {
-					overlap := min(s.to.UnixNano(), other.to.UnixNano()) - max(s.from.UnixNano(), other.from.UnixNano())
-					is.True(overlap < int64(400*time.Millisecond))
-				}
-			}
+			is.True(longestOverlap(f.spans) < 400*time.Millisecond)
 		}
 	})
 }
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -255,6 +255,7 @@
 	w.paused = true
 	if progress {
 		rs.progressAt = rs.forwarder.now()
+		rs.progressed = true
 		w.done = w.done || w.gap <= 0
 	}
 	if w.hedge != nil && (progress || rs.lastID() != last || !rs.splitter.Resumable()) {
