Answer operators' requests that arrive while tarragonwalk serve stops

What operators could see: a request on a kept connection, such as one that changes the configuration, got no answer when its instance stopped. Found by looking for the same cause elsewhere, not reported.

Cause: the server for operators stopped by fasthttp's Shutdown, as the one for callers did, and did not announce that it closes connections.

Change: it stops through the limiter of idleconn, and its responses during a stop announce the end of their connections.

Evidence: TestShutdownAnswersRequestsNotHandledYet of io/operator fails in both cases without the call to the limiter and passes with it.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -247,7 +247,7 @@
 		return err
 	}
 	i.caller.Secure(r.Listen)
-	i.listeners[operatorIndex] = r.Listen(i.listeners[operatorIndex])
+	i.operator.Secure(r.Listen)
 
 	return nil
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -12,16 +12,19 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 
 	"tarragonwalk/core/access"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/io/httperror"
+	"tarragonwalk/io/idleconn"
 	"tarragonwalk/io/tcp"
 )
 
@@ -53,6 +56,9 @@
 	bootstrap [sha256.Size]byte
 	log       *slog.Logger
 	clock     func() time.Time
+	idle      *idleconn.Limiter
+	secure    func(net.Listener) net.Listener
+	closing   atomic.Bool
 }
 
 // New returns a server; bootstrap is the SHA-256 digest of the key that may create version 1, zero for none.
@@ -69,7 +75,10 @@
 		bootstrap: bootstrap,
 		log:       log,
 		clock:     clock,
+		secure:    func(l net.Listener) net.Listener { return l },
 	}
+	// fasthttp applies the limits.
+	v.idle = idleconn.New(func() (header, idle time.Duration) { return 0, 0 }, clock, log)
 	v.app = fiber.New(fiber.Config{
 		AppName:               "tarragonwalk",
 		BodyLimit:             bodyBytes,
@@ -81,7 +90,10 @@
 		Immutable:             true,
 		ErrorHandler:          v.fail,
 	})
-	v.app.Use(v.authorize)
+	v.app.Server().ConnState = func(c net.Conn, state fasthttp.ConnState) {
+		v.idle.Observe(c, http.ConnState(state)) // the values are the same
+	}
+	v.app.Use(v.announceStop, v.authorize)
 	v.app.Get("/admin/v1/configuration", v.get)
 	v.app.Post("/admin/v1/configuration/patches", v.patch)
 	v.app.Post("/admin/v1/configuration/validate", v.check)
@@ -92,14 +104,34 @@
 	return v
 }
 
+// Secure makes Serve use the listener that secure returns, such as one for TLS. It must be called before Serve.
+func (s *Server) Secure(secure func(net.Listener) net.Listener) {
+	s.secure = secure
+}
+
 // Serve answers requests on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return eris.Wrap(s.app.Listener(tcp.NewListener(l, s.log)), "serve operators")
+	return eris.Wrap(s.app.Listener(tcp.NewListener(s.secure(s.idle.Listen(l)), s.log)), "serve operators")
 }
 
 // Shutdown closes the listener and waits for requests in flight until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return eris.Wrap(s.app.ShutdownWithContext(ctx), "stop serving operators")
+	s.closing.Store(true)
+	// fasthttp would close connections with requests that it has not read.
+	err := s.idle.Shutdown(ctx)
+	if e := s.app.ShutdownWithContext(ctx); err == nil {
+		err = e
+	}
+
+	return eris.Wrap(err, "stop serving operators")
+}
+
+func (s *Server) announceStop(c *fiber.Ctx) error {
+	if s.closing.Load() {
+		c.Set(fiber.HeaderConnection, "close")
+	}
+
+	return c.Next()
 }
 
 func (s *Server) authorize(c *fiber.Ctx) error {
