--- a/io/idleconn/connection.go
+++ b/io/idleconn/connection.go
@@ -17,6 +17,12 @@
 type connection struct {
 	net.Conn
 	raw syscall.RawConn
+	// reading guards the parameters and results of take, which is a value to spare each read an allocation.
+	reading sync.Mutex
+	take    func(fd uintptr) bool
+	into    []byte
+	taken   int
+	failure error
 	// lock guards the fields below, and bytes are taken from the kernel under it only.
 	lock sync.Mutex
 	// waiting is whether the server has read all that has arrived and waits for more.
@@ -33,10 +39,13 @@
 		return nil, err //nolint:wrapcheck // a connection that is closed already
 	}
 
-	return &connection{
+	k := &connection{
 		Conn: c,
 		raw:  raw,
-	}, nil
+	}
+	k.take = k.takeBytes
+
+	return k, nil
 }
 
 // Read implements net.Conn.
@@ -44,50 +53,48 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	var n int
-	var failure error
-	err := c.raw.Read(func(fd uintptr) bool {
-		n, failure = c.take(int(fd), p)
-
-		return !errors.Is(failure, unix.EAGAIN)
-	})
-	if err != nil {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.into = p
+	err := c.raw.Read(c.take)
+	c.into = nil
+	switch {
+	case err != nil:
 		c.lock.Lock()
 		defer c.lock.Unlock()
 		c.waiting = false
 
 		return 0, c.readError(errors.Unwrap(err))
-	}
-	switch {
-	case errors.Is(failure, net.ErrClosed):
-		return 0, c.readError(failure)
-	case failure != nil:
-		return 0, c.readError(os.NewSyscallError("read", failure))
-	case n == 0:
+	case c.failure != nil:
+		return 0, c.readError(c.failure)
+	case c.taken == 0:
 		return 0, io.EOF
 	}
 
-	return n, nil
+	return c.taken, nil
 }
 
-// take reads what the kernel has.
-func (c *connection) take(fd int, p []byte) (int, error) {
+// takeBytes reads what the kernel has and reports whether there was anything, or the end of the connection.
+func (c *connection) takeBytes(fd uintptr) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if c.closing {
-		return 0, net.ErrClosed
+		c.taken, c.failure = 0, net.ErrClosed
+
+		return true
 	}
-	n, err := unix.Read(fd, p)
-	for errors.Is(err, unix.EINTR) {
-		n, err = unix.Read(fd, p)
+	n, err := unix.Read(int(fd), c.into)
+	for err == unix.EINTR { //nolint:errorlint // a system call returns it unwrapped
+		n, err = unix.Read(int(fd), c.into)
 	}
-	c.waiting = errors.Is(err, unix.EAGAIN)
-	if err != nil {
-		return 0, err //nolint:wrapcheck // Read wraps it.
+	c.waiting = err == unix.EAGAIN //nolint:errorlint // as above
+	if c.waiting {
+		return false
 	}
+	c.taken, c.failure = max(0, n), os.NewSyscallError("read", err)
 	c.received = c.received || n > 0
 
-	return n, nil
+	return true
 }
 
 func (c *connection) readError(err error) error {
