Wait for the request of a test that is cut across a stop

TestStopAnswersReusedConnection failed once in a run with the race detector beside other work (load 30): "not true: !read()", the first response announced the end of its connection.

The test is at fault. It took a request to be in progress 50 ms after it was sent; on a busy machine the instance got to it after the stop had begun, and announced that rightly. It waits until a backend server runs the request now; what it demands is the same.

--- a/core/instance/stop_test.go
+++ b/core/instance/stop_test.go
@@ -266,7 +266,15 @@
 		return r.Close
 	}
 	send(400) // takes four times the time in which a stopping instance still accepts requests
-	time.Sleep(50 * time.Millisecond)
+	is.NoErr(fleet.Await(func() bool {
+		running := 0
+		for _, e := range f.Engines {
+			n, _ := e.Running()
+			running += n
+		}
+
+		return running == 1
+	}))
 	stopped := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
