--- a/io/tcp/acknowledged_test.go
+++ b/io/tcp/acknowledged_test.go
@@ -1,8 +1,10 @@
 package tcp
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,3 +43,21 @@
 	}
 	is.New(t).True(!Acknowledged(nil))
 }
+
+// Guards against a connection that is to be reset and ends in order.
+func TestResetOnClose(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	peer, err := net.Dial("tcp4", l.Addr().String())
+	is.NoErr(err)
+	defer peer.Close()
+	own, err := l.Accept()
+	is.NoErr(err)
+	is.NoErr(ResetOnClose(own))
+	is.NoErr(own.Close())
+	_, err = peer.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.True(ResetOnClose(nil) != nil)
+}
