Send no heartbeats to an address that is none

When an isolated instance heard from a process that it did not know, the end of the isolation extended the lifetime of the address of each known instance, among them the new one, whose heartbeat was not applied yet. So the instance sent heartbeats to an empty address for 30 s, which fail. Callers saw nothing.

TestNewProcessEndsIsolation failed before (an address is not valid). The isolation now ends after the heartbeat is applied.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -240,7 +240,6 @@
 		c.recordReturn(p, at)
 	}
 	c.lastHeardAt = later(c.lastHeardAt, at)
-	c.endIsolation(at)
 	if s.Leaving != p.heartbeat.Sender.Leaving {
 		c.log.Info("instance leaving", "peer", s.Name, "leaving", s.Leaving)
 	}
@@ -248,6 +247,7 @@
 		c.zones = nil
 	}
 	p.update(b, at)
+	c.endIsolation(at)
 	c.observeTakeovers(b, at)
 	c.checkedAt = later(c.checkedAt, p.checkedAt)
 	if b.SearchedMillis > 0 {
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -236,6 +236,25 @@
 	is.Equal(receivers(c, at), 2)
 }
 
+// Guards against heartbeats to an address that is none, when an isolated instance hears from a process that it does not know.
+func TestNewProcessEndsIsolation(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1}, start)
+	c.Observe(&gossip.Heartbeat{Sender: member(2, "1"), Sequence: 1}, start)
+	at := start
+	for at.Before(start.Add(goneAfter)) {
+		at = at.Add(200 * time.Millisecond)
+		c.Expire(at)
+	}
+	is.True(c.Isolated())
+	c.Observe(&gossip.Heartbeat{Sender: member(3, "1"), Sequence: 1}, at)
+	is.True(!c.Isolated())
+	for _, a := range c.PeerAddresses() {
+		is.True(a.IsValid())
+	}
+}
+
 // Guards against an isolated instance that is paused for a moment, and then counts for two seconds as one that hears others while it
 // still takes all of them for lost, and forgets the addresses to which it sends.
 func TestPauseOfIsolatedInstance(t *testing.T) {
