Count no instance as gone that another live one hears

What callers could see: results of a job that had been read were missing at a later read, and items ran again. Two instances that do not reach each other, while all others reach both, counted each other as gone after 3 s and took each other's jobs over. For 10 s both suspect that; then each took the other one for isolated, although it was not. A job that one of them accepted later had two holders that did not know of each other, until the replaced one next wrote to the store.

Change: heartbeats name the processes that their sender has not heard itself for 0.8 s, normally none. Who hears such a process passes its last heartbeat on to the sender, at first two instances chosen by name, from 1.5 s on all, at most every 0.35 s each. A process that is named answers itself. So an instance counts as gone only if no live one hears it; the age of what is passed on keeps a lost one gone. One that is only heard through others is not called, so that reads of its jobs go to the store.

Where nobody can pass a heartbeat on, the one that is not heard learns it from the heartbeats that name it: it suspects at once that it was replaced, and takes no jobs over, since the other one would not learn of that.

Ruled out: the absence of a process from the lists of others as a proof that they hear it, since a new instance may never have known it, and a lost one would then never count as gone.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -56,11 +56,15 @@
 type peer struct {
 	// heartbeat is its newest heartbeat, without counts, addresses, relayed heartbeats and reports.
 	heartbeat gossip.Heartbeat
-	heardAt   time.Time
-	joinedAt  time.Time
+	// heardAt is when it was last known to be alive, directAt when this instance, or a gateway, last heard from it.
+	heardAt  time.Time
+	directAt time.Time
+	joinedAt time.Time
 	// updatedAt is when the heartbeat was received, by this instance or by one that relayed it.
 	updatedAt time.Time
 	gone      bool
+	// unreachable is set while only others have heard from it for longer than goneAfter.
+	unreachable bool
 	// checkedAt is when the instance last verified that its state was the store's newest, zero if it never did.
 	checkedAt time.Time
 	// changedAt is when a heartbeat last contained a change that other zones need; relayedAt is when this instance last relayed
@@ -79,7 +83,7 @@
 		p.changedAt = at
 	}
 	p.heartbeat, p.checkedAt, p.updatedAt = *b, checkedAt, at
-	p.heartbeat.Counts, p.heartbeat.Addresses, p.heartbeat.Relayed, p.heartbeat.Reports = nil, nil, nil, nil
+	p.heartbeat.Counts, p.heartbeat.Addresses, p.heartbeat.Relayed, p.heartbeat.Reports, p.heartbeat.PassedOn = nil, nil, nil, nil, nil
 	p.markHeard(at)
 }
 
@@ -89,6 +93,18 @@
 	p.gone = false
 }
 
+// markDirect records that this instance, or a gateway, heard from the instance at a time.
+func (p *peer) markDirect(at time.Time) {
+	if at.After(p.directAt) {
+		p.directAt, p.unreachable = at, false
+	}
+}
+
+// reachable reports whether this instance, or a gateway, heard from the instance within silentAfter.
+func (p *peer) reachable(at time.Time) bool {
+	return p.live(at) && at.Sub(p.directAt) <= silentAfter
+}
+
 // heardRecently reports whether the instance was heard from within silentAfter.
 func (p *peer) heardRecently(at time.Time) bool {
 	return at.Sub(p.heardAt) <= silentAfter
@@ -155,6 +171,12 @@
 	selfSuspectedAt time.Time
 	// unconfirmed holds the instances that were forgotten although they may be alive in a group that is cut off from this one, and when.
 	unconfirmed map[string]time.Time
+	// silent are the names of the instances from which this one had not heard for a while when Expire was last called.
+	silent []string
+	// answered holds the latest answers about silent processes, and until when each is not repeated.
+	answered map[answer]time.Time
+	// unheard is the live instance that does not hear this one, as last logged.
+	unheard string
 }
 
 // New returns a cluster that knows no other instance and receives heartbeats from at on.
@@ -170,6 +192,7 @@
 		unconfirmed:     map[string]time.Time{},
 		replaced:        map[string]replacedProcess{},
 		taken:           map[string]*takenJobs{},
+		answered:        map[answer]time.Time{},
 	}
 }
 
@@ -209,6 +232,12 @@
 func (c *Cluster) Observe(b *gossip.Heartbeat, at time.Time) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+
+	return c.observe(b, at, true)
+}
+
+// observe is Observe for callers that hold the lock. Direct says that this instance, or a gateway, has heard from the sender.
+func (c *Cluster) observe(b *gossip.Heartbeat, at time.Time, direct bool) bool {
 	s := b.Sender
 	if s.Name == c.self.Name {
 		return false
@@ -247,6 +276,12 @@
 		c.zones = nil
 	}
 	p.update(b, at)
+	if direct {
+		p.markDirect(at)
+	}
+	if p.countsAsGone(c.self.Incarnation) {
+		c.selfSuspectedAt = later(c.selfSuspectedAt, at)
+	}
 	c.endIsolation(at)
 	c.observeTakeovers(b, at)
 	c.checkedAt = later(c.checkedAt, p.checkedAt)
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -73,7 +73,7 @@
 	list := make([]gossip.Member, 0, zoneGateways)
 	selfLeft := zone == c.self.Zone && c.mayRelay(at)
 	for _, p := range c.inZone(zone) {
-		if !p.live(at) {
+		if !p.reachable(at) {
 			continue
 		}
 		if selfLeft && compareGateways(c.self, p.heartbeat.Sender) < 0 {
@@ -131,7 +131,7 @@
 			QueuedLate:  p.heartbeat.QueuedLate,
 		})
 		gossip.AddProgress(report.Progress, p.heartbeat.Progress)
-		if at.Sub(p.changedAt) <= changeRepeat || at.Sub(p.relayedAt) >= refresh {
+		if at.Sub(p.changedAt) <= changeRepeat || c.contradicts(p) || at.Sub(p.relayedAt) >= refresh {
 			p.relayedAt = at
 			relayed = append(relayed, gossip.RelayedHeartbeat{
 				AgeMillis: age,
@@ -162,7 +162,11 @@
 	for _, s := range r.Heard {
 		p := c.peers[s.Name]
 		heardAt := gossip.Before(at, s.AgeMillis)
-		if p == nil || p.heartbeat.Sender.Incarnation != s.Incarnation || !heardAt.After(p.heardAt) {
+		if p == nil || p.heartbeat.Sender.Incarnation != s.Incarnation {
+			continue
+		}
+		p.markDirect(heardAt)
+		if !heardAt.After(p.heardAt) {
 			continue
 		}
 		c.recordReturn(p, heardAt)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -24,17 +24,22 @@
 	isolated := c.isolated()
 	if isolated && c.isolatedSince.IsZero() {
 		c.isolatedSince = at
-		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers), "listed", c.unheard())
+		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers), "listed", c.unmet())
 	}
 	alone := isolated || c.alone()
 	silent, recent := 0, false
 	c.checkedAt = time.Time{}
+	c.silent = c.silent[:0]
 	for name, p := range c.peers {
+		if p.isSilent(c.listeningSince, at) {
+			c.silent = append(c.silent, name)
+		}
 		silence := at.Sub(later(p.heardAt, c.listeningSince))
 		if silence > selfSuspectAfter && (silence <= forgetAfter || isolated) {
 			silent++
 			recent = recent || silence <= singleSilenceLimit
 		}
+		p.unreachable = at.Sub(later(p.directAt, c.listeningSince)) > goneAfter
 		if !p.gone && silence > goneAfter {
 			p.gone = true
 			c.changes++
@@ -48,13 +53,20 @@
 			c.forget(name, at)
 		}
 	}
+	slices.Sort(c.silent)
 	// They may still hear each other, and take over the jobs of this instance.
 	silent += len(c.unconfirmed)
-	// An isolated instance takes over no jobs, so a single peer that has been silent for longer than singleSilenceLimit cannot
-	// have taken over this instance's jobs, unless it is the only one. Two or more silent peers may still reach each other and take them
+	// One that hears others gets this instance's heartbeats from them, or learns from them that it is not heard itself. So a single peer that
+	// has been silent for longer than singleSilenceLimit is isolated and cannot have taken over this instance's jobs, unless it is the only one. Two or more silent peers may still reach each other and take them
 	// over. An instance that hears from one other one is heard by it, even if the store lists more.
-	if recent || silent > 1 || alone || len(c.peers) == 0 && c.unheard() > 1 {
+	if recent || silent > 1 || alone || len(c.peers) == 0 && c.unmet() > 1 {
+		c.selfSuspectedAt = at
+	}
+	if name := c.unheardBy(); name != "" {
 		c.selfSuspectedAt = at
+		c.noteUnheard(name)
+	} else {
+		c.noteUnheard("")
 	}
 	c.forgetLost(at)
 	// An instance that hears nobody may be heard by the others, who would count it as gone if it became silent.
@@ -151,9 +163,9 @@
 	c.listed = max(c.listed, others)
 }
 
-// unheard returns the number of others in the store while this instance has not heard from two of them: a single one may have started
+// unmet returns the number of others in the store while this instance has not heard from two of them: a single one may have started
 // behind the same partition. The caller holds the lock.
-func (c *Cluster) unheard() int {
+func (c *Cluster) unmet() int {
 	if c.met {
 		return 0
 	}
@@ -178,7 +190,7 @@
 	}
 	others, heardAt := c.others()
 
-	return max(others, c.unheard()) > 1 && c.expiredAt.Sub(later(heardAt, c.listeningSince)) > isolatedAfter
+	return max(others, c.unmet()) > 1 && c.expiredAt.Sub(later(heardAt, c.listeningSince)) > isolatedAfter
 }
 
 // alone reports whether another instance is known and none was heard from lately, even if this process was paused. Of a pair that is cut
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -41,7 +41,7 @@
 	return c.nearest(func(p *peer) bool {
 		newerList := int64(p.heartbeat.ServerRevision) > serverRevision && p.heartbeat.ServerDigest != int(serverDigest) //nolint:gosec // only compared
 
-		return !p.gone && (int64(p.heartbeat.RouteVersion) > routeVersion || newerList)
+		return !p.gone && !p.unreachable && (int64(p.heartbeat.RouteVersion) > routeVersion || newerList)
 	})
 }
 
@@ -78,12 +78,12 @@
 	return p != nil && p.heartbeat.Sender.Incarnation == incarnation
 }
 
-// Holder returns the address of a process, false if it is not known to be alive.
+// Holder returns the address of a process, false if it is not known to be alive and reachable.
 func (c *Cluster) Holder(name, incarnation string) (netip.AddrPort, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	p := c.peers[name]
-	if p == nil || p.gone || p.heartbeat.Sender.Incarnation != incarnation {
+	if p == nil || p.gone || p.unreachable || p.heartbeat.Sender.Incarnation != incarnation {
 		return netip.AddrPort{}, false
 	}
 
@@ -170,5 +170,5 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 
-	return c.nearest(func(p *peer) bool { return !p.heartbeat.StoreLost && p.live(at) })
+	return c.nearest(func(p *peer) bool { return !p.heartbeat.StoreLost && p.reachable(at) })
 }
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -199,6 +199,10 @@
 	// items of such a job are in the store.
 	Held []string `json:"Held,omitempty,omitzero"`
 
+	// PassedOn are heartbeats of processes that the receiver has not heard from,
+	// without counts.
+	PassedOn []RelayedHeartbeat `json:"PassedOn,omitempty,omitzero"`
+
 	// Progress is that of the jobs that the sender holds, by batch route.
 	Progress HeartbeatProgress `json:"Progress,omitempty,omitzero"`
 
@@ -249,6 +253,11 @@
 	// ServerRevision is the store revision of the list of backend servers.
 	ServerRevision int `json:"ServerRevision,omitempty,omitzero"`
 
+	// Silent are the processes that the sender has not heard from itself for a while,
+	// some of them if they are many. Who hears one passes its heartbeat on to the
+	// sender.
+	Silent []SilentProcess `json:"Silent,omitempty,omitzero"`
+
 	// SoundParts are the prompt parts of possible crashes, or in quarantine, that the
 	// sender has seen in completed requests.
 	SoundParts []SoundPart `json:"SoundParts,omitempty,omitzero"`
@@ -626,6 +635,45 @@
 	return nil
 }
 
+// SilentProcess is a process that an instance has not heard from for a while.
+type SilentProcess struct {
+	// AgeMillis is how long ago the process was last known to be alive.
+	AgeMillis int `json:"AgeMillis"`
+
+	// Incarnation identifies the process.
+	Incarnation string `json:"Incarnation"`
+
+	// Name is the name of its instance.
+	Name string `json:"Name"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *SilentProcess) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["AgeMillis"]; raw != nil && !ok {
+		return fmt.Errorf("field AgeMillis in SilentProcess: required")
+	}
+	if _, ok := raw["Incarnation"]; raw != nil && !ok {
+		return fmt.Errorf("field Incarnation in SilentProcess: required")
+	}
+	if _, ok := raw["Name"]; raw != nil && !ok {
+		return fmt.Errorf("field Name in SilentProcess: required")
+	}
+	type Plain SilentProcess
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.AgeMillis {
+		return fmt.Errorf("field %s: must be >= %v", "AgeMillis", 0)
+	}
+	*j = SilentProcess(plain)
+	return nil
+}
+
 // SoundPart is a prompt part of a request that has completed.
 type SoundPart struct {
 	// AgeMillis is how long ago the newest such request completed at the sender.
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -38,6 +38,9 @@
 type cluster interface {
 	Self() gossip.Member
 	Observe(b *gossip.Heartbeat, at time.Time) bool
+	ObservePassedOn(b *gossip.Heartbeat, at time.Time) bool
+	Silent(round int, at time.Time) []gossip.SilentProcess
+	Answers(b *gossip.Heartbeat, at time.Time) (passedOn []gossip.RelayedHeartbeat, own bool)
 	ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort)
 	ZoneMembers() []netip.AddrPort
 	ZoneLive() int
@@ -219,6 +222,7 @@
 	if at := e.cluster.SearchedAt(); !at.IsZero() {
 		b.SearchedMillis = max(1, gossip.Age(at, e.now()))
 	}
+	b.Silent = e.cluster.Silent(b.Sequence, e.now())
 	e.jobs.FillHeartbeat(b)
 	e.parts.FillHeartbeat(b)
 
@@ -287,7 +291,7 @@
 func (e *Exchanger) HandleHeartbeat(b *gossip.Heartbeat) {
 	at := e.now()
 	zone := e.cluster.Self().Zone
-	if e.apply(b, at) {
+	if e.apply(b, at, e.cluster.Observe) {
 		far := b.Sender.Zone
 		if far == zone {
 			far = ""
@@ -300,9 +304,16 @@
 		// A gateway hears from the members of its zone itself; a relayed heartbeat is without counts and would make it drop theirs.
 		// It may be the only way to learn of one that takes itself for a gateway as well, as neither sends to the other.
 		if s.Zone != zone || !e.gateway.Load() || !e.cluster.Knows(s.Name, s.Incarnation) {
-			e.apply(&r.Beat, gossip.Before(at, r.AgeMillis))
+			e.apply(&r.Beat, gossip.Before(at, r.AgeMillis), e.cluster.Observe)
 		}
 	}
+	for i := range b.PassedOn {
+		r := &b.PassedOn[i]
+		if e.apply(&r.Beat, gossip.Before(at, r.AgeMillis), e.cluster.ObservePassedOn) {
+			e.answer(&r.Beat, at)
+		}
+	}
+	e.answer(b, at)
 	for i := range b.Reports {
 		r := &b.Reports[i]
 		madeAt := gossip.Before(at, r.AgeMillis)
@@ -325,9 +336,25 @@
 	e.preemptExcess(at)
 }
 
-// apply applies a heartbeat except for its counts, as of a time, and reports whether it was newer than the known state.
-func (e *Exchanger) apply(b *gossip.Heartbeat, at time.Time) bool {
-	if !e.cluster.Observe(b, at) {
+// answer passes on to the sender of a heartbeat those of processes that it has not heard from, and sends its own if it is one of them.
+func (e *Exchanger) answer(b *gossip.Heartbeat, at time.Time) {
+	if len(b.Silent) == 0 {
+		return
+	}
+	passedOn, own := e.cluster.Answers(b, at)
+	if len(passedOn) == 0 && !own {
+		return
+	}
+	answer := e.heartbeat()
+	answer.PassedOn = passedOn
+	e.recordSent(answer, at)
+	e.sendTo("Answer", answer, []netip.AddrPort{b.Sender.Peer})
+}
+
+// apply applies a heartbeat except for its counts, as of a time, and reports whether it was newer than the known state, to which observe
+// applies it.
+func (e *Exchanger) apply(b *gossip.Heartbeat, at time.Time, observe func(b *gossip.Heartbeat, at time.Time) bool) bool {
+	if !observe(b, at) {
 		return false
 	}
 	e.cluster.Introduce(b.Addresses, at)
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -30,8 +30,8 @@
 	nodes map[netip.AddrPort]*instance
 	cut   func(from, to *instance) bool
 	sent  map[string]int
-	// far counts messages between zones, relayed the relayed heartbeats in all messages.
-	far, relayed int
+	// far counts messages between zones, relayed the relayed heartbeats in all messages, passedOn those that were asked for.
+	far, relayed, passedOn int
 	// codec encodes each message as between processes, which leaves empty maps and lists out; nil delivers messages as they are.
 	codec *messagecodec.Codec
 	// delay is how long each message takes to be handled.
@@ -88,6 +88,7 @@
 		lost := other == nil || i.network.cut != nil && i.network.cut(i, other)
 		i.network.sent[i.name()]++
 		i.network.relayed += len(b.Relayed)
+		i.network.passedOn += len(b.PassedOn)
 		if other != nil && other.cluster.Self().Zone != i.cluster.Self().Zone {
 			i.network.far++
 		}
@@ -342,7 +343,7 @@
 		defer stopAll(list)
 		time.Sleep(5 * time.Second)
 		n.lock.Lock()
-		n.relayed = 0
+		n.relayed, n.passedOn = 0, 0
 		n.lock.Unlock()
 		time.Sleep(seconds * time.Second)
 		n.lock.Lock()
@@ -351,6 +352,7 @@
 		// heartbeats in all messages it would be five times as many.
 		is.True(n.relayed > 0)
 		is.True(n.relayed < seconds*2*count*count*3/2)
+		is.Equal(n.passedOn, 0) // all hear all
 	})
 }
 
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -122,6 +122,7 @@
 func (i *loadInstance) Alive(string, string, time.Time) bool     { return true }
 func (i *loadInstance) SuspectedSince(time.Time, time.Time) bool { return false }
 func (i *loadInstance) Paused(time.Time) bool                    { return false }
+func (i *loadInstance) Unheard() bool                            { return false }
 func (i *loadInstance) Isolated() bool                           { return false }
 func (i *loadInstance) Waiting(r string, at time.Time) int       { return i.cluster.Waiting(r, at) }
 
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -100,7 +100,8 @@
 	if len(r.orphans) == 0 {
 		return
 	}
-	blind := r.cluster.Isolated() || r.cluster.Paused(at)
+	// Others would not learn of what an instance takes over that they do not hear, and take it over again.
+	blind := r.cluster.Isolated() || r.cluster.Paused(at) || r.cluster.Unheard()
 	takeovers := 0
 	for id, o := range r.orphans {
 		switch {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -83,6 +83,8 @@
 	SuspectedSince(since, at time.Time) bool
 	Paused(at time.Time) bool
 	Isolated() bool
+	// Unheard reports whether a live instance does not hear this one.
+	Unheard() bool
 	Waiting(route string, at time.Time) int
 	RecordTakeover(incarnation, route string, tokens int, at time.Time)
 	Takeovers(at time.Time) []gossip.TakenOver
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -119,6 +119,8 @@
 
 func (f *fleet) Paused(time.Time) bool { return f.paused.Load() }
 
+func (f *fleet) Unheard() bool { return false }
+
 func (f *fleet) Isolated() bool { return f.isolated.Load() }
 
 func (f *fleet) Alive(name, _ string, _ time.Time) bool {
--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -22,8 +22,8 @@
 	if !validSender(b) {
 		return nil, fault.New(fault.CodeInvalid, "heartbeat has no valid sender")
 	}
-	for i := range b.Relayed {
-		if r := &b.Relayed[i]; !validSender(&r.Beat) || r.AgeMillis < 0 {
+	for _, list := range [][]gossip.RelayedHeartbeat{b.Relayed, b.PassedOn} {
+		if slices.ContainsFunc(list, func(r gossip.RelayedHeartbeat) bool { return !validSender(&r.Beat) || r.AgeMillis < 0 }) {
 			return nil, fault.New(fault.CodeInvalid, "relayed heartbeat has no valid sender or age")
 		}
 	}
