Look for late writes until an own write has taken their place

A process that is frozen for longer than 8 s between its look at the store and its write of results lists them when the successor no longer looks for them. Readers that do not reach the successor find them in the store; a caller that then reads at the successor got fewer, until its next own write.

The late write can only take the position behind what was listed at the takeover. So the successor looks at that position, at most every 0.7 s and only for reads that find nothing, until it has listed a result there itself: then the late write fails with a conflict. The 8 s stay as the least time, for holders that go on. Ruled out: a longer window, which any longer freeze breaks, and an empty segment as a fence at each takeover, which costs a write and a new form of object.

--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -74,6 +74,9 @@
 	// of the previous holder may still take effect.
 	verifiedAt      time.Time
 	lateWritesUntil time.Time
+	// unfenced is set from then on until this instance has listed results itself. A process that was frozen between its look at the store
+	// and its write may list results at any later time, but only at the position that this write takes.
+	unfenced bool
 	// unverifiableUntil is until when the store is not asked again after it has not answered.
 	unverifiableUntil time.Time
 	// previous is the incarnation of a holder that this instance is known to have replaced; until previousUntil, its announcements
@@ -178,6 +181,7 @@
 func (j *job) expectOthers(at time.Time) {
 	j.verifiedAt = time.Time{}
 	j.lateWritesUntil = at.Add(lateWriteWindow)
+	j.unfenced = true
 }
 
 // due returns the deadline of the job's results.
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -39,6 +39,8 @@
 	j.unacknowledged = 0
 	if conflict {
 		j.expectOthers(r.now())
+	} else {
+		j.unfenced = false
 	}
 	j.list(position, results)
 	r.logger.Info("results listed", "job", j.ID, "position", position, "results", len(results), "of", j.Items,
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -93,7 +93,7 @@
 	maybeReplaced := doubted || j.contested || r.cluster.SuspectedSince(j.verifiedAt, at)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
 	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
-	lateWrites := j.verifiedAt.Before(j.lateWritesUntil)
+	lateWrites := j.unfenced || j.verifiedAt.Before(j.lateWritesUntil)
 	recent := at.Sub(j.verifiedAt) < verifyInterval
 	r.lock.Unlock()
 	if doubted || (maybeReplaced || lateWrites || unacknowledged) && !recent {
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -416,3 +416,36 @@
 		is.Equal(len(page.Results), 1)
 	})
 }
+
+// Guards against a new holder that answers from memory after its predecessor, which was frozen between its look at the store and its write,
+// has listed results much later, and against one that reads the store for ever.
+func TestReadAfterWriteOfFrozenHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		f.abandonJobs(t, "job")
+		holder, stop := f.start("e2")
+		defer stop()
+		holder.ObserveOrphan("job")
+		time.Sleep(2 * lateWriteWindow)
+		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 0)
+		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e1"))
+		time.Sleep(verifyInterval)
+		page, err = holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 1)
+		// No write of the former holder can take effect behind one of this holder.
+		holder.write(t.Context(), holder.jobs["job"], 1, []work.Result{{Item: "job-2", State: work.StateDead}})
+		reads := f.objects.Reads("job-results")
+		for range 5 {
+			time.Sleep(verifyInterval)
+			_, err = holder.Read(t.Context(), "job", 2, time.Now())
+			is.NoErr(err)
+		}
+		is.Equal(f.objects.Reads("job-results"), reads)
+	})
+}
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -120,6 +120,7 @@
 	j.revision, j.previous = revision, previous.Incarnation
 	j.previousUntil = r.now().Add(announcementTTL)
 	j.lateWritesUntil = r.now().Add(lateWriteWindow)
+	j.unfenced = true
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if r.jobs[record.ID] != nil {
