Take the position of a read for evidence of further results

A holder that was replaced without noticing answered a read after position N from memory even if it knew fewer than N results. Only the positions that this instance itself had returned counted as evidence, but a caller that asks for what follows N results has got these N from somebody.

TestReadBehindWhatTheHolderKnows failed before: the replaced holder answered that there is no third result, which the new one had listed.

--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -45,7 +45,15 @@
 	if j == nil || len(j.results) >= returned {
 		return
 	}
-	r.logger.Warn("results returned that the holder does not know", "job", id, "listed", len(j.results), "returned", returned, "revision", j.revision)
+	r.doubtHolder(j, returned)
+}
+
+// doubtHolder is called when a number of results of a job is known to have been returned that this instance, the holder, does not know. It
+// needs the lock.
+func (r *Runner) doubtHolder(j *job, returned int) {
+	if !j.contested {
+		r.logger.Warn("results returned that the holder does not know", "job", j.ID, "listed", len(j.results), "returned", returned, "revision", j.revision)
+	}
 	j.contested = true
 	j.expectOthers(r.now())
 }
@@ -62,6 +70,11 @@
 			return jobpage.Page{}, false, nil
 		}
 		total, results, changed := j.Items, j.results, j.changed
+		if at := r.now(); len(results) < min(after, total) && at.Sub(j.verifiedAt) >= verifyInterval {
+			// The caller was told that position by another holder, or made it up.
+			r.doubtHolder(j, after)
+			until = at
+		}
 		r.lock.Unlock()
 		wait := until.Sub(r.now())
 		if len(results) > after || len(results) >= total {
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -417,6 +417,39 @@
 	})
 }
 
+// Guards against a replaced holder that answers from memory a caller which has got further results from the new one, and against reads of the
+// store for each read of a caller that makes positions up.
+func TestReadBehindWhatTheHolderKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		l := logs.New(f.objects)
+		holder, stop := f.startHolder(t, 4)
+		defer stop()
+		time.Sleep(time.Minute)
+		before := f.objects.Reads("jobs") + f.objects.Reads("job-results")
+		for range 50 {
+			page, err := holder.Read(t.Context(), "j", 3, time.Now())
+			is.NoErr(err)
+			is.Equal(len(page.Results), 0)
+		}
+		is.True(f.objects.Reads("jobs")+f.objects.Reads("job-results")-before <= 2)
+		time.Sleep(time.Minute)
+		record, revision, err := l.Job(t.Context(), "j")
+		is.NoErr(err)
+		record.Holder, record.Incarnation = "e2", "e2"
+		_, err = l.Update(t.Context(), *record, revision)
+		is.NoErr(err)
+		for position, item := range []string{"j-1", "j-2", "j-3"} {
+			is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e2"))
+		}
+		page, err := holder.Read(t.Context(), "j", 2, time.Now())
+		is.NoErr(err)
+		is.Equal(page.Next, 3)
+		is.True(!holder.holds("j"))
+	})
+}
+
 // Guards against a new holder that answers from memory after its predecessor, which was frozen between its look at the store and its write,
 // has listed results much later, and against one that reads the store for ever.
 func TestReadAfterWriteOfFrozenHolder(t *testing.T) {
