Take no jobs of instances that were never heard from

Two processes that start behind the same partition and hear each other took themselves for the fleet after 3 s, took over all jobs of the others, and did not suspect that the others took over theirs.

A process that has heard from less than half of the instances that the store lists now counts the others as alive, expects that they take its jobs over, and asks the store as for forgotten instances: their watchers remove the doubts. A lost one is confirmed after a minute; half of the listed ones heard ends this at once. A restart of the whole fleet is not delayed, since former processes of names that are heard end there.

TestStartBehindPartitionWithAnother does not compile without the names; on the code before, the row "one heard from" of TestNewProcessThatHearsNobody stated the assumption: with one of three listed instances heard, a process did not suspect itself. The row was wrong, as the other two may be alive and count neither process as known. It is replaced by "one of three heard from", which has to suspect, and "one of two heard from", which must not.

What is left: the others take over what these processes accept, so that this work is done twice; both sides ask the store.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -42,7 +42,7 @@
 type cluster interface {
 	Self() gossip.Member
 	Introduce(addresses []netip.AddrPort, at time.Time)
-	Expect(others int)
+	Expect(others []string)
 	Isolated() bool
 	Hears(name string) bool
 	Unconfirmed() map[string]time.Time
@@ -231,7 +231,7 @@
 		records: map[string]listedRecord{},
 		self:    x.cluster.Self().Name,
 	}
-	others := 0
+	var others []string
 	err := x.store.List(ctx, x.kind, func(name string, value json.RawMessage, revision int64) {
 		var r record
 		if json.Unmarshal(value, &r) != nil {
@@ -243,7 +243,7 @@
 			revision: revision,
 		}
 		if name != l.self && r.Peer.IsValid() {
-			others++
+			others = append(others, name)
 		}
 	})
 	x.cluster.Expect(others)
--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -194,7 +194,7 @@
 	return gossip.Member{Name: n.name, Peer: netip.MustParseAddrPort("10.0.0.1:9")}
 }
 func (*node) Introduce([]netip.AddrPort, time.Time)          {}
-func (*node) Expect(int)                                     {}
+func (*node) Expect([]string)                                {}
 func (*node) NoteFleetSize(int)                              {}
 func (*node) IntroduceSeeds()                                {}
 func (*node) PeerAddresses() []netip.AddrPort                { return nil }
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -151,9 +151,14 @@
 	// listeningSince is when this instance began to receive heartbeats, or resumed after a pause.
 	listeningSince time.Time
 	expiredAt      time.Time
-	// listed is the number of other instances in the store; it applies until met is set, when two are heard from or none is alive.
-	listed int
+	// listed are the names of the other instances in the store; their number applies until met is set, when two are heard from or none is
+	// alive.
+	listed []string
 	met    bool
+	// strangers are the listed instances that were never heard from, and whether each may be alive, until metMost is set, when half of the
+	// listed ones are heard from or none is alive.
+	strangers map[string]bool
+	metMost   bool
 	// lastHeardAt is when any other instance was last heard from.
 	lastHeardAt time.Time
 	// isolatedSince is when this instance noticed that it hears from no other one, zero while it does.
@@ -190,6 +195,7 @@
 		targets:         map[netip.AddrPort]target{},
 		zoneReports:     map[string]zoneReport{},
 		unconfirmed:     map[string]time.Time{},
+		strangers:       map[string]bool{},
 		replaced:        map[string]replacedProcess{},
 		taken:           map[string]*takenJobs{},
 		answered:        map[answer]time.Time{},
@@ -257,6 +263,7 @@
 		c.peers[s.Name] = p
 		if _, ok := c.unconfirmed[s.Name]; ok {
 			delete(c.unconfirmed, s.Name)
+			delete(c.strangers, s.Name)
 			c.selfSuspectedAt = later(c.selfSuspectedAt, at)
 		}
 		c.met = c.met || len(c.peers) > 1
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// names returns the names of the first instances but e0.
+func names(count int) []string {
+	var list []string
+	for n := range count {
+		list = append(list, member(n+1, "1").Name)
+	}
+
+	return list
+}
+
 func newCluster(n int) *Cluster {
 	return New(member(n, "1"), start, slog.New(slog.DiscardHandler))
 }
@@ -320,11 +330,13 @@
 		heard    bool
 		forget   bool
 		isolated bool
+		suspects bool
 	}{
-		{"others listed", 3, false, false, true},
-		{"one other listed", 1, false, false, false},
-		{"one heard from", 3, true, false, false},
-		{"known to be lost", 3, false, true, false},
+		{"others listed", 3, false, false, true, true},
+		{"one other listed", 1, false, false, false, false},
+		{"one of three heard from", 3, true, false, false, true}, // both may have started behind a partition
+		{"one of two heard from", 2, true, false, false, false},
+		{"known to be lost", 3, false, true, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -334,7 +346,7 @@
 			for n := range c.listed {
 				cl.Introduce([]netip.AddrPort{member(n+1, "1").Peer}, at)
 			}
-			cl.Expect(c.listed)
+			cl.Expect(names(c.listed))
 			for at.Before(start.Add(time.Minute)) {
 				at = at.Add(200 * time.Millisecond)
 				if c.heard {
@@ -343,7 +355,7 @@
 				cl.Expire(at)
 				if at.Sub(start) > isolatedAfter && !c.forget {
 					is.Equal(cl.Isolated(), c.isolated) // before a holder that was never heard from counts as gone
-					is.Equal(cl.SuspectedSince(at.Add(-time.Second), at), c.isolated)
+					is.Equal(cl.SuspectedSince(at.Add(-time.Second), at), c.suspects)
 				}
 			}
 			if c.isolated || c.forget {
@@ -351,13 +363,48 @@
 			}
 			if c.forget {
 				cl.ForgetPeers(at)
-				cl.Expect(c.listed) // it reads the list again
+				cl.Expect(names(c.listed)) // it reads the list again
 			}
 			is.Equal(cl.Isolated(), c.isolated)
 		})
 	}
 }
 
+// Guards against processes that start behind the same partition, hear each other, and take over the jobs of all others as lost, and against
+// ones that wait for instances which are lost.
+func TestStartBehindPartitionWithAnother(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start
+	c.Expire(at)
+	pass := func(d time.Duration, heard ...int) {
+		for end := at.Add(d); at.Before(end); {
+			at = at.Add(200 * time.Millisecond)
+			for _, n := range heard {
+				c.Observe(&gossip.Heartbeat{Sender: member(n, "1"), Sequence: int(at.Sub(start))}, at)
+			}
+			c.Expire(at)
+		}
+	}
+	pass(time.Second, 1)
+	c.Expect(names(5))
+	for range 20 {
+		pass(5*time.Second, 1)
+		is.True(c.Alive("e2", "1", at) && c.Alive("e5", "1", at) && !c.Alive("e9", "1", at))
+		is.True(c.SuspectedSince(at.Add(-1), at))
+		is.Equal(len(c.Unconfirmed()), 4)
+	}
+	c.ConfirmLost("e2", c.Unconfirmed()["e2"])
+	pass(time.Second, 1, 3)
+	is.True(!c.Alive("e2", "1", at) && c.Alive("e5", "1", at)) // e2 is lost for good
+	is.True(c.SuspectedSince(at.Add(-1), at))
+	pass(time.Second, 1, 3, 4)
+	pass(time.Second, 1, 3, 4)
+	is.True(!c.Alive("e5", "1", at)) // most others are heard from
+	is.True(!c.SuspectedSince(at.Add(-1), at))
+	is.Equal(len(c.Unconfirmed()), 0)
+}
+
 // Guards against a new process behind a partition that hears from one other one, such as one that started beside it, takes that for the
 // whole fleet and takes over the jobs of listed instances that are alive; and against one of a fleet of two that waits for instances
 // that do not exist once the other is lost.
@@ -367,7 +414,7 @@
 		c := newCluster(0)
 		at := start
 		c.Expire(at)
-		c.Expect(listed)
+		c.Expect(names(listed))
 		c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1}, at)
 		for at.Before(start.Add(goneAfter + time.Second)) {
 			at = at.Add(200 * time.Millisecond)
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -21,6 +21,7 @@
 		c.selfSuspectedAt = at
 	}
 	c.expiredAt = at
+	c.noteStrangers(at)
 	isolated := c.isolated()
 	if isolated && c.isolatedSince.IsZero() {
 		c.isolatedSince = at
@@ -59,7 +60,7 @@
 	// One that hears others gets this instance's heartbeats from them, or learns from them that it is not heard itself. So a single peer that
 	// has been silent for longer than singleSilenceLimit is isolated and cannot have taken over this instance's jobs, unless it is the only one. Two or more silent peers may still reach each other and take them
 	// over. An instance that hears from one other one is heard by it, even if the store lists more.
-	if recent || silent > 1 || alone || len(c.peers) == 0 && c.unmet() > 1 {
+	if recent || silent > 1 || alone || c.hasStrangers() || len(c.peers) == 0 && c.unmet() > 1 {
 		c.selfSuspectedAt = at
 	}
 	if name := c.unheardBy(); name != "" {
@@ -88,11 +89,11 @@
 }
 
 // Unconfirmed returns the forgotten instances that may still take over the jobs of this one, and when each was forgotten, until their
-// loss is confirmed by other means than heartbeats. A single one is isolated and takes nothing over.
+// loss is confirmed by other means than heartbeats. A single one that was heard before is isolated and takes nothing over.
 func (c *Cluster) Unconfirmed() map[string]time.Time {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if len(c.unconfirmed) < 2 {
+	if len(c.unconfirmed) < 2 && !c.hasStrangers() {
 		return nil
 	}
 
@@ -105,6 +106,10 @@
 	defer c.lock.Unlock()
 	if at, ok := c.unconfirmed[name]; ok && at.Equal(forgottenAt) {
 		delete(c.unconfirmed, name)
+		if c.strangers[name] {
+			c.strangers[name] = false
+			c.changes++
+		}
 		c.log.Info("loss of an instance confirmed", "peer", name, "forgotten_at", forgottenAt)
 	}
 }
@@ -155,14 +160,6 @@
 	return c.selfSuspectedAt.After(since) || c.paused(at) && at.After(since)
 }
 
-// Expect records how many other instances the store lists. A process that has heard from none yet, or from a single one, does not know
-// the fleet because of that; it may have started behind a partition.
-func (c *Cluster) Expect(others int) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	c.listed = max(c.listed, others)
-}
-
 // unmet returns the number of others in the store while this instance has not heard from two of them: a single one may have started
 // behind the same partition. The caller holds the lock.
 func (c *Cluster) unmet() int {
@@ -170,7 +167,7 @@
 		return 0
 	}
 
-	return c.listed
+	return len(c.listed)
 }
 
 // Isolated reports whether at least two other instances are known or expected and none of them was heard from lately, so this one is probably cut
@@ -244,7 +241,8 @@
 	defer c.lock.Unlock()
 	c.peers, c.zones = map[string]*peer{}, nil
 	clear(c.unconfirmed)
-	c.met = true
+	clear(c.strangers)
+	c.met, c.metMost = true, true
 	c.checkedAt = time.Time{}
 	c.isolatedSince = time.Time{}
 	c.listeningSince = at
@@ -312,7 +310,8 @@
 }
 
 // Alive reports whether a process of an instance may still be running. A process that is not known may be running until
-// goneAfter has passed since this instance started or resumed after a pause. A process has ended if another one of the same instance is known.
+// goneAfter has passed since this instance started or resumed after a pause, and longer if this instance has heard from few others since its
+// start. A process has ended if another one of the same instance is known.
 func (c *Cluster) Alive(name, incarnation string, at time.Time) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -321,7 +320,7 @@
 	}
 	p := c.peers[name]
 	if p == nil {
-		return name != "" && at.Sub(c.listeningSince) <= goneAfter
+		return name != "" && (at.Sub(c.listeningSince) <= goneAfter || c.strangers[name])
 	}
 
 	return !p.gone && p.heartbeat.Sender.Incarnation == incarnation
--- a/internal/virtualfleet/fleet_test.go
+++ b/internal/virtualfleet/fleet_test.go
@@ -79,16 +79,18 @@
 type play struct {
 	*Fleet
 	*dice
-	seed   uint64
-	size   int
-	zones  int
-	began  time.Time
-	lock   sync.Mutex
-	jobs   []*jobRecord
-	reads  int
-	failed int
-	broken []string
-	faults sync.WaitGroup
+	seed uint64
+	// reserve says that the last two instances start later.
+	reserve bool
+	size    int
+	zones   int
+	began   time.Time
+	lock    sync.Mutex
+	jobs    []*jobRecord
+	reads   int
+	failed  int
+	broken  []string
+	faults  sync.WaitGroup
 }
 
 func (p *play) breaks(format string, values ...any) {
@@ -253,6 +255,9 @@
 	"behind": func(p *play) {
 		a := p.intN(p.size)
 		b := p.others(a)
+		if p.reserve && !p.Running(p.size-1) {
+			a, b = p.size-2, p.size-1 // nobody has heard from them
+		}
 		p.during(10*time.Second, time.Minute, fmt.Sprintf("start of e%02d and e%02d behind a partition", a, b), func() func() {
 			p.Kill(a)
 			p.Kill(b)
@@ -335,7 +340,9 @@
 // run plays faults among a few kinds, then lets the fleet complete all jobs.
 func (p *play) run(ctx context.Context) {
 	for n := range p.size {
-		p.Start(n)
+		if !p.reserve || n < p.size-2 {
+			p.Start(n)
+		}
 		time.Sleep(p.between(0, 300*time.Millisecond))
 	}
 	var callers sync.WaitGroup
@@ -400,12 +407,13 @@
 			size = 18 + random.IntN(7)
 		}
 		p = &play{
-			Fleet: New(size, zones, rand.New(rand.NewPCG(seed, 2)), log),
-			dice:  newDice(seed, 3),
-			seed:  seed,
-			size:  size,
-			zones: zones,
-			began: time.Now(),
+			Fleet:   New(size, zones, rand.New(rand.NewPCG(seed, 2)), log),
+			dice:    newDice(seed, 3),
+			seed:    seed,
+			reserve: size > 4 && random.IntN(2) == 0,
+			size:    size,
+			zones:   zones,
+			began:   time.Now(),
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), playTime+time.Minute+calm)
 		defer cancel()
