Name few silent processes, and lost ones within the zone only

After the loss of many instances each heartbeat named up to 16 of them for 30 s, and gateways passed these names on to other zones, where bytes are dear and nobody needs them. Now at most eight are named in turn, and gateways relay the names only if they hear one of the named processes, then with each report, so that the one that counts as gone learns it at once. As names alternate, it counts for a second that another instance does not hear this one.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -65,6 +65,8 @@
 	gone      bool
 	// unreachable is set while only others have heard from it for longer than goneAfter.
 	unreachable bool
+	// countsSelfAt is when its heartbeat last showed that it counts this instance as gone, or is about to; zero if none did.
+	countsSelfAt time.Time
 	// checkedAt is when the instance last verified that its state was the store's newest, zero if it never did.
 	checkedAt time.Time
 	// changedAt is when a heartbeat last contained a change that other zones need; relayedAt is when this instance last relayed
@@ -286,7 +288,8 @@
 	if direct {
 		p.markDirect(at)
 	}
-	if p.countsAsGone(c.self.Incarnation) {
+	if p.countsAsGone(c.self) {
+		p.countsSelfAt = at
 		c.selfSuspectedAt = later(c.selfSuspectedAt, at)
 	}
 	c.endIsolation(at)
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -131,11 +131,16 @@
 			QueuedLate:  p.heartbeat.QueuedLate,
 		})
 		gossip.AddProgress(report.Progress, p.heartbeat.Progress)
-		if at.Sub(p.changedAt) <= changeRepeat || c.contradicts(p) || at.Sub(p.relayedAt) >= refresh {
+		contradicts := c.contradicts(p)
+		if at.Sub(p.changedAt) <= changeRepeat || contradicts || at.Sub(p.relayedAt) >= refresh {
 			p.relayedAt = at
+			beat := p.heartbeat
+			if !contradicts { // names of lost instances are of no use to other zones
+				beat.Silent = nil
+			}
 			relayed = append(relayed, gossip.RelayedHeartbeat{
 				AgeMillis: age,
-				Beat:      p.heartbeat,
+				Beat:      beat,
 			})
 		}
 	}
--- a/core/cluster/silence.go
+++ b/core/cluster/silence.go
@@ -14,7 +14,7 @@
 	// half a second while nothing is lost.
 	askAfter = silentAfter
 	// maxSilent is the largest number of processes that a heartbeat names as silent.
-	maxSilent = 16
+	maxSilent = 8
 	// firstAnswers is the number of instances that pass a heartbeat on when they are asked. All that can do it do after answerAllAfter,
 	// which leaves several rounds until goneAfter.
 	firstAnswers   = 2
@@ -26,6 +26,9 @@
 	// unheardAfter is the silence of this instance for another one after which that one is about to count it as gone. It is longer than
 	// isolatedAfter, since an isolated instance counts nobody as gone, and shorter than goneAfter.
 	unheardAfter = 2500 * time.Millisecond
+	// unheardLife is how long it counts that another instance has not heard from this one. If it names others in turn, it names this one
+	// again within that time.
+	unheardLife = time.Second
 )
 
 // answer is an answer to an instance about a silent process.
@@ -156,7 +159,7 @@
 // unheardBy returns the name of a live instance that has not heard from this one, empty if there is none. The caller holds the lock.
 func (c *Cluster) unheardBy() string {
 	for name, p := range c.peers {
-		if !p.gone && p.countsAsGone(c.self.Incarnation) {
+		if !p.gone && !p.countsSelfAt.IsZero() && c.expiredAt.Sub(p.countsSelfAt) <= unheardLife {
 			return name
 		}
 	}
@@ -164,10 +167,10 @@
 	return ""
 }
 
-// countsAsGone reports whether the instance counts a process as gone, or is about to.
-func (p *peer) countsAsGone(incarnation string) bool {
+// countsAsGone reports whether the instance counts another one as gone, or is about to.
+func (p *peer) countsAsGone(m gossip.Member) bool {
 	return slices.ContainsFunc(p.heartbeat.Silent, func(s gossip.SilentProcess) bool {
-		return s.Incarnation == incarnation && s.AgeMillis >= int(unheardAfter.Milliseconds())
+		return s.Name == m.Name && s.Incarnation == m.Incarnation && s.AgeMillis >= int(unheardAfter.Milliseconds())
 	})
 }
 
@@ -175,7 +178,7 @@
 func (c *Cluster) contradicts(p *peer) bool {
 	return slices.ContainsFunc(p.heartbeat.Silent, func(s gossip.SilentProcess) bool {
 		o := c.peers[s.Name]
-		heard := s.Incarnation == c.self.Incarnation || o != nil && !o.gone && o.heartbeat.Sender.Incarnation == s.Incarnation
+		heard := s.Name == c.self.Name && s.Incarnation == c.self.Incarnation || o != nil && !o.gone && o.heartbeat.Sender.Incarnation == s.Incarnation
 
 		return heard && s.AgeMillis >= int(unheardAfter.Milliseconds())
 	})
