--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -107,6 +107,8 @@
 		return
 	}
 	blind := r.blind(at)
+	// An instance that does not hear this one would not learn of what this one takes over, and take it over again.
+	unheard := r.cluster.Unheard()
 	takeovers := 0
 	for id, o := range r.orphans {
 		switch {
@@ -121,7 +123,7 @@
 			return
 		}
 		// Nobody else takes over a job that this instance has claimed.
-		if o.dismissed || o.running || at.Before(o.dueAt) || blind && o.held && !o.claimed {
+		if o.dismissed || o.running || at.Before(o.dueAt) || (unheard || blind && o.held) && !o.claimed {
 			continue
 		}
 		takeovers++
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -481,3 +481,69 @@
 		is.Equal(len(page.Results), 1)
 	})
 }
+
+// Guards against a replaced holder that answers from memory a caller which has got further results from the new one, and against reads of the
+// store for each read of a caller that makes positions up.
+func TestReadBehindWhatTheHolderKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		l := logs.New(f.objects)
+		holder, stop := f.startHolder(t, 4)
+		defer stop()
+		time.Sleep(time.Minute)
+		before := f.objects.Reads("jobs") + f.objects.Reads("job-results")
+		for range 50 {
+			page, err := holder.Read(t.Context(), "j", 3, time.Now())
+			is.NoErr(err)
+			is.Equal(len(page.Results), 0)
+		}
+		is.True(f.objects.Reads("jobs")+f.objects.Reads("job-results")-before <= 2)
+		time.Sleep(time.Minute)
+		record, revision, err := l.Job(t.Context(), "j")
+		is.NoErr(err)
+		record.Holder, record.Incarnation = "e2", "e2"
+		_, err = l.Update(t.Context(), *record, revision)
+		is.NoErr(err)
+		for position, item := range []string{"j-1", "j-2", "j-3"} {
+			is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e2"))
+		}
+		page, err := holder.Read(t.Context(), "j", 2, time.Now())
+		is.NoErr(err)
+		is.Equal(page.Next, 3)
+		is.True(!holder.holds("j"))
+	})
+}
+
+// Guards against a new holder that answers from memory after its predecessor, which was frozen between its look at the store and its write,
+// has listed results much later, and against one that reads the store for ever.
+func TestReadAfterWriteOfFrozenHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		f.abandonJobs(t, "job")
+		holder, stop := f.start("e2")
+		defer stop()
+		holder.ObserveOrphan("job")
+		time.Sleep(2 * lateWriteWindow)
+		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 0)
+		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e1"))
+		time.Sleep(verifyInterval)
+		page, err = holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(len(page.Results), 1)
+		// No write of the former holder can take effect behind one of this holder.
+		holder.write(t.Context(), holder.jobs["job"], 1, []work.Result{{Item: "job-2", State: work.StateDead}})
+		reads := f.objects.Reads("job-results")
+		for range 5 {
+			time.Sleep(verifyInterval)
+			_, err = holder.Read(t.Context(), "job", 2, time.Now())
+			is.NoErr(err)
+		}
+		is.Equal(f.objects.Reads("job-results"), reads)
+	})
+}
