Split the functions that the linter finds too complex

Expire and call lose a part each to a function of its own, request takes its context first, and the unused chance goes. No change of behaviour.

--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -28,7 +28,33 @@
 		c.log.Warn("instance isolated, since it hears from no other one", "others", len(c.peers), "listed", c.unmet())
 	}
 	alone := isolated || c.alone()
-	silent, recent := 0, false
+	silent, recent := c.expirePeers(at, isolated, alone)
+	// They may still hear each other, and take over the jobs of this instance.
+	silent += len(c.unconfirmed)
+	// One that hears others gets this instance's heartbeats from them, or learns from them that it is not heard itself. So a single peer that
+	// has been silent for longer than singleSilenceLimit is isolated and cannot have taken over this instance's jobs, unless it is the only
+	// one. Two or more silent peers may still reach each other and take them over. An instance that hears from one other one is heard by it,
+	// even if the store lists more.
+	if recent || silent > 1 || alone || c.hasStrangers() || len(c.peers) == 0 && c.unmet() > 1 {
+		c.selfSuspectedAt = at
+	}
+	unheardBy := c.unheardBy()
+	if unheardBy != "" {
+		c.selfSuspectedAt = at
+	}
+	c.noteUnheard(unheardBy)
+	c.forgetLost(at)
+	// An instance that hears nobody may be heard by the others, who would count it as gone if it became silent.
+	if !alone {
+		c.forgetTargets(at)
+	}
+
+	return c.changes
+}
+
+// expirePeers updates what is known of all others by their silence. It returns how many are silent and may have taken over jobs of this
+// instance, and whether one of them became silent lately. The caller holds the lock.
+func (c *Cluster) expirePeers(at time.Time, isolated, alone bool) (silent int, recent bool) {
 	c.checkedAt = time.Time{}
 	c.silent = c.silent[:0]
 	for name, p := range c.peers {
@@ -55,27 +81,8 @@
 		}
 	}
 	slices.Sort(c.silent)
-	// They may still hear each other, and take over the jobs of this instance.
-	silent += len(c.unconfirmed)
-	// One that hears others gets this instance's heartbeats from them, or learns from them that it is not heard itself. So a single peer that
-	// has been silent for longer than singleSilenceLimit is isolated and cannot have taken over this instance's jobs, unless it is the only one. Two or more silent peers may still reach each other and take them
-	// over. An instance that hears from one other one is heard by it, even if the store lists more.
-	if recent || silent > 1 || alone || c.hasStrangers() || len(c.peers) == 0 && c.unmet() > 1 {
-		c.selfSuspectedAt = at
-	}
-	if name := c.unheardBy(); name != "" {
-		c.selfSuspectedAt = at
-		c.noteUnheard(name)
-	} else {
-		c.noteUnheard("")
-	}
-	c.forgetLost(at)
-	// An instance that hears nobody may be heard by the others, who would count it as gone if it became silent.
-	if !alone {
-		c.forgetTargets(at)
-	}
 
-	return c.changes
+	return silent, recent
 }
 
 // forget drops a silent instance. Unless it was leaving, it may be alive in a group that is cut off from this one. The caller holds the
--- a/internal/virtualfleet/fleet.go
+++ b/internal/virtualfleet/fleet.go
@@ -19,13 +19,15 @@
 )
 
 const (
+	// Target is the path of the only route.
+	Target = "/b/1"
+	// Host is the host of the only route.
+	Host = "h"
+
 	// maxMessageBytes bounds a heartbeat, peerPort is the port of all instances, and serverSlots the slots of each backend server.
 	maxMessageBytes = 1 << 20
 	peerPort        = 7000
 	serverSlots     = 8
-	// Target is the path of the only route, and Host its host.
-	Target = "/b/1"
-	Host   = "h"
 )
 
 // Fleet is a number of instances with the same store and backend servers. It is safe for concurrent use.
@@ -223,7 +225,7 @@
 			Tokens: 1,
 		})
 	}
-	_, err := request(f, ctx, n, func(ctx context.Context, p *process) (struct{}, error) {
+	_, err := request(ctx, f, n, func(ctx context.Context, p *process) (struct{}, error) {
 		return struct{}{}, p.runner.Submit(ctx, &f.table.Routes[0], j, list)
 	})
 
@@ -232,13 +234,13 @@
 
 // Read reads results of a job at an instance, as a caller that waits until ctx ends.
 func (f *Fleet) Read(ctx context.Context, n int, id string, after int, wait time.Duration) (jobpage.Page, error) {
-	return request(f, ctx, n, func(ctx context.Context, p *process) (jobpage.Page, error) {
+	return request(ctx, f, n, func(ctx context.Context, p *process) (jobpage.Page, error) {
 		return p.runner.Read(ctx, id, after, time.Now().Add(wait))
 	})
 }
 
 // request makes a call of a caller to an instance. The instance goes on when the caller gives up.
-func request[T any](f *Fleet, ctx context.Context, n int, do func(ctx context.Context, p *process) (T, error)) (T, error) {
+func request[T any](ctx context.Context, f *Fleet, n int, do func(ctx context.Context, p *process) (T, error)) (T, error) {
 	type outcome struct {
 		value T
 		err   error
@@ -297,13 +299,6 @@
 	f.tasks.Wait()
 }
 
-func (f *Fleet) chance(p float64) bool {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-
-	return f.random.Float64() < p
-}
-
 // delay returns a random time up to a limit.
 func (f *Fleet) delay(limit time.Duration) time.Duration {
 	f.lock.Lock()
--- a/internal/virtualfleet/memory.go
+++ b/internal/virtualfleet/memory.go
@@ -137,14 +137,7 @@
 	unavailable := fault.New(fault.CodeStoreUnavailable, "the store cannot be reached")
 	unknown := fault.New(fault.CodeOutcomeUnknown, "the store did not answer")
 	for {
-		if ctx.Err() != nil || p.ctx.Err() != nil {
-			return 0, unavailable
-		}
-		if write != "" {
-			p.freezeAtWrite(write)
-		}
-		p.pass()
-		if p.ctx.Err() != nil {
+		if !p.maySend(ctx, write) {
 			return 0, unavailable
 		}
 		what, delay := p.fate(write != "")
@@ -188,6 +181,19 @@
 	}
 }
 
+// maySend reports whether a call may be sent: ctx is not over and the process is alive, also after it has been frozen in between.
+func (p *process) maySend(ctx context.Context, write string) bool {
+	if ctx.Err() != nil || p.ctx.Err() != nil {
+		return false
+	}
+	if write != "" {
+		p.freezeAtWrite(write)
+	}
+	p.pass()
+
+	return p.ctx.Err() == nil
+}
+
 // Create implements the store of the core packages.
 func (p *process) Create(ctx context.Context, kind, name string, value any) (int64, error) {
 	encoded, err := json.Marshal(value)
