Check the holder when results of another writer turn up

What callers would see: results that had been read were missing at a later read. A holder that reads the store for late writes of its predecessor took whatever it found there for such writes. If they are of a successor that it does not know of, it then knew what the successor had listed, and listed its own results behind that without a conflict. The successor has listed results itself, so that it no longer looks for those of others once the time for late writes is over, and answers from memory without them. A conflict was the only way in which the former holder would have learned that it was replaced.

Change: results that are found in the store behind those in memory make the instance ask who holds the job before it lists further ones, and at its next read of the store. That is one read of the record for each late write, or own write without an acknowledgement.

Evidence: TestResultsOfUnknownSuccessor failed before: the replaced holder listed a result behind one of its successor.

Ruled out: the conflict of a write, which checks the holder already.

--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -203,6 +203,8 @@
 		}
 		r.lock.Lock()
 		j.list(position, found)
+		// They may be of a predecessor, but also of a successor that this instance does not know of.
+		j.contested = true
 		r.lock.Unlock()
 	}
 }
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -547,3 +547,39 @@
 		is.Equal(f.objects.Reads("job-results"), reads)
 	})
 }
+
+// Guards against a holder that looks for late writes of its predecessor, finds results of a successor that it does not know of, and goes on
+// listing results behind them: the successor does not look for those, and answers from memory without them.
+func TestResultsOfUnknownSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		f.abandonJobs(t, "job")
+		holder, stop := f.start("e2")
+		defer stop()
+		holder.ObserveOrphan("job")
+		time.Sleep(time.Second)
+		record, revision, err := l.Job(t.Context(), "job")
+		is.NoErr(err)
+		is.Equal(record.Holder, "e2")
+		record.Holder, record.Incarnation = "e3", "e3"
+		_, err = l.Update(t.Context(), *record, revision)
+		is.NoErr(err)
+		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e3"))
+		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		is.NoErr(err)
+		is.Equal(page.Next, 1)
+		holder.lock.Lock()
+		j := holder.jobs["job"]
+		holder.lock.Unlock()
+		if j != nil {
+			holder.write(t.Context(), j, 1, []work.Result{{Item: "job-2", State: work.StateDead}})
+		}
+		segment, err := l.Segment(t.Context(), "job", 1)
+		is.NoErr(err)
+		is.Equal(len(segment), 0)
+		is.True(!holder.holds("job"))
+	})
+}
