Tell forgotten instances that they are not heard

What callers would see: results that had been read were missing at a later read, and items ran again. An instance whose heartbeats reach nobody, while it hears the others, learns from their heartbeats that it is not heard, and takes nothing over. After 30 s they forget it and name it no longer. Those that watch the store go on sending to it, the others do not: it hears some, takes the rest for gone and takes over their jobs. These do not expect that, since a single instance that was forgotten counts as isolated or as one that knows that it is not heard.

Change: a forgotten instance is named, in turn with the silent ones and within the same limit, until it is heard again or its loss is confirmed. That is one name in each heartbeat while one instance is lost for good; the loss of several is confirmed after a minute.

Evidence: TestForgottenInstanceTakesNothingOver failed before: of three instances, the one whose heartbeats are lost took a live one for gone without knowing that nobody hears it.

Ruled out: to go on expecting takeovers after a single instance was forgotten, since every instance that is lost for good would make all others ask the store.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -122,6 +122,12 @@
 	return p.heardRecently(at) && !p.heartbeat.Sender.Leaving
 }
 
+// forgotten is an instance that was forgotten at a time, with its last process, which is empty if none was ever heard from.
+type forgotten struct {
+	at          time.Time
+	incarnation string
+}
+
 // target is an address to which heartbeats are sent.
 type target struct {
 	forgetAt time.Time
@@ -176,9 +182,9 @@
 	checkedAt time.Time
 	// selfSuspectedAt is the last time at which another instance may have counted this one as gone.
 	selfSuspectedAt time.Time
-	// unconfirmed holds the instances that were forgotten although they may be alive in a group that is cut off from this one, and when.
-	unconfirmed map[string]time.Time
-	// silent are the names of the instances from which this one had not heard for a while when Expire was last called.
+	// unconfirmed holds the instances that were forgotten although they may be alive in a group that is cut off from this one.
+	unconfirmed map[string]forgotten
+	// silent are the names of the instances from which this one had not heard for a while when Expire was last called, with those forgotten.
 	silent []string
 	// answered holds the latest answers about silent processes, and until when each is not repeated.
 	answered map[answer]time.Time
@@ -196,7 +202,7 @@
 		selfSuspectedAt: at,
 		targets:         map[netip.AddrPort]target{},
 		zoneReports:     map[string]zoneReport{},
-		unconfirmed:     map[string]time.Time{},
+		unconfirmed:     map[string]forgotten{},
 		strangers:       map[string]bool{},
 		replaced:        map[string]replacedProcess{},
 		taken:           map[string]*takenJobs{},
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -54,6 +53,7 @@
 			c.forget(name, at)
 		}
 	}
+	c.addForgotten()
 	slices.Sort(c.silent)
 	// They may still hear each other, and take over the jobs of this instance.
 	silent += len(c.unconfirmed)
@@ -81,8 +81,11 @@
 // forget drops a silent instance. Unless it was leaving, it may be alive in a group that is cut off from this one. The caller holds the
 // lock.
 func (c *Cluster) forget(name string, at time.Time) {
-	if !c.peers[name].heartbeat.Sender.Leaving {
-		c.unconfirmed[name] = at
+	if s := c.peers[name].heartbeat.Sender; !s.Leaving {
+		c.unconfirmed[name] = forgotten{
+			at:          at,
+			incarnation: s.Incarnation,
+		}
 	}
 	delete(c.peers, name)
 	c.zones = nil
@@ -97,14 +100,19 @@
 		return nil
 	}
 
-	return maps.Clone(c.unconfirmed)
+	list := make(map[string]time.Time, len(c.unconfirmed))
+	for name, f := range c.unconfirmed {
+		list[name] = f.at
+	}
+
+	return list
 }
 
 // ConfirmLost records that an instance that was forgotten at a time is lost, unless it was heard from since.
 func (c *Cluster) ConfirmLost(name string, forgottenAt time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if at, ok := c.unconfirmed[name]; ok && at.Equal(forgottenAt) {
+	if f, ok := c.unconfirmed[name]; ok && f.at.Equal(forgottenAt) {
 		delete(c.unconfirmed, name)
 		if c.strangers[name] {
 			c.strangers[name] = false
--- a/core/cluster/silence.go
+++ b/core/cluster/silence.go
@@ -47,7 +47,15 @@
 	}
 	list := make([]gossip.SilentProcess, 0, maxSilent)
 	for n := range min(maxSilent, len(c.silent)) {
-		p := c.peers[c.silent[(round*maxSilent+n)%len(c.silent)]]
+		name := c.silent[(round*maxSilent+n)%len(c.silent)]
+		p := c.peers[name]
+		if f, ok := c.unconfirmed[name]; ok && p == nil {
+			list = append(list, gossip.SilentProcess{
+				Name:        name,
+				Incarnation: f.incarnation,
+				AgeMillis:   int(forgetAfter.Milliseconds()) + gossip.Age(f.at, at),
+			})
+		}
 		if p != nil && p.isSilent(c.listeningSince, at) {
 			list = append(list, gossip.SilentProcess{
 				Name:        p.heartbeat.Sender.Name,
@@ -60,6 +68,16 @@
 	return list
 }
 
+// addForgotten adds the forgotten instances to the silent ones: one that hears this instance has to know that it is not heard as long as
+// its loss is not confirmed. The caller holds the lock.
+func (c *Cluster) addForgotten() {
+	for name, f := range c.unconfirmed {
+		if f.incarnation != "" {
+			c.silent = append(c.silent, name)
+		}
+	}
+}
+
 // isSilent reports whether this instance has not heard from the instance itself for a while. One that is leaving is expected to become
 // silent.
 func (p *peer) isSilent(listeningSince, at time.Time) bool {
--- a/core/cluster/stranger.go
+++ b/core/cluster/stranger.go
@@ -37,7 +37,9 @@
 	for _, name := range c.listed {
 		if _, noted := c.strangers[name]; !noted && c.peers[name] == nil {
 			c.strangers[name] = true
-			c.unconfirmed[name] = at
+			c.unconfirmed[name] = forgotten{
+				at: at,
+			}
 			c.log.Warn("listed instance never heard from", "peer", name, "listed", len(c.listed), "others", len(c.peers))
 		}
 	}
