Expect takeovers by a group that was cut off before the start

What callers would see: results that had been read were missing at a later read, and items ran again. While a group of at least two instances is cut off from most others, but not from the store, one of the others restarts. The group knows its former process only, which ended, and takes over the jobs that the new one accepts. The new one hears at least half of the listed instances, so that it noted none of the rest, and has never heard the group: it did not expect this, answered from memory and got no announcement. Until its next write to the store, the job has two holders that do not know of each other.

Change: the listed instances that a process has not heard from 3 s after its start count as instances that were forgotten: it asks the store until they are heard or their loss is confirmed. As before, it takes their jobs over if it hears half of those that are listed. A single one makes no difference, since it is isolated.

Evidence: TestStartBesideGroupThatIsCutOff failed before: the new process expected nothing.

Costs: a process that starts while two or more listed instances are lost asks the store for about a minute, with one read of a job's record for each write of results, and looks at the addresses twice.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -163,10 +163,12 @@
 	// alive.
 	listed []string
 	met    bool
-	// strangers are the listed instances that were never heard from, and whether each may be alive, until metMost is set, when half of the
-	// listed ones are heard from or none is alive.
+	// strangers are the listed instances that were never heard from, and whether this one takes over none of their jobs, until metMost is
+	// set, when half of the listed ones are heard from or none is alive.
 	strangers map[string]bool
 	metMost   bool
+	// strangersNoted is set once the strangers were noted after metMost.
+	strangersNoted bool
 	// lastHeardAt is when any other instance was last heard from.
 	lastHeardAt time.Time
 	// isolatedSince is when this instance noticed that it hears from no other one, zero while it does.
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -689,3 +689,41 @@
 	c.RecordSearch(start)
 	is.Equal(c.SearchedAt(), start.Add(700*time.Millisecond))
 }
+
+// Guards against a new process that hears most of the fleet, but not a group that was cut off before it started: that group takes its jobs
+// over, and it would answer from memory. And against one that expects this of instances that it hears soon, or that are known to be lost.
+func TestStartBesideGroupThatIsCutOff(t *testing.T) {
+	is := is.New(t)
+	play := func(heard ...int) (c *Cluster, at time.Time) {
+		c, at = newCluster(0), start
+		c.Expire(at)
+		c.Expect(names(5))
+		for at.Before(start.Add(10 * time.Second)) {
+			at = at.Add(200 * time.Millisecond)
+			for _, n := range heard {
+				c.Observe(&gossip.Heartbeat{Sender: member(n, "1"), Sequence: int(at.Sub(start))}, at)
+			}
+			c.Expire(at)
+		}
+
+		return c, at
+	}
+	suspects := func(c *Cluster, at time.Time) bool {
+		c.Expire(at)
+
+		return c.SuspectedSince(at.Add(-1), at)
+	}
+	c, at := play(1, 2, 3)
+	is.True(suspects(c, at))
+	is.Equal(len(c.Unconfirmed()), 2)
+	is.True(!c.Alive("e4", "1", at)) // its jobs wait for nothing
+	c.ConfirmLost("e4", c.Unconfirmed()["e4"])
+	is.True(!suspects(c, at.Add(100*time.Millisecond))) // a single one that is cut off is isolated
+	c, at = play(1, 2, 3, 4, 5)
+	is.True(!suspects(c, at))
+	c, at = play(1, 2, 3)
+	c.Observe(&gossip.Heartbeat{Sender: member(4, "1"), Sequence: 1}, at)
+	c.Observe(&gossip.Heartbeat{Sender: member(5, "1"), Sequence: 1}, at)
+	is.Equal(len(c.Unconfirmed()), 0)
+	is.True(!suspects(c, at.Add(100*time.Millisecond)))
+}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -250,7 +250,7 @@
 	c.peers, c.zones = map[string]*peer{}, nil
 	clear(c.unconfirmed)
 	clear(c.strangers)
-	c.met, c.metMost = true, true
+	c.met, c.metMost, c.strangersNoted = true, true, true
 	c.checkedAt = time.Time{}
 	c.isolatedSince = time.Time{}
 	c.listeningSince = at
--- a/core/cluster/stranger.go
+++ b/core/cluster/stranger.go
@@ -12,31 +12,33 @@
 	}
 }
 
-// noteStrangers notes the instances that the store lists and that this one has never heard from, until it has heard from half of those that
-// are listed. It may have started behind a partition together with those that it hears. The others may be alive, so that it takes none of
-// their jobs over, and take over its own. The caller holds the lock.
+// noteStrangers notes the instances that the store lists and that this one has never heard from. They may be alive in a group that is cut off
+// from this one, and take over its jobs. Until it has heard from half of those that are listed, it may itself have started behind a partition
+// together with those that it hears, so that it takes none of their jobs over. The caller holds the lock.
 func (c *Cluster) noteStrangers(at time.Time) {
-	switch {
-	case c.metMost || len(c.listed) == 0:
+	if c.strangersNoted || len(c.listed) == 0 {
 		return
-	case 2*len(c.peers) >= len(c.listed):
+	}
+	if !c.metMost && 2*len(c.peers) >= len(c.listed) {
 		c.metMost = true
 		for name, stranger := range c.strangers {
 			if stranger {
-				delete(c.unconfirmed, name)
+				c.strangers[name] = false
 				c.changes++
 			}
 		}
-		clear(c.strangers)
-
-		return
-	case len(c.peers) == 0 || at.Sub(c.listeningSince) <= isolatedAfter:
+	}
+	listening := at.Sub(c.listeningSince)
+	if len(c.peers) == 0 || listening <= isolatedAfter || c.metMost && listening <= goneAfter {
 		// It is about to be isolated, or has just started.
 		return
 	}
+	c.strangersNoted = c.metMost
 	for _, name := range c.listed {
-		if _, noted := c.strangers[name]; !noted && c.peers[name] == nil {
-			c.strangers[name] = true
+		_, noted := c.strangers[name]
+		_, known := c.unconfirmed[name]
+		if !noted && !known && c.peers[name] == nil {
+			c.strangers[name] = !c.metMost
 			c.unconfirmed[name] = forgotten{
 				at: at,
 			}
