Keep a doubt that is raised while the store is asked for the holder

What callers would see: results that had been read were missing at a later read. A holder that suspects that it was replaced reads the job's record before it writes. If another instance takes the job over and announces it after the store has read the record, but before its response arrives, the response settled that doubt as well: the holder took the other one for a former holder and ignored its announcements for 4 s, which is as long as they are repeated. From then on two holders did not know of each other, and the replaced one answered from memory once it no longer suspected itself.

Change: a check of the holder settles only what was known when it began. A doubt that is raised in between stands, so that the store is asked again.

Evidence: TestReplacedDuringCheck failed before: 2 s after the takeover the replaced instance still held the job, although it had heard 20 announcements.

Ruled out: doubts while no write is on its way, since the next step asks the store at once beside the other check.

--- a/core/jobrun/announce.go
+++ b/core/jobrun/announce.go
@@ -85,6 +85,7 @@
 	}
 	if j := r.jobs[id]; j != nil && j.doubtedBy == "" && (j.previous != incarnation || r.now().After(j.previousUntil)) {
 		j.doubtedBy = incarnation
+		j.doubts++
 		r.logger.Warn("another instance announces a job that this one holds", "job", id, "holder", holder, "incarnation", incarnation)
 		r.signal()
 	}
--- a/core/jobrun/announce_test.go
+++ b/core/jobrun/announce_test.go
@@ -1,6 +1,7 @@
 package jobrun
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -13,6 +14,7 @@
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/jobread"
 	"tarragonwalk/core/work"
+	"tarragonwalk/internal/fakeobjects"
 )
 
 func announced(r *Runner) *gossip.Heartbeat {
@@ -198,3 +200,53 @@
 	is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", 2)))
 	is.Equal(f.objects.Len(), 0)
 }
+
+// lateRecords is a store whose responses to reads of job records take a while.
+type lateRecords struct {
+	*fakeobjects.Store
+}
+
+func (s lateRecords) Read(ctx context.Context, kind, name string, value any) (int64, error) {
+	revision, err := s.Store.Read(ctx, kind, name, value)
+	if kind == "jobs" {
+		time.Sleep(300 * time.Millisecond)
+	}
+
+	return revision, err
+}
+
+// Guards against a holder that takes the announcement of its successor for an outdated one, since it comes while the response of the store
+// that this instance was the holder is on its way.
+func TestReplacedDuringCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.usedSlots = 100 // nothing runs
+		l := logs.New(f.objects)
+		old, stop := f.startOn("old", logs.New(lateRecords{f.objects}))
+		defer stop()
+		is.NoErr(old.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", 2)))
+		f.maybeReplaced = true
+		old.lock.Lock()
+		j := old.jobs["job"]
+		j.pending = []work.Result{{Item: "job-1", State: work.StateDead}}
+		old.lock.Unlock()
+		reads := f.objects.Reads("jobs")
+		for f.objects.Reads("jobs") == reads {
+			time.Sleep(time.Millisecond)
+		}
+		f.lock.Lock()
+		f.maybeReplaced = false
+		f.lock.Unlock()
+		record, revision, err := l.Job(t.Context(), "job")
+		is.NoErr(err)
+		record.Holder, record.Incarnation = "new", "new"
+		_, err = l.Update(t.Context(), *record, revision)
+		is.NoErr(err)
+		for range 20 {
+			old.ObserveHolder("job", "new", "new")
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(!old.holds("job"))
+	})
+}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -87,7 +87,9 @@
 	doubtedBy     string
 	// contested is set until the store has confirmed this instance as the holder, if there seems to be another one.
 	contested bool
-	ended     bool
+	// doubts counts how often doubtedBy or contested was set.
+	doubts int
+	ended  bool
 	// releasing is set while this instance gives the job up: its record may already be without a holder, or name another one.
 	releasing bool
 	released  bool
@@ -176,6 +178,12 @@
 	j.notify()
 }
 
+// contest is called when there seems to be another holder.
+func (j *job) contest() {
+	j.contested = true
+	j.doubts++
+}
+
 // expectOthers is called when another instance is known to have listed results. It may have listed further ones, and may go on until it
 // learns that it was replaced.
 func (j *job) expectOthers(at time.Time) {
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -80,6 +80,9 @@
 // unknown.
 func (r *Runner) checkHolder(ctx context.Context, j *job) (held bool, err error) {
 	at := r.now()
+	r.lock.Lock()
+	doubts := j.doubts
+	r.lock.Unlock()
 	record, revision, err := r.log.Job(ctx, j.ID)
 	if err != nil {
 		return false, err
@@ -88,6 +91,10 @@
 		r.lock.Lock()
 		defer r.lock.Unlock()
 		j.heldAt = at
+		if j.doubts != doubts {
+			// The record may have changed since the store read it.
+			return true, nil
+		}
 		j.contested = false
 		if j.doubtedBy != "" {
 			j.previous, j.doubtedBy = j.doubtedBy, ""
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -81,7 +81,7 @@
 	if !j.contested {
 		r.logger.Warn("results returned that the holder does not know", "job", j.ID, "listed", len(j.results), "returned", returned, "revision", j.revision)
 	}
-	j.contested = true
+	j.contest()
 	j.expectOthers(r.now())
 }
 
@@ -204,7 +204,7 @@
 		r.lock.Lock()
 		j.list(position, found)
 		// They may be of a predecessor, but also of a successor that this instance does not know of.
-		j.contested = true
+		j.contest()
 		r.lock.Unlock()
 	}
 }
