--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -41,7 +41,8 @@
 	durations  = histogram.New("ForwardDurationMillis")
 )
 
-var errTimeout = fault.New(fault.CodeDeadlinePassed, "the time-out of the route or the caller's deadline has passed")
+// ErrTimeout is the error of a request whose time has passed, and the cause with which a context of Run has to end then.
+var ErrTimeout = fault.New(fault.CodeDeadlinePassed, "the time-out of the route or the caller's deadline has passed")
 
 type sender interface {
 	Send(ctx context.Context, s backend.Server, q *call.Call, after int64) (*response.Response, error)
@@ -122,7 +123,7 @@
 
 		return err
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, f.Deadline(r, q), errTimeout)
+	ctx, cancel := context.WithDeadlineCause(ctx, f.Deadline(r, q), ErrTimeout)
 	defer cancel()
 	rs := &requestState{
 		forwarder: f,
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -283,8 +283,8 @@
 		rs.ran++
 		rs.abandonNext()
 	}
-	if errors.Is(context.Cause(ctx), errTimeout) {
-		return errTimeout
+	if errors.Is(context.Cause(ctx), ErrTimeout) {
+		return ErrTimeout
 	}
 	if rs.ran > 0 && fault.NotRun(err) {
 		return fault.Wrap(err, fault.CodeOutcomeUnknown, "an earlier attempt may have run")
