Call no answered request of tarragonwalk serve unhandled

What operators saw: with `tarragonwalk serve`, each connection that ends with its answer, such as one whose caller asks for that, left "caller's connection ended before its request was handled" in the log and counted under CallerConnectionsClosed, Unhandled, as a request that is lost would.

Cause: the limiter learns from its Handler whether a request is handled. The two servers on fasthttp use only its listener and ConnState hook.

Change: ends are called unhandled only by a limiter that has a handler.

TestEndsAreLogged still demands the line on the users' platform.

--- a/io/idleconn/limiter.go
+++ b/io/idleconn/limiter.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -62,6 +63,8 @@
 	limits func() (header, idle time.Duration)
 	now    func() time.Time
 	logger *slog.Logger
+	// handles is set once the limiter has a handler, without which it does not know whether a request is handled.
+	handles atomic.Bool
 	// lock guards the fields below.
 	lock        sync.Mutex
 	listeners   []*listener
@@ -138,7 +141,7 @@
 func (l *Limiter) forget(inner net.Conn) {
 	w, ok := l.connections[inner]
 	delete(l.connections, inner)
-	if ok && w.state == http.StateActive && !w.handled {
+	if ok && w.state == http.StateActive && !w.handled && l.handles.Load() {
 		closed.Add("Unhandled", 1)
 		l.logger.Info("caller's connection ended before its request was handled", "caller", inner.RemoteAddr().String())
 	}
@@ -160,6 +163,8 @@
 // new, until it has read the head of the request, so that a request may arrive while the connection is being closed. Its caller is told
 // nothing or that it was not run, so it must not reach next.
 func (l *Limiter) Handler(next http.Handler) http.Handler {
+	l.handles.Store(true)
+
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := ConnectionOf(r); c != nil && !l.begin(c) {
 			closed.Add("WithRequest", 1)
