Accept a second server with its first event also if that is long

What callers could see: a stream that is cut, or not answered, beside a server that is silent for a moment: the second server sent more than 4 KiB of its first event and then broke off or fell silent, while the first one went on.

Cause: awaitEvent, which tells whether the second server has accepted the request, took 4 KiB of any content for an event. The bound was meant for comments, of which a server may send any number.

Change: bytes of an event that is not complete do not count towards that bound. The splitter bounds the event, and it counts in the budget of memory.

Evidence: four forms of TestHeadIsNoReplacement with a long event that is not completed failed before (begun or not, broken off or silent).

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -83,13 +83,17 @@
 		if found, err := nextData(splitter); found || err != nil {
 			return err
 		}
+		// What is read of a long event is here and in the splitter.
+		if err := a.resize(2 * splitter.Pending()); err != nil {
+			return err
+		}
 		switch {
 		case errors.Is(err, io.EOF) && began && splitter.Pending() == 0:
 			a.empty = true
 
 			return nil
-		case len(read) >= readBytes:
-			return nil
+		case len(read)-splitter.Pending() >= readBytes:
+			return nil // comments only, which a server may send without end
 		case err != nil:
 			return fault.Wrap(err, fault.CodeOutcomeUnknown, "the stream broke off before its first event")
 		}
--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,11 +12,13 @@
 	"tarragonwalk/core/route"
 )
 
-// Guards against a request that is taken from its sound server for the mere head of a second one, which then sends no event.
+// Guards against a request that is taken from its sound server for the mere head of a second one, which then sends no event, or for a part of
+// a long event.
 func TestHeadIsNoReplacement(t *testing.T) {
 	stream := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 40, GapMillis: 40, TimeoutMillis: 4000}
 	begun := reply{status: 200, body: whole, slow: 60 * time.Millisecond, first: time.Millisecond}
 	late := reply{status: 200, body: whole, slow: 60 * time.Millisecond}
+	part := "\ndata: " + strings.Repeat("x", 2*readBytes)
 	for _, c := range []struct {
 		name         string
 		first, other reply
@@ -24,6 +27,10 @@
 		{"begun, other is silent after its head", begun, reply{status: 200, stream: true, hung: true}},
 		{"not begun, other breaks off after its head", late, reply{status: 200, stream: true, broken: true}},
 		{"not begun, other is silent after its head", late, reply{status: 200, stream: true, hung: true}},
+		{"begun, other breaks off within a long event", begun, reply{status: 200, body: "id: 2" + part, broken: true}},
+		{"begun, other is silent within a long event", begun, reply{status: 200, body: "id: 2" + part, hung: true}},
+		{"not begun, other breaks off within a long event", late, reply{status: 200, body: "id: 1" + part, broken: true}},
+		{"not begun, other is silent within a long event", late, reply{status: 200, body: "id: 1" + part, hung: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
