Count a response whose caller has left as cancelled

The end of the caller's connection cancels the read from the backend server, whose failure then names the server.

Such an end is counted and logged as cancelled now; what callers get is the same. TestCutOfCallerThatLeft failed before (no count under that name).

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -138,10 +138,7 @@
 		loadLimit: f.loadLimit(r, q),
 	}
 	err := rs.run(ctx)
-	outcome := "answered"
-	if err != nil {
-		outcome = string(fault.CodeOf(err))
-	}
+	outcome := outcomeOf(ctx, err)
 	ends.Add(string(r.Kind)+" "+outcome, 1)
 	if err != nil && rs.began {
 		f.recordCut(rs, outcome)
@@ -155,6 +152,20 @@
 	return err
 }
 
+// outcomeOf returns the name under which the end of a request is counted. The end of its caller's connection may reach the request by a read
+// from the backend server, which fails as if that one had broken off.
+func outcomeOf(ctx context.Context, err error) string {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil:
+		return "answered"
+	case cause != nil && !errors.Is(cause, ErrTimeout) && fault.CodeOf(err) == fault.CodeOutcomeUnknown:
+		return string(fault.CodeCancelled)
+	default:
+		return string(fault.CodeOf(err))
+	}
+}
+
 // recordCut counts a response that ends incomplete, and logs whether an attempt of its request was ended for the silence of its server.
 func (f *Forwarder) recordCut(rs *requestState, outcome string) {
 	if rs.silenced {
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"log/slog"
 	"net/http"
@@ -382,6 +383,18 @@
 	is.Equal(len(f.failed), 0)
 }
 
+// Guards against a response that ends because its caller has left, and that is counted as one that its backend server broke off.
+func TestCutOfCallerThatLeft(t *testing.T) {
+	is := is.New(t)
+	f := &fake{replies: []reply{{status: 200, body: whole[:20], hung: true}}}
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, leave)
+	r := route.Route{Kind: route.KindStream}
+	cuts.Set(string(fault.CodeCancelled), new(expvar.Int))
+	is.True(newForwarder(f).Run(ctx, &r, &call.Call{ID: "1"}, &recorder{}) != nil)
+	is.Equal(cuts.Get(string(fault.CodeCancelled)).String(), "1")
+}
+
 // Guards against a stalled stream that sends a few bytes without data now and then and never ends, and against a slow but sound
 // stream that is cut: progress is an event with data, however slow the stream as a whole.
 func TestProgressIsAnEvent(t *testing.T) {
