Send to the whole zone while a gateway does not hear this instance

What callers would see: jobs of an instance that works are taken over, their items run again, and reads of them go to the store. An instance of a large zone sends its heartbeats to the gateways only. If these do not receive them, all others count it as gone although their links to it are sound: nobody hears it, so that nobody can pass its heartbeats on. It reads that it is not heard, answers the gateways, and takes nothing over, so that no result is missing.

Change: while an instance of its zone names it as silent, an instance sends its regular heartbeats to the whole zone, as it does while digests are missing. The others then pass them on to the gateways.

Evidence: TestMemberThatGatewaysDoNotHear failed before (23 of 24 instances live) and passes now, as do the tests that bound the number of messages.

Ruled out: the same for names from other zones, since each cut between two zones would make all instances send to all of their zone. A cut in both directions, since digests are missing then.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -190,6 +190,8 @@
 	silent []string
 	// answered holds the latest answers about silent processes, and until when each is not repeated.
 	answered map[answer]time.Time
+	// missedInZoneAt is when an instance of this one's zone was last known not to hear this one itself.
+	missedInZoneAt time.Time
 	// unheard is the live instance that does not hear this one, as last logged.
 	unheard string
 }
@@ -296,7 +298,10 @@
 	if direct {
 		p.markDirect(at)
 	}
-	if p.countsAsGone(c.self) {
+	if s.Zone == c.self.Zone && p.names(c.self, 0) {
+		c.missedInZoneAt = later(c.missedInZoneAt, at)
+	}
+	if p.names(c.self, unheardAfter) {
 		p.countsSelfAt = at
 		c.selfSuspectedAt = later(c.selfSuspectedAt, at)
 	}
--- a/core/cluster/silence.go
+++ b/core/cluster/silence.go
@@ -185,10 +185,11 @@
 	return ""
 }
 
-// countsAsGone reports whether the instance counts another one as gone, or is about to.
-func (p *peer) countsAsGone(m gossip.Member) bool {
+// names reports whether the instance names another one as silent for at least a time. After unheardAfter it counts that one as gone, or is
+// about to.
+func (p *peer) names(m gossip.Member, silence time.Duration) bool {
 	return slices.ContainsFunc(p.heartbeat.Silent, func(s gossip.SilentProcess) bool {
-		return s.Name == m.Name && s.Incarnation == m.Incarnation && s.AgeMillis >= int(unheardAfter.Milliseconds())
+		return s.Name == m.Name && s.Incarnation == m.Incarnation && s.AgeMillis >= int(silence.Milliseconds())
 	})
 }
 
--- a/core/cluster/zone.go
+++ b/core/cluster/zone.go
@@ -23,7 +23,7 @@
 
 // ZoneAddresses returns the addresses in this instance's zone that get its heartbeats: those that get each of them, those that get
 // only the regular ones, and those of which some get the regular ones in turn. In a large zone the first are the gateways; the second
-// are all instances if no digest has come for a while; the last are new instances, which the gateways may not know.
+// are all instances if no digest has come for a while or a gateway does not hear this one; the last are new instances, which the gateways may not know.
 func (c *Cluster) ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -33,7 +33,8 @@
 	}
 	gateways := c.gateways(c.self.Zone, at)
 	isGateway := slices.ContainsFunc(gateways, func(m gossip.Member) bool { return m.Name == c.self.Name })
-	lost := !isGateway && c.digestsLost(at)
+	// Others pass heartbeats on to a gateway that does not hear this instance, if they hear it themselves.
+	lost := !isGateway && (c.digestsLost(at) || at.Sub(c.missedInZoneAt) <= unheardLife)
 	for _, p := range peers {
 		switch s := p.heartbeat.Sender; {
 		case slices.ContainsFunc(gateways, func(m gossip.Member) bool { return m.Name == s.Name }):
--- a/core/heartbeat/silence_test.go
+++ b/core/heartbeat/silence_test.go
@@ -82,3 +82,35 @@
 		})
 	}
 }
+
+// Guards against an instance of a large zone that only its gateways do not hear, and that counts as gone for all others although they hear
+// it whenever it sends to them.
+func TestMemberThatGatewaysDoNotHear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count, member = 24, 20
+		n := newNetwork()
+		n.codec, n.delay = messagecodec.New(1<<20), time.Millisecond
+		var list []*instance
+		for k := range count {
+			list = append(list, n.start(fmt.Sprintf("e%02d", k), "z0", "1"))
+		}
+		defer func() { stopAll(list) }()
+		for a := range n.nodes {
+			for _, i := range list {
+				i.cluster.Introduce([]netip.AddrPort{a}, time.Now())
+			}
+		}
+		time.Sleep(10 * time.Second)
+		n.lock.Lock()
+		n.cut = func(from, to *instance) bool { return from == list[member] && (to == list[0] || to == list[1]) }
+		n.lock.Unlock()
+		time.Sleep(10 * time.Second)
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			for _, i := range list {
+				is.Equal(len(i.cluster.Live()), count)
+			}
+		}
+	})
+}
