Pass on whole responses in the pieces in which they were read

A whole response was joined from its pieces before it was passed on, so that it took twice its size of the budget of responses, and left a copy that no pool takes back. The budget could therefore not be made smaller: an answer of 8 MiB needs 16.

The pieces now go to the caller one after the other and back to the pool at the end of the attempt. Only writes of streams prove that a caller reads, as those of a whole response may all end in the buffers of the system; before, such a response had one write, which proved nothing either.

TestWholeResponseIsHeldOnce fails before. TestResponsesInMemoryAreBounded joins the pieces to compare them; its checks are the same.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -34,8 +34,8 @@
 	answered chan struct{}
 	response *response.Response
 	err      error
-	// body is the whole body of a response that is not passed on as it arrives.
-	body []byte
+	// body holds the pieces of the whole body of a response that is not passed on as it arrives.
+	body [][]byte
 	// resize sets the bytes of the response in memory, and endBody gives them back.
 	resize  func(size int) error
 	endBody func()
@@ -115,6 +115,7 @@
 	if a.response != nil {
 		a.response.Body.Close()
 	}
+	putPieces(a.body)
 	a.body = nil
 	a.endBody()
 	a.release()
--- a/core/forward/read.go
+++ b/core/forward/read.go
@@ -18,16 +18,15 @@
 var errTooLong = fault.New(fault.CodeOutcomeUnknown, "the response is too long")
 
 // readWhole reads a stream to its end. It fails with errTooLong if the stream is longer than limit, and with bytebudget.ErrDropped if there
-// is no memory for it; resize sets the bytes that it takes of a budget. It reads pieces and joins them at the end: a buffer that grows would
-// take up to three times the size of a response that never ends.
-func readWhole(stream io.Reader, limit int, resize func(size int) error) ([]byte, error) {
+// is no memory for it; resize sets the bytes that it takes of a budget. It returns pieces, which putPieces takes back: a response that is
+// joined takes twice its size, and a buffer that grows up to three times the size of one that never ends.
+func readWhole(stream io.Reader, limit int, resize func(size int) error) (content [][]byte, err error) {
 	piece := pieces.Get(firstPieceBytes)
 	var full [][]byte
 	defer func() {
-		for _, p := range full {
-			pieces.Put(p)
+		if err != nil {
+			putPieces(append(full, piece))
 		}
-		pieces.Put(piece)
 	}()
 	size, held := 0, cap(piece)
 	for {
@@ -47,23 +46,16 @@
 		case size > limit:
 			return nil, errTooLong
 		case err == io.EOF: //nolint:errorlint // Read returns it unwrapped.
-			return join(full, piece, size, held, resize)
+			return append(full, piece), nil
 		case err != nil:
 			return nil, err //nolint:wrapcheck // the caller wraps it
 		}
 	}
 }
 
-// join returns pieces, which hold a number of bytes of a budget, as one.
-func join(full [][]byte, last []byte, size, held int, resize func(size int) error) ([]byte, error) {
-	if err := resize(held + size); err != nil {
-		return nil, err
+// putPieces gives the memory of a response back, which must not be used afterwards.
+func putPieces(content [][]byte) {
+	for _, p := range content {
+		pieces.Put(p)
 	}
-	content := make([]byte, 0, size)
-	for _, p := range full {
-		content = append(content, p...)
-	}
-	content = append(content, last...)
-
-	return content, resize(size)
 }
--- a/core/forward/read_test.go
+++ b/core/forward/read_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -34,7 +35,7 @@
 	resize, end := open()
 	content, err := readWhole(io.MultiReader(strings.NewReader(sent[:7]), strings.NewReader(sent[7:])), len(sent), resize)
 	is.NoErr(err)
-	is.Equal(string(content), sent)
+	is.Equal(string(bytes.Join(content, nil)), sent)
 	end()
 	resize, end = open()
 	_, err = readWhole(strings.NewReader(sent), len(sent)-1, resize)
@@ -59,3 +60,15 @@
 	_, err = readWhole(io.MultiReader(strings.NewReader("x"), errorReader{}), 10, resize)
 	is.True(err != nil)
 }
+
+// Guards against a whole response that takes twice its size of the budget.
+func TestWholeResponseIsHeldOnce(t *testing.T) {
+	is := is.New(t)
+	const budget = 4 << 20
+	resize, end := bytebudget.New(budget).Open("test", func() {})
+	defer end()
+	const size = budget - maxPieceBytes
+	content, err := readWhole(io.LimitReader(&endless{}, size), size, resize)
+	is.NoErr(err)
+	is.Equal(len(bytes.Join(content, nil)), size)
+}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -360,12 +360,18 @@
 	rs.completed = resp.Status < http.StatusMultipleChoices
 	rs.began = true
 	rs.recordFirstByte()
-	if err := rs.sink.Begin(resp.Status, resp.Header, int64(len(a.body))); err != nil {
-		return errSink
+	length := 0
+	for _, p := range a.body {
+		length += len(p)
 	}
-	if err := rs.sink.Write(a.body); err != nil {
+	if err := rs.sink.Begin(resp.Status, resp.Header, int64(length)); err != nil {
 		return errSink
 	}
+	for _, p := range a.body {
+		if err := rs.sink.Write(p); err != nil {
+			return errSink
+		}
+	}
 	rs.timing.deliver(rs.forwarder.now())
 
 	return nil
