Keep when instances were heard from if a newer report does not say

What is seen: TestSteadyFleetRelaysFewHeartbeats failed once of two runs of the package beside other work, and core/heartbeat once before (its output was cut).

Cause: one report of three says when the instances of a zone were last heard from. A gateway relays the newest report of each zone at its next tick, so if another one arrived meanwhile, such as that of the second gateway, or one without all counts, what the first one said was lost, up to several times in a row. These instances then seemed silent for more than 0.8 s: callers were not offered them, and since their heartbeats are asked for. A process that gets little processor time relays late, so that it loses more of these reports and causes more messages then.

Change: a queued report keeps what an older or an incomplete one says of its instances, with the age that this has by then.

Ruled out: statuses in every report, which cost bytes between zones, and a longer time until a silent instance is asked for.

--- a/core/heartbeat/relay.go
+++ b/core/heartbeat/relay.go
@@ -29,6 +29,21 @@
 	madeAt time.Time
 }
 
+// withHeardOf returns the report with what another one on the same zone says of when its instances were last heard from, unless it says that
+// itself: only one report of several does.
+func (q queuedReport) withHeardOf(other queuedReport) queuedReport {
+	if len(q.report.Heard) > 0 {
+		return q
+	}
+	elapsed := int(q.madeAt.Sub(other.madeAt).Milliseconds())
+	for _, s := range other.report.Heard {
+		s.AgeMillis = max(0, s.AgeMillis+elapsed)
+		q.report.Heard = append(q.report.Heard, s)
+	}
+
+	return q
+}
+
 // queuedHeartbeat is a heartbeat that waits to be relayed, and when it was received from its sender.
 type queuedHeartbeat struct {
 	heartbeat gossip.Heartbeat
@@ -91,13 +106,19 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for _, r := range b.Reports {
-		if _, queued := e.reports[r.Zone]; queued && r.Partial {
-			continue
-		}
-		e.reports[r.Zone] = queuedReport{
+		newer := queuedReport{
 			report: r,
 			madeAt: gossip.Before(at, r.AgeMillis),
 		}
+		queued, ok := e.reports[r.Zone]
+		switch {
+		case !ok:
+			e.reports[r.Zone] = newer
+		case r.Partial:
+			e.reports[r.Zone] = queued.withHeardOf(newer)
+		default:
+			e.reports[r.Zone] = newer.withHeardOf(queued)
+		}
 	}
 	for _, r := range b.Relayed {
 		e.heartbeats[r.Beat.Sender.Name] = queuedHeartbeat{
