--- a/core/cluster/zone.go
+++ b/core/cluster/zone.go
@@ -23,7 +23,8 @@
 
 // ZoneAddresses returns the addresses in this instance's zone that get its heartbeats: those that get each of them, those that get
 // only the regular ones, and those of which some get the regular ones in turn. In a large zone the first are the gateways; the second
-// are all instances if no digest has come for a while or a gateway does not hear this one; the last are new instances, which the gateways may not know.
+// are all instances if no digest has come for a while or a gateway does not hear this one; the last are new instances, which the gateways
+// may not know.
 func (c *Cluster) ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
