--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -68,6 +68,8 @@
 	keepFor time.Duration
 	// takenOver are the tokens of jobs that were taken over, by the process that held them.
 	takenOver map[string]int
+	// restarts counts how often the backend server has started again.
+	restarts atomic.Int64
 }
 
 func newFleet(seed uint64, failureRate float64) *fleet {
@@ -160,7 +162,7 @@
 	}
 	f.usedSlots++
 
-	return backend.Server{ID: "w"}, func() {
+	return backend.Server{ID: "w", StartedAt: int(f.restarts.Load())}, func() {
 		f.lock.Lock()
 		defer f.lock.Unlock()
 		f.usedSlots--
@@ -210,11 +212,18 @@
 
 // startOn is start with a job log of the instance's own.
 func (f *fleet) startOn(name string, l *logs.Log) (r *Runner, stop func()) {
+	return f.startWith(name, l, f, noQuarantine(), noSharedParts)
+}
+
+// startWith is startOn with a sender, a quarantine and prompt parts of the instance's own.
+func (f *fleet) startWith(
+	name string, l *logs.Log, s sender, parts promptParts, sharedParts func(map[string]string) []string,
+) (r *Runner, stop func()) {
 	f.lock.Lock()
 	f.alive[name] = true
 	f.lock.Unlock()
 	logger := slog.New(slog.DiscardHandler)
-	r = New(l, f, f, f, f, f, jobread.New(l, f, f, logger, time.Now), noQuarantine(), noSharedParts, noBudget(), name, name, f.keepFor, time.Now, logger)
+	r = New(l, s, f, f, f, f, jobread.New(l, f, f, logger, time.Now), parts, sharedParts, noBudget(), name, name, f.keepFor, time.Now, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
