Let first events clear prompt parts, and count no loss after events

Cause: only a completed request cleared the parts of its prompt, and items take some 10 s; and a run or stream that went on after earlier events and lost its connection before a new one counted as a possible crash under its parts, although a server had answered that prompt before. So a wave of crashes could convict the part that all items of a class share. The class of fault: evidence for guilt is taken from every request, evidence for innocence from few. Change: a first event clears the parts of its request, in core/jobrun and core/forward; a loss after events, in any earlier run or before the caller resumed, is no evidence. Why it is safe: the fault looked for is a crash before the first event, and losses after events were never counted within one run.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -68,7 +68,7 @@
 	RecordRefusal(kind string)
 	RecordLoss(s backend.Server, parts []string, at time.Time)
 	RecordProgress(s backend.Server, sentAt, at time.Time)
-	RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time)
+	RecordAnswer(s backend.Server, parts []string, sentAt, at time.Time)
 }
 
 type preempter interface {
@@ -230,14 +230,14 @@
 }
 
 // recordParts reports to the quarantine how an attempt ended: whether the request has completed, or its connection was lost before
-// anything was answered.
+// anything was answered, in this attempt or an earlier one.
 func (f *Forwarder) recordParts(ctx context.Context, rs *requestState, a *attempt, err error) {
 	switch at := f.now(); {
 	case rs.completed:
-		f.parts.RecordCompletion(a.server, rs.call.Parts, a.sentAt, at)
+		f.parts.RecordAnswer(a.server, rs.call.Parts, a.sentAt, at)
 	case err == nil:
 		f.parts.RecordProgress(a.server, a.sentAt, at)
-	case ctx.Err() == nil && !rs.progressed && response.ConnectionLost(err):
+	case ctx.Err() == nil && !rs.wasAnswered() && response.ConnectionLost(err):
 		rs.lost = true
 		f.parts.RecordLoss(a.server, rs.call.Parts, at)
 	}
--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -84,7 +84,7 @@
 		return
 	}
 	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
-	if response.ConnectionLost(err) {
+	if !rs.wasAnswered() && response.ConnectionLost(err) {
 		rs.lost = true
 		rs.forwarder.parts.RecordLoss(h.server, rs.call.Parts, rs.forwarder.now())
 	}
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -64,8 +64,10 @@
 	server string
 	// progressAt is when the current attempt was sent or last received bytes.
 	progressAt time.Time
-	// progressed is set when the current attempt has delivered an event, completed when it has delivered a successful response.
+	// progressed is set when the current attempt has delivered an event, answered when any attempt has. completed is set when the current
+	// attempt has delivered a successful response.
 	progressed bool
+	answered   bool
 	completed  bool
 	// silenced is set when an attempt was ended because its server was silent.
 	silenced bool
@@ -482,3 +484,8 @@
 
 	return id
 }
+
+// wasAnswered reports whether a backend server has sent an event of the response, in any attempt or before the caller resumed it.
+func (rs *requestState) wasAnswered() bool {
+	return rs.answered || rs.lastID() > 0
+}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -255,7 +255,10 @@
 	w.paused = true
 	if progress {
 		rs.progressAt = rs.forwarder.now()
-		rs.progressed = true
+		if !rs.progressed {
+			rs.forwarder.parts.RecordAnswer(w.current.server, rs.call.Parts, w.current.sentAt, rs.progressAt)
+		}
+		rs.progressed, rs.answered = true, true
 		w.done = w.done || w.gap <= 0
 	}
 	if w.hedge != nil && (progress || rs.lastID() != last || !rs.splitter.Resumable()) {
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -259,7 +259,7 @@
 	Silent []SilentProcess `json:"Silent,omitempty,omitzero"`
 
 	// SoundParts are the prompt parts of possible crashes, or in quarantine, that the
-	// sender has seen in completed requests.
+	// sender has seen in answered requests.
 	SoundParts []SoundPart `json:"SoundParts,omitempty,omitzero"`
 
 	// StoreLost says that the sender cannot reach the store.
@@ -674,9 +674,10 @@
 	return nil
 }
 
-// SoundPart is a prompt part of a request that has completed.
+// SoundPart is a prompt part of a request that has been answered by its first
+// event.
 type SoundPart struct {
-	// AgeMillis is how long ago the newest such request completed at the sender.
+	// AgeMillis is how long ago the newest such request was answered at the sender.
 	AgeMillis int `json:"AgeMillis"`
 
 	// Part is the ID of the prompt part.
--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -152,8 +152,8 @@
 	l := &lossRecorder{promptParts: noQuarantine()}
 	r.parts = l
 	lost := fault.Wrap(io.EOF, fault.CodeOutcomeUnknown, "the backend server did not answer")
-	r.recordParts(&item{last: 3}, backend.Server{ID: "w"}, 3, lost)
+	r.recordParts(&item{last: 3}, backend.Server{ID: "w"}, lost)
 	is.Equal(l.losses, 0)
-	r.recordParts(&item{}, backend.Server{ID: "w"}, 0, lost)
+	r.recordParts(&item{}, backend.Server{ID: "w"}, lost)
 	is.Equal(l.losses, 1)
 }
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -100,7 +100,7 @@
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
 		r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
-		r.recordParts(it, s, first, err)
+		r.recordParts(it, s, err)
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -144,13 +144,13 @@
 	}
 }
 
-// recordParts reports to the quarantine how an attempt ended that began after an event.
-func (r *Runner) recordParts(it *item, s backend.Server, first int64, err error) {
+// recordParts reports to the quarantine how an attempt ended.
+func (r *Runner) recordParts(it *item, s backend.Server, err error) {
 	switch at := r.now(); {
 	case err == nil:
-		r.parts.RecordCompletion(s, it.parts, it.startedAt, at)
-	case it.last > first:
-		// The server had begun to answer.
+		r.parts.RecordAnswer(s, it.parts, it.startedAt, at)
+	case it.last > 0:
+		// Its prompt was answered, in this run or before.
 	case response.ConnectionLost(err):
 		r.parts.RecordLoss(s, it.parts, at)
 	}
@@ -201,6 +201,7 @@
 	defer splitter.Release()
 	stream := coalesce.New(body, readInterval, r.now)
 	buffer := make([]byte, readBytes)
+	answered := false
 	for {
 		n, err := stream.Read(buffer)
 		if n > 0 {
@@ -212,9 +213,14 @@
 			if err != nil {
 				return err
 			}
-			if appended {
+			switch {
+			case appended && !answered:
+				answered = true
+				r.parts.RecordAnswer(s, it.parts, it.startedAt, r.now())
 				silence.Reset(eventTimeout)
+			case appended:
 				r.parts.RecordProgress(s, it.startedAt, r.now())
+				silence.Reset(eventTimeout)
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -70,7 +70,7 @@
 	RecordRefusal(kind string)
 	RecordLoss(s backend.Server, parts []string, at time.Time)
 	RecordProgress(s backend.Server, sentAt, at time.Time)
-	RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time)
+	RecordAnswer(s backend.Server, parts []string, sentAt, at time.Time)
 }
 
 type routes interface {
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -20,7 +20,7 @@
 	minLeft = time.Second
 )
 
-// FillHeartbeat adds what other instances have to know: crashes that this instance observed, parts that completed here, and the
+// FillHeartbeat adds what other instances have to know: crashes that this instance observed, parts that were answered here, and the
 // parts in quarantine.
 func (q *Quarantine) FillHeartbeat(b *gossip.Heartbeat) {
 	q.lock.Lock()
@@ -47,7 +47,7 @@
 		})
 	}
 	for part, until := range q.cleared {
-		last := q.completed.at(part)
+		last := q.answered.at(part)
 		switch {
 		case !at.Before(until) || last.IsZero():
 			delete(q.cleared, part)
@@ -98,7 +98,7 @@
 	changed := false
 	for _, s := range b.SoundParts[:min(len(b.SoundParts), maxAnnouncedParts)] {
 		if len(s.Part) <= maxPartBytes {
-			q.completed.record(s.Part, gossip.Before(at, max(0, s.AgeMillis)))
+			q.answered.record(s.Part, gossip.Before(at, max(0, s.AgeMillis)))
 			changed = q.clear(s.Part) || changed
 		}
 	}
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -321,7 +321,7 @@
 	q.wakeAt(e.until)
 	decisions.Add("quarantined", 1)
 	q.log.Warn("prompt part quarantined", "part", part, "source", source, "since", e.since, "until", e.until,
-		"observed", e.observed, "evidence", q.evidence(part), "completed_at", q.completed.at(part), "age_ms", at.Sub(e.since).Milliseconds())
+		"observed", e.observed, "evidence", q.evidence(part), "answered_at", q.answered.at(part), "age_ms", at.Sub(e.since).Milliseconds())
 }
 
 // evidence returns the servers that crashed under a part. The caller holds the lock.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 	evidenceLife = 5 * time.Minute
 	// quarantineLife is how long a part stays in quarantine.
 	quarantineLife = 3 * time.Minute
-	// soundLife is how long before a lost connection a request with the same part may have completed to show that the part is sound.
+	// soundLife is how long before a lost connection a request with the same part may have been answered to show that the part is sound.
 	soundLife = 2 * time.Second
 	// crashSpan is the longest time between the connections that are lost in one crash; a server takes longer to start again.
 	crashSpan = time.Second
@@ -52,8 +52,8 @@
 	log     *slog.Logger
 
 	// lock guards all fields below.
-	lock      sync.Mutex
-	completed recent
+	lock     sync.Mutex
+	answered recent
 	// crashes are ordered by the time at which they were recorded.
 	crashes     []*crash
 	suspected   map[string]bool
@@ -166,13 +166,13 @@
 	}
 }
 
-// RecordCompletion records that a request has completed that was sent at a time.
-func (q *Quarantine) RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time) {
+// RecordAnswer records that a request that was sent at a time has been answered by its first event, or completely.
+func (q *Quarantine) RecordAnswer(s backend.Server, parts []string, sentAt, at time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	changed := q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
 	for _, p := range parts {
-		q.completed.record(p, at)
+		q.answered.record(p, at)
 		if q.clear(p) {
 			q.cleared[p] = at.Add(announceLife)
 			changed = true
@@ -259,9 +259,9 @@
 	q.crashes = slices.Delete(q.crashes, victim, victim+1)
 }
 
-// sound reports whether a request with a part has completed since shortly before a time. The caller holds the lock.
+// sound reports whether a request with a part has been answered since shortly before a time. The caller holds the lock.
 func (q *Quarantine) sound(part string, at time.Time) bool {
-	last := q.completed.at(part)
+	last := q.answered.at(part)
 
 	return !last.IsZero() && last.After(at.Add(-soundLife))
 }
@@ -275,7 +275,7 @@
 		}
 	}
 	if e := q.quarantined[part]; e != nil && q.sound(part, e.since) {
-		q.release(part, "completed")
+		q.release(part, "answered")
 		found = true
 	}
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -187,7 +187,7 @@
 			q.RecordProgress(s, r.sentAt, f.at)
 		default:
 			f.requests = slices.Delete(f.requests, i, i+1)
-			q.RecordCompletion(s, r.parts, r.sentAt, f.at)
+			q.RecordAnswer(s, r.parts, r.sentAt, f.at)
 		}
 	}
 }
@@ -297,7 +297,7 @@
 	f.instances[0] = f.newInstance()
 	is.NoErr(f.instances[0].Restore(t.Context()))
 	is.True(blocked(both...) && !blocked("with") && !blocked(crashing))
-	f.instances[0].RecordCompletion(backend.Server{ID: "x"}, []string{"with"}, f.at, f.at)
+	f.instances[0].RecordAnswer(backend.Server{ID: "x"}, []string{"with"}, f.at, f.at)
 	is.True(blocked(both...) && !blocked("with") && blocked(crashing))
 	f.at = f.at.Add(evidenceLife)
 	f.instances[0].Review()
@@ -313,7 +313,7 @@
 	for !f.knows() {
 		f.run(time.Second, 3)
 	}
-	f.instances[1].RecordCompletion(f.servers[0].Server, []string{crashing}, f.at, f.at)
+	f.instances[1].RecordAnswer(f.servers[0].Server, []string{crashing}, f.at, f.at)
 	f.run(time.Second, 0)
 	is.Equal(len(f.instances[0].quarantined)+len(f.instances[1].quarantined), 0)
 }
@@ -420,7 +420,7 @@
 			alive := backend.Server{ID: fmt.Sprint("alive", i)}
 			q.RecordLoss(alive, []string{"sound", fmt.Sprint("rare", n, i)}, f.at)
 			f.at = f.at.Add(step)
-			q.RecordCompletion(alive, []string{"sound"}, f.at, f.at)
+			q.RecordAnswer(alive, []string{"sound"}, f.at, f.at)
 		}
 		f.at = f.at.Add(settleTime)
 	}
@@ -439,7 +439,7 @@
 			parts[i] = fmt.Sprint("p", n, "-", i)
 		}
 		q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, parts, f.at)
-		q.RecordCompletion(backend.Server{ID: "x"}, parts[:90], f.at, f.at)
+		q.RecordAnswer(backend.Server{ID: "x"}, parts[:90], f.at, f.at)
 	}
 	b := &gossip.Heartbeat{}
 	q.FillHeartbeat(b)
@@ -450,3 +450,24 @@
 	q.FillHeartbeat(b)
 	is.Equal(len(b.Crashes)+len(b.SoundParts)+len(b.QuarantinedParts), 0)
 }
+
+// Guards against a sound part that is quarantined in a wave of crashes because none of its requests, which take long, has completed: a
+// first event shows as well that its server has survived the prompt.
+func TestFirstEventsClearPart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 2, 0)
+	for n := range 6 {
+		f.instances[0].RecordAnswer(backend.Server{ID: "lives"}, []string{"shared"}, f.at, f.at.Add(step))
+		f.instances[1].RecordLoss(backend.Server{ID: fmt.Sprint(n)}, []string{"shared"}, f.at)
+		for range 30 {
+			f.announce(0)
+			f.announce(1)
+			f.at = f.at.Add(step)
+		}
+	}
+	for _, q := range f.instances {
+		q.Review()
+		_, _, held := q.Quarantined([]string{"shared"})
+		is.True(!held)
+	}
+}
--- a/core/quarantine/recent.go
+++ b/core/quarantine/recent.go
@@ -5,7 +5,7 @@
 // maxRecent bounds the parts in each of the two generations of recent.
 const maxRecent = 4096
 
-// recent remembers when requests with a part last completed. Of more parts than it has room for, those that were recorded last stay.
+// recent remembers when requests with a part were last answered. Of more parts than it has room for, those that were recorded last stay.
 type recent struct {
 	young, old map[string]time.Time
 }
