Count the losses of one request as one piece of evidence

Cause: three crashes under a part convicted it whoever lost them. Class: observations that are not independent are counted as if they were.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -15,6 +15,8 @@
 	// Header holds the end-to-end headers.
 	Header http.Header
 	Body   []byte
+	// Prompt is the ID of the prompt part that belongs to the request itself or to its session, empty if it has none.
+	Prompt string
 	// Parts are the IDs of the prompt parts that the request may share with others.
 	Parts []string
 	// Deadline is when the caller stops waiting; zero if it has set none.
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -66,7 +66,7 @@
 	Quarantined(parts []string) (part string, until time.Time, ok bool)
 	MayRetry(parts []string) bool
 	RecordRefusal(kind string)
-	RecordLoss(s backend.Server, parts []string, at time.Time)
+	RecordLoss(s backend.Server, prompt string, parts []string, at time.Time)
 	RecordProgress(s backend.Server, sentAt, at time.Time)
 	RecordAnswer(s backend.Server, parts []string, sentAt, at time.Time)
 }
@@ -239,6 +239,6 @@
 		f.parts.RecordProgress(a.server, a.sentAt, at)
 	case ctx.Err() == nil && !rs.wasAnswered() && response.ConnectionLost(err):
 		rs.lost = true
-		f.parts.RecordLoss(a.server, rs.call.Parts, at)
+		f.parts.RecordLoss(a.server, rs.call.Prompt, rs.call.Parts, at)
 	}
 }
--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -86,6 +86,6 @@
 	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
 	if !rs.wasAnswered() && response.ConnectionLost(err) {
 		rs.lost = true
-		rs.forwarder.parts.RecordLoss(h.server, rs.call.Parts, rs.forwarder.now())
+		rs.forwarder.parts.RecordLoss(h.server, rs.call.Prompt, rs.call.Parts, rs.forwarder.now())
 	}
 }
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -98,6 +98,10 @@
 	// Parts are the prompt parts of the requests that were unanswered.
 	Parts []string `json:"Parts,omitempty,omitzero"`
 
+	// Prompts are, for each of Parts, the ID of the prompt of one of these requests,
+	// empty if it is not known.
+	Prompts []string `json:"Prompts,omitempty,omitzero"`
+
 	// Server is the backend server's ID.
 	Server string `json:"Server"`
 
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -152,7 +152,7 @@
 	case it.last > 0:
 		// Its prompt was answered, in this run or before.
 	case response.ConnectionLost(err):
-		r.parts.RecordLoss(s, it.parts, at)
+		r.parts.RecordLoss(s, it.ID, it.parts, at)
 	}
 }
 
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -68,7 +68,7 @@
 type promptParts interface {
 	Quarantined(parts []string) (part string, until time.Time, ok bool)
 	RecordRefusal(kind string)
-	RecordLoss(s backend.Server, parts []string, at time.Time)
+	RecordLoss(s backend.Server, prompt string, parts []string, at time.Time)
 	RecordProgress(s backend.Server, sentAt, at time.Time)
 	RecordAnswer(s backend.Server, parts []string, sentAt, at time.Time)
 }
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -17,8 +17,9 @@
 	at          time.Time
 	// parts are those of unanswered requests, except for the ones that are known to be sound.
 	parts map[string]bool
-	// lostAt is when a request with each part last lost its connection.
-	lostAt map[string]time.Time
+	// lostAt is when a request with each part last lost its connection, and prompts are the IDs of some of these requests' prompts.
+	lostAt  map[string]time.Time
+	prompts map[string][]string
 	// own are the parts that this instance reports to others, nil if it lost no connection itself.
 	own []string
 	// refutedAt is when the incarnation was known to live after that, zero if it was not.
@@ -33,6 +34,7 @@
 		at:          at,
 		parts:       map[string]bool{},
 		lostAt:      map[string]time.Time{},
+		prompts:     map[string][]string{},
 	}
 }
 
@@ -49,8 +51,11 @@
 	return at.Before(c.refutedAt.Add(margin)) && !slices.ContainsFunc(parts, func(p string) bool { return !c.parts[p] })
 }
 
-// lost adds a part whose connection was lost at a time, and reports whether it is new.
-func (c *crash) lost(part string, at time.Time) bool {
+// lost adds a part of a prompt whose connection was lost at a time, and reports whether it is new.
+func (c *crash) lost(part, prompt string, at time.Time) bool {
+	if known := c.prompts[part]; len(known) < maxPrompts && !slices.Contains(known, prompt) {
+		c.prompts[part] = append(known, prompt)
+	}
 	if at.After(c.lostAt[part]) {
 		c.lostAt[part] = at
 	}
@@ -68,7 +73,9 @@
 		if !at.After(aliveAt) {
 			continue
 		}
-		left.lost(part, at)
+		for _, prompt := range c.prompts[part] {
+			left.lost(part, prompt, at)
+		}
 		if left.at.IsZero() || at.Before(left.at) {
 			left.at = at
 		}
@@ -86,3 +93,13 @@
 func (c *crash) refuted() bool {
 	return !c.refutedAt.IsZero()
 }
+
+// promptsOf returns one prompt of each of some parts.
+func (c *crash) promptsOf(parts []string) []string {
+	list := make([]string, 0, len(parts))
+	for _, part := range parts {
+		list = append(list, promptAt(c.prompts[part], 0))
+	}
+
+	return list
+}
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -43,6 +43,7 @@
 			StartedAt: c.incarnation.startedAt,
 			AgeMillis: gossip.Age(since, at),
 			Parts:     parts,
+			Prompts:   c.promptsOf(parts),
 			Answered:  c.refuted(),
 		})
 	}
@@ -113,7 +114,7 @@
 
 			continue
 		}
-		_, isNew := q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], since, reportMargin)
+		_, isNew := q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], c.Prompts, since, reportMargin)
 		changed = changed || isNew
 	}
 	if changed {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -26,8 +26,9 @@
 	bufferMargin = 200 * time.Millisecond
 	// combinedRetry is when a request with a combination of parts may be repeated: further requests soon show which part it is.
 	combinedRetry = time.Second
-	// maxCrashes, maxParts and maxQuarantined bound the memory and maxPartBytes the length of an ID.
+	// maxCrashes, maxParts, maxPrompts of one part of a crash and maxQuarantined bound the memory and maxPartBytes the length of an ID.
 	maxCrashes     = 64
+	maxPrompts     = 4
 	maxParts       = 48
 	maxQuarantined = 64
 	maxPartBytes   = 64
@@ -135,14 +136,15 @@
 	decisions.Add(kind, 1)
 }
 
-// RecordLoss records that the connection of an attempt was lost before anything was answered.
-func (q *Quarantine) RecordLoss(s backend.Server, parts []string, at time.Time) {
+// RecordLoss records that the connection of an attempt was lost before anything was answered. The ID of the prompt is that of the part that
+// belongs to the request itself, so that repeats of a request count as one; it may be empty if it is not known.
+func (q *Quarantine) RecordLoss(s backend.Server, prompt string, parts []string, at time.Time) {
 	if len(parts) == 0 {
 		return
 	}
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	c, _ := q.addLoss(incarnationOf(s), parts, at, 0)
+	c, _ := q.addLoss(incarnationOf(s), parts, []string{prompt}, at, 0)
 	for _, p := range parts {
 		if len(c.own) < maxParts && !slices.Contains(c.own, p) {
 			c.own = append(c.own, p)
@@ -152,7 +154,7 @@
 		}
 	}
 	decisions.Add("losses", 1)
-	q.log.Info("possible crash of a backend server", "server", s.ID, "started_at", s.StartedAt, "parts", parts)
+	q.log.Info("possible crash of a backend server", "server", s.ID, "started_at", s.StartedAt, "prompt", prompt, "parts", parts)
 	q.judge(at)
 }
 
@@ -208,9 +210,9 @@
 	return sentAt
 }
 
-// addLoss adds parts to a possible crash, whose time is known with a margin, and reports whether that is new evidence. The caller
-// holds the lock.
-func (q *Quarantine) addLoss(of incarnation, parts []string, at time.Time, margin time.Duration) (c *crash, added bool) {
+// addLoss adds parts to a possible crash, whose time is known with a margin, and reports whether that is new evidence. Each part has a
+// prompt at its position; the last one stands for all further parts. The caller holds the lock.
+func (q *Quarantine) addLoss(of incarnation, parts, prompts []string, at time.Time, margin time.Duration) (c *crash, added bool) {
 	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.includes(of, parts, at, margin) })
 	if i < 0 {
 		if len(q.crashes) >= maxCrashes {
@@ -220,13 +222,13 @@
 		i = len(q.crashes) - 1
 	}
 	c = q.crashes[i]
-	for _, p := range parts {
+	for n, p := range parts {
 		switch {
 		case p == "" || len(p) > maxPartBytes:
 		case q.sound(p, c.at):
 			q.cleared[p] = q.now().Add(announceLife)
 		case len(c.parts) < maxParts || c.parts[p]:
-			isNew := c.lost(p, at)
+			isNew := c.lost(p, promptAt(prompts, n), at)
 			added = added || isNew && !c.refuted()
 		}
 	}
@@ -234,6 +236,19 @@
 	return c, added
 }
 
+// promptAt returns the prompt at a position, empty if it is not known.
+func promptAt(prompts []string, n int) string {
+	if len(prompts) == 0 {
+		return ""
+	}
+	prompt := prompts[min(n, len(prompts)-1)]
+	if len(prompt) > maxPartBytes {
+		return ""
+	}
+
+	return prompt
+}
+
 // evict drops the oldest of the possible crashes that tell least: those that are withdrawn or have no part left, then those whose
 // parts were lost with no other server. The caller holds the lock.
 func (q *Quarantine) evict() {
--- a/core/quarantine/save.go
+++ b/core/quarantine/save.go
@@ -112,7 +112,7 @@
 			server:    c.Server,
 			startedAt: c.StartedAt,
 		}
-		q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], c.At, 0)
+		q.addLoss(of, c.Parts[:min(len(c.Parts), maxParts)], nil, c.At, 0)
 	}
 	q.judge(at)
 }
--- a/io/lifecheck/checker.go
+++ b/io/lifecheck/checker.go
@@ -42,8 +42,8 @@
 }
 
 // RecordLoss records that the connection of an attempt was lost before anything was answered, and checks the server.
-func (c *Checker) RecordLoss(s backend.Server, parts []string, at time.Time) {
-	c.Quarantine.RecordLoss(s, parts, at)
+func (c *Checker) RecordLoss(s backend.Server, prompt string, parts []string, at time.Time) {
+	c.Quarantine.RecordLoss(s, prompt, parts, at)
 	if len(parts) == 0 || !c.begin(s.ID) {
 		return
 	}
