Pause an item after a lost connection, longer after each one in a row

Cause: of all ends of a run, only a lost connection was followed by no pause. Change: 0.25 s after a lost connection, four times as long after each further one without an event in between, 8 s at most. Guarded by TestPauseAfterLostConnections.

--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -157,3 +157,20 @@
 	r.recordParts(&item{}, backend.Server{ID: "w"}, lost)
 	is.Equal(l.losses, 1)
 }
+
+// Guards against an item that is sent again to the server that has just crashed, and then to one after the other.
+func TestPauseAfterLostConnections(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 0)
+	r, stop := f.start("e1")
+	stop()
+	r.sender = &crashingServer{fleet: f, runs: map[string][]time.Time{}}
+	it := &item{}
+	for n, want := range []time.Duration{lostPause, lostFactor * lostPause, 4 * time.Second, maxLostPause, maxLostPause} {
+		it.state = running
+		r.runItem(t.Context(), newJob(work.Job{ID: "j"}, nil), it, &testRoute, backend.Server{ID: fmt.Sprint(n)})
+		is.Equal(it.state, waiting)
+		is.True(time.Until(it.notBefore) <= want)
+		is.True(time.Until(it.notBefore) > want-lostPause)
+	}
+}
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -31,6 +31,11 @@
 	refusedPause = 100 * time.Millisecond
 	// failedPause is the pause after a failed attempt.
 	failedPause = 200 * time.Millisecond
+	// lostPause is the pause after a run that has lost its connection, which is lostFactor times as long after each further one without
+	// an event in between, up to maxLostPause: the server is known to be gone then, and an item that crashes servers does so rarely.
+	lostPause    = 250 * time.Millisecond
+	lostFactor   = 4
+	maxLostPause = 8 * time.Second
 	// preemptedPause is the pause after a preemption, so that the request counts of other instances arrive before the item
 	// looks for a slot again.
 	preemptedPause = 350 * time.Millisecond
@@ -113,6 +118,9 @@
 	it.state = waiting
 	code := fault.CodeOf(err)
 	account(it, first, outcome(code, j.due(rt), at), at)
+	if it.last > first {
+		it.losses = 0
+	}
 	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
 		it.restart()
 	}
@@ -137,6 +145,9 @@
 		it.notBefore = at.Add(preemptedPause)
 	case fault.NotRun(err):
 		it.notBefore = at.Add(refusedPause)
+	case response.ConnectionLost(err):
+		it.notBefore = at.Add(pauseAfter(it.losses))
+		it.losses++
 	}
 	if err != nil {
 		r.logger.Info("item attempt ended", "job", j.ID, "item", it.ID, "server", s.ID, "code", string(code), "error", err.Error(),
@@ -156,6 +167,18 @@
 	}
 }
 
+// pauseAfter returns the pause after a lost connection that follows a number of others.
+func pauseAfter(losses int) time.Duration {
+	pause := lostPause
+	for range losses {
+		if pause *= lostFactor; pause >= maxLostPause {
+			return maxLostPause
+		}
+	}
+
+	return pause
+}
+
 func (r *Runner) attempt(ctx context.Context, j *job, it *item, s backend.Server) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -25,7 +25,9 @@
 	last   int64
 	events bool
 	// failures counts the attempts that the backend server answered with a failure; a lost stream or a preemption does not count.
-	failures  int
+	failures int
+	// losses counts the runs in a row that have lost their connection without an event.
+	losses    int
 	notBefore time.Time
 	// server and routeName are the server and the route of the present run, or the last one.
 	server    string
