Try items with a quarantined part now and then

Cause: a quarantine ends by an answer to a request with the part or after 3 min, and no request with the part is let through. Class: a breaker that opens and has no half-open state. Change: from the decision on, a trial every 17 s that lasts 2 s, at all instances at the same times; each instance runs its waiting items of it on one server, once. After four known crashes, three more items over all instances, known from heartbeats. A run that loses its connection while its part is suspected waits one step longer. Ruled out: each item with pauses of its own (a server for each item).

--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -473,6 +473,13 @@
 
 	// Part is the ID of the prompt part.
 	Part string `json:"Part"`
+
+	// Tried is the number of the sender's items in trials after the part had surely
+	// crashed servers.
+	Tried int `json:"Tried,omitempty,omitzero"`
+
+	// Waiting is the number of the sender's batch items that wait for it.
+	Waiting int `json:"Waiting,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -501,6 +508,12 @@
 	if 0 > plain.LeftMillis {
 		return fmt.Errorf("field %s: must be >= %v", "LeftMillis", 0)
 	}
+	if v, ok := raw["Tried"]; !ok || v == nil {
+		plain.Tried = 0
+	}
+	if v, ok := raw["Waiting"]; !ok || v == nil {
+		plain.Waiting = 0
+	}
 	*j = QuarantinedPart(plain)
 	return nil
 }
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -112,6 +112,8 @@
 	defer r.signal()
 	it.cancel = nil
 	at := r.now()
+	trial := it.trial
+	it.trial = false
 	if it.state != running || j.released {
 		return
 	}
@@ -146,9 +148,16 @@
 	case fault.NotRun(err):
 		it.notBefore = at.Add(refusedPause)
 	case response.ConnectionLost(err):
-		it.notBefore = at.Add(pauseAfter(it.losses))
+		steps := it.losses
+		if !r.parts.MayRetry(it.parts) {
+			steps++
+		}
+		it.notBefore = at.Add(pauseAfter(steps))
 		it.losses++
 	}
+	if trial {
+		it.notBefore = later(it.notBefore, at.Add(trialPause))
+	}
 	if err != nil {
 		r.logger.Info("item attempt ended", "job", j.ID, "item", it.ID, "server", s.ID, "code", string(code), "error", err.Error(),
 			"run_ms", at.Sub(it.startedAt).Milliseconds(), "first_event", first, "last_event", it.last, "failures", it.failures, "finished", it.state == done)
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -38,6 +38,8 @@
 	parts     []string
 	partsRead bool
 	held      bool
+	// trial is set while it runs although a part is quarantined.
+	trial bool
 	// firstAt is when the present run received its first event, zero before that. progressAt is when it began or last received one.
 	firstAt    time.Time
 	progressAt time.Time
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -59,6 +59,8 @@
 type placer interface {
 	RandomPoint() float64
 	Batch(service string, urgent, late bool, at time.Time) (s backend.Server, release func(), ok bool)
+	// BatchOn is like Batch for one server, whether its slots are free or not.
+	BatchOn(s backend.Server) (release func())
 }
 
 type roster interface {
@@ -67,6 +69,11 @@
 
 type promptParts interface {
 	Quarantined(parts []string) (part string, until time.Time, ok bool)
+	TrialDue(parts []string) bool
+	RecordTrial(parts []string)
+	RecordWaiting(counts map[string]int)
+	// MayRetry reports whether none of some parts is suspected of crashing servers.
+	MayRetry(parts []string) bool
 	RecordRefusal(kind string)
 	RecordLoss(s backend.Server, prompt string, parts []string, at time.Time)
 	RecordProgress(s backend.Server, sentAt, at time.Time)
@@ -142,6 +149,8 @@
 	queuedLate int
 	// queuedOf counts the items of queued by route.
 	queuedOf map[string]int
+	// triedUntil is until when this instance begins no other trial of a quarantined part.
+	triedUntil map[string]time.Time
 	// received counts the events of items, and estimator observes the progress of the fleet.
 	received  *throughput.Meter
 	estimator *feasibility.Estimator
@@ -195,6 +204,7 @@
 		received:    throughput.New(),
 		refused:     map[string]time.Time{},
 		refusedHere: map[string]time.Time{},
+		triedUntil:  map[string]time.Time{},
 		estimator:   feasibility.New(),
 	}
 }
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -169,6 +169,8 @@
 	}, true
 }
 
+func (f *fleet) BatchOn(backend.Server) func() { return func() {} }
+
 func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
 	return p, false, nil
 }
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tarragonwalk/core/backend"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -41,6 +42,8 @@
 	due   time.Time
 	// late is set if the item can no longer meet the deadline.
 	late bool
+	// trial is the quarantined part, or combination, in whose trial the item may run, empty if none of its parts is quarantined.
+	trial string
 }
 
 // compareCandidates orders items by deadline, late ones after all others: under overload, running late items first would make
@@ -134,8 +137,17 @@
 	r.queued, r.queuedLate = 0, 0
 	clear(r.queuedOf)
 	full := map[string]bool{}
+	trials := map[string]*trialRun{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.RandomPoint())
+		if s, release, ok := r.joinTrial(c, trials); ok {
+			r.run(ctx, c, s, release, at)
+
+			continue
+		}
+		if c.trial != "" && !r.mayBeginTrial(c, trials, at) {
+			continue
+		}
 		if full[service] {
 			r.countQueued(c)
 
@@ -149,21 +161,30 @@
 
 			continue
 		}
-		run, cancel := context.WithCancelCause(ctx)
-		c.item.state = running
-		c.item.server = s.ID
-		c.item.routeName = c.route.Name
-		c.item.startedAt, c.item.progressAt = at, at
-		c.item.firstAt = time.Time{}
-		c.item.cancel = cancel
-		r.tasks.Go(func() {
-			defer release()
-			defer cancel(nil)
-			r.runItem(run, c.job, c.item, c.route, s)
-		})
+		if c.trial != "" {
+			r.beginTrial(c, trials, s, at)
+		}
+		r.run(ctx, c, s, release, at)
 	}
 }
 
+// run starts an item on a server; it needs the lock.
+func (r *Runner) run(ctx context.Context, c candidate, s backend.Server, release func(), at time.Time) {
+	run, cancel := context.WithCancelCause(ctx)
+	c.item.state = running
+	c.item.server = s.ID
+	c.item.routeName = c.route.Name
+	c.item.startedAt, c.item.progressAt = at, at
+	c.item.firstAt = time.Time{}
+	c.item.trial = c.trial != ""
+	c.item.cancel = cancel
+	r.tasks.Go(func() {
+		defer release()
+		defer cancel(nil)
+		r.runItem(run, c.job, c.item, c.route, s)
+	})
+}
+
 // countQueued counts an item that found no free slot; it needs the lock.
 func (r *Runner) countQueued(c candidate) {
 	if c.late {
@@ -181,6 +202,7 @@
 		return nil
 	}
 	var list []candidate
+	held := map[string]int{}
 	for _, j := range r.jobs {
 		if j.ended || j.released {
 			continue
@@ -199,25 +221,33 @@
 				r.logger.Info("item given up", "job", j.ID, "item", it.ID, "cause", "too old", "submitted_at", j.SubmittedAt)
 				givenUp.Add("too_old", 1)
 				j.finish(it, work.StateDead, at)
-			case r.quarantined(j, it):
 			default:
 				due := j.due(rt)
-				list = append(list, candidate{
+				c := candidate{
 					job:   j,
 					item:  it,
 					route: rt,
 					due:   due,
 					late:  r.late(it, due, at),
-				})
+					trial: r.quarantined(j, it),
+				}
+				if c.trial != "" {
+					held[c.trial]++
+				}
+				if c.trial == "" || r.parts.TrialDue(it.parts) {
+					list = append(list, c)
+				}
 			}
 		}
 	}
+	r.parts.RecordWaiting(held)
 
 	return list
 }
 
-// quarantined reports whether an item has to wait because one of its prompt parts crashes backend servers; it needs the lock.
-func (r *Runner) quarantined(j *job, it *item) bool {
+// quarantined returns the prompt part, or combination of parts, for which an item has to wait because it crashes backend servers, empty if
+// there is none; it needs the lock.
+func (r *Runner) quarantined(j *job, it *item) string {
 	if !it.partsRead {
 		it.parts, it.partsRead = r.sharedParts(it.Headers), true
 	}
@@ -228,7 +258,7 @@
 	}
 	it.held = held
 
-	return held
+	return part
 }
 
 // late reports whether an item is not expected to meet its deadline. Such items run when no others wait.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -175,6 +175,13 @@
 	return backend.Server{}, nil, false
 }
 
+// BatchOn reserves a slot for a batch item on a server, even if none is free. release ends the reservation.
+func (p *Placer) BatchOn(s backend.Server) (release func()) {
+	p.loads.Add(s.ID, 0, 1)
+
+	return func() { p.loads.Add(s.ID, 0, -1) }
+}
+
 // Excess returns how many of the instance's own batch items on a server have to be preempted because it has more requests than
 // slots. All instances with batch items there see the same counts and share the excess in proportion to their items, so that
 // together they do not preempt more than needed; a share is rounded up or down at random.
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -15,6 +15,8 @@
 	// maxAnnounced bounds the crashes, and maxAnnouncedParts the parts of each other kind, in a heartbeat.
 	maxAnnounced      = 8
 	maxAnnouncedParts = 32
+	// waitersLife is how long the items of another instance count that has not been heard from since.
+	waitersLife = 5 * time.Second
 	// minLeft is the least time for which a quarantine is taken over, so that one that ends here is not renewed by another instance
 	// whose clock is a little behind.
 	minLeft = time.Second
@@ -26,6 +28,7 @@
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	at := q.now()
+	q.self = b.Sender.Name
 	for _, c := range slices.Backward(q.crashes) {
 		parts := q.announced(c, at)
 		if len(b.Crashes) >= maxAnnounced || len(parts) == 0 && !c.announceRefutation {
@@ -65,6 +68,8 @@
 				Part:       part,
 				AgeMillis:  gossip.Age(e.since, at),
 				LeftMillis: gossip.Age(at, e.until),
+				Waiting:    q.ownWaiters[part].waiting,
+				Tried:      q.ownWaiters[part].tried,
 			})
 		}
 	}
@@ -123,6 +128,23 @@
 	for _, p := range b.QuarantinedParts[:min(len(b.QuarantinedParts), maxAnnouncedParts)] {
 		left := min(quarantineLife, time.Duration(max(0, p.LeftMillis))*time.Millisecond)
 		q.adopt(p.Part, gossip.Before(at, max(0, p.AgeMillis)), at.Add(left), "peer")
+		if q.quarantined[p.Part] != nil {
+			q.observeWaiters(b.Sender.Name, p, at)
+		}
+	}
+}
+
+// observeWaiters keeps what another instance says of its items that wait for a part. The caller holds the lock.
+func (q *Quarantine) observeWaiters(instance string, p gossip.QuarantinedPart, at time.Time) {
+	if q.peerWaiters[p.Part] == nil {
+		q.peerWaiters[p.Part] = map[string]waiters{}
+	}
+	// Of an instance that is gone, only its trials go on to count.
+	tried := max(p.Tried, q.peerWaiters[p.Part][instance].tried)
+	q.peerWaiters[p.Part][instance] = waiters{
+		waiting: max(0, p.Waiting),
+		tried:   tried,
+		until:   at.Add(waitersLife),
 	}
 }
 
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -232,14 +233,19 @@
 // combine replaces the parts that are quarantined in combination: servers crash under requests with all of them, and nothing tells
 // yet which of them is the cause. The caller holds the lock.
 func (q *Quarantine) combine(combined map[string][]string) {
+	since := map[string]time.Time{}
 	for part, with := range combined {
 		slices.Sort(with)
+		key := strings.Join(with, "+")
+		if since[key] = q.combinedSince[key]; since[key].IsZero() {
+			since[key] = q.judgedAt
+		}
 		if q.combined[part] == nil {
 			decisions.Add("combined", 1)
 			q.log.Warn("prompt parts quarantined in combination", "part", part, "parts", with, "evidence", q.evidence(part))
 		}
 	}
-	q.combined = combined
+	q.combined, q.combinedSince = combined, since
 }
 
 func countIncarnations(crashes []*crash) int {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -59,8 +59,15 @@
 	crashes     []*crash
 	suspected   map[string]bool
 	quarantined map[string]*entry
-	// combined are parts that are quarantined only in combination with others, which the values include.
-	combined map[string][]string
+	// combined are parts that are quarantined only in combination with others, which the values include, and combinedSince is since when
+	// each combination is, by its parts.
+	combined      map[string][]string
+	combinedSince map[string]time.Time
+	// ownWaiters are the items of this instance that wait for each part or combination, and peerWaiters those of the others by instance.
+	// self is the name of this instance, known from its first heartbeat.
+	ownWaiters  map[string]waiters
+	peerWaiters map[string]map[string]waiters
+	self        string
 	// cleared are the parts that this instance announces as sound until the given time.
 	cleared map[string]time.Time
 	// savedUntil are the combinations that are in the store, by name, and until when they count.
@@ -88,6 +95,8 @@
 		obsolete:     map[string]bool{},
 		savedUntil:   map[string]time.Time{},
 		incarnations: map[string]string{},
+		ownWaiters:   map[string]waiters{},
+		peerWaiters:  map[string]map[string]waiters{},
 	}
 }
 
@@ -320,6 +329,8 @@
 func (q *Quarantine) release(part, cause string) {
 	e := q.quarantined[part]
 	delete(q.quarantined, part)
+	delete(q.ownWaiters, part)
+	delete(q.peerWaiters, part)
 	if e.saved {
 		q.obsolete[part] = true
 	}
