Keep trials of a quarantined part within the route's services

An item that joined a trial ran on the server that another item had chosen, also if its own route led to another service: trials were kept by part alone, and jobs of several routes may share a part. The server of another service then got an item that it was not configured for (ROUTE).

Trials are kept by part and service. An item joins or awaits only those at the services of its route, so each service with such items costs one server.

TestTrialStaysInTheServiceOfTheRoute failed before: the item of the other service ran at server w.

--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -19,6 +19,7 @@
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/quarantine"
 	"tarragonwalk/core/response"
+	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 	"tarragonwalk/internal/fakeobjects"
 )
@@ -52,6 +53,16 @@
 	}
 }
 
+// quarantineShared lets three servers crash under the shared part.
+func quarantineShared(is *is.I, q *quarantine.Quarantine) {
+	for n := range 3 {
+		q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), []string{"shared"}, time.Now())
+		time.Sleep(time.Second)
+	}
+	_, _, held := q.Quarantined(oneSharedPart(nil))
+	is.True(held)
+}
+
 // Guards against items that nobody runs for minutes because a sound part of their prompts was quarantined in a wave of crashes:
 // nothing but a request with that part can show that it is sound.
 func TestItemOfSoundPartInQuarantineCompletes(t *testing.T) {
@@ -60,12 +71,7 @@
 		f := newFleet(1, 0)
 		q, end := newQuarantine()
 		defer end()
-		for n := range 3 {
-			q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), []string{"shared"}, time.Now())
-			time.Sleep(time.Second)
-		}
-		_, _, held := q.Quarantined(oneSharedPart(nil))
-		is.True(held)
+		quarantineShared(is, q)
 		l := logs.New(f.objects)
 		r, stop := f.startWith("e1", l, f, q, oneSharedPart)
 		defer stop()
@@ -76,6 +82,42 @@
 	})
 }
 
+// serverRecorder records which server each item was sent to.
+type serverRecorder struct {
+	*fleet
+	lock    sync.Mutex
+	servers map[string]string
+}
+
+func (s *serverRecorder) Send(ctx context.Context, b backend.Server, q *call.Call, after int64) (*response.Response, error) {
+	s.lock.Lock()
+	s.servers[q.ID] = b.ID
+	s.lock.Unlock()
+
+	return s.fleet.Send(ctx, b, q, after)
+}
+
+// Guards against an item in a trial that is sent to a server of another service than its route's.
+func TestTrialStaysInTheServiceOfTheRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		other := testRoute
+		other.Name, other.Prefix, other.Shares = "others", "/c/", []route.Share{{Service: "other", Weight: 1}}
+		f.routes = []route.Route{other}
+		s := &serverRecorder{fleet: f, servers: map[string]string{}}
+		q, end := newQuarantine()
+		defer end()
+		quarantineShared(is, q)
+		r, stop := f.startWith("e1", logs.New(f.objects), s, q, oneSharedPart)
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
+		is.NoErr(r.Submit(t.Context(), &other, work.Job{ID: "k", Host: "h", Target: "/c/1", SubmittedAt: time.Now()}, newItems("k", 1)))
+		time.Sleep(maxUntried)
+		is.Equal(s.servers, map[string]string{"j-0": "w", "k-0": "w-other"})
+	})
+}
+
 // crashingServer crashes under each request, records when that was, and starts again.
 type crashingServer struct {
 	*fleet
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -149,8 +149,8 @@
 	queuedLate int
 	// queuedOf counts the items of queued by route.
 	queuedOf map[string]int
-	// triedUntil is until when this instance begins no other trial of a quarantined part.
-	triedUntil map[string]time.Time
+	// trials are the trials of quarantined parts that are in progress; this instance begins no other one meanwhile.
+	trials map[trialKey]*trialRun
 	// received counts the events of items, and estimator observes the progress of the fleet.
 	received  *throughput.Meter
 	estimator *feasibility.Estimator
@@ -204,7 +204,7 @@
 		received:    throughput.New(),
 		refused:     map[string]time.Time{},
 		refusedHere: map[string]time.Time{},
-		triedUntil:  map[string]time.Time{},
+		trials:      map[trialKey]*trialRun{},
 		estimator:   feasibility.New(),
 	}
 }
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -70,6 +70,8 @@
 	takenOver map[string]int
 	// restarts counts how often the backend server has started again.
 	restarts atomic.Int64
+	// routes are further routes than testRoute.
+	routes []route.Route
 }
 
 func newFleet(seed uint64, failureRate float64) *fleet {
@@ -96,7 +98,7 @@
 		return &route.Table{Version: 1}, 1
 	}
 
-	return &route.Table{Version: 1, Routes: []route.Route{testRoute}}, 1
+	return &route.Table{Version: 1, Routes: append([]route.Route{testRoute}, f.routes...)}, 1
 }
 
 func (f *fleet) Live() []string {
@@ -154,7 +156,8 @@
 func (f *fleet) RandomPoint() float64                              { return 0 }
 func (f *fleet) RecordAttempt(string, error, time.Time, time.Time) {}
 
-func (f *fleet) Batch(string, bool, bool, time.Time) (backend.Server, func(), bool) {
+// Batch returns server w for service s, and a server of its own for each other service.
+func (f *fleet) Batch(service string, _, _ bool, _ time.Time) (backend.Server, func(), bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if f.usedSlots >= 6 {
@@ -162,7 +165,12 @@
 	}
 	f.usedSlots++
 
-	return backend.Server{ID: "w", StartedAt: int(f.restarts.Load())}, func() {
+	id := "w"
+	if service != "s" {
+		id += "-" + service
+	}
+
+	return backend.Server{ID: id, StartedAt: int(f.restarts.Load())}, func() {
 		f.lock.Lock()
 		defer f.lock.Unlock()
 		f.usedSlots--
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -137,15 +137,14 @@
 	r.queued, r.queuedLate = 0, 0
 	clear(r.queuedOf)
 	full := map[string]bool{}
-	trials := map[string]*trialRun{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.RandomPoint())
-		if s, release, ok := r.joinTrial(c, trials); ok {
+		if s, release, ok := r.joinTrial(c, at); ok {
 			r.run(ctx, c, s, release, at)
 
 			continue
 		}
-		if c.trial != "" && !r.mayBeginTrial(c, trials, at) {
+		if c.trial != "" && !r.mayBeginTrial(c, at) {
 			continue
 		}
 		if full[service] {
@@ -162,7 +161,7 @@
 			continue
 		}
 		if c.trial != "" {
-			r.beginTrial(c, trials, s, at)
+			r.beginTrial(c, service, s, at)
 		}
 		r.run(ctx, c, s, release, at)
 	}
--- a/core/jobrun/trial.go
+++ b/core/jobrun/trial.go
@@ -1,6 +1,7 @@
 package jobrun
 
 import (
+	"maps"
 	"time"
 
 	"tarragonwalk/core/backend"
@@ -13,36 +14,61 @@
 	maxTrialItems = 8
 )
 
+// trialKey names a trial: a quarantined part, or combination of parts, and a service.
+type trialKey struct {
+	part    string
+	service string
+}
+
 // trialRun is a trial of a quarantined part at this instance: all items in it run on one server, which it may cost.
 type trialRun struct {
-	server backend.Server
-	items  int
+	server  backend.Server
+	items   int
+	beganAt time.Time
+}
+
+// trialOf returns the trial of an item's part that is in progress at a service of the item's route, nil if there is none; it needs the lock.
+func (r *Runner) trialOf(c candidate, at time.Time) *trialRun {
+	for _, s := range c.route.Shares {
+		t := r.trials[trialKey{
+			part:    c.trial,
+			service: s.Service,
+		}]
+		if t != nil && s.Weight > 0 && at.Before(t.beganAt.Add(trialPause)) {
+			return t
+		}
+	}
+
+	return nil
 }
 
 // mayBeginTrial reports whether an item may begin a trial of its part; it needs the lock.
-func (r *Runner) mayBeginTrial(c candidate, trials map[string]*trialRun, at time.Time) bool {
-	return trials[c.trial] == nil && !at.Before(r.triedUntil[c.trial]) && r.parts.TrialDue(c.item.parts)
+func (r *Runner) mayBeginTrial(c candidate, at time.Time) bool {
+	return r.trialOf(c, at) == nil && r.parts.TrialDue(c.item.parts)
 }
 
-// beginTrial records that an item begins a trial on a server; it needs the lock.
-func (r *Runner) beginTrial(c candidate, trials map[string]*trialRun, s backend.Server, at time.Time) {
-	for part, until := range r.triedUntil {
-		if !at.Before(until) {
-			delete(r.triedUntil, part)
-		}
-	}
-	r.triedUntil[c.trial] = at.Add(trialPause)
-	trials[c.trial] = &trialRun{
-		server: s,
-		items:  1,
+// beginTrial records that an item begins a trial on a server of a service; it needs the lock.
+func (r *Runner) beginTrial(c candidate, service string, s backend.Server, at time.Time) {
+	maps.DeleteFunc(r.trials, func(_ trialKey, t *trialRun) bool { return !at.Before(t.beganAt.Add(trialPause)) })
+	r.trials[trialKey{
+		part:    c.trial,
+		service: service,
+	}] = &trialRun{
+		server:  s,
+		items:   1,
+		beganAt: at,
 	}
 	r.recordTrial(c, s)
 }
 
-// joinTrial reserves a slot for an item in a trial that another item has begun, false if it cannot take part; it needs the lock.
-func (r *Runner) joinTrial(c candidate, trials map[string]*trialRun) (s backend.Server, release func(), ok bool) {
-	t := trials[c.trial]
-	if c.trial == "" || t == nil || t.items >= maxTrialItems || !r.parts.TrialDue(c.item.parts) {
+// joinTrial reserves a slot for an item in a trial that another item has begun in the same step, false if it cannot take part; it needs the
+// lock.
+func (r *Runner) joinTrial(c candidate, at time.Time) (s backend.Server, release func(), ok bool) {
+	if c.trial == "" {
+		return backend.Server{}, nil, false
+	}
+	t := r.trialOf(c, at)
+	if t == nil || !t.beganAt.Equal(at) || t.items >= maxTrialItems || !r.parts.TrialDue(c.item.parts) {
 		return backend.Server{}, nil, false
 	}
 	t.items++
