Name the same quarantined part in the count and in the trial of an item

An item with several quarantined parts was counted as waiting for the first of them in its own order, while its trial was due, and was counted, for the one with the most crashes. Items with the same parts in another order also began a trial of their own on a second server.

Quarantined names the part that TrialDue and RecordTrial use.

TestItemWithTwoPartsIsCountedOnce failed before: 4 items tried, 1 allowed.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -4,7 +4,6 @@
 	"expvar"
 	"log/slog"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -101,24 +100,16 @@
 }
 
 // Quarantined returns the part of a request that is in quarantine, or the combination of parts, and until when; false if there is
-// none.
+// none. Of several it is the one with the most crashes, whose trial counts.
 func (q *Quarantine) Quarantined(parts []string) (part string, until time.Time, ok bool) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	if len(q.quarantined)+len(q.combined) == 0 {
 		return "", time.Time{}, false
 	}
-	at := q.now()
-	for _, p := range parts {
-		if e := q.quarantined[p]; e != nil && at.Before(e.until) {
-			return p, e.until, true
-		}
-		if with := q.combined[p]; with != nil && containsAll(parts, with) {
-			return strings.Join(with, "+"), at.Add(combinedRetry), true
-		}
-	}
+	h, ok := q.holdOf(parts, q.now())
 
-	return "", time.Time{}, false
+	return h.key, h.until, ok
 }
 
 func containsAll(parts, subset []string) bool {
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -27,12 +27,13 @@
 	until time.Time
 }
 
-// hold is the reason for which an item waits.
+// hold is the reason for which a request or an item waits.
 type hold struct {
 	// key names the part, or the combination of parts, and parts are these.
 	key   string
 	parts []string
 	since time.Time
+	until time.Time
 }
 
 // TrialDue reports whether one waiting item with some parts may run now although one of them is quarantined. Nothing else shows that a part
@@ -106,7 +107,7 @@
 	}
 }
 
-// holdOf returns why an item with some parts waits: the quarantined part, or combination, with the most crashes. The caller holds the lock.
+// holdOf returns why a request or an item with some parts waits: the quarantined part, or combination, with the most crashes. The caller holds the lock.
 func (q *Quarantine) holdOf(parts []string, at time.Time) (worst hold, ok bool) {
 	most := -1
 	consider := func(h hold) {
@@ -121,6 +122,7 @@
 				key:   p,
 				parts: []string{p},
 				since: e.since,
+				until: e.until,
 			})
 		}
 		if with := q.combined[p]; with != nil && containsAll(parts, with) {
@@ -129,6 +131,7 @@
 				key:   key,
 				parts: with,
 				since: q.combinedSince[key],
+				until: at.Add(combinedRetry),
 			})
 		}
 	}
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -109,3 +109,25 @@
 		})
 	}
 }
+
+// Guards against more items in trials than allowed because an item with two quarantined parts is counted under one of them, and its trial
+// under the other.
+func TestItemWithTwoPartsIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	f := convicted(t, 1, 5)
+	q := f.instances[0]
+	q.adopt("fewer", f.at.Add(-time.Second), f.at.Add(quarantineLife), "peer")
+	both := []string{"fewer", crashing}
+	tried := 0
+	for range 4 {
+		f.at = q.quarantined[crashing].since.Add(trialInterval + trialWindow/2)
+		name, _, held := q.Quarantined(both)
+		is.True(held)
+		q.RecordWaiting(map[string]int{name: 4 - tried})
+		if q.TrialDue(both) {
+			q.RecordTrial(both)
+			tried++
+		}
+	}
+	is.Equal(tried, 1)
+}
