Count the trials of each process of an instance

Instances kept the larger of the counts of tried items that another instance had announced before and after a restart. A restarted one counts from zero, so its next trials were not seen until they were more than those of its former process, and more items than three in all were tried.

The counts of former processes are kept apart by the incarnation and added.

TestTrialsBeforeRestartCount failed before: two trials of each of two processes left room for another one. Open: the restarted instance does not know its own former trials.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -129,22 +129,28 @@
 		left := min(quarantineLife, time.Duration(max(0, p.LeftMillis))*time.Millisecond)
 		q.adopt(p.Part, gossip.Before(at, max(0, p.AgeMillis)), at.Add(left), "peer")
 		if q.quarantined[p.Part] != nil {
-			q.observeWaiters(b.Sender.Name, p, at)
+			q.observeWaiters(b.Sender, p, at)
 		}
 	}
 }
 
 // observeWaiters keeps what another instance says of its items that wait for a part. The caller holds the lock.
-func (q *Quarantine) observeWaiters(instance string, p gossip.QuarantinedPart, at time.Time) {
+func (q *Quarantine) observeWaiters(sender gossip.Member, p gossip.QuarantinedPart, at time.Time) {
 	if q.peerWaiters[p.Part] == nil {
 		q.peerWaiters[p.Part] = map[string]waiters{}
 	}
-	// Of an instance that is gone, only its trials go on to count.
-	tried := max(p.Tried, q.peerWaiters[p.Part][instance].tried)
-	q.peerWaiters[p.Part][instance] = waiters{
-		waiting: max(0, p.Waiting),
-		tried:   tried,
-		until:   at.Add(waitersLife),
+	// Of an instance that is gone, and of its former processes, only the trials go on to count.
+	last := q.peerWaiters[p.Part][sender.Name]
+	earlier := last.earlier
+	if last.incarnation != sender.Incarnation {
+		earlier = last.tried
+	}
+	q.peerWaiters[p.Part][sender.Name] = waiters{
+		waiting:     max(0, p.Waiting),
+		tried:       earlier + max(0, p.Tried),
+		until:       at.Add(waitersLife),
+		incarnation: sender.Incarnation,
+		earlier:     earlier,
 	}
 }
 
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -25,6 +25,9 @@
 	// trial is the number of the last trial of this instance, and until is when what another instance has said expires.
 	trial int64
 	until time.Time
+	// incarnation is the process of another instance that said so, and earlier the number of items that its former ones tried.
+	incarnation string
+	earlier     int
 }
 
 // hold is the reason for which a request or an item waits.
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -131,3 +131,19 @@
 	}
 	is.Equal(tried, 1)
 }
+
+// Guards against more trials than allowed because those of an instance's former process are forgotten when the next one begins to count.
+func TestTrialsBeforeRestartCount(t *testing.T) {
+	is := is.New(t)
+	f := convicted(t, 2, 5)
+	q := f.instances[1]
+	for _, incarnation := range []string{"1", "1", "2", "2"} {
+		q.ObserveHeartbeat(&gossip.Heartbeat{
+			Sender:           gossip.Member{Name: "0", Incarnation: incarnation},
+			QuarantinedParts: []gossip.QuarantinedPart{{Part: crashing, LeftMillis: 60_000, Tried: 2}},
+		}, f.at)
+	}
+	f.at = q.quarantined[crashing].since.Add(trialInterval)
+	q.RecordWaiting(map[string]int{crashing: 1})
+	is.True(!q.TrialDue([]string{crashing}))
+}
