Repeat the trial of an item that its server has refused

A waiting item whose trial began on a server that was gone or full reached no server, and still counted as tried: it waited for the next trial, 34 s after the part was quarantined, and after four known crashes it used up one of the three trials that all instances have. So items could be left until the end of the quarantine without a run (LOST).

A refused run is taken out of the count, and a trial whose server refused all of its items does not keep the instance from another one in the same 2 s. If the server has accepted one of them, it may have crashed under it, and the others wait as before.

TestRefusedTrialIsRepeated failed before: the item was not done after 20 s.

--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,39 @@
 	})
 }
 
+// refusingServer refuses the first items.
+type refusingServer struct {
+	*fleet
+	refusals atomic.Int64
+}
+
+func (s *refusingServer) Send(ctx context.Context, b backend.Server, q *call.Call, after int64) (*response.Response, error) {
+	if s.refusals.Add(-1) >= 0 {
+		return nil, fault.New(fault.CodeBackendUnreachable, "connection refused")
+	}
+
+	return s.fleet.Send(ctx, b, q, after)
+}
+
+// Guards against an item that waits for the next trial but one because the server of its trial was gone.
+func TestRefusedTrialIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		s := &refusingServer{fleet: f}
+		s.refusals.Store(2)
+		q, end := newQuarantine()
+		defer end()
+		quarantineShared(is, q)
+		l := logs.New(f.objects)
+		r, stop := f.startWith("e1", l, s, q, oneSharedPart)
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
+		time.Sleep(maxUntried)
+		is.True(check(t, l, "j", 1))
+	})
+}
+
 // serverRecorder records which server each item was sent to.
 type serverRecorder struct {
 	*fleet
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -112,8 +112,7 @@
 	defer r.signal()
 	it.cancel = nil
 	at := r.now()
-	trial := it.trial
-	it.trial = false
+	tried := r.endTrial(it, fault.NotRun(err))
 	if it.state != running || j.released {
 		return
 	}
@@ -155,7 +154,7 @@
 		it.notBefore = at.Add(pauseAfter(steps))
 		it.losses++
 	}
-	if trial {
+	if tried {
 		it.notBefore = later(it.notBefore, at.Add(trialPause))
 	}
 	if err != nil {
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -39,7 +39,7 @@
 	partsRead bool
 	held      bool
 	// trial is set while it runs although a part is quarantined.
-	trial bool
+	trial *trialItem
 	// firstAt is when the present run received its first event, zero before that. progressAt is when it began or last received one.
 	firstAt    time.Time
 	progressAt time.Time
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -70,7 +70,7 @@
 type promptParts interface {
 	Quarantined(parts []string) (part string, until time.Time, ok bool)
 	TrialDue(parts []string) bool
-	RecordTrial(parts []string)
+	RecordTrial(parts []string) (withdraw func())
 	RecordWaiting(counts map[string]int)
 	// MayRetry reports whether none of some parts is suspected of crashing servers.
 	MayRetry(parts []string) bool
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -175,7 +175,6 @@
 	c.item.routeName = c.route.Name
 	c.item.startedAt, c.item.progressAt = at, at
 	c.item.firstAt = time.Time{}
-	c.item.trial = c.trial != ""
 	c.item.cancel = cancel
 	r.tasks.Go(func() {
 		defer release()
--- a/core/jobrun/trial.go
+++ b/core/jobrun/trial.go
@@ -25,16 +25,26 @@
 	server  backend.Server
 	items   int
 	beganAt time.Time
+	// running is how many of the items run, and reached is set if the server has accepted one of them.
+	running int
+	reached bool
+}
+
+// trialItem is the part of an item in a trial; withdraw takes it out of the count.
+type trialItem struct {
+	run      *trialRun
+	withdraw func()
 }
 
 // trialOf returns the trial of an item's part that is in progress at a service of the item's route, nil if there is none; it needs the lock.
+// A trial whose server refused all items has shown nothing and is none.
 func (r *Runner) trialOf(c candidate, at time.Time) *trialRun {
 	for _, s := range c.route.Shares {
 		t := r.trials[trialKey{
 			part:    c.trial,
 			service: s.Service,
 		}]
-		if t != nil && s.Weight > 0 && at.Before(t.beganAt.Add(trialPause)) {
+		if t != nil && s.Weight > 0 && at.Before(t.beganAt.Add(trialPause)) && (t.running > 0 || t.reached) {
 			return t
 		}
 	}
@@ -50,15 +60,15 @@
 // beginTrial records that an item begins a trial on a server of a service; it needs the lock.
 func (r *Runner) beginTrial(c candidate, service string, s backend.Server, at time.Time) {
 	maps.DeleteFunc(r.trials, func(_ trialKey, t *trialRun) bool { return !at.Before(t.beganAt.Add(trialPause)) })
-	r.trials[trialKey{
-		part:    c.trial,
-		service: service,
-	}] = &trialRun{
+	t := &trialRun{
 		server:  s,
-		items:   1,
 		beganAt: at,
 	}
-	r.recordTrial(c, s)
+	r.trials[trialKey{
+		part:    c.trial,
+		service: service,
+	}] = t
+	r.addToTrial(c, t)
 }
 
 // joinTrial reserves a slot for an item in a trial that another item has begun in the same step, false if it cannot take part; it needs the
@@ -71,13 +81,38 @@
 	if t == nil || !t.beganAt.Equal(at) || t.items >= maxTrialItems || !r.parts.TrialDue(c.item.parts) {
 		return backend.Server{}, nil, false
 	}
-	t.items++
-	r.recordTrial(c, t.server)
+	r.addToTrial(c, t)
 
 	return t.server, r.placer.BatchOn(t.server), true
 }
 
-func (r *Runner) recordTrial(c candidate, s backend.Server) {
-	r.parts.RecordTrial(c.item.parts)
-	r.logger.Info("item tried", "job", c.job.ID, "item", c.item.ID, "part", c.trial, "server", s.ID, "due", c.due, "losses", c.item.losses)
+// addToTrial records that an item runs in a trial; it needs the lock.
+func (r *Runner) addToTrial(c candidate, t *trialRun) {
+	t.items++
+	t.running++
+	c.item.trial = &trialItem{
+		run:      t,
+		withdraw: r.parts.RecordTrial(c.item.parts),
+	}
+	r.logger.Info("item tried", "job", c.job.ID, "item", c.item.ID, "part", c.trial, "server", t.server.ID, "due", c.due,
+		"losses", c.item.losses)
+}
+
+// endTrial records that the run of an item has ended, in a trial or not, and reports whether it took part in one. A run that the server
+// refused does not count. It needs the lock.
+func (*Runner) endTrial(it *item, refused bool) (tried bool) {
+	t := it.trial
+	it.trial = nil
+	if t == nil {
+		return false
+	}
+	t.run.running--
+	if refused {
+		t.withdraw()
+
+		return false
+	}
+	t.run.reached = true
+
+	return true
 }
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -70,14 +70,15 @@
 	return tried+waiting <= maxSureTrials || first && tried < maxSureTrials && own.trial < int64(passed/trialInterval)
 }
 
-// RecordTrial records that a waiting item with some parts runs as a trial.
-func (q *Quarantine) RecordTrial(parts []string) {
+// RecordTrial records that a waiting item with some parts runs as a trial. The caller calls withdraw if no server has accepted the item, which
+// then waits again.
+func (q *Quarantine) RecordTrial(parts []string) (withdraw func()) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	at := q.now()
 	h, ok := q.holdOf(parts, at)
 	if !ok {
-		return
+		return func() {}
 	}
 	decisions.Add("tried", 1)
 	own := q.ownWaiters[h.key]
@@ -90,6 +91,25 @@
 	q.ownWaiters[h.key] = own
 	q.log.Info("item tried", "part", h.key, "trial", own.trial, "since", h.since, "crashes", len(q.evidence(h.parts[0])), "sure", sure,
 		"waiting", own.waiting, "tried", own.tried)
+	trial := own.trial
+
+	return func() { q.withdrawTrial(h, trial, sure) }
+}
+
+// withdrawTrial takes an item out of a trial, and out of the number of those that count if it was counted.
+func (q *Quarantine) withdrawTrial(h hold, trial int64, counted bool) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	own, ok := q.ownWaiters[h.key]
+	if !ok {
+		return
+	}
+	own.waiting++
+	own.trial = min(own.trial, trial-1)
+	if counted {
+		own.tried = max(0, own.tried-1)
+	}
+	q.ownWaiters[h.key] = own
 }
 
 // RecordWaiting records how many items wait for each part, or combination of parts, as it was named by Quarantined.
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -132,6 +132,25 @@
 	is.Equal(tried, 1)
 }
 
+// Guards against an item that no server runs until the end of a quarantine because refused runs use up its trials, here and as other
+// instances count them.
+func TestRefusedTrialDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	f := convicted(t, 2, 5)
+	f.at = f.instances[0].quarantined[crashing].since.Add(trialInterval)
+	for range 2 * maxSureTrials {
+		for n, q := range f.instances {
+			q.RecordWaiting(map[string]int{crashing: maxSureTrials * (1 - n)})
+		}
+		is.True(f.instances[0].TrialDue([]string{crashing}))
+		withdraw := f.instances[0].RecordTrial([]string{crashing})
+		f.announceAll()
+		withdraw()
+	}
+	f.announceAll()
+	is.Equal(f.instances[1].peerWaiters[crashing]["0"].tried, 0)
+}
+
 // Guards against more trials than allowed because those of an instance's former process are forgotten when the next one begins to count.
 func TestTrialsBeforeRestartCount(t *testing.T) {
 	is := is.New(t)
