Count the items that wait for a combination of parts over all instances

Heartbeats carried the counts of waiting and tried items with each quarantined part, but parts that are quarantined in combination aren't among these. Parts come together each time where the items of a job share them. The counts of combinations were also never dropped.

HeldItems in heartbeats names a part or a combination. What waits for a combination is dropped when it is no longer in quarantine.

TestTrialsOfCombinationsAreBoundedTogether failed before: 9 items of three instances were tried, 3 are allowed.

--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -203,6 +203,10 @@
 	// items of such a job are in the store.
 	Held []string `json:"Held,omitempty,omitzero"`
 
+	// HeldItems are the sender's batch items that wait for prompt parts, and those
+	// that were tried.
+	HeldItems []HeldItems `json:"HeldItems,omitempty,omitzero"`
+
 	// PassedOn are heartbeats of processes that the receiver has not heard from,
 	// without counts.
 	PassedOn []RelayedHeartbeat `json:"PassedOn,omitempty,omitzero"`
@@ -330,6 +334,49 @@
 	return nil
 }
 
+// HeldItems are the batch items of an instance that wait for a quarantined prompt
+// part, or combination of parts.
+type HeldItems struct {
+	// Part names the prompt part or the combination.
+	Part string `json:"Part"`
+
+	// Tried is the number of items in trials after it had surely crashed servers.
+	Tried int `json:"Tried"`
+
+	// Waiting is the number of items that wait for it.
+	Waiting int `json:"Waiting"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HeldItems) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Part"]; raw != nil && !ok {
+		return fmt.Errorf("field Part in HeldItems: required")
+	}
+	if _, ok := raw["Tried"]; raw != nil && !ok {
+		return fmt.Errorf("field Tried in HeldItems: required")
+	}
+	if _, ok := raw["Waiting"]; raw != nil && !ok {
+		return fmt.Errorf("field Waiting in HeldItems: required")
+	}
+	type Plain HeldItems
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Tried {
+		return fmt.Errorf("field %s: must be >= %v", "Tried", 0)
+	}
+	if 0 > plain.Waiting {
+		return fmt.Errorf("field %s: must be >= %v", "Waiting", 0)
+	}
+	*j = HeldItems(plain)
+	return nil
+}
+
 // Member is an entry instance's description of itself.
 type Member struct {
 	// Caller is the address that serves callers.
@@ -473,13 +520,6 @@
 
 	// Part is the ID of the prompt part.
 	Part string `json:"Part"`
-
-	// Tried is the number of the sender's items in trials after the part had surely
-	// crashed servers.
-	Tried int `json:"Tried,omitempty,omitzero"`
-
-	// Waiting is the number of the sender's batch items that wait for it.
-	Waiting int `json:"Waiting,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -508,12 +548,6 @@
 	if 0 > plain.LeftMillis {
 		return fmt.Errorf("field %s: must be >= %v", "LeftMillis", 0)
 	}
-	if v, ok := raw["Tried"]; !ok || v == nil {
-		plain.Tried = 0
-	}
-	if v, ok := raw["Waiting"]; !ok || v == nil {
-		plain.Waiting = 0
-	}
 	*j = QuarantinedPart(plain)
 	return nil
 }
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -68,13 +68,21 @@
 				Part:       part,
 				AgeMillis:  gossip.Age(e.since, at),
 				LeftMillis: gossip.Age(at, e.until),
-				Waiting:    q.ownWaiters[part].waiting,
-				Tried:      q.ownWaiters[part].tried,
+			})
+		}
+	}
+	for key, w := range q.ownWaiters {
+		if len(b.HeldItems) < maxAnnouncedParts {
+			b.HeldItems = append(b.HeldItems, gossip.HeldItems{
+				Part:    key,
+				Waiting: w.waiting,
+				Tried:   w.tried,
 			})
 		}
 	}
 	slices.SortFunc(b.SoundParts, func(x, y gossip.SoundPart) int { return cmp.Compare(x.Part, y.Part) })
 	slices.SortFunc(b.QuarantinedParts, func(x, y gossip.QuarantinedPart) int { return cmp.Compare(x.Part, y.Part) })
+	slices.SortFunc(b.HeldItems, func(x, y gossip.HeldItems) int { return cmp.Compare(x.Part, y.Part) })
 }
 
 // announced returns the parts of a crash that other instances have to know: those that this instance lost, while they are new, and all
@@ -128,29 +136,39 @@
 	for _, p := range b.QuarantinedParts[:min(len(b.QuarantinedParts), maxAnnouncedParts)] {
 		left := min(quarantineLife, time.Duration(max(0, p.LeftMillis))*time.Millisecond)
 		q.adopt(p.Part, gossip.Before(at, max(0, p.AgeMillis)), at.Add(left), "peer")
-		if q.quarantined[p.Part] != nil {
-			q.observeWaiters(b.Sender, p, at)
-		}
 	}
+	q.observeWaiters(b.Sender, b.HeldItems[:min(len(b.HeldItems), maxAnnouncedParts)], at)
 }
 
-// observeWaiters keeps what another instance says of its items that wait for a part. The caller holds the lock.
-func (q *Quarantine) observeWaiters(sender gossip.Member, p gossip.QuarantinedPart, at time.Time) {
-	if q.peerWaiters[p.Part] == nil {
-		q.peerWaiters[p.Part] = map[string]waiters{}
-	}
-	// Of an instance that is gone, and of its former processes, only the trials go on to count.
-	last := q.peerWaiters[p.Part][sender.Name]
-	earlier := last.earlier
-	if last.incarnation != sender.Incarnation {
-		earlier = last.tried
+// observeWaiters keeps what another instance says of its items that wait for the parts, or combinations, in quarantine. The caller holds the
+// lock.
+func (q *Quarantine) observeWaiters(sender gossip.Member, list []gossip.HeldItems, at time.Time) {
+	for _, peers := range q.peerWaiters {
+		if last, ok := peers[sender.Name]; ok {
+			last.waiting = 0
+			peers[sender.Name] = last
+		}
 	}
-	q.peerWaiters[p.Part][sender.Name] = waiters{
-		waiting:     max(0, p.Waiting),
-		tried:       earlier + max(0, p.Tried),
-		until:       at.Add(waitersLife),
-		incarnation: sender.Incarnation,
-		earlier:     earlier,
+	for _, h := range list {
+		if _, combined := q.combinedSince[h.Part]; !combined && q.quarantined[h.Part] == nil {
+			continue
+		}
+		if q.peerWaiters[h.Part] == nil {
+			q.peerWaiters[h.Part] = map[string]waiters{}
+		}
+		// Of an instance that is gone, and of its former processes, only the trials go on to count.
+		last := q.peerWaiters[h.Part][sender.Name]
+		earlier := last.earlier
+		if last.incarnation != sender.Incarnation {
+			earlier = last.tried
+		}
+		q.peerWaiters[h.Part][sender.Name] = waiters{
+			waiting:     max(0, h.Waiting),
+			tried:       earlier + max(0, h.Tried),
+			until:       at.Add(waitersLife),
+			incarnation: sender.Incarnation,
+			earlier:     earlier,
+		}
 	}
 }
 
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -245,6 +245,11 @@
 			q.log.Warn("prompt parts quarantined in combination", "part", part, "parts", with, "evidence", q.evidence(part))
 		}
 	}
+	for key := range q.combinedSince {
+		if since[key].IsZero() && q.quarantined[key] == nil {
+			q.forgetWaiters(key)
+		}
+	}
 	q.combined, q.combinedSince = combined, since
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -320,8 +320,7 @@
 func (q *Quarantine) release(part, cause string) {
 	e := q.quarantined[part]
 	delete(q.quarantined, part)
-	delete(q.ownWaiters, part)
-	delete(q.peerWaiters, part)
+	q.forgetWaiters(part)
 	if e.saved {
 		q.obsolete[part] = true
 	}
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -180,3 +180,9 @@
 
 	return at.Sub(times[sureCrashes-1]) > trialWindow
 }
+
+// forgetWaiters drops the items that waited for a part, or a combination, which is no longer in quarantine. The caller holds the lock.
+func (q *Quarantine) forgetWaiters(key string) {
+	delete(q.ownWaiters, key)
+	delete(q.peerWaiters, key)
+}
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -158,11 +158,53 @@
 	q := f.instances[1]
 	for _, incarnation := range []string{"1", "1", "2", "2"} {
 		q.ObserveHeartbeat(&gossip.Heartbeat{
-			Sender:           gossip.Member{Name: "0", Incarnation: incarnation},
-			QuarantinedParts: []gossip.QuarantinedPart{{Part: crashing, LeftMillis: 60_000, Tried: 2}},
+			Sender:    gossip.Member{Name: "0", Incarnation: incarnation},
+			HeldItems: []gossip.HeldItems{{Part: crashing, Tried: 2}},
 		}, f.at)
 	}
 	f.at = q.quarantined[crashing].since.Add(trialInterval)
 	q.RecordWaiting(map[string]int{crashing: 1})
 	is.True(!q.TrialDue([]string{crashing}))
 }
+
+// Guards against more items in trials than allowed because instances do not count those that wait for a combination of parts together, and
+// against counts that stay for ever.
+func TestTrialsOfCombinationsAreBoundedTogether(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 3, 0)
+	both := []string{"also", crashing}
+	for n := range surelyCrashes {
+		f.instances[0].RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), both, f.at)
+		f.announceAll()
+		f.at = f.at.Add(2 * occasionGap)
+	}
+	f.at = f.at.Add(settleTime)
+	for _, q := range f.instances {
+		q.Review()
+	}
+	began := f.at
+	tried := 0
+	for n := range 4 {
+		f.at = began.Add(time.Duration(n+1)*trialInterval - trialWindow)
+		for _, q := range f.instances {
+			name, _, held := q.Quarantined(both)
+			is.True(held)
+			q.RecordWaiting(map[string]int{name: 3})
+		}
+		f.announceAll()
+		f.at = f.at.Add(trialWindow + trialWindow/2)
+		for _, q := range f.instances {
+			for range 3 {
+				if q.TrialDue(both) {
+					q.RecordTrial(both)
+					tried++
+				}
+			}
+		}
+	}
+	is.Equal(tried, maxSureTrials)
+	for _, q := range f.instances {
+		q.RecordAnswer(backend.Server{ID: "x"}, both, f.at, f.at)
+		is.Equal(len(q.ownWaiters)+len(q.peerWaiters), 0)
+	}
+}
