--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -209,12 +211,14 @@
 	}
 }
 
-// lossRecorder counts the losses that are evidence against prompt parts.
+// lossRecorder counts the losses that are evidence against prompt parts, and the answers that clear them.
 type lossRecorder struct {
 	promptParts
-	losses int
+	losses, answers int
 }
 
+func (l *lossRecorder) RecordAnswer(backend.Server, []string, time.Time, time.Time) { l.answers++ }
+
 func (l *lossRecorder) RecordLoss(backend.Server, string, []string, time.Time) { l.losses++ }
 
 // Guards against a sound part that is quarantined because runs that go on after earlier events lose their connections: a prompt that was
@@ -232,6 +236,20 @@
 	is.Equal(l.losses, 1)
 }
 
+// Guards against a sound part that is cleared only when an item with it is complete, which takes as long as a wave of crashes.
+func TestFirstEventOfAnItemIsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	r, stop := newFleet(1, 0).start("e1")
+	stop()
+	l := &lossRecorder{promptParts: noQuarantine()}
+	r.parts = l
+	it := &item{}
+	events := io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	is.True(r.collect(it, backend.Server{ID: "w"}, events, time.NewTimer(time.Minute), func() {}) != nil)
+	is.Equal(it.last, int64(1))
+	is.Equal(l.answers, 1)
+}
+
 // Guards against an item that is sent again to the server that has just crashed, and then to one after the other.
 func TestPauseAfterLostConnections(t *testing.T) {
 	is := is.New(t)
