Count no waiting items at an instance that stops

An instance that stops starts no items, but it went on to announce how many of them waited for a quarantined part when it began to stop, until all of its jobs were released. After four known crashes only the first instance by name with waiting items tries one at a time, so if that was the stopping one, none was tried in the meantime and for 5 s after.

TestStoppingInstanceHasNoWaitingItems failed before.

--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -266,3 +266,31 @@
 		is.True(time.Until(it.notBefore) > want-lostPause)
 	}
 }
+
+// waitingRecorder records the counts of waiting items.
+type waitingRecorder struct {
+	*quarantine.Quarantine
+	waiting map[string]int
+}
+
+func (w *waitingRecorder) RecordWaiting(counts map[string]int) { w.waiting = counts }
+
+// Guards against an instance that stops and still counts as the one whose items are tried first, so that no others are.
+func TestStoppingInstanceHasNoWaitingItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		q, end := newQuarantine()
+		defer end()
+		quarantineShared(is, q)
+		w := &waitingRecorder{Quarantine: q}
+		r, stop := f.startWith("e1", logs.New(f.objects), f, w, oneSharedPart)
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
+		time.Sleep(time.Second)
+		is.Equal(w.waiting, map[string]int{"shared": 1})
+		r.Stop(t.Context(), time.Now().Add(time.Second))
+		time.Sleep(time.Second)
+		is.Equal(len(w.waiting), 0)
+	})
+}
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -69,7 +69,10 @@
 	if at.Sub(r.observedAt) >= observeInterval {
 		r.observeProgress(at)
 	}
-	if !r.stopping {
+	if r.stopping {
+		// Others are to try the items that wait here.
+		r.parts.RecordWaiting(nil)
+	} else {
 		r.start(ctx, at)
 		r.takeOverOrphans(ctx, at)
 	}
