Attribute an attempt to the process of the backend server that it was sent to

The roster took the end of an attempt as that of the server's present process. A request to a former process or address that got 421 after the present one was listed took that one out of use at this instance until its next start, with no later trial: the class of the held items, a breaker that opens and has no half-open state. Found by reading; not seen in a log.

RecordAttempt gets the server as it was when the attempt was sent, and ignores attempts whose start or address isn't the listed one.

The test at the old signature failed before: no server usable.

--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -59,7 +59,7 @@
 
 type roster interface {
 	RecordProgress(id string, at time.Time)
-	RecordAttempt(id string, err error, progressAt, at time.Time)
+	RecordAttempt(s backend.Server, err error, progressAt, at time.Time)
 }
 
 type promptParts interface {
@@ -226,7 +226,7 @@
 	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil || a.oversubscribed && fault.CodeOf(err) == fault.CodeBackendSilent {
 		return
 	}
-	f.roster.RecordAttempt(a.server.ID, err, progressAt, f.now())
+	f.roster.RecordAttempt(a.server, err, progressAt, f.now())
 }
 
 // recordParts reports to the quarantine how an attempt ended: whether the request has completed, or its connection was lost before
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -204,11 +204,11 @@
 func (f *fake) Preempt(string, int)                           {}
 func (f *fake) RecordProgress(string, time.Time)              {}
 
-func (f *fake) RecordAttempt(id string, err error, _, _ time.Time) {
+func (f *fake) RecordAttempt(s backend.Server, err error, _, _ time.Time) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if err != nil {
-		f.failed = append(f.failed, id)
+		f.failed = append(f.failed, s.ID)
 	}
 }
 
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -104,7 +104,7 @@
 	first := it.last
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
-		r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
+		r.roster.RecordAttempt(s, err, it.progressAt, r.now())
 		r.recordParts(it, s, err)
 	}
 	r.lock.Lock()
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -143,7 +143,7 @@
 }
 
 func (i *loadInstance) Usable(string, time.Time) []backend.Server { return i.fleet.servers }
-func (i *loadInstance) RecordAttempt(string, error, time.Time, time.Time) {
+func (i *loadInstance) RecordAttempt(backend.Server, error, time.Time, time.Time) {
 }
 
 func (i *loadInstance) MayStartBatch(server, zone string, late bool, at time.Time) bool {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -64,7 +64,7 @@
 }
 
 type roster interface {
-	RecordAttempt(id string, err error, progressAt, at time.Time)
+	RecordAttempt(s backend.Server, err error, progressAt, at time.Time)
 }
 
 type promptParts interface {
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -152,9 +152,9 @@
 
 	return sum, true
 }
-func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool) { return a, false }
-func (f *fleet) RandomPoint() float64                              { return 0 }
-func (f *fleet) RecordAttempt(string, error, time.Time, time.Time) {}
+func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool)         { return a, false }
+func (f *fleet) RandomPoint() float64                                      { return 0 }
+func (f *fleet) RecordAttempt(backend.Server, error, time.Time, time.Time) {}
 
 // Batch returns server w for service s, and a server of its own for each other service.
 func (f *fleet) Batch(service string, _, _ bool, _ time.Time) (backend.Server, func(), bool) {
--- a/core/roster/departures_test.go
+++ b/core/roster/departures_test.go
@@ -24,7 +24,7 @@
 	r.Observe([]backend.Server{a, b}, 10, false, start)
 	r.RecordDeparture(a, "r1")
 	is.Equal(usable(r, start), []string{"b"}) // at once, whatever the store says
-	r.RecordAttempt("a", nil, start, start)
+	r.RecordAttempt(server("a", 1), nil, start, start)
 	r.RecordProgress("a", start)
 	r.Observe([]backend.Server{a, b}, 11, false, start)
 	is.Equal(usable(r, start), []string{"b"})
@@ -187,8 +187,8 @@
 	is := is.New(t)
 	r := New(slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
-	r.RecordAttempt("a", fault.New(fault.CodeBackendUnreachable, "x"), start, start)
+	r.RecordAttempt(server("a", 1), fault.New(fault.CodeBackendUnreachable, "x"), start, start)
 	r.RecordDeparture(server("a", 1), "r1")
-	r.RecordAttempt("a", fault.New(fault.CodeBackendLeaving, "x"), start, start)
+	r.RecordAttempt(server("a", 1), fault.New(fault.CodeBackendLeaving, "x"), start, start)
 	is.Equal(usable(r, start.Add(time.Minute)), []string{})
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -175,22 +175,35 @@
 }
 
 // RecordAttempt updates the state of a server after an attempt on it that ended with err, nil for a success, and last made progress
-// at progressAt. It must not be called for an attempt that ended because of its caller.
-func (r *Roster) RecordAttempt(id string, err error, progressAt, at time.Time) {
+// at progressAt. It must not be called for an attempt that ended because of its caller. An attempt on a former process of the server, or
+// at a former address, says nothing of the present one.
+func (r *Roster) RecordAttempt(s backend.Server, err error, progressAt, at time.Time) {
+	if !r.present(s) {
+		return
+	}
 	switch fault.CodeOf(err) {
 	case "":
-		r.RecordSuccess(id)
+		r.RecordSuccess(s.ID)
 	case fault.CodeBackendSilent:
-		r.RecordSilence(id, progressAt, at)
+		r.RecordSilence(s.ID, progressAt, at)
 	case fault.CodeBackendLeaving:
-		r.RecordReplaced(id)
+		r.RecordReplaced(s.ID)
 	case fault.CodeBackendUnreachable:
-		r.RecordFailure(id, "unreachable", at)
+		r.RecordFailure(s.ID, "unreachable", at)
 	default:
 		// The server has answered, or cut off one answer, which does not show that other requests would fail.
 	}
 }
 
+// present reports whether a server is known with the same start and address.
+func (r *Roster) present(s backend.Server) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	e := r.entries[s.ID]
+
+	return e != nil && e.server.StartedAt == s.StartedAt && e.server.Address == s.Address
+}
+
 // RecordProgress records that a server has sent a part of an answer.
 func (r *Roster) RecordProgress(id string, at time.Time) {
 	r.lock.Lock()
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -91,6 +91,19 @@
 	is.Equal(usable(r, start), []string{"a"})
 }
 
+// Guards against a server that is out of use until its next start because a request to its former process, or to its former address, is
+// refused there by another server after the present one was listed.
+func TestAttemptOnFormerProcess(t *testing.T) {
+	is := is.New(t)
+	r := New(slog.New(slog.DiscardHandler))
+	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
+	r.Observe([]backend.Server{server("a", 2)}, 11, false, start)
+	r.RecordAttempt(server("a", 1), fault.New(fault.CodeBackendLeaving, "x"), start, start)
+	is.Equal(usable(r, start), []string{"a"})
+	r.RecordAttempt(server("a", 2), fault.New(fault.CodeBackendLeaving, "x"), start, start)
+	is.Equal(usable(r, start), []string{})
+}
+
 // Guards against two instances with the same servers but different digests, which would copy each other's list again and again.
 func TestDigest(t *testing.T) {
 	is := is.New(t)
@@ -134,10 +147,10 @@
 			is := is.New(t)
 			r := New(slog.New(slog.DiscardHandler))
 			r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
-			r.RecordAttempt("a", fault.New(c.code, "x"), start, start)
+			r.RecordAttempt(server("a", 1), fault.New(c.code, "x"), start, start)
 			is.Equal(len(usable(r, start)) == 1, c.usable)
 			if c.code != fault.CodeBackendLeaving {
-				r.RecordAttempt("a", nil, start, start)
+				r.RecordAttempt(server("a", 1), nil, start, start)
 				is.Equal(usable(r, start), []string{"a"})
 			}
 		})
