Let items take turns in the trials of a quarantined part

A trial that has no room for all waiting items ran those with the nearest deadlines, so the same ones each time: one at a time after four known crashes, eight of more before.

Items whose last run is longest ago change places with those before them, among items of the same part that are both late or both in time.

TestItemsTakeTurnsInTrials failed before: 1 item was run in three trials.

--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -211,6 +211,32 @@
 	}
 }
 
+// Guards against an item that is tried each time while others that wait for the same part are left out: here three more are allowed, one at
+// a time.
+func TestItemsTakeTurnsInTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		s := &crashingServer{fleet: f, runs: map[string][]time.Time{}}
+		q, end := newQuarantine()
+		defer end()
+		for n := range 5 {
+			q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), []string{"shared"}, time.Now())
+			time.Sleep(time.Second)
+		}
+		r, stop := f.startWith("e1", logs.New(f.objects), s, q, oneSharedPart)
+		defer stop()
+		items := slices.Delete(newItems("j", 6), 1, 2)
+		job := work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}
+		is.NoErr(r.Submit(t.Context(), &testRoute, job, items))
+		time.Sleep(time.Minute)
+		is.Equal(len(s.runs), maxLateRuns)
+		for _, runs := range s.runs {
+			is.Equal(len(runs), 1)
+		}
+	})
+}
+
 // lossRecorder counts the losses that are evidence against prompt parts, and the answers that clear them.
 type lossRecorder struct {
 	promptParts
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -137,6 +137,7 @@
 func (r *Runner) start(ctx context.Context, at time.Time) {
 	list := r.candidates(at)
 	slices.SortStableFunc(list, compareCandidates)
+	rotateTrials(list)
 	r.queued, r.queuedLate = 0, 0
 	clear(r.queuedOf)
 	full := map[string]bool{}
--- a/core/jobrun/trial.go
+++ b/core/jobrun/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"tarragonwalk/core/backend"
@@ -52,6 +53,35 @@
 	return nil
 }
 
+// rotateTrials lets the items that may run in a trial of a part change places, so that those whose last run is longest ago come first. With
+// the order of their deadlines a trial that has no room for all of them would run the same ones each time.
+func rotateTrials(list []candidate) {
+	type group struct {
+		part string
+		late bool
+	}
+	places := map[group][]int{}
+	for n, c := range list {
+		if c.trial != "" {
+			g := group{
+				part: c.trial,
+				late: c.late,
+			}
+			places[g] = append(places[g], n)
+		}
+	}
+	for _, at := range places {
+		members := make([]candidate, 0, len(at))
+		for _, n := range at {
+			members = append(members, list[n])
+		}
+		slices.SortStableFunc(members, func(a, b candidate) int { return a.item.startedAt.Compare(b.item.startedAt) })
+		for i, n := range at {
+			list[n] = members[i]
+		}
+	}
+}
+
 // mayBeginTrial reports whether an item may begin a trial of its part; it needs the lock.
 func (r *Runner) mayBeginTrial(c candidate, at time.Time) bool {
 	return r.trialOf(c, at) == nil && r.parts.TrialDue(c.item.parts)
