Read what fakes record under their locks

go test -race reported a race in TestItemsThatCrashServersAreTriedNowAndThen, which read the recorded runs while items ran, and in a new test.

--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -150,6 +150,8 @@
 		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
 		is.NoErr(r.Submit(t.Context(), &other, work.Job{ID: "k", Host: "h", Target: "/c/1", SubmittedAt: time.Now()}, newItems("k", 1)))
 		time.Sleep(maxUntried)
+		s.lock.Lock()
+		defer s.lock.Unlock()
 		is.Equal(s.servers, map[string]string{"j-0": "w", "k-0": "w-other"})
 	})
 }
@@ -194,6 +196,8 @@
 				is.NoErr(r.Submit(t.Context(), &testRoute, job, items))
 				began := time.Now()
 				time.Sleep(50 * time.Second)
+				s.lock.Lock()
+				defer s.lock.Unlock()
 				var all []time.Time
 				for _, runs := range s.runs {
 					last := began
@@ -230,6 +234,8 @@
 		job := work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}
 		is.NoErr(r.Submit(t.Context(), &testRoute, job, items))
 		time.Sleep(time.Minute)
+		s.lock.Lock()
+		defer s.lock.Unlock()
 		is.Equal(len(s.runs), maxLateRuns)
 		for _, runs := range s.runs {
 			is.Equal(len(runs), 1)
@@ -296,10 +302,10 @@
 // waitingRecorder records the counts of waiting items.
 type waitingRecorder struct {
 	*quarantine.Quarantine
-	waiting map[string]int
+	waiting atomic.Pointer[map[string]int]
 }
 
-func (w *waitingRecorder) RecordWaiting(counts map[string]int) { w.waiting = counts }
+func (w *waitingRecorder) RecordWaiting(counts map[string]int) { w.waiting.Store(&counts) }
 
 // Guards against an instance that stops and still counts as the one whose items are tried first, so that no others are.
 func TestStoppingInstanceHasNoWaitingItems(t *testing.T) {
@@ -314,9 +320,9 @@
 		defer stop()
 		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
 		time.Sleep(time.Second)
-		is.Equal(w.waiting, map[string]int{"shared": 1})
+		is.Equal(*w.waiting.Load(), map[string]int{"shared": 1})
 		r.Stop(t.Context(), time.Now().Add(time.Second))
 		time.Sleep(time.Second)
-		is.Equal(len(w.waiting), 0)
+		is.Equal(len(*w.waiting.Load()), 0)
 	})
 }
