Log and count what batch items wait for

An item that waits left no trace: "item held" stands at the beginning of a quarantine only, and an item without a slot, without its route or in a run that makes no progress had no line at all.

Every 0.5 s each instance looks at the items that it holds. ItemsWaiting and ItemsWaitingLong count them by cause. An item that waits for over 3 s has a line "item waits" with its cause, its age and the inputs of the decision with their ages, every 10 s at most, and a line "item wait ended" with the outcome. A look logs 8 lines at most: causes that an overload does not explain come first.

--- /dev/null
+++ b/core/batchroom/doc.go
@@ -0,0 +1,2 @@
+// Package batchroom describes where a batch item could be placed.
+package batchroom
--- a/core/cluster/batch_window.go
+++ b/core/cluster/batch_window.go
@@ -76,6 +76,30 @@
 	return passed <= int64(use) && rendezvous.Highest(server+strconv.FormatInt(number, 10), names) == c.self.Name
 }
 
+// BatchContenders returns how many other instances have queued batch items that may still be in time, how many have late ones, and when the
+// first of them was last heard from, zero if there are none.
+func (c *Cluster) BatchContenders(at time.Time) (onTime, late int, heardAt time.Time) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for _, p := range c.peers {
+		b := &p.heartbeat
+		if !p.live(at) || b.Queued+b.QueuedLate == 0 {
+			continue
+		}
+		if b.Queued > 0 {
+			onTime++
+		}
+		if b.QueuedLate > 0 {
+			late++
+		}
+		if heardAt.IsZero() || p.heardAt.Before(heardAt) {
+			heardAt = p.heardAt
+		}
+	}
+
+	return onTime, late, heardAt
+}
+
 // withSelf returns the names, with this instance's added if it belongs to them.
 func (c *Cluster) withSelf(names []string, member bool) []string {
 	if !member {
--- a/core/cluster/batch_window_test.go
+++ b/core/cluster/batch_window_test.go
@@ -135,3 +135,21 @@
 	is.Equal(starts(true), 0)
 	is.True(starts(false) > 0)
 }
+
+// Guards against instances that are silent or leaving and still count as those that items wait for.
+func TestBatchContenders(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start.Add(silentAfter)
+	leaving := member(4, "1")
+	leaving.Leaving = true
+	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1, Queued: 2}, start.Add(-time.Millisecond)) // silent
+	c.Observe(&gossip.Heartbeat{Sender: member(2, "1"), Sequence: 1, Queued: 2, QueuedLate: 1}, start)
+	c.Observe(&gossip.Heartbeat{Sender: member(3, "1"), Sequence: 1}, start)
+	c.Observe(&gossip.Heartbeat{Sender: leaving, Sequence: 1, Queued: 2}, at)
+	c.Observe(&gossip.Heartbeat{Sender: member(5, "1"), Sequence: 1, QueuedLate: 1}, at)
+	onTime, late, heardAt := c.BatchContenders(at)
+	is.Equal(onTime, 1)
+	is.Equal(late, 2)
+	is.Equal(heardAt, start)
+}
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -40,6 +40,7 @@
 	firstAt    time.Time
 	progressAt time.Time
 	cancel     context.CancelCauseFunc
+	wait       wait
 }
 
 // restart drops the output so far, which a backend server that does not stop has sent.
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -137,6 +137,9 @@
 		delete(r.claimed, j.ID)
 	}
 	j.released = true
+	for _, it := range j.items {
+		r.endWait(j, it, r.now())
+	}
 	j.stopItems(errReleased)
 	j.notify()
 }
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -138,6 +138,10 @@
 	return sum, complete && !i.fleet.pattern.acceptAll
 }
 
+func (i *loadInstance) BatchContenders(at time.Time) (onTime, late int, heardAt time.Time) {
+	return i.cluster.BatchContenders(at)
+}
+
 func (i *loadInstance) Holder(string, string) (a netip.AddrPort, ok bool) {
 	return a, false
 }
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -10,6 +10,7 @@
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/background"
+	"tarragonwalk/core/batchroom"
 	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/feasibility"
@@ -59,6 +60,8 @@
 type placer interface {
 	RandomPoint() float64
 	Batch(service string, urgent, late bool, at time.Time) (s backend.Server, release func(), ok bool)
+	// BatchRoom returns what Batch would find.
+	BatchRoom(service string, urgent, late bool, at time.Time) batchroom.Room
 }
 
 type roster interface {
@@ -89,6 +92,8 @@
 	RecordTakeover(incarnation, route string, tokens int, at time.Time)
 	Takeovers(at time.Time) []gossip.TakenOver
 	Progress(at time.Time) (sum map[string]gossip.BatchProgress, complete bool)
+	// BatchContenders returns the numbers of other instances with queued items, and when the first of them was last heard from.
+	BatchContenders(at time.Time) (onTime, late int, heardAt time.Time)
 }
 
 type reader interface {
@@ -156,6 +161,7 @@
 	orphans  map[string]*orphan
 	stopping bool
 	runTime  estimate
+	waits    waitLog
 	wake     chan struct{}
 }
 
@@ -196,6 +202,9 @@
 		refused:     map[string]time.Time{},
 		refusedHere: map[string]time.Time{},
 		estimator:   feasibility.New(),
+		waits: waitLog{
+			grantedAt: map[string]time.Time{},
+		},
 	}
 }
 
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/batchroom"
 	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
@@ -167,6 +168,17 @@
 	}, true
 }
 
+func (f *fleet) BatchRoom(string, bool, bool, time.Time) batchroom.Room {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+
+	return batchroom.Room{Usable: 1, Free: max(0, 6-f.usedSlots), InTurn: max(0, 6-f.usedSlots)}
+}
+
+func (f *fleet) BatchContenders(time.Time) (onTime, late int, heardAt time.Time) {
+	return 0, 0, heardAt
+}
+
 func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
 	return p, false, nil
 }
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -70,6 +70,7 @@
 		r.start(ctx, at)
 		r.takeOverOrphans(ctx, at)
 	}
+	r.watchWaits(at)
 	for id, j := range r.jobs {
 		switch {
 		case j.flushing || at.Before(j.retryAt):
@@ -149,6 +150,7 @@
 
 			continue
 		}
+		r.waits.grantedAt[service] = at
 		run, cancel := context.WithCancelCause(ctx)
 		c.item.state = running
 		c.item.server = s.ID
--- a/core/load/table.go
+++ b/core/load/table.go
@@ -211,6 +211,23 @@
 	return own.Online + reported.Online, own.Batch + reported.Batch
 }
 
+// OldestReport returns when the oldest of the counts of other instances was taken, zero if there are none.
+func (t *Table) OldestReport(at time.Time) time.Time {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.expire(at)
+	var oldest time.Time
+	for _, reports := range []map[string]report{t.peers, t.zones} {
+		for _, r := range reports {
+			if oldest.IsZero() || r.madeAt.Before(oldest) {
+				oldest = r.madeAt
+			}
+		}
+	}
+
+	return oldest
+}
+
 // OwnBatch returns the instance's own batch items in flight on a server.
 func (t *Table) OwnBatch(server string) int {
 	t.lock.Lock()
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -45,6 +45,8 @@
 	Add(server string, online, batch int)
 	InFlight(server string, at time.Time) (online, batch int)
 	OwnBatch(server string) int
+	// OldestReport returns when the oldest counts of other instances were taken, zero if there are none.
+	OldestReport(at time.Time) time.Time
 }
 
 type members interface {
@@ -154,16 +156,11 @@
 	usable := p.roster.Usable(service, at)
 	for distance := range distances {
 		s, ok := p.choose(usable, nil, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
-			slots, headroom := slotsOf(s), urgentHeadroom
-			if !urgent {
-				headroom = max(1, int(math.Round(headroomRatio*float64(slots))))
-			}
-			// Items that may be in time have no use for a server that is half empty, such as items of another service.
-			yields := late && 2*(online+batch) > slots
+			free, yields := batchRules(s, online, batch, urgent, late)
 			// The schedule is checked last, only for servers with a free slot, since most servers are full while items wait.
-			allowed := online+batch < max(1, slots-headroom) && p.members.MayStartBatch(s.ID, s.Zone, yields, at)
+			allowed := free && p.members.MayStartBatch(s.ID, s.Zone, yields, at)
 
-			return float64(online+batch) / float64(slots), allowed
+			return float64(online+batch) / float64(slotsOf(s)), allowed
 		})
 		if ok {
 			p.loads.Add(s.ID, 0, 1)
@@ -175,6 +172,19 @@
 	return backend.Server{}, nil, false
 }
 
+// batchRules reports whether a server with the given requests has a free slot for a batch item, and whether the item yields there to items
+// that may still be in time.
+func batchRules(s backend.Server, online, batch int, urgent, late bool) (free, yields bool) {
+	slots, headroom := slotsOf(s), urgentHeadroom
+	if !urgent {
+		headroom = max(1, int(math.Round(headroomRatio*float64(slots))))
+	}
+	// Items that may be in time have no use for a server that is half empty, such as items of another service.
+	yields = late && 2*(online+batch) > slots
+
+	return online+batch < max(1, slots-headroom), yields
+}
+
 // Excess returns how many of the instance's own batch items on a server have to be preempted because it has more requests than
 // slots. All instances with batch items there see the same counts and share the excess in proportion to their items, so that
 // together they do not preempt more than needed; a share is rounded up or down at random.
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/batchroom"
 	"tarragonwalk/core/cluster"
 	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/load"
@@ -252,3 +253,31 @@
 	_, _, ok = p.FreeOn("s", "s3", start)
 	is.True(!ok)
 }
+
+// Guards against a log that says why an item gets no slot and does not agree with what Batch does.
+func TestBatchRoom(t *testing.T) {
+	at := start.Add(time.Second)
+	for _, c := range []struct {
+		name         string
+		batch        int
+		urgent, late bool
+		want         batchroom.Room
+	}{
+		{"empty", 0, false, false, batchroom.Room{Usable: 2, Free: 2, InTurn: 2, CountsAt: start}},
+		{"headroom", 7, false, false, batchroom.Room{Usable: 2, CountsAt: start}},
+		{"headroom, urgent", 7, true, false, batchroom.Room{Usable: 2, Free: 2, InTurn: 2, CountsAt: start}},
+		{"late", 5, true, true, batchroom.Room{Usable: 2, Free: 2, Yielded: 2, InTurn: 2, CountsAt: start}},
+		{"full", 8, true, true, batchroom.Room{Usable: 2, CountsAt: start}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := load.New()
+			p := newPlacer(l, always{}, fleet("a", "c"))
+			l.Observe("peer", "", []gossip.Count{{Server: "s0", Batch: c.batch}, {Server: "s1", Batch: c.batch}}, start)
+			l.Observe("other", "", nil, at)
+			is.Equal(p.BatchRoom("s", c.urgent, c.late, at), c.want)
+			_, _, ok := p.Batch("s", c.urgent, c.late, at)
+			is.Equal(ok, c.want.InTurn > 0)
+		})
+	}
+}
