Read the record again after a conflict on a claim

Cause: a claim whose answer is lost may be carried out seconds later, by the store's protocol. If that happened between the next attempt's read and its write, the attempt conflicted with this instance's own claim and was taken for another instance's: the orphan was dismissed while the record named this live instance. No other instance looks for such a job, so none of its items ran for good. The client of the platform's store tells such a conflict by reading the object back, but reports a conflict also if that read fails.

Change: claim reads the record after a conflict.

--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -79,7 +79,8 @@
 }
 
 // claim makes this instance the holder in a job's record, unless it is already. It returns false if that fails, without an error if
-// another instance has changed the record since the given revision.
+// another instance has changed the record since the given revision. An earlier claim without an answer may have taken effect late, so that
+// a conflict alone does not show that it was another instance.
 func (r *Runner) claim(ctx context.Context, record *work.Job, revision int64) (claimed int64, ok bool, err error) {
 	if r.mine(record) {
 		return revision, true, nil
@@ -87,7 +88,9 @@
 	record.Holder, record.Incarnation = r.name, r.incarnation
 	revision, err = r.log.Update(ctx, *record, revision)
 	if fault.CodeOf(err) == fault.CodeConflict {
-		return 0, false, nil
+		current, currentRevision, err := r.log.Job(ctx, record.ID)
+
+		return currentRevision, err == nil && r.mine(current), err
 	}
 
 	return revision, err == nil, err
--- a/core/jobrun/takeover_test.go
+++ b/core/jobrun/takeover_test.go
@@ -1,15 +1,19 @@
 package jobrun
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonwalk/core/fault"
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/work"
+	"tarragonwalk/internal/fakeobjects"
 )
 
 // Guards against items that are given up since the instance that takes their job over does not know the job's route yet, and against
@@ -88,3 +92,40 @@
 		is.Equal(f.takenOver, map[string]int{"gone-1": 20})
 	})
 }
+
+// lateClaim is a store that loses the answer to the first claim of a job and carries the claim out just before the next one.
+type lateClaim struct {
+	*fakeobjects.Store
+	claims *atomic.Int32
+	late   func()
+}
+
+func (l *lateClaim) Replace(ctx context.Context, kind, name string, value any, revision int64) (int64, error) {
+	switch l.claims.Add(1) {
+	case 1:
+		l.late = func() { _, _ = l.Store.Replace(ctx, kind, name, value, revision) }
+
+		return 0, fault.New(fault.CodeOutcomeUnknown, "the answer was lost")
+	case 2:
+		l.late()
+	}
+
+	return l.Store.Replace(ctx, kind, name, value, revision)
+}
+
+// Guards against a job that nobody runs for good, since its record names a live instance that takes its own late claim for that of another
+// one: no other instance looks for such a job.
+func TestOwnLateClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.abandonJobs(t, "job")
+		f.setUsedSlots(0)
+		r, stop := f.startOn("new", logs.New(&lateClaim{Store: f.objects, claims: &atomic.Int32{}}))
+		defer stop()
+		r.ObserveOrphan("job")
+		time.Sleep(10 * time.Second)
+		is.True(r.holds("job"))
+		is.True(check(t, logs.New(f.objects), "job", 2))
+	})
+}
