Keep the job that runs when a repeat of it is resolved

Cause: a repeat that comes while the job is written passes the checks of Submit. If the repeat's outcome was unknown, for example since a part was not written while the record was there already, it was resolved later as held by this instance and replaced the job that ran. The items of the first one went on outside of r.jobs and their results were never listed; the second one began with 0 listed results, whatever had been returned to callers.

Change: a resolved submission is not held if the instance holds the job by then.

--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -187,7 +187,8 @@
 	delete(r.unresolved, id)
 	j.Parts = record.Parts
 	j.revision = revision
-	if held {
+	// Another submission of the job that came at the same time may have been accepted meanwhile, and its items run.
+	if held && r.jobs[id] == nil {
 		r.hold(id, j)
 	}
 	j.notify()
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -256,3 +256,46 @@
 		is.Equal(b.Waiting["jobs"], 20)
 	})
 }
+
+// Guards against a job that this instance holds twice: a repeat that came while the job was written and whose outcome was unknown replaced
+// the one that runs, whose items went on and whose results were dropped.
+func TestUnknownRepeatOfHeldJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		r, stop := f.start("e")
+		defer stop()
+		r.lock.Lock()
+		r.log = slowLog{joblog: r.log}
+		r.lock.Unlock()
+		submit := func() error {
+			j := work.Job{ID: "job", Host: "h", Target: "/b/1", Tokens: 20, SubmittedAt: time.Now()}
+
+			return r.Submit(t.Context(), &testRoute, j, newItems("job", 2))
+		}
+		repeated := make(chan error, 1)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			repeated <- submit()
+		}()
+		is.NoErr(submit())
+		f.objects.Choose(func(kind string) fault.Code {
+			if kind == "job-parts" {
+				return fault.CodeStoreUnavailable
+			}
+
+			return ""
+		})
+		r.lock.Lock()
+		first := r.jobs["job"]
+		r.lock.Unlock()
+		time.Sleep(time.Second)
+		f.objects.Choose(nil)
+		is.NoErr(<-repeated)
+		time.Sleep(5 * time.Second)
+		r.lock.Lock()
+		is.True(r.jobs["job"] == first)
+		is.Equal(len(r.unresolved), 0)
+		r.lock.Unlock()
+	})
+}
