Look again at a job whose claim got no answer

Cause: by the store's protocol a write without an answer may take effect seconds later. A claim did so after the instance that had sent it had read the record again, found the holder alive again, as after a pause, and dismissed the takeover. From then on the record named an instance that did not know it. The holder gave the job up at its next look at the record, and no instance looks for the jobs of a live one, so none of the items ran for good.

Claims that are answered cost no further read.

Ruled out: to have the former holder announce the job. All instances would read its record in turn, and one that is ranked late would forget the announcement before its turn.

--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -39,6 +39,8 @@
 	held bool
 	// lost is the incarnation that the record named before it named this instance. A repeated attempt no longer finds it there.
 	lost string
+	// checkAt is when the record is read once more since a claim got no answer, which may take effect until then; zero if none did.
+	checkAt time.Time
 }
 
 // ObserveOrphan records a job that another instance announces as having no holder.
@@ -114,7 +116,11 @@
 		switch {
 		case o.running:
 			takeovers++
-		case at.After(o.forgetAt) && !o.claimed:
+		case !o.checkAt.IsZero() && !at.Before(o.checkAt):
+			// The record may name this instance, so that no other one announces the job.
+			o.dismissed, o.checkAt = false, time.Time{}
+			o.dueAt, o.forgetAt = at, at.Add(orphanTTL)
+		case at.After(o.forgetAt) && !o.claimed && o.checkAt.IsZero():
 			delete(r.orphans, id)
 		}
 	}
@@ -189,10 +195,12 @@
 	}
 	revision, claimed, err := r.claim(claim, record, revision)
 	if !claimed {
+		r.noteClaim(o, err)
+
 		return err
 	}
 	r.lock.Lock()
-	o.claimed, o.dismissed = true, false
+	o.claimed, o.dismissed, o.checkAt = true, false, time.Time{}
 	// The former holder may be alive and has to learn of its replacement before this instance has read the job.
 	r.claimed[id] = r.now().Add(announcementTTL)
 	r.lock.Unlock()
@@ -208,6 +216,17 @@
 	return err
 }
 
+// noteClaim records that a claim has failed. Without an answer it may still take effect, even after the holder was heard from again and the
+// takeover was dismissed.
+func (r *Runner) noteClaim(o *orphan, err error) {
+	if err == nil || fault.CodeOf(err) == fault.CodeStoreUnavailable {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	o.checkAt = r.now().Add(lateWriteWindow)
+}
+
 // removeEnded removes a job that has no holder, was ended by its caller and is no longer readable; it reports whether it did.
 func (r *Runner) removeEnded(ctx context.Context, record *work.Job) (bool, error) {
 	if !r.expired(record, r.now()) {
--- a/core/jobrun/takeover_test.go
+++ b/core/jobrun/takeover_test.go
@@ -129,3 +129,53 @@
 		is.True(check(t, logs.New(f.objects), "job", 2))
 	})
 }
+
+// delayedClaim is a store that loses the answer to the first claim of a job and carries the claim out two seconds later. Meanwhile the
+// holder is heard from again.
+type delayedClaim struct {
+	*fakeobjects.Store
+	fleet  *fleet
+	claims *atomic.Int32
+}
+
+func (d delayedClaim) Replace(ctx context.Context, kind, name string, value any, revision int64) (int64, error) {
+	if d.claims.Add(1) > 1 {
+		return d.Store.Replace(ctx, kind, name, value, revision)
+	}
+	d.fleet.lock.Lock()
+	d.fleet.alive["old"] = true
+	d.fleet.lock.Unlock()
+	time.AfterFunc(2*time.Second, func() { _, _ = d.Store.Replace(ctx, kind, name, value, revision) })
+
+	return 0, fault.New(fault.CodeOutcomeUnknown, "the answer was lost")
+}
+
+// Guards against a job that nobody runs for good once its holder has read the record: that names a live instance which has dropped the
+// takeover before its claim took effect.
+func TestClaimAfterTakeoverWasDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		f.abandonJobs(t, "job")
+		f.setUsedSlots(0)
+		r, stop := f.startOn("new", logs.New(delayedClaim{Store: f.objects, fleet: f, claims: &atomic.Int32{}}))
+		defer stop()
+		r.ObserveOrphan("job")
+		time.Sleep(time.Second)
+		r.lock.Lock()
+		is.True(r.orphans["job"].dismissed)
+		r.lock.Unlock()
+		time.Sleep(2 * time.Second)
+		record, _, err := logs.New(f.objects).Job(t.Context(), "job")
+		is.NoErr(err)
+		is.Equal(record.Holder, "new")
+		time.Sleep(lateWriteWindow)
+		is.True(r.holds("job"))
+		time.Sleep(2 * time.Second)
+		is.True(check(t, logs.New(f.objects), "job", 2))
+		time.Sleep(time.Minute)
+		r.lock.Lock()
+		is.Equal(len(r.orphans), 0)
+		r.lock.Unlock()
+	})
+}
