--- a/core/cluster/batch_window_test.go
+++ b/core/cluster/batch_window_test.go
@@ -153,3 +153,35 @@
 	is.Equal(late, 2)
 	is.Equal(heardAt, start)
 }
+
+// Guards against a server that no instance may use for long since an instance with queued items is gone, is leaving, or has started its
+// items.
+func TestWindowsOfLostContender(t *testing.T) {
+	gone := func(*gossip.Heartbeat) bool { return false }
+	left := func(b *gossip.Heartbeat) bool { b.Sender.Leaving = true; return true }
+	started := func(b *gossip.Heartbeat) bool { b.Queued, b.QueuedLate = 0, 0; return true }
+	for _, end := range []func(b *gossip.Heartbeat) bool{gone, left, started} {
+		for other := range 3 {
+			for _, late := range []bool{false, true} {
+				is := is.New(t)
+				c := newCluster(0)
+				used, most := start, time.Duration(0)
+				for after := time.Duration(0); after < 6*time.Second; after += 25 * time.Millisecond {
+					at := start.Add(after)
+					b := &gossip.Heartbeat{Sender: member(other+1, "1"), Sequence: int(after) + 1, Queued: 1, QueuedLate: 1}
+					if after%(200*time.Millisecond) == 0 && (after < 2*time.Second || end(b)) {
+						c.Observe(b, at)
+					}
+					if after < 2*time.Second {
+						used = at
+					}
+					if c.MayStartBatch("s", b.Sender.Zone, late, at) {
+						most, used = max(most, at.Sub(used)), at
+					}
+				}
+				is.True(most <= silentAfter+fleetWindow)
+				is.True(start.Add(6*time.Second).Sub(used) <= fleetWindow+25*time.Millisecond)
+			}
+		}
+	}
+}
