--- a/core/jobrun/wait.go
+++ b/core/jobrun/wait.go
@@ -34,6 +34,7 @@
 	waitServer        waitCause = "no_usable_server"
 	waitSlot          waitCause = "servers_full"
 	waitLate          waitCause = "yields_as_late"
+	waitOrder         waitCause = "other_items_first"
 	waitTurn          waitCause = "not_in_turn"
 	waitProgress      waitCause = "run_without_progress"
 	waitListing       waitCause = "not_listed"
@@ -41,7 +42,8 @@
 
 // waitCauses are all causes, for metrics.
 var waitCauses = []waitCause{
-	waitConfiguration, waitStop, waitPause, waitRoute, waitQuarantine, waitServer, waitSlot, waitLate, waitTurn, waitProgress, waitListing,
+	waitConfiguration, waitStop, waitPause, waitRoute, waitQuarantine, waitServer, waitSlot, waitLate, waitOrder, waitTurn,
+	waitProgress, waitListing,
 }
 
 // waitView is what the decision on an item's wait rests on.
@@ -61,6 +63,8 @@
 	room  batchroom.Room
 	// contenders is the number of other instances with items that may still be in time.
 	contenders int
+	// grantedAt is when this instance last got a slot for a service of the route, zero if it never did.
+	grantedAt time.Time
 }
 
 // observe sets what concerns the item itself. The items of an ended job wait for nothing.
@@ -96,6 +100,8 @@
 		return waitSlot
 	case v.late && v.room.Yielded == v.room.Free && v.contenders > 0:
 		return waitLate
+	case at.Sub(v.grantedAt) < waitLimit:
+		return waitOrder
 	default:
 		return waitTurn
 	}
@@ -145,7 +151,7 @@
 
 // ordinary reports whether items wait for a cause whenever there is more work than servers.
 func (c waitCause) ordinary() bool {
-	return c == waitSlot || c == waitLate || c == waitPause
+	return c == waitSlot || c == waitLate || c == waitOrder || c == waitPause
 }
 
 // waitReport is an item whose wait is due to be logged.
--- a/core/jobrun/wait_test.go
+++ b/core/jobrun/wait_test.go
@@ -38,7 +38,8 @@
 		{waitLate, waitView{configured: true, route: &testRoute, room: half, late: true, contenders: 1}},
 		{waitTurn, waitView{configured: true, route: &testRoute, room: half, late: true}},
 		{waitTurn, waitView{configured: true, route: &testRoute, room: free, late: true, contenders: 1}},
-		{waitTurn, waitView{configured: true, route: &testRoute, room: half, contenders: 1}},
+		{waitTurn, waitView{configured: true, route: &testRoute, room: half, contenders: 1, grantedAt: waitStart.Add(-waitLimit)}},
+		{waitOrder, waitView{configured: true, route: &testRoute, room: half, contenders: 1, grantedAt: waitStart.Add(1 - waitLimit)}},
 	} {
 		is.New(t).Equal(c.view.cause(waitStart), c.want)
 	}
--- a/core/jobrun/waitlog.go
+++ b/core/jobrun/waitlog.go
@@ -67,6 +67,7 @@
 			configured: table != nil,
 			route:      rt,
 			contenders: contenders,
+			grantedAt:  r.grantedAt(rt),
 		}
 		for _, it := range j.items {
 			v := base
@@ -241,7 +242,7 @@
 		onTime, late, heardAt := r.cluster.BatchContenders(at)
 		fields = append(fields, "late", v.late, "usable", v.room.Usable, "free", v.room.Free, "yielded", v.room.Yielded, "in_turn", v.room.InTurn,
 			"contenders", onTime, "contenders_late", late, "contenders_age_ms", ageMillis(heardAt, at), "counts_age_ms", ageMillis(v.room.CountsAt, at),
-			"granted_age_ms", ageMillis(r.grantedAt(v.route), at))
+			"granted_age_ms", ageMillis(v.grantedAt, at))
 	}
 	r.logger.Info("item waits", fields...)
 }
