--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -84,8 +84,8 @@
 		return
 	}
 	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
-	if response.ConnectionLost(err) {
+	if !rs.wasAnswered() && response.ConnectionLost(err) {
 		rs.lost = true
-		rs.forwarder.parts.RecordLoss(h.server, rs.call.Parts, rs.forwarder.now())
+		rs.forwarder.parts.RecordLoss(h.server, rs.call.Prompt, rs.call.Parts, rs.forwarder.now())
 	}
 }
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -98,6 +98,10 @@
 	// Parts are the prompt parts of the requests that were unanswered.
 	Parts []string `json:"Parts,omitempty,omitzero"`
 
+	// Prompts are, for each of Parts, the ID of the prompt of one of these requests,
+	// empty if it is not known.
+	Prompts []string `json:"Prompts,omitempty,omitzero"`
+
 	// Server is the backend server's ID.
 	Server string `json:"Server"`
 
@@ -259,7 +263,7 @@
 	Silent []SilentProcess `json:"Silent,omitempty,omitzero"`
 
 	// SoundParts are the prompt parts of possible crashes, or in quarantine, that the
-	// sender has seen in completed requests.
+	// sender has seen in answered requests.
 	SoundParts []SoundPart `json:"SoundParts,omitempty,omitzero"`
 
 	// StoreLost says that the sender cannot reach the store.
@@ -469,6 +473,13 @@
 
 	// Part is the ID of the prompt part.
 	Part string `json:"Part"`
+
+	// Tried is the number of the sender's items in trials after the part had surely
+	// crashed servers.
+	Tried int `json:"Tried,omitempty,omitzero"`
+
+	// Waiting is the number of the sender's batch items that wait for it.
+	Waiting int `json:"Waiting,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -497,6 +508,12 @@
 	if 0 > plain.LeftMillis {
 		return fmt.Errorf("field %s: must be >= %v", "LeftMillis", 0)
 	}
+	if v, ok := raw["Tried"]; !ok || v == nil {
+		plain.Tried = 0
+	}
+	if v, ok := raw["Waiting"]; !ok || v == nil {
+		plain.Waiting = 0
+	}
 	*j = QuarantinedPart(plain)
 	return nil
 }
@@ -674,9 +691,10 @@
 	return nil
 }
 
-// SoundPart is a prompt part of a request that has completed.
+// SoundPart is a prompt part of a request that has been answered by its first
+// event.
 type SoundPart struct {
-	// AgeMillis is how long ago the newest such request completed at the sender.
+	// AgeMillis is how long ago the newest such request was answered at the sender.
 	AgeMillis int `json:"AgeMillis"`
 
 	// Part is the ID of the prompt part.
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -31,6 +31,11 @@
 	refusedPause = 100 * time.Millisecond
 	// failedPause is the pause after a failed attempt.
 	failedPause = 200 * time.Millisecond
+	// lostPause is the pause after a run that has lost its connection, which is lostFactor times as long after each further one without
+	// an event in between, up to maxLostPause: the server is known to be gone then, and an item that crashes servers does so rarely.
+	lostPause    = 250 * time.Millisecond
+	lostFactor   = 4
+	maxLostPause = 8 * time.Second
 	// preemptedPause is the pause after a preemption, so that the request counts of other instances arrive before the item
 	// looks for a slot again.
 	preemptedPause = 350 * time.Millisecond
@@ -100,19 +105,24 @@
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
 		r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
-		r.recordParts(it, s, first, err)
+		r.recordParts(it, s, err)
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	defer r.signal()
 	it.cancel = nil
 	at := r.now()
+	trial := it.trial
+	it.trial = false
 	if it.state != running || j.released {
 		return
 	}
 	it.state = waiting
 	code := fault.CodeOf(err)
 	account(it, first, outcome(code, j.due(rt), at), at)
+	if it.last > first {
+		it.losses = 0
+	}
 	if fault.Caused(err, errTooLong) || fault.Caused(err, bytebudget.ErrDropped) {
 		it.restart()
 	}
@@ -137,6 +147,16 @@
 		it.notBefore = at.Add(preemptedPause)
 	case fault.NotRun(err):
 		it.notBefore = at.Add(refusedPause)
+	case response.ConnectionLost(err):
+		steps := it.losses
+		if !r.parts.MayRetry(it.parts) {
+			steps++
+		}
+		it.notBefore = at.Add(pauseAfter(steps))
+		it.losses++
+	}
+	if trial {
+		it.notBefore = later(it.notBefore, at.Add(trialPause))
 	}
 	if err != nil {
 		r.logger.Info("item attempt ended", "job", j.ID, "item", it.ID, "server", s.ID, "code", string(code), "error", err.Error(),
@@ -144,16 +164,28 @@
 	}
 }
 
-// recordParts reports to the quarantine how an attempt ended that began after an event.
-func (r *Runner) recordParts(it *item, s backend.Server, first int64, err error) {
+// recordParts reports to the quarantine how an attempt ended.
+func (r *Runner) recordParts(it *item, s backend.Server, err error) {
 	switch at := r.now(); {
 	case err == nil:
-		r.parts.RecordCompletion(s, it.parts, it.startedAt, at)
-	case it.last > first:
-		// The server had begun to answer.
+		r.parts.RecordAnswer(s, it.parts, it.startedAt, at)
+	case it.last > 0:
+		// Its prompt was answered, in this run or before.
 	case response.ConnectionLost(err):
-		r.parts.RecordLoss(s, it.parts, at)
+		r.parts.RecordLoss(s, it.ID, it.parts, at)
+	}
+}
+
+// pauseAfter returns the pause after a lost connection that follows a number of others.
+func pauseAfter(losses int) time.Duration {
+	pause := lostPause
+	for range losses {
+		if pause *= lostFactor; pause >= maxLostPause {
+			return maxLostPause
+		}
 	}
+
+	return pause
 }
 
 func (r *Runner) attempt(ctx context.Context, j *job, it *item, s backend.Server) error {
@@ -201,6 +233,7 @@
 	defer splitter.Release()
 	stream := coalesce.New(body, readInterval, r.now)
 	buffer := make([]byte, readBytes)
+	answered := false
 	for {
 		n, err := stream.Read(buffer)
 		if n > 0 {
@@ -212,9 +245,14 @@
 			if err != nil {
 				return err
 			}
-			if appended {
+			switch {
+			case appended && !answered:
+				answered = true
+				r.parts.RecordAnswer(s, it.parts, it.startedAt, r.now())
 				silence.Reset(eventTimeout)
+			case appended:
 				r.parts.RecordProgress(s, it.startedAt, r.now())
+				silence.Reset(eventTimeout)
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	// meanwhile do so under it. Servers that crash together do so for a reason of their own, except for surelyCrashes of them.
 	quarantinedCrashes = 3
 	surelyCrashes      = 5
+	// independentPrompts is the number of prompts among those crashes: a request that is repeated in a wave of crashes meets several of
+	// them.
+	independentPrompts = 2
 	// occasionGap is the least time between crashes that happen one after the other.
 	occasionGap = 100 * time.Millisecond
 	// settleTime is how long a crash waits for the heartbeats of other instances: their unanswered requests, and the parts that
@@ -69,7 +73,7 @@
 		if len(inseparable) > 0 {
 			certain = shared
 		}
-		since, ok := q.decisive(certain)
+		since, ok := q.decisive(part, certain)
 		switch settled := since.Add(settleTime); {
 		case !ok:
 		case at.Before(settled):
@@ -229,14 +233,19 @@
 // combine replaces the parts that are quarantined in combination: servers crash under requests with all of them, and nothing tells
 // yet which of them is the cause. The caller holds the lock.
 func (q *Quarantine) combine(combined map[string][]string) {
+	since := map[string]time.Time{}
 	for part, with := range combined {
 		slices.Sort(with)
+		key := strings.Join(with, "+")
+		if since[key] = q.combinedSince[key]; since[key].IsZero() {
+			since[key] = q.judgedAt
+		}
 		if q.combined[part] == nil {
 			decisions.Add("combined", 1)
 			q.log.Warn("prompt parts quarantined in combination", "part", part, "parts", with, "evidence", q.evidence(part))
 		}
 	}
-	q.combined = combined
+	q.combined, q.combinedSince = combined, since
 }
 
 func countIncarnations(crashes []*crash) int {
@@ -248,20 +257,23 @@
 	return len(seen)
 }
 
-// decisive reports whether crashes are enough to quarantine their part, and since when they are. The caller holds the lock.
-func (q *Quarantine) decisive(crashes []*crash) (since time.Time, ok bool) {
+// decisive reports whether crashes under a part are enough to quarantine it, and since when they are. The caller holds the lock.
+func (q *Quarantine) decisive(part string, crashes []*crash) (since time.Time, ok bool) {
 	ordered := slices.Clone(crashes)
 	slices.SortStableFunc(ordered, func(a, b *crash) int { return a.at.Compare(b.at) })
 	seen := map[incarnation]bool{}
+	prompts := promptCount{}
 	var times []time.Time
 	for _, c := range ordered {
+		prompts.add(c.prompts[part])
 		if seen[c.incarnation] {
 			continue
 		}
 		seen[c.incarnation] = true
 		times = append(times, c.at)
 		n := occasions(times)
-		if n >= quarantinedCrashes && 3*n >= 2*q.occasionsBetween(times[0], c.at) || len(seen) >= surelyCrashes {
+		enough := n >= quarantinedCrashes && prompts.distinct() >= independentPrompts
+		if enough && 3*n >= 2*q.occasionsBetween(times[0], c.at) || len(seen) >= surelyCrashes {
 			return c.at, true
 		}
 	}
@@ -269,6 +281,29 @@
 	return time.Time{}, false
 }
 
+// promptCount counts the different prompts of some crashes; each one that is not known counts as another one.
+type promptCount struct {
+	known   map[string]bool
+	unknown int
+}
+
+func (p *promptCount) add(prompts []string) {
+	for _, prompt := range prompts {
+		switch {
+		case prompt == "":
+			p.unknown++
+		case p.known == nil:
+			p.known = map[string]bool{prompt: true}
+		default:
+			p.known[prompt] = true
+		}
+	}
+}
+
+func (p *promptCount) distinct() int {
+	return len(p.known) + p.unknown
+}
+
 // occasionsBetween returns on how many occasions servers crashed in a time, except for crashes under a quarantined part. The caller
 // holds the lock.
 func (q *Quarantine) occasionsBetween(from, to time.Time) int {
@@ -321,7 +356,7 @@
 	q.wakeAt(e.until)
 	decisions.Add("quarantined", 1)
 	q.log.Warn("prompt part quarantined", "part", part, "source", source, "since", e.since, "until", e.until,
-		"observed", e.observed, "evidence", q.evidence(part), "completed_at", q.completed.at(part), "age_ms", at.Sub(e.since).Milliseconds())
+		"observed", e.observed, "evidence", q.evidence(part), "answered_at", q.answered.at(part), "age_ms", at.Sub(e.since).Milliseconds())
 }
 
 // evidence returns the servers that crashed under a part. The caller holds the lock.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 	evidenceLife = 5 * time.Minute
 	// quarantineLife is how long a part stays in quarantine.
 	quarantineLife = 3 * time.Minute
-	// soundLife is how long before a lost connection a request with the same part may have completed to show that the part is sound.
+	// soundLife is how long before a lost connection a request with the same part may have been answered to show that the part is sound.
 	soundLife = 2 * time.Second
 	// crashSpan is the longest time between the connections that are lost in one crash; a server takes longer to start again.
 	crashSpan = time.Second
@@ -26,8 +26,9 @@
 	bufferMargin = 200 * time.Millisecond
 	// combinedRetry is when a request with a combination of parts may be repeated: further requests soon show which part it is.
 	combinedRetry = time.Second
-	// maxCrashes, maxParts and maxQuarantined bound the memory and maxPartBytes the length of an ID.
+	// maxCrashes, maxParts, maxPrompts of one part of a crash and maxQuarantined bound the memory and maxPartBytes the length of an ID.
 	maxCrashes     = 64
+	maxPrompts     = 4
 	maxParts       = 48
 	maxQuarantined = 64
 	maxPartBytes   = 64
@@ -52,14 +53,21 @@
 	log     *slog.Logger
 
 	// lock guards all fields below.
-	lock      sync.Mutex
-	completed recent
+	lock     sync.Mutex
+	answered recent
 	// crashes are ordered by the time at which they were recorded.
 	crashes     []*crash
 	suspected   map[string]bool
 	quarantined map[string]*entry
-	// combined are parts that are quarantined only in combination with others, which the values include.
-	combined map[string][]string
+	// combined are parts that are quarantined only in combination with others, which the values include, and combinedSince is since when
+	// each combination is, by its parts.
+	combined      map[string][]string
+	combinedSince map[string]time.Time
+	// ownWaiters are the items of this instance that wait for each part or combination, and peerWaiters those of the others by instance.
+	// self is the name of this instance, known from its first heartbeat.
+	ownWaiters  map[string]waiters
+	peerWaiters map[string]map[string]waiters
+	self        string
 	// cleared are the parts that this instance announces as sound until the given time.
 	cleared map[string]time.Time
 	// savedUntil are the combinations that are in the store, by name, and until when they count.
@@ -87,6 +95,8 @@
 		obsolete:     map[string]bool{},
 		savedUntil:   map[string]time.Time{},
 		incarnations: map[string]string{},
+		ownWaiters:   map[string]waiters{},
+		peerWaiters:  map[string]map[string]waiters{},
 	}
 }
 
@@ -135,14 +145,15 @@
 	decisions.Add(kind, 1)
 }
 
-// RecordLoss records that the connection of an attempt was lost before anything was answered.
-func (q *Quarantine) RecordLoss(s backend.Server, parts []string, at time.Time) {
+// RecordLoss records that the connection of an attempt was lost before anything was answered. The ID of the prompt is that of the part that
+// belongs to the request itself, so that repeats of a request count as one; it may be empty if it is not known.
+func (q *Quarantine) RecordLoss(s backend.Server, prompt string, parts []string, at time.Time) {
 	if len(parts) == 0 {
 		return
 	}
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	c, _ := q.addLoss(incarnationOf(s), parts, at, 0)
+	c, _ := q.addLoss(incarnationOf(s), parts, []string{prompt}, at, 0)
 	for _, p := range parts {
 		if len(c.own) < maxParts && !slices.Contains(c.own, p) {
 			c.own = append(c.own, p)
@@ -152,7 +163,7 @@
 		}
 	}
 	decisions.Add("losses", 1)
-	q.log.Info("possible crash of a backend server", "server", s.ID, "started_at", s.StartedAt, "parts", parts)
+	q.log.Info("possible crash of a backend server", "server", s.ID, "started_at", s.StartedAt, "prompt", prompt, "parts", parts)
 	q.judge(at)
 }
 
@@ -166,13 +177,13 @@
 	}
 }
 
-// RecordCompletion records that a request has completed that was sent at a time.
-func (q *Quarantine) RecordCompletion(s backend.Server, parts []string, sentAt, at time.Time) {
+// RecordAnswer records that a request that was sent at a time has been answered by its first event, or completely.
+func (q *Quarantine) RecordAnswer(s backend.Server, parts []string, sentAt, at time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	changed := q.refute(incarnationOf(s), aliveAt(sentAt, at), true)
 	for _, p := range parts {
-		q.completed.record(p, at)
+		q.answered.record(p, at)
 		if q.clear(p) {
 			q.cleared[p] = at.Add(announceLife)
 			changed = true
@@ -208,9 +219,9 @@
 	return sentAt
 }
 
-// addLoss adds parts to a possible crash, whose time is known with a margin, and reports whether that is new evidence. The caller
-// holds the lock.
-func (q *Quarantine) addLoss(of incarnation, parts []string, at time.Time, margin time.Duration) (c *crash, added bool) {
+// addLoss adds parts to a possible crash, whose time is known with a margin, and reports whether that is new evidence. Each part has a
+// prompt at its position; the last one stands for all further parts. The caller holds the lock.
+func (q *Quarantine) addLoss(of incarnation, parts, prompts []string, at time.Time, margin time.Duration) (c *crash, added bool) {
 	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.includes(of, parts, at, margin) })
 	if i < 0 {
 		if len(q.crashes) >= maxCrashes {
@@ -220,13 +231,13 @@
 		i = len(q.crashes) - 1
 	}
 	c = q.crashes[i]
-	for _, p := range parts {
+	for n, p := range parts {
 		switch {
 		case p == "" || len(p) > maxPartBytes:
 		case q.sound(p, c.at):
 			q.cleared[p] = q.now().Add(announceLife)
 		case len(c.parts) < maxParts || c.parts[p]:
-			isNew := c.lost(p, at)
+			isNew := c.lost(p, promptAt(prompts, n), at)
 			added = added || isNew && !c.refuted()
 		}
 	}
@@ -234,6 +245,19 @@
 	return c, added
 }
 
+// promptAt returns the prompt at a position, empty if it is not known.
+func promptAt(prompts []string, n int) string {
+	if len(prompts) == 0 {
+		return ""
+	}
+	prompt := prompts[min(n, len(prompts)-1)]
+	if len(prompt) > maxPartBytes {
+		return ""
+	}
+
+	return prompt
+}
+
 // evict drops the oldest of the possible crashes that tell least: those that are withdrawn or have no part left, then those whose
 // parts were lost with no other server. The caller holds the lock.
 func (q *Quarantine) evict() {
@@ -259,9 +283,9 @@
 	q.crashes = slices.Delete(q.crashes, victim, victim+1)
 }
 
-// sound reports whether a request with a part has completed since shortly before a time. The caller holds the lock.
+// sound reports whether a request with a part has been answered since shortly before a time. The caller holds the lock.
 func (q *Quarantine) sound(part string, at time.Time) bool {
-	last := q.completed.at(part)
+	last := q.answered.at(part)
 
 	return !last.IsZero() && last.After(at.Add(-soundLife))
 }
@@ -275,7 +299,7 @@
 		}
 	}
 	if e := q.quarantined[part]; e != nil && q.sound(part, e.since) {
-		q.release(part, "completed")
+		q.release(part, "answered")
 		found = true
 	}
 
@@ -305,6 +329,8 @@
 func (q *Quarantine) release(part, cause string) {
 	e := q.quarantined[part]
 	delete(q.quarantined, part)
+	delete(q.ownWaiters, part)
+	delete(q.peerWaiters, part)
 	if e.saved {
 		q.obsolete[part] = true
 	}
