--- a/core/jobrun/wait.go
+++ b/core/jobrun/wait.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// waitLimit is how long an item may wait until that is logged. It is longer than the pauses between runs and than a run may last
+	// waitLimit is how long an item may wait until that is logged. It is longer than the pause after a preemption and than a run may last
 	// without an event.
 	waitLimit = 3 * time.Second
 	// waitRepeat is the least time between two lines about one item.
