--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -73,6 +73,7 @@
 		r.start(ctx, at)
 		r.takeOverOrphans(ctx, at)
 	}
+	r.watchWaits(at)
 	for id, j := range r.jobs {
 		switch {
 		case j.flushing || at.Before(j.retryAt):
@@ -161,6 +162,7 @@
 
 			continue
 		}
+		r.waits.grantedAt[service] = at
 		if c.trial != "" {
 			r.beginTrial(c, trials, s, at)
 		}
