--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -137,6 +137,9 @@
 		delete(r.claimed, j.ID)
 	}
 	j.released = true
+	for _, it := range j.items {
+		r.endWait(j, it, r.now())
+	}
 	j.stopItems(errReleased)
 	j.notify()
 }
@@ -166,6 +169,9 @@
 		r.lock.Unlock()
 	}
 	if r.recordResolved(id, j, &record, revision, held, err) && !held {
+		r.lock.Lock()
+		r.recordCompleted(found)
+		r.lock.Unlock()
 		r.announceIfOrphan(found)
 	}
 }
@@ -184,7 +190,8 @@
 	delete(r.unresolved, id)
 	j.Parts = record.Parts
 	j.revision = revision
-	if held {
+	// Another submission of the job that came at the same time may have been accepted meanwhile, and its items run.
+	if held && r.jobs[id] == nil {
 		r.hold(id, j)
 	}
 	j.notify()
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -10,6 +10,7 @@
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/background"
+	"tarragonwalk/core/batchroom"
 	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/feasibility"
@@ -59,6 +60,8 @@
 type placer interface {
 	RandomPoint() float64
 	Batch(service string, urgent, late bool, at time.Time) (s backend.Server, release func(), ok bool)
+	// BatchRoom returns what Batch would find.
+	BatchRoom(service string, urgent, late bool, at time.Time) batchroom.Room
 	// BatchOn is like Batch for one server, whether its slots are free or not.
 	BatchOn(s backend.Server) (release func())
 }
@@ -96,6 +99,8 @@
 	RecordTakeover(incarnation, route string, tokens int, at time.Time)
 	Takeovers(at time.Time) []gossip.TakenOver
 	Progress(at time.Time) (sum map[string]gossip.BatchProgress, complete bool)
+	// BatchContenders returns the numbers of other instances with queued items, and when the first of them was last heard from.
+	BatchContenders(at time.Time) (onTime, late int, heardAt time.Time)
 }
 
 type reader interface {
@@ -122,6 +127,8 @@
 	name        string
 	incarnation string
 	keepFor     time.Duration
+	// pendingRoom is the fraction of a route's limit by which jobs that are being written may exceed it.
+	pendingRoom float64
 	now         func() time.Time
 	logger      *slog.Logger
 	tasks       background.Tasks
@@ -135,6 +142,8 @@
 	unresolved map[string]*job
 	// submitting are the jobs whose objects are being written.
 	submitting map[string]*submission
+	// completed are jobs whose tokens count here until an instance announces that it holds them.
+	completed map[string]completedJob
 	// ended are the ended jobs that this instance announces, peerEnds those that other instances announce; each is kept until
 	// the given time. A takeover checks both, since a job may end after the takeover has read the store.
 	ended    map[string]time.Time
@@ -165,13 +174,15 @@
 	orphans  map[string]*orphan
 	stopping bool
 	runTime  estimate
+	waits    waitLog
 	wake     chan struct{}
 }
 
-// New returns a runner for the instance name; sharedParts returns the prompt parts that an item may share with others, budget bounds the output of items that is being received; jobs stay readable for keepFor after their submission.
+// New returns a runner for the instance name; sharedParts returns the prompt parts that an item may share with others, budget bounds the output of items that is being received; jobs stay readable for keepFor after their submission, and
+// pendingRoom is the fraction of a route's limit of waiting tokens by which jobs that are being written may exceed it.
 func New(l joblog, s sender, p placer, ro roster, rt routes, c cluster, rd reader, parts promptParts,
 	sharedParts func(headers map[string]string) []string, budget *bytebudget.Budget, name, incarnation string,
-	keepFor time.Duration, now func() time.Time, logger *slog.Logger,
+	keepFor time.Duration, pendingRoom float64, now func() time.Time, logger *slog.Logger,
 ) *Runner {
 	return &Runner{
 		log:         l,
@@ -187,12 +198,14 @@
 		name:        name,
 		incarnation: incarnation,
 		keepFor:     keepFor,
+		pendingRoom: pendingRoom,
 		now:         now,
 		logger:      logger,
 		returned:    highmark.New(now),
 		jobs:        map[string]*job{},
 		unresolved:  map[string]*job{},
 		submitting:  map[string]*submission{},
+		completed:   map[string]completedJob{},
 		ended:       map[string]time.Time{},
 		peerEnds:    map[string]time.Time{},
 		held:        map[string]time.Time{},
@@ -206,6 +219,9 @@
 		refusedHere: map[string]time.Time{},
 		trials:      map[trialKey]*trialRun{},
 		estimator:   feasibility.New(),
+		waits: waitLog{
+			grantedAt: map[string]time.Time{},
+		},
 	}
 }
 
@@ -328,15 +344,26 @@
 		return nil
 	}
 	if j.table != table {
-		j.table, j.route = table, table.Find(j.Host, j.Target)
-		if j.route != nil && j.route.Kind != route.KindBatch {
-			j.route = nil
-		}
+		j.table, j.route = table, r.findRoute(&j.Job)
 	}
 
 	return j.route
 }
 
+// findRoute returns the batch route of a job that this instance does not hold, nil if the configuration has none.
+func (r *Runner) findRoute(j *work.Job) *route.Route {
+	table, _ := r.routes.Current()
+	if table == nil {
+		return nil
+	}
+	rt := table.Find(j.Host, j.Target)
+	if rt == nil || rt.Kind != route.KindBatch {
+		return nil
+	}
+
+	return rt
+}
+
 func (r *Runner) signal() {
 	select {
 	case r.wake <- struct{}{}:
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/batchroom"
 	"tarragonwalk/core/bytebudget"
 	"tarragonwalk/core/call"
 	"tarragonwalk/core/fault"
@@ -72,6 +73,8 @@
 	restarts atomic.Int64
 	// routes are further routes than testRoute.
 	routes []route.Route
+	// waiting are the tokens that wait at instances beside those that run, by process.
+	waiting map[string]int
 }
 
 func newFleet(seed uint64, failureRate float64) *fleet {
@@ -134,7 +137,19 @@
 	return f.alive[name]
 }
 
-func (f *fleet) Waiting(string, time.Time) int { return 0 }
+func (f *fleet) Waiting(route string, _ time.Time) int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	n := 0
+	if route != testRoute.Name {
+		return n
+	}
+	for incarnation, tokens := range f.waiting {
+		n += max(0, tokens-f.takenOver[incarnation])
+	}
+
+	return n
+}
 
 func (f *fleet) RecordTakeover(incarnation, _ string, tokens int, _ time.Time) {
 	f.lock.Lock()
@@ -177,6 +192,17 @@
 	}, true
 }
 
+func (f *fleet) BatchRoom(string, bool, bool, time.Time) batchroom.Room {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+
+	return batchroom.Room{Usable: 1, Free: max(0, 6-f.usedSlots), InTurn: max(0, 6-f.usedSlots)}
+}
+
+func (f *fleet) BatchContenders(time.Time) (onTime, late int, heardAt time.Time) {
+	return 0, 0, heardAt
+}
+
 func (f *fleet) BatchOn(backend.Server) func() { return func() {} }
 
 func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
@@ -233,7 +259,7 @@
 	f.alive[name] = true
 	f.lock.Unlock()
 	logger := slog.New(slog.DiscardHandler)
-	r = New(l, s, f, f, f, f, jobread.New(l, f, f, logger, time.Now), parts, sharedParts, noBudget(), name, name, f.keepFor, time.Now, logger)
+	r = New(l, s, f, f, f, f, jobread.New(l, f, f, logger, time.Now), parts, sharedParts, noBudget(), name, name, f.keepFor, 0, time.Now, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -76,6 +76,7 @@
 		r.start(ctx, at)
 		r.takeOverOrphans(ctx, at)
 	}
+	r.watchWaits(at)
 	for id, j := range r.jobs {
 		switch {
 		case j.flushing || at.Before(j.retryAt):
@@ -164,6 +165,7 @@
 
 			continue
 		}
+		r.waits.grantedAt[service] = at
 		if c.trial != "" {
 			r.beginTrial(c, service, s, at)
 		}
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -11,6 +11,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
 	logs "tarragonwalk/core/joblog"
+	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
 
@@ -68,6 +69,74 @@
 	}
 }
 
+// Guards against a job that is turned away for many seconds since it does not fit beside itself: the process that wrote only a part of it is
+// lost, and its tokens still count. Also guards against such a job that exceeds the limit beside others, and against tokens that no
+// instance counts between its completion and its takeover.
+func TestRepeatOfHalfWrittenJobOfLostProcess(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		others     int
+		writerLost bool
+		want       fault.Code
+	}{
+		{"fits", 300, true, ""},
+		{"does not fit beside others", 500, true, fault.CodeOutcomeUnknown},
+		{"its writer lives", 300, false, fault.CodeOutcomeUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(1, 0)
+				f.waiting = map[string]int{"gone-1": 600, "other": c.others}
+				f.alive["gone"] = !c.writerLost
+				items := newItems("job", 60)
+				j := work.Job{ID: "job", Host: "h", Target: "/b/1", Items: len(items), Tokens: 600, SubmittedAt: time.Now(), Holder: "gone", Incarnation: "gone-1"}
+				f.writeRecordOnly(t, j, items)
+				var runners []*Runner
+				for _, name := range []string{"e1", "e2", "e3"} {
+					r, stop := f.start(name)
+					defer stop()
+					runners = append(runners, r)
+				}
+				wait := func(d time.Duration) {
+					for range d / IdleInterval {
+						time.Sleep(IdleInterval)
+						exchangeAnnouncements(runners)
+					}
+				}
+				is.Equal(fault.CodeOf(runners[0].Submit(t.Context(), &testRoute, j, items)), fault.CodeOutcomeUnknown)
+				wait(time.Second)
+				outcomes := make(chan error, 2)
+				for range 2 {
+					go func() { outcomes <- runners[0].Submit(t.Context(), &testRoute, j, items) }()
+				}
+				for range 2 {
+					is.Equal(fault.CodeOf(<-outcomes), c.want)
+				}
+				if c.want == "" {
+					waiting := 0
+					for _, r := range runners {
+						b := &gossip.Heartbeat{}
+						r.FillHeartbeat(b)
+						waiting += b.Waiting["jobs"]
+					}
+					is.Equal(waiting, j.Tokens)
+				}
+				wait(10 * time.Second)
+				is.Equal(check(t, logs.New(f.objects), "job", len(items)), c.want == "")
+				f.lock.Lock()
+				is.True(f.takenOver["gone-1"] <= j.Tokens) // subtracted once
+				f.lock.Unlock()
+				for _, r := range runners {
+					b := &gossip.Heartbeat{}
+					r.FillHeartbeat(b)
+					is.Equal(b.Waiting["jobs"], 0) // nothing stays reserved
+				}
+			})
+		})
+	}
+}
+
 // Guards against a promise that a job will not run, made for a reason of this instance alone, while the job was accepted or is being written.
 func TestRefusalOfKnownJob(t *testing.T) {
 	reason := fault.New(fault.CodeNotRun, "no memory")
@@ -256,3 +325,72 @@
 		is.Equal(b.Waiting["jobs"], 20)
 	})
 }
+
+// Guards against a job that fits and is refused because of one that is being written and may never be accepted, and against such jobs that
+// together exceed the tolerance.
+func TestJobsThatAreBeingWrittenMayExceedTheLimit(t *testing.T) {
+	r, stop := newFleet(1, 0).start("e1")
+	stop()
+	limit := route.Route{MaxTokens: 1000}
+	for _, c := range []struct {
+		name                     string
+		room                     float64
+		waiting, pending, tokens int
+		exceeds                  bool
+	}{
+		{"fits beside all", 0.075, 500, 500, 500, false},
+		{"fits beside what is accepted", 0.075, 530, 530, 545, false},
+		{"exceeds the tolerance", 0.075, 530, 530, 546, true},
+		{"exceeds what is accepted", 0.075, 501, 0, 500, true},
+		{"no tolerance", 0, 530, 530, 471, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r.pendingRoom = c.room
+			is.New(t).Equal(r.exceeds(&limit, c.waiting, c.pending, c.tokens), c.exceeds)
+		})
+	}
+	is.New(t).True(!r.exceeds(&route.Route{}, 1, 0, 1000))
+}
+
+// Guards against a job that this instance holds twice: a repeat that came while the job was written and whose outcome was unknown replaced
+// the one that runs, whose items went on and whose results were dropped.
+func TestUnknownRepeatOfHeldJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		r, stop := f.start("e")
+		defer stop()
+		r.lock.Lock()
+		r.log = slowLog{joblog: r.log}
+		r.lock.Unlock()
+		submit := func() error {
+			j := work.Job{ID: "job", Host: "h", Target: "/b/1", Tokens: 20, SubmittedAt: time.Now()}
+
+			return r.Submit(t.Context(), &testRoute, j, newItems("job", 2))
+		}
+		repeated := make(chan error, 1)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			repeated <- submit()
+		}()
+		is.NoErr(submit())
+		f.objects.Choose(func(kind string) fault.Code {
+			if kind == "job-parts" {
+				return fault.CodeStoreUnavailable
+			}
+
+			return ""
+		})
+		r.lock.Lock()
+		first := r.jobs["job"]
+		r.lock.Unlock()
+		time.Sleep(time.Second)
+		f.objects.Choose(nil)
+		is.NoErr(<-repeated)
+		time.Sleep(5 * time.Second)
+		r.lock.Lock()
+		is.True(r.jobs["job"] == first)
+		is.Equal(len(r.unresolved), 0)
+		r.lock.Unlock()
+	})
+}
