--- a/core/jobrun/held_test.go
+++ b/core/jobrun/held_test.go
@@ -6,8 +6,11 @@
 	"io"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -19,6 +22,7 @@
 	logs "tarragonwalk/core/joblog"
 	"tarragonwalk/core/quarantine"
 	"tarragonwalk/core/response"
+	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 	"tarragonwalk/internal/fakeobjects"
 )
@@ -52,6 +56,16 @@
 	}
 }
 
+// quarantineShared lets three servers crash under the shared part.
+func quarantineShared(is *is.I, q *quarantine.Quarantine) {
+	for n := range 3 {
+		q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), []string{"shared"}, time.Now())
+		time.Sleep(time.Second)
+	}
+	_, _, held := q.Quarantined(oneSharedPart(nil))
+	is.True(held)
+}
+
 // Guards against items that nobody runs for minutes because a sound part of their prompts was quarantined in a wave of crashes:
 // nothing but a request with that part can show that it is sound.
 func TestItemOfSoundPartInQuarantineCompletes(t *testing.T) {
@@ -60,12 +74,7 @@
 		f := newFleet(1, 0)
 		q, end := newQuarantine()
 		defer end()
-		for n := range 3 {
-			q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), []string{"shared"}, time.Now())
-			time.Sleep(time.Second)
-		}
-		_, _, held := q.Quarantined(oneSharedPart(nil))
-		is.True(held)
+		quarantineShared(is, q)
 		l := logs.New(f.objects)
 		r, stop := f.startWith("e1", l, f, q, oneSharedPart)
 		defer stop()
@@ -76,6 +85,77 @@
 	})
 }
 
+// refusingServer refuses the first items.
+type refusingServer struct {
+	*fleet
+	refusals atomic.Int64
+}
+
+func (s *refusingServer) Send(ctx context.Context, b backend.Server, q *call.Call, after int64) (*response.Response, error) {
+	if s.refusals.Add(-1) >= 0 {
+		return nil, fault.New(fault.CodeBackendUnreachable, "connection refused")
+	}
+
+	return s.fleet.Send(ctx, b, q, after)
+}
+
+// Guards against an item that waits for the next trial but one because the server of its trial was gone.
+func TestRefusedTrialIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		s := &refusingServer{fleet: f}
+		s.refusals.Store(2)
+		q, end := newQuarantine()
+		defer end()
+		quarantineShared(is, q)
+		l := logs.New(f.objects)
+		r, stop := f.startWith("e1", l, s, q, oneSharedPart)
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
+		time.Sleep(maxUntried)
+		is.True(check(t, l, "j", 1))
+	})
+}
+
+// serverRecorder records which server each item was sent to.
+type serverRecorder struct {
+	*fleet
+	lock    sync.Mutex
+	servers map[string]string
+}
+
+func (s *serverRecorder) Send(ctx context.Context, b backend.Server, q *call.Call, after int64) (*response.Response, error) {
+	s.lock.Lock()
+	s.servers[q.ID] = b.ID
+	s.lock.Unlock()
+
+	return s.fleet.Send(ctx, b, q, after)
+}
+
+// Guards against an item in a trial that is sent to a server of another service than its route's.
+func TestTrialStaysInTheServiceOfTheRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		other := testRoute
+		other.Name, other.Prefix, other.Shares = "others", "/c/", []route.Share{{Service: "other", Weight: 1}}
+		f.routes = []route.Route{other}
+		s := &serverRecorder{fleet: f, servers: map[string]string{}}
+		q, end := newQuarantine()
+		defer end()
+		quarantineShared(is, q)
+		r, stop := f.startWith("e1", logs.New(f.objects), s, q, oneSharedPart)
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
+		is.NoErr(r.Submit(t.Context(), &other, work.Job{ID: "k", Host: "h", Target: "/c/1", SubmittedAt: time.Now()}, newItems("k", 1)))
+		time.Sleep(maxUntried)
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		is.Equal(s.servers, map[string]string{"j-0": "w", "k-0": "w-other"})
+	})
+}
+
 // crashingServer crashes under each request, records when that was, and starts again.
 type crashingServer struct {
 	*fleet
@@ -116,6 +196,8 @@
 				is.NoErr(r.Submit(t.Context(), &testRoute, job, items))
 				began := time.Now()
 				time.Sleep(50 * time.Second)
+				s.lock.Lock()
+				defer s.lock.Unlock()
 				var all []time.Time
 				for _, runs := range s.runs {
 					last := began
@@ -133,12 +215,42 @@
 	}
 }
 
-// lossRecorder counts the losses that are evidence against prompt parts.
+// Guards against an item that is tried each time while others that wait for the same part are left out: here three more are allowed, one at
+// a time.
+func TestItemsTakeTurnsInTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		s := &crashingServer{fleet: f, runs: map[string][]time.Time{}}
+		q, end := newQuarantine()
+		defer end()
+		for n := range 5 {
+			q.RecordLoss(backend.Server{ID: fmt.Sprint(n)}, fmt.Sprint(n), []string{"shared"}, time.Now())
+			time.Sleep(time.Second)
+		}
+		r, stop := f.startWith("e1", logs.New(f.objects), s, q, oneSharedPart)
+		defer stop()
+		items := slices.Delete(newItems("j", 6), 1, 2)
+		job := work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}
+		is.NoErr(r.Submit(t.Context(), &testRoute, job, items))
+		time.Sleep(time.Minute)
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		is.Equal(len(s.runs), maxLateRuns)
+		for _, runs := range s.runs {
+			is.Equal(len(runs), 1)
+		}
+	})
+}
+
+// lossRecorder counts the losses that are evidence against prompt parts, and the answers that clear them.
 type lossRecorder struct {
 	promptParts
-	losses int
+	losses, answers int
 }
 
+func (l *lossRecorder) RecordAnswer(backend.Server, []string, time.Time, time.Time) { l.answers++ }
+
 func (l *lossRecorder) RecordLoss(backend.Server, string, []string, time.Time) { l.losses++ }
 
 // Guards against a sound part that is quarantined because runs that go on after earlier events lose their connections: a prompt that was
@@ -156,6 +268,20 @@
 	is.Equal(l.losses, 1)
 }
 
+// Guards against a sound part that is cleared only when an item with it is complete, which takes as long as a wave of crashes.
+func TestFirstEventOfAnItemIsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	r, stop := newFleet(1, 0).start("e1")
+	stop()
+	l := &lossRecorder{promptParts: noQuarantine()}
+	r.parts = l
+	it := &item{}
+	events := io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	is.True(r.collect(it, backend.Server{ID: "w"}, events, time.NewTimer(time.Minute), func() {}) != nil)
+	is.Equal(it.last, int64(1))
+	is.Equal(l.answers, 1)
+}
+
 // Guards against an item that is sent again to the server that has just crashed, and then to one after the other.
 func TestPauseAfterLostConnections(t *testing.T) {
 	is := is.New(t)
@@ -172,3 +298,31 @@
 		is.True(time.Until(it.notBefore) > want-lostPause)
 	}
 }
+
+// waitingRecorder records the counts of waiting items.
+type waitingRecorder struct {
+	*quarantine.Quarantine
+	waiting atomic.Pointer[map[string]int]
+}
+
+func (w *waitingRecorder) RecordWaiting(counts map[string]int) { w.waiting.Store(&counts) }
+
+// Guards against an instance that stops and still counts as the one whose items are tried first, so that no others are.
+func TestStoppingInstanceHasNoWaitingItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 0)
+		q, end := newQuarantine()
+		defer end()
+		quarantineShared(is, q)
+		w := &waitingRecorder{Quarantine: q}
+		r, stop := f.startWith("e1", logs.New(f.objects), f, w, oneSharedPart)
+		defer stop()
+		is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 1)))
+		time.Sleep(time.Second)
+		is.Equal(*w.waiting.Load(), map[string]int{"shared": 1})
+		r.Stop(t.Context(), time.Now().Add(time.Second))
+		time.Sleep(time.Second)
+		is.Equal(len(*w.waiting.Load()), 0)
+	})
+}
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -104,7 +104,7 @@
 	first := it.last
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
-		r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
+		r.roster.RecordAttempt(s, err, it.progressAt, r.now())
 		r.recordParts(it, s, err)
 	}
 	r.lock.Lock()
@@ -112,8 +112,7 @@
 	defer r.signal()
 	it.cancel = nil
 	at := r.now()
-	trial := it.trial
-	it.trial = false
+	tried := r.endTrial(it, fault.NotRun(err))
 	if it.state != running || j.released {
 		return
 	}
@@ -155,7 +154,7 @@
 		it.notBefore = at.Add(pauseAfter(steps))
 		it.losses++
 	}
-	if trial {
+	if tried {
 		it.notBefore = later(it.notBefore, at.Add(trialPause))
 	}
 	if err != nil {
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -67,13 +67,13 @@
 }
 
 type roster interface {
-	RecordAttempt(id string, err error, progressAt, at time.Time)
+	RecordAttempt(s backend.Server, err error, progressAt, at time.Time)
 }
 
 type promptParts interface {
 	Quarantined(parts []string) (part string, until time.Time, ok bool)
 	TrialDue(parts []string) bool
-	RecordTrial(parts []string)
+	RecordTrial(parts []string) (withdraw func())
 	RecordWaiting(counts map[string]int)
 	// MayRetry reports whether none of some parts is suspected of crashing servers.
 	MayRetry(parts []string) bool
@@ -158,8 +158,8 @@
 	queuedLate int
 	// queuedOf counts the items of queued by route.
 	queuedOf map[string]int
-	// triedUntil is until when this instance begins no other trial of a quarantined part.
-	triedUntil map[string]time.Time
+	// trials are the trials of quarantined parts that are in progress; this instance begins no other one meanwhile.
+	trials map[trialKey]*trialRun
 	// received counts the events of items, and estimator observes the progress of the fleet.
 	received  *throughput.Meter
 	estimator *feasibility.Estimator
@@ -217,7 +217,7 @@
 		received:    throughput.New(),
 		refused:     map[string]time.Time{},
 		refusedHere: map[string]time.Time{},
-		triedUntil:  map[string]time.Time{},
+		trials:      map[trialKey]*trialRun{},
 		estimator:   feasibility.New(),
 		waits: waitLog{
 			grantedAt: map[string]time.Time{},
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -71,6 +71,8 @@
 	takenOver map[string]int
 	// restarts counts how often the backend server has started again.
 	restarts atomic.Int64
+	// routes are further routes than testRoute.
+	routes []route.Route
 	// waiting are the tokens that wait at instances beside those that run, by process.
 	waiting map[string]int
 }
@@ -99,7 +101,7 @@
 		return &route.Table{Version: 1}, 1
 	}
 
-	return &route.Table{Version: 1, Routes: []route.Route{testRoute}}, 1
+	return &route.Table{Version: 1, Routes: append([]route.Route{testRoute}, f.routes...)}, 1
 }
 
 func (f *fleet) Live() []string {
@@ -165,11 +167,12 @@
 
 	return sum, true
 }
-func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool) { return a, false }
-func (f *fleet) RandomPoint() float64                              { return 0 }
-func (f *fleet) RecordAttempt(string, error, time.Time, time.Time) {}
+func (f *fleet) Holder(string, string) (a netip.AddrPort, ok bool)         { return a, false }
+func (f *fleet) RandomPoint() float64                                      { return 0 }
+func (f *fleet) RecordAttempt(backend.Server, error, time.Time, time.Time) {}
 
-func (f *fleet) Batch(string, bool, bool, time.Time) (backend.Server, func(), bool) {
+// Batch returns server w for service s, and a server of its own for each other service.
+func (f *fleet) Batch(service string, _, _ bool, _ time.Time) (backend.Server, func(), bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if f.usedSlots >= 6 {
@@ -177,7 +180,12 @@
 	}
 	f.usedSlots++
 
-	return backend.Server{ID: "w", StartedAt: int(f.restarts.Load())}, func() {
+	id := "w"
+	if service != "s" {
+		id += "-" + service
+	}
+
+	return backend.Server{ID: id, StartedAt: int(f.restarts.Load())}, func() {
 		f.lock.Lock()
 		defer f.lock.Unlock()
 		f.usedSlots--
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -69,7 +69,10 @@
 	if at.Sub(r.observedAt) >= observeInterval {
 		r.observeProgress(at)
 	}
-	if !r.stopping {
+	if r.stopping {
+		// Others are to try the items that wait here.
+		r.parts.RecordWaiting(nil)
+	} else {
 		r.start(ctx, at)
 		r.takeOverOrphans(ctx, at)
 	}
@@ -135,18 +138,18 @@
 func (r *Runner) start(ctx context.Context, at time.Time) {
 	list := r.candidates(at)
 	slices.SortStableFunc(list, compareCandidates)
+	rotateTrials(list)
 	r.queued, r.queuedLate = 0, 0
 	clear(r.queuedOf)
 	full := map[string]bool{}
-	trials := map[string]*trialRun{}
 	for _, c := range list {
 		service := c.route.Service(r.placer.RandomPoint())
-		if s, release, ok := r.joinTrial(c, trials); ok {
+		if s, release, ok := r.joinTrial(c, at); ok {
 			r.run(ctx, c, s, release, at)
 
 			continue
 		}
-		if c.trial != "" && !r.mayBeginTrial(c, trials, at) {
+		if c.trial != "" && !r.mayBeginTrial(c, at) {
 			continue
 		}
 		if full[service] {
@@ -164,7 +167,7 @@
 		}
 		r.waits.grantedAt[service] = at
 		if c.trial != "" {
-			r.beginTrial(c, trials, s, at)
+			r.beginTrial(c, service, s, at)
 		}
 		r.run(ctx, c, s, release, at)
 	}
@@ -178,7 +181,6 @@
 	c.item.routeName = c.route.Name
 	c.item.startedAt, c.item.progressAt = at, at
 	c.item.firstAt = time.Time{}
-	c.item.trial = c.trial != ""
 	c.item.cancel = cancel
 	r.tasks.Go(func() {
 		defer release()
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -25,14 +25,18 @@
 	// trial is the number of the last trial of this instance, and until is when what another instance has said expires.
 	trial int64
 	until time.Time
+	// incarnation is the process of another instance that said so, and earlier the number of items that its former ones tried.
+	incarnation string
+	earlier     int
 }
 
-// hold is the reason for which an item waits.
+// hold is the reason for which a request or an item waits.
 type hold struct {
 	// key names the part, or the combination of parts, and parts are these.
 	key   string
 	parts []string
 	since time.Time
+	until time.Time
 }
 
 // TrialDue reports whether one waiting item with some parts may run now although one of them is quarantined. Nothing else shows that a part
@@ -66,14 +70,15 @@
 	return tried+waiting <= maxSureTrials || first && tried < maxSureTrials && own.trial < int64(passed/trialInterval)
 }
 
-// RecordTrial records that a waiting item with some parts runs as a trial.
-func (q *Quarantine) RecordTrial(parts []string) {
+// RecordTrial records that a waiting item with some parts runs as a trial. The caller calls withdraw if no server has accepted the item, which
+// then waits again.
+func (q *Quarantine) RecordTrial(parts []string) (withdraw func()) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	at := q.now()
 	h, ok := q.holdOf(parts, at)
 	if !ok {
-		return
+		return func() {}
 	}
 	decisions.Add("tried", 1)
 	own := q.ownWaiters[h.key]
@@ -86,6 +91,25 @@
 	q.ownWaiters[h.key] = own
 	q.log.Info("item tried", "part", h.key, "trial", own.trial, "since", h.since, "crashes", len(q.evidence(h.parts[0])), "sure", sure,
 		"waiting", own.waiting, "tried", own.tried)
+	trial := own.trial
+
+	return func() { q.withdrawTrial(h, trial, sure) }
+}
+
+// withdrawTrial takes an item out of a trial, and out of the number of those that count if it was counted.
+func (q *Quarantine) withdrawTrial(h hold, trial int64, counted bool) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	own, ok := q.ownWaiters[h.key]
+	if !ok {
+		return
+	}
+	own.waiting++
+	own.trial = min(own.trial, trial-1)
+	if counted {
+		own.tried = max(0, own.tried-1)
+	}
+	q.ownWaiters[h.key] = own
 }
 
 // RecordWaiting records how many items wait for each part, or combination of parts, as it was named by Quarantined.
@@ -106,7 +130,7 @@
 	}
 }
 
-// holdOf returns why an item with some parts waits: the quarantined part, or combination, with the most crashes. The caller holds the lock.
+// holdOf returns why a request or an item with some parts waits: the quarantined part, or combination, with the most crashes. The caller holds the lock.
 func (q *Quarantine) holdOf(parts []string, at time.Time) (worst hold, ok bool) {
 	most := -1
 	consider := func(h hold) {
@@ -121,6 +145,7 @@
 				key:   p,
 				parts: []string{p},
 				since: e.since,
+				until: e.until,
 			})
 		}
 		if with := q.combined[p]; with != nil && containsAll(parts, with) {
@@ -129,6 +154,7 @@
 				key:   key,
 				parts: with,
 				since: q.combinedSince[key],
+				until: at.Add(combinedRetry),
 			})
 		}
 	}
@@ -154,3 +180,9 @@
 
 	return at.Sub(times[sureCrashes-1]) > trialWindow
 }
+
+// forgetWaiters drops the items that waited for a part, or a combination, which is no longer in quarantine. The caller holds the lock.
+func (q *Quarantine) forgetWaiters(key string) {
+	delete(q.ownWaiters, key)
+	delete(q.peerWaiters, key)
+}
