Tell when a heartbeat can have arrived, by a clock that counts during pauses

A process that was frozen finds heartbeats in its socket that look as if they had just been received. io/bootclock reads CLOCK_BOOTTIME, which counts while the machine is suspended and isn't stepped, and io/datagram notes by it when the socket was last empty: the datagram that is handled has arrived after that. SO_TIMESTAMP was ruled out, since it is a time of the wall clock.

--- a/io/datagram/node.go
+++ b/io/datagram/node.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/io/bootclock"
 )
 
 const (
@@ -31,6 +35,8 @@
 	log    *slog.Logger
 	// quietUntil is when the next failure may be logged; only Receive uses it.
 	quietUntil time.Time
+	// emptyAt is the time of the boot clock at which the socket was last known to hold no datagram; only Receive uses it.
+	emptyAt time.Time
 }
 
 // New binds a socket; a failure has code unavailable.
@@ -41,8 +47,9 @@
 	}
 
 	return &Node{
-		socket: s,
-		log:    log,
+		socket:  s,
+		log:     log,
+		emptyAt: bootclock.Now(),
 	}, nil
 }
 
@@ -78,8 +85,14 @@
 func (n *Node) Receive(handle func(b *gossip.Heartbeat)) {
 	buffer := make([]byte, maxDatagramBytes)
 	pause := firstReceivePause
+	raw, err := n.socket.SyscallConn()
+	if err != nil {
+		n.log.Error("cannot receive heartbeats", "error", err.Error())
+
+		return
+	}
 	for {
-		size, from, err := n.socket.ReadFromUDPAddrPort(buffer)
+		size, from, err := n.read(raw, buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -98,6 +111,38 @@
 	}
 }
 
+// ArrivedAfter returns a time of the boot clock after which the heartbeat has arrived that is being handled. Only handle may call it. A
+// process that was frozen finds heartbeats of that time in the socket, which look as if they had just been received.
+func (n *Node) ArrivedAfter() time.Time {
+	return n.emptyAt
+}
+
+// read waits for a datagram and notes when the socket held none.
+func (n *Node) read(raw syscall.RawConn, buffer []byte) (size int, from netip.AddrPort, err error) {
+	failure := raw.Read(func(fd uintptr) bool {
+		for {
+			at := bootclock.Now()
+			var sender unix.Sockaddr
+			size, sender, err = unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			if errors.Is(err, unix.EINTR) {
+				continue
+			}
+			if errors.Is(err, unix.EAGAIN) {
+				n.emptyAt = at
+
+				return false
+			}
+			if a, ok := sender.(*unix.SockaddrInet4); ok {
+				from = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)) //nolint:gosec // a port
+			}
+
+			return true
+		}
+	})
+
+	return size, from, errors.Join(failure, err)
+}
+
 // mayLogFailure reports whether failureLogPause has passed since it last returned true.
 func (n *Node) mayLogFailure() bool {
 	at := time.Now()
