Refuse requests with keys while the configuration may be outdated

CheckedMillis now states what the sender knows of the checks of any instance, so that a check travels by the heartbeats of the gateways themselves, with ages by the boot clock of each instance on the way. Ages of relayed heartbeats, which are measured with Go's clock, are not used for it. Hence a check is no change any more for which a heartbeat is relayed to other zones: every instance would have one.

Answers of a watch are no evidence, since the store may deliver changes to it many seconds late (see checkInterval).

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -19,6 +19,8 @@
 	Prompt string
 	// Parts are the IDs of the prompt parts that the request may share with others.
 	Parts []string
+	// Workspace is the name of the workspace of the caller, empty if it needs none.
+	Workspace string
 	// Deadline is when the caller stops waiting; zero if it has set none.
 	Deadline time.Time
 }
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -67,7 +67,7 @@
 	unreachable bool
 	// countsSelfAt is when its heartbeat last showed that it counts this instance as gone, or is about to; zero if none did.
 	countsSelfAt time.Time
-	// checkedAt is when the instance last verified that its state was the store's newest, zero if it never did.
+	// checkedAt is when the store last had no newer configuration than the instance, as far as it knows, zero if it does not.
 	checkedAt time.Time
 	// changedAt is when a heartbeat last contained a change that other zones need; relayedAt is when this instance last relayed
 	// the heartbeat to them.
@@ -81,7 +81,7 @@
 	if b.CheckedMillis >= 0 {
 		checkedAt = gossip.Before(at, b.CheckedMillis)
 	}
-	if relevantChange(&p.heartbeat, b) || checkedAt.Sub(p.checkedAt) > checkStep {
+	if relevantChange(&p.heartbeat, b) {
 		p.changedAt = at
 	}
 	p.heartbeat, p.checkedAt, p.updatedAt = *b, checkedAt, at
@@ -180,7 +180,7 @@
 	digestAt time.Time
 	// searchedAt is the last known time at which an instance read the list of all jobs, zero if none did.
 	searchedAt time.Time
-	// checkedAt is when any other instance last verified that its state was the store's newest, zero if none did.
+	// checkedAt is when the store was last checked, as far as any other instance knows, zero if none does. It only schedules checks.
 	checkedAt time.Time
 	// selfSuspectedAt is the last time at which another instance may have counted this one as gone.
 	selfSuspectedAt time.Time
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -21,8 +21,6 @@
 	refreshInterval      = time.Second
 	largeRefreshInterval = 2 * time.Second
 	largeFleet           = 100
-	// checkStep is how much later a check of the store has to be to count as a change.
-	checkStep = 100 * time.Millisecond
 )
 
 // zoneReport is the part of a report on another zone that is used until the report expires.
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -61,7 +61,7 @@
 	return best.heartbeat.Sender.Peer, true
 }
 
-// CheckedAt returns when any other instance last verified that its state was the store's newest, zero if none did.
+// CheckedAt returns when the store was last checked, as far as any other instance knows, zero if none does.
 func (c *Cluster) CheckedAt() time.Time {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -34,6 +34,8 @@
 	answered chan struct{}
 	response *response.Response
 	err      error
+	// withheld is set if the request was not sent, since the configuration was not fresh.
+	withheld bool
 	// body holds the pieces of the whole body of a response that is not passed on as it arrives.
 	body [][]byte
 	// resize sets the bytes of the response in memory, and endBody gives them back.
@@ -44,10 +46,15 @@
 }
 
 // send sends the request, of which the caller has the events up to the ID after, and receives what of the response has to be there before
-// any of it is passed on.
-func (a *attempt) send(s sender, q *call.Call, after int64, receive func() error) {
+// any of it is passed on. It sends nothing to the server if the request may not be sent any more.
+func (a *attempt) send(f *Forwarder, q *call.Call, after int64, receive func() error) {
 	defer close(a.answered)
-	a.response, a.err = s.Send(a.ctx, a.server, q, after)
+	if a.err = f.sendable(q); a.err != nil {
+		a.withheld = true
+
+		return
+	}
+	a.response, a.err = f.sender.Send(a.ctx, a.server, q, after)
 	if a.err == nil {
 		a.err = receive()
 	}
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -75,6 +75,11 @@
 	Preempt(server string, count int)
 }
 
+type configuration interface {
+	// Fresh returns why requests of workspaces must not be sent now, nil if they may be.
+	Fresh() error
+}
+
 type sink interface {
 	// Begin sends the status and headers; length is -1 if the body's length is unknown.
 	Begin(status int, header http.Header, length int64) error
@@ -90,24 +95,37 @@
 	batch  preempter
 	parts  promptParts
 	budget *bytebudget.Budget
-	now    func() time.Time
-	log    *slog.Logger
+	// configuration is asked before each attempt for a workspace, unless it is nil.
+	configuration configuration
+	now           func() time.Time
+	log           *slog.Logger
 }
 
-// New returns a forwarder; batch preempts batch items whose slots online requests need, and budget bounds the responses in memory.
-func New(s sender, p placer, r roster, batch preempter, parts promptParts, budget *bytebudget.Budget, now func() time.Time,
-	log *slog.Logger,
+// New returns a forwarder; batch preempts batch items whose slots online requests need, and budget bounds the responses in memory. With a
+// nil configuration, requests of workspaces are always sent.
+func New(s sender, p placer, r roster, batch preempter, parts promptParts, budget *bytebudget.Budget, c configuration,
+	now func() time.Time, log *slog.Logger,
 ) *Forwarder {
 	return &Forwarder{
-		sender: s,
-		placer: p,
-		roster: r,
-		batch:  batch,
-		parts:  parts,
-		budget: budget,
-		now:    now,
-		log:    log,
+		sender:        s,
+		placer:        p,
+		roster:        r,
+		batch:         batch,
+		parts:         parts,
+		budget:        budget,
+		configuration: c,
+		now:           now,
+		log:           log,
+	}
+}
+
+// sendable returns why an attempt of a request must not be sent now, nil if it may be.
+func (f *Forwarder) sendable(q *call.Call) error {
+	if q.Workspace == "" || f.configuration == nil {
+		return nil
 	}
+
+	return f.configuration.Fresh()
 }
 
 // Run forwards a request and writes the response to out. If it fails before out.Begin was called, the code of the error says
--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -18,7 +18,7 @@
 // newHedge returns an attempt on a second server, nil if there is none at present. When no further server may or can get the request, it is
 // the one whose hedge was dropped, if the current server has been silent for longer than a sound one. It needs the lock.
 func (rs *requestState) newHedge(ctx context.Context, at time.Time, gone bool) *attempt {
-	if rs.began && !rs.splitter.Resumable() || rs.dangerous() {
+	if rs.began && !rs.splitter.Resumable() || rs.dangerous() || rs.forwarder.sendable(rs.call) != nil {
 		return nil
 	}
 	if a := rs.newFurther(ctx, at, 1); a != nil || !gone {
@@ -80,7 +80,7 @@
 func (rs *requestState) recordHedge(ctx context.Context, h *attempt, err error) {
 	rs.count(h, err)
 	rs.logAttempt(h, err, h.sentAt, "hedge", true)
-	if ctx.Err() != nil || errors.Is(err, errAbandoned) {
+	if ctx.Err() != nil || errors.Is(err, errAbandoned) || h.withheld {
 		return
 	}
 	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -96,6 +96,9 @@
 			return rs.finalError(ctx, fault.New(fault.CodeOverloaded, "no backend server of service "+rs.service+" can take the request"))
 		}
 		err := rs.perform(ctx, a)
+		if a.withheld {
+			return rs.withhold(ctx, err)
+		}
 		// The watchdog has reported a silent server when it looked for another one.
 		if !fault.Caused(err, errSilent) {
 			rs.forwarder.recordAttempt(ctx, a, rs.progressAt, err)
@@ -112,6 +115,15 @@
 	}
 }
 
+// withhold ends a request that may not be sent any more. The server that was chosen is not at fault, and no other one gets the request.
+func (rs *requestState) withhold(ctx context.Context, err error) error {
+	rs.refused++
+	rs.forwarder.log.Info("attempt withheld", "request", rs.call.ID, "route", rs.route.Name, "workspace", rs.call.Workspace, "error", err.Error(),
+		"attempts", rs.ran, "refusals", rs.refused, "began", rs.began)
+
+	return rs.finalError(ctx, err)
+}
+
 // nextAttempt returns the attempt that the watchdog has started, or a new one, nil if no server can take the request.
 func (rs *requestState) nextAttempt(ctx context.Context) *attempt {
 	if a := rs.next; a != nil {
@@ -309,7 +321,7 @@
 	w := rs.startWatchdog(ctx, a)
 	defer func() { w.stop(err) }()
 	if !a.started {
-		a.send(rs.forwarder.sender, rs.call, after, func() error {
+		a.send(rs.forwarder, rs.call, after, func() error {
 			if rs.began || rs.isStream(a.response) {
 				return nil
 			}
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -139,7 +139,7 @@
 		last = rs.resumedAfter()
 	}
 	go func() {
-		h.send(rs.forwarder.sender, rs.call, after, func() error {
+		h.send(rs.forwarder, rs.call, after, func() error {
 			switch {
 			case rs.isStream(h.response):
 				return h.awaitEvent(last, began)
@@ -212,7 +212,7 @@
 	default:
 		// Both may be sound, so the second attempt ends only for a further one.
 		w.overlap.Reset(w.retry)
-		if w.ctx.Err() != nil || rs.dangerous() {
+		if w.ctx.Err() != nil || rs.dangerous() || rs.forwarder.sendable(rs.call) != nil {
 			return
 		}
 		if h := rs.newFurther(w.ctx, at, 2); h != nil {
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -175,8 +175,8 @@
 	// Addresses are those of further instances, which the receiver may not know.
 	Addresses []netip.AddrPort `json:"Addresses,omitempty,omitzero"`
 
-	// CheckedMillis is how long ago the sender verified that its route table and
-	// server list were the store's newest; -1 if never.
+	// CheckedMillis is how long ago the store had no newer route table than the
+	// sender, by the latest check of any instance; -1 if unknown.
 	CheckedMillis int `json:"CheckedMillis,omitempty,omitzero"`
 
 	// Claimed lists jobs whose record names the sender as the holder although it has
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -114,6 +114,7 @@
 	placer    placer
 	transport transport
 	checkedAt func() time.Time
+	bootTime  func() time.Time
 	storeLost func() bool
 	now       func() time.Time
 	sequence  atomic.Int64
@@ -143,10 +144,10 @@
 	heartbeats map[string]queuedHeartbeat
 }
 
-// New returns an exchanger. The function checkedAt returns when this instance last verified that its state was the store's newest,
-// and storeLost whether it cannot reach the store.
+// New returns an exchanger. The function checkedAt returns when the store is last known to have had no newer configuration than this
+// instance, by a clock that counts while the process is frozen and that bootTime reads; storeLost says whether it cannot reach the store.
 func New(c cluster, l loads, j jobs, parts promptParts, ro roster, rt routes, p placer, t transport,
-	checkedAt func() time.Time, storeLost func() bool, now func() time.Time,
+	checkedAt, bootTime func() time.Time, storeLost func() bool, now func() time.Time,
 ) *Exchanger {
 	return &Exchanger{
 		cluster:    c,
@@ -158,6 +159,7 @@
 		placer:     p,
 		transport:  t,
 		checkedAt:  checkedAt,
+		bootTime:   bootTime,
 		storeLost:  storeLost,
 		now:        now,
 		reports:    map[string]queuedReport{},
@@ -207,18 +209,12 @@
 		Sequence: int(e.sequence.Add(1)),
 		Counts:   e.loads.OwnCounts(),
 	}
-	if table, _ := e.routes.Current(); table != nil {
-		b.RouteVersion = table.Version
-	}
+	e.stamp(b)
 	revision, digest := e.roster.Version()
 	b.Departures = e.roster.Departures()
 	b.ServerRevision = int(revision)
 	b.ServerDigest = int(digest) //nolint:gosec // only compared
 	b.StoreLost = e.storeLost()
-	b.CheckedMillis = -1
-	if at := e.checkedAt(); !at.IsZero() {
-		b.CheckedMillis = int(e.now().Sub(at).Milliseconds())
-	}
 	if at := e.cluster.SearchedAt(); !at.IsZero() {
 		b.SearchedMillis = max(1, gossip.Age(at, e.now()))
 	}
@@ -229,6 +225,18 @@
 	return b
 }
 
+// stamp sets the version of the configuration and how long it has been known that the store had no newer one. The latter is read first: an
+// older time is right for a newer version, but not the other way round. It is rounded up, since others pass it on.
+func (e *Exchanger) stamp(b *gossip.Heartbeat) {
+	b.CheckedMillis = -1
+	if at := e.checkedAt(); !at.IsZero() {
+		b.CheckedMillis = gossip.Age(at, e.bootTime()) + 1
+	}
+	if table, _ := e.routes.Current(); table != nil {
+		b.RouteVersion = table.Version
+	}
+}
+
 // send sends the regular heartbeat to this instance's zone and to the selected instances of other zones. The latter also get
 // addresses of further instances, which a new instance with other seeds may not know.
 func (e *Exchanger) send() {
@@ -267,9 +275,11 @@
 	return minZoneInterval
 }
 
-// sendTo sends a heartbeat and counts its messages by their occasion.
+// sendTo sends a heartbeat and counts its messages by their occasion. It stamps the heartbeat again, since the process may have been frozen
+// since it was made.
 func (e *Exchanger) sendTo(occasion string, b *gossip.Heartbeat, to []netip.AddrPort) {
 	messages.Add(occasion, int64(len(to)))
+	e.stamp(b)
 	e.transport.Send(b, to)
 }
 
--- a/internal/virtualfleet/process.go
+++ b/internal/virtualfleet/process.go
@@ -123,7 +123,7 @@
 	p.duties = duties.New(p.cluster, p.runner, p.storeLost.Load, time.Now, log)
 	p.addresses = addresses.New(p, "entry-instances", p.cluster, p, log)
 	p.heartbeats = heartbeat.New(p.cluster, loads, p.runner, parts, servers, p, placer, p,
-		func() time.Time { return time.Time{} }, p.storeLost.Load, time.Now)
+		func() time.Time { return time.Time{} }, time.Now, p.storeLost.Load, time.Now)
 	p.isolation = isolation.New(p.cluster, p, p.addresses, time.Now, log)
 
 	return p
