--- a/core/forward/evidence_test.go
+++ b/core/forward/evidence_test.go
@@ -41,7 +41,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			l := &lossRecorder{promptParts: noQuarantine()}
-			f := New(nil, nil, nil, nil, l, noBudget(), time.Now, slog.New(slog.DiscardHandler))
+			f := New(nil, nil, nil, nil, l, noBudget(), nil, time.Now, slog.New(slog.DiscardHandler))
 			c.state.call, c.state.forwarder = &call.Call{Parts: []string{"shared"}}, f
 			f.recordParts(t.Context(), c.state, &attempt{}, lost)
 			is.Equal(l.losses, c.losses)
@@ -57,13 +57,13 @@
 	f := &fake{replies: []reply{{status: 200, body: whole[:15], broken: true}, {err: lost}}, free: true}
 	l := &lossRecorder{promptParts: noQuarantine()}
 	r := route.Route{Kind: route.KindStream, MaxAttempts: 2, Resumable: true, TargetMillis: 1000, TimeoutMillis: 4000}
-	err := New(f, f, f, f, l, noBudget(), time.Now, slog.New(slog.DiscardHandler)).
+	err := New(f, f, f, f, l, noBudget(), nil, time.Now, slog.New(slog.DiscardHandler)).
 		Run(t.Context(), &r, &call.Call{ID: "1", Parts: []string{"shared"}}, &recorder{})
 	is.True(err != nil)
 	is.Equal(len(f.servers), 2)
 	is.Equal(l.answers, 1)
 	is.Equal(l.losses, 0)
-	rs := &requestState{route: &r, call: &call.Call{Parts: []string{"shared"}}, forwarder: New(f, f, f, f, l, noBudget(), time.Now, slog.New(slog.DiscardHandler))}
+	rs := &requestState{route: &r, call: &call.Call{Parts: []string{"shared"}}, forwarder: New(f, f, f, f, l, noBudget(), nil, time.Now, slog.New(slog.DiscardHandler))}
 	rs.recordHedge(t.Context(), &attempt{}, lost)
 	is.Equal(l.losses, 1)
 	rs.answered = true
