Look up the owners of keys in one module

The platform's ingress will need what core/access has: owners of keys by hash, and the alphabetically first one for a key of two owners. The index and the comparison move to core/keyring; core/access keeps its behaviour and tests.

--- a/core/access/checker.go
+++ b/core/access/checker.go
@@ -1,15 +1,13 @@
 package access
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"maps"
 	"slices"
 	"sync/atomic"
 
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/keyring"
 )
 
 type holder interface {
@@ -24,13 +22,8 @@
 
 type index struct {
 	version    int
-	workspaces map[[sha256.Size]byte]owner
-	operators  map[[sha256.Size]byte]owner
-}
-
-type owner struct {
-	name string
-	hash [sha256.Size]byte
+	workspaces *keyring.Ring
+	operators  *keyring.Ring
 }
 
 // New returns a checker of the holder's configuration.
@@ -46,7 +39,7 @@
 		return "", err
 	}
 
-	return find(c.index(g).workspaces, key)
+	return c.index(g).workspaces.Owner(key)
 }
 
 // Operator returns the name of the operator that a key belongs to and whether it may write, or an error with code
@@ -56,7 +49,7 @@
 	if err != nil {
 		return "", false, err
 	}
-	name, err = find(c.index(g).operators, key)
+	name, err = c.index(g).operators.Owner(key)
 
 	return name, g.Operators[name].Write, err
 }
@@ -111,52 +104,18 @@
 	}
 	x := &index{
 		version:    g.Version,
-		workspaces: map[[sha256.Size]byte]owner{},
-		operators:  map[[sha256.Size]byte]owner{},
+		workspaces: keyring.New(),
+		operators:  keyring.New(),
 	}
 	for n, w := range g.Workspaces {
 		for _, k := range w.KeyHashes {
-			x.add(x.workspaces, k, n)
+			x.workspaces.Add(n, k)
 		}
 	}
 	for n, o := range g.Operators {
-		x.add(x.operators, o.KeyHash, n)
+		x.operators.Add(n, o.KeyHash)
 	}
 	c.cached.Store(x)
 
 	return x
 }
-
-// add maps a key's hash to its owner. If two owners have the same hash, the alphabetically first name wins, so that
-// all instances agree.
-func (x *index) add(to map[[sha256.Size]byte]owner, hash, name string) {
-	b, err := hex.DecodeString(hash)
-	if err != nil || len(b) != sha256.Size {
-		return
-	}
-	k := [sha256.Size]byte(b)
-	if old, ok := to[k]; !ok || name < old.name {
-		to[k] = owner{
-			name: name,
-			hash: k,
-		}
-	}
-}
-
-// Matches reports in constant time whether the SHA-256 of key is hash.
-func Matches(key string, hash [sha256.Size]byte) bool {
-	d := sha256.Sum256([]byte(key))
-
-	return subtle.ConstantTimeCompare(d[:], hash[:]) == 1
-}
-
-func find(in map[[sha256.Size]byte]owner, key string) (string, error) {
-	d := sha256.Sum256([]byte(key))
-	// The map is keyed by a digest, so the timing of the lookup reveals nothing about the key.
-	o, ok := in[d]
-	if key == "" || !ok || !Matches(key, o.hash) {
-		return "", fault.New(fault.CodeUnauthorized, "missing or unknown key")
-	}
-
-	return o.name, nil
-}
--- /dev/null
+++ b/core/keyring/doc.go
@@ -0,0 +1,2 @@
+// Package keyring finds the owners of keys of which only hashes are known.
+package keyring
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -23,6 +23,7 @@
 	"tarragonwalk/core/access"
 	"tarragonwalk/core/configuration"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/keyring"
 	"tarragonwalk/io/httperror"
 	"tarragonwalk/io/idleconn"
 	"tarragonwalk/io/tcp"
@@ -140,7 +141,7 @@
 		return fault.New(fault.CodeUnauthorized, "missing or unknown key")
 	}
 	if g := s.holder.Current(); g == nil || g.Version == 0 {
-		if s.bootstrap == [sha256.Size]byte{} || !access.Matches(key, s.bootstrap) {
+		if s.bootstrap == [sha256.Size]byte{} || !keyring.Matches(key, s.bootstrap) {
 			return fault.New(fault.CodeUnauthorized, "missing or unknown key")
 		}
 		c.Locals("operator", "bootstrap")
