Decode workspaces, public routes and priorities

The configuration gains tenants with keys, priority, rate and burst, and public and priority of a route.

--- a/core/route/route_schema.go
+++ b/core/route/route_schema.go
@@ -104,7 +104,8 @@
 	// MaxAttempts bounds the backend servers on which one request may run.
 	MaxAttempts int `json:"MaxAttempts,omitempty,omitzero"`
 
-	// MaxTokens bounds the waiting tokens of all jobs of the route; 0 means no limit.
+	// MaxTokens bounds the waiting tokens of all jobs of the route, by workspace if
+	// the table has any; 0 means no limit.
 	MaxTokens int `json:"MaxTokens,omitempty,omitzero"`
 
 	// Name is unique in the table.
@@ -113,6 +114,13 @@
 	// Prefix begins and ends with a slash.
 	Prefix string `json:"Prefix"`
 
+	// Priority applies to requests whose workspace has none; 0 is the highest.
+	// Nothing means that the route has none.
+	Priority *int `json:"Priority,omitempty,omitzero"`
+
+	// Public requests need no key.
+	Public bool `json:"Public,omitempty,omitzero"`
+
 	// Resumable streams may continue on another backend server after their last
 	// event.
 	Resumable bool `json:"Resumable,omitempty,omitzero"`
@@ -171,6 +179,12 @@
 	if utf8.RuneCountInString(string(plain.Prefix)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "Prefix", 1)
 	}
+	if plain.Priority != nil && 0 > *plain.Priority {
+		return fmt.Errorf("field %s: must be >= %v", "Priority", 0)
+	}
+	if v, ok := raw["Public"]; !ok || v == nil {
+		plain.Public = false
+	}
 	if v, ok := raw["Resumable"]; !ok || v == nil {
 		plain.Resumable = false
 	}
@@ -269,6 +283,10 @@
 
 	// Version grows with each change.
 	Version int `json:"Version"`
+
+	// Workspaces are in the order of the configuration; if there are any, requests
+	// need a key.
+	Workspaces []Workspace `json:"Workspaces,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -297,3 +315,49 @@
 	*j = Table(plain)
 	return nil
 }
+
+// Workspace is a group of callers with keys of its own.
+type Workspace struct {
+	// Burst is how many requests may come in addition to the rate.
+	Burst float64 `json:"Burst,omitempty,omitzero"`
+
+	// KeyHashes are the SHA-256 digests of the keys, hexadecimal.
+	KeyHashes []string `json:"KeyHashes,omitempty,omitzero"`
+
+	// Name identifies the workspace in requests, jobs and logs.
+	Name string `json:"Name"`
+
+	// Priority goes before that of the route; 0 is the highest. Nothing means that
+	// the workspace has none.
+	Priority *int `json:"Priority,omitempty,omitzero"`
+
+	// RatePerSecond bounds the requests of the workspace; 0 means no limit.
+	RatePerSecond float64 `json:"RatePerSecond,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Workspace) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Name"]; raw != nil && !ok {
+		return fmt.Errorf("field Name in Workspace: required")
+	}
+	type Plain Workspace
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["Burst"]; !ok || v == nil {
+		plain.Burst = 0.0
+	}
+	if plain.Priority != nil && 0 > *plain.Priority {
+		return fmt.Errorf("field %s: must be >= %v", "Priority", 0)
+	}
+	if v, ok := raw["RatePerSecond"]; !ok || v == nil {
+		plain.RatePerSecond = 0.0
+	}
+	*j = Workspace(plain)
+	return nil
+}
