--- a/core/call/call.go
+++ b/core/call/call.go
@@ -21,4 +21,11 @@
 	Parts []string
 	// Deadline is when the caller stops waiting; zero if it has set none.
 	Deadline time.Time
+	// Identified is set if callers are told apart by keys. Then Header's key and name of a workspace, which the caller sent, are not
+	// forwarded, and Workspace is.
+	Identified bool
+	// Workspace is the name of the caller's workspace, empty if the request needed no key and has none that is known.
+	Workspace string
+	// Priority is that of the workspace, else of the route, nil if neither has one; 0 is the highest.
+	Priority *int
 }
--- a/core/headernames/names.go
+++ b/core/headernames/names.go
@@ -18,4 +18,8 @@
 	ServerLeaving string
 	// Wait carries the milliseconds that a reader of results will wait for the next result.
 	Wait string
+	// APIKey carries the key of a caller; it is never forwarded if the route table has workspaces.
+	APIKey string
+	// Workspace carries the name of the workspace to which the key belongs.
+	Workspace string
 }
--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/work"
 )
@@ -33,10 +34,12 @@
 	Holder(name, incarnation string) (netip.AddrPort, bool)
 }
 
-// peers reads from the holder of a job. Its methods return false if that instance does not hold the job any more.
+// peers reads from the holder of a job. Its methods return false if that instance does not hold the job any more, and an error with code
+// not_found if the job is another workspace's.
 type peers interface {
-	ReadResults(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error)
-	ReadBody(ctx context.Context, from netip.AddrPort, id, item string) ([]byte, bool, error)
+	ReadResults(ctx context.Context, from netip.AddrPort, id, workspace string, after int, until time.Time) (jobpage.Page, bool, error)
+	ReadBody(ctx context.Context, from netip.AddrPort, id, workspace, item string) ([]byte, bool, error)
+	CheckJob(ctx context.Context, from netip.AddrPort, id, workspace string) (bool, error)
 }
 
 // cached holds the record of a job and its first listed results. Listed results never change, so they need no refresh.
@@ -125,10 +128,10 @@
 }
 
 // Read returns the results of a job from a position on and waits for one until the given time. It fails with code not_found if
-// there is no such job.
-func (r *Reader) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+// there is no such job or it is another workspace's; an empty workspace stands for all.
+func (r *Reader) Read(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, error) {
 	if j, ok := r.announcedHolder(id); ok {
-		if page, ok, err := r.fromHolder(ctx, j, after, until); ok {
+		if page, ok, err := r.fromHolder(ctx, j, workspace, after, until); ok {
 			return page, err
 		}
 	}
@@ -136,7 +139,10 @@
 	if err != nil {
 		return jobpage.Page{}, err
 	}
-	if page, ok, err := r.fromHolder(ctx, j, after, until); ok {
+	if err := check(j, workspace); err != nil {
+		return jobpage.Page{}, err
+	}
+	if page, ok, err := r.fromHolder(ctx, j, workspace, after, until); ok {
 		return page, err
 	}
 	for {
@@ -177,14 +183,17 @@
 // returns only results that are in the store, so the answer of one that was replaced meanwhile is correct but may be out of
 // date. It returns false if the holder is unknown, does not answer or does not hold the job any more, and an error if the holder cannot
 // tell, in which case the store would not help.
-func (r *Reader) fromHolder(ctx context.Context, j *work.Job, after int, until time.Time) (jobpage.Page, bool, error) {
+func (r *Reader) fromHolder(ctx context.Context, j *work.Job, workspace string, after int, until time.Time) (jobpage.Page, bool, error) {
 	from, ok := r.holders.Holder(j.Holder, j.Incarnation)
 	if !ok {
 		r.forgetHolder(j.ID)
 
 		return jobpage.Page{}, false, nil
 	}
-	page, held, err := r.peers.ReadResults(ctx, from, j.ID, after, until)
+	page, held, err := r.peers.ReadResults(ctx, from, j.ID, workspace, after, until)
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return jobpage.Page{}, true, err
+	}
 	if err == nil && held {
 		r.logRead(j, after, page.Next, "holder")
 	}
@@ -236,15 +245,18 @@
 }
 
 // Body returns the body of an item; false if the job has no such item. It asks the holder first, since the store returns the bodies
-// of many items at once.
-func (r *Reader) Body(ctx context.Context, id, item string) ([]byte, bool, error) {
-	if body, ok := r.bodyFromHolder(ctx, id, item); ok {
-		return body, true, nil
+// of many items at once. It fails with code not_found if there is no such job or it is another workspace's.
+func (r *Reader) Body(ctx context.Context, id, workspace, item string) ([]byte, bool, error) {
+	if body, ok, err := r.bodyFromHolder(ctx, id, workspace, item); ok || err != nil {
+		return body, ok, err
 	}
 	j, err := r.job(ctx, id)
 	if err != nil {
 		return nil, false, err
 	}
+	if err := check(j, workspace); err != nil {
+		return nil, false, err
+	}
 	items, err := r.log.Items(ctx, j)
 	if err != nil {
 		return nil, false, err
@@ -258,22 +270,62 @@
 	return nil, false, nil
 }
 
-// bodyFromHolder returns the body of an item from the announced holder of its job, false if that is not possible.
-func (r *Reader) bodyFromHolder(ctx context.Context, id, item string) ([]byte, bool) {
+// Check fails with code not_found if there is no such job or it is another workspace's.
+func (r *Reader) Check(ctx context.Context, id, workspace string) error {
+	r.lock.Lock()
+	c := r.jobs[id]
+	r.lock.Unlock()
+	if c != nil { // the workspace of a job never changes
+		return check(c.job, workspace)
+	}
+	if from, ok := r.announcedAddress(id); ok {
+		held, err := r.peers.CheckJob(ctx, from, id, workspace)
+		if held || fault.CodeOf(err) == fault.CodeNotFound {
+			return err
+		}
+	}
+	j, err := r.job(ctx, id)
+	if err != nil {
+		return err
+	}
+
+	return check(j, workspace)
+}
+
+func check(j *work.Job, workspace string) error {
+	if !work.Permits(j, workspace) {
+		return work.ErrUnknown
+	}
+
+	return nil
+}
+
+// announcedAddress returns the address of the announced holder of a job.
+func (r *Reader) announcedAddress(id string) (netip.AddrPort, bool) {
 	j, ok := r.announcedHolder(id)
 	if !ok {
-		return nil, false
+		return netip.AddrPort{}, false
 	}
-	from, ok := r.holders.Holder(j.Holder, j.Incarnation)
+
+	return r.holders.Holder(j.Holder, j.Incarnation)
+}
+
+// bodyFromHolder returns the body of an item from the announced holder of its job, false if that is not possible; it fails with code
+// not_found if the job is another workspace's.
+func (r *Reader) bodyFromHolder(ctx context.Context, id, workspace, item string) ([]byte, bool, error) {
+	from, ok := r.announcedAddress(id)
 	if !ok {
-		return nil, false
+		return nil, false, nil
+	}
+	body, held, err := r.peers.ReadBody(ctx, from, id, workspace, item)
+	if fault.CodeOf(err) == fault.CodeNotFound {
+		return nil, false, err
 	}
-	body, held, err := r.peers.ReadBody(ctx, from, id, item)
 	if err != nil {
-		r.logger.Warn("holder of a job did not return a body", "job", id, "holder", j.Holder, "error", err.Error())
+		r.logger.Warn("holder of a job did not return a body", "job", id, "holder", from.String(), "error", err.Error())
 	}
 
-	return body, held
+	return body, held, nil
 }
 
 // job returns the record of a job, from memory unless it is stale.
--- a/core/jobread/reader_test.go
+++ b/core/jobread/reader_test.go
@@ -54,25 +54,29 @@
 // peerFunc answers reads of results, and returns the body "body" of each item.
 type peerFunc func() (jobpage.Page, bool, error)
 
-func (f peerFunc) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (jobpage.Page, bool, error) {
+func (f peerFunc) ReadResults(context.Context, netip.AddrPort, string, string, int, time.Time) (jobpage.Page, bool, error) {
 	return f()
 }
 
-func (peerFunc) ReadBody(context.Context, netip.AddrPort, string, string) ([]byte, bool, error) {
+func (peerFunc) ReadBody(context.Context, netip.AddrPort, string, string, string) ([]byte, bool, error) {
 	return []byte("body"), true, nil
 }
 
+func (peerFunc) CheckJob(context.Context, netip.AddrPort, string, string) (bool, error) {
+	return false, nil
+}
+
 // Guards against reading the bodies of all items of a job from the store for each body that a caller asks for.
 func TestBodyFromHolder(t *testing.T) {
 	is := is.New(t)
 	s := &store{}
 	r := New(s, fleet{"e1": true}, peerFunc(nil), slog.New(slog.DiscardHandler), time.Now)
-	_, ok, err := r.Body(t.Context(), "j", "a")
+	_, ok, err := r.Body(t.Context(), "j", "", "a")
 	is.NoErr(err)
 	is.True(!ok) // no holder was announced, and the store has no item
 	calls := s.calls
 	r.SetHolder("j", "e1", "1")
-	body, ok, err := r.Body(t.Context(), "j", "a")
+	body, ok, err := r.Body(t.Context(), "j", "", "a")
 	is.NoErr(err)
 	is.True(ok)
 	is.Equal(string(body), "body")
@@ -122,7 +126,7 @@
 			if c.announced {
 				r.SetHolder("j", "e1", "1")
 			}
-			page, err := r.Read(t.Context(), "j", 0, at)
+			page, err := r.Read(t.Context(), "j", "", 0, at)
 			is.Equal(fault.CodeOf(err), c.code)
 			is.Equal(asked, c.asked)
 			is.Equal(s.calls, c.calls)
@@ -160,7 +164,7 @@
 			var out bytes.Buffer
 			ask := peerFunc(func() (jobpage.Page, bool, error) { return jobpage.Page{Total: 2, Next: 1}, true, nil })
 			r := New(&store{}, c.fleet, ask, slog.New(slog.NewJSONHandler(&out, nil)), time.Now)
-			_, err := r.Read(t.Context(), "j", 1, time.Now())
+			_, err := r.Read(t.Context(), "j", "", 1, time.Now())
 			is.NoErr(err)
 			line := map[string]any{}
 			is.NoErr(json.Unmarshal(out.Bytes(), &line))
@@ -189,9 +193,9 @@
 	})
 	r := New(s, fleet{"e1": true}, ask, slog.New(slog.DiscardHandler), func() time.Time { return at })
 	r.SetHolder("j", "e1", "1")
-	_, err := r.Read(t.Context(), "j", 1, at)
+	_, err := r.Read(t.Context(), "j", "", 1, at)
 	is.Equal(fault.CodeOf(err), fault.CodeStoreUnavailable)
-	page, err := r.Read(t.Context(), "j", 0, at)
+	page, err := r.Read(t.Context(), "j", "", 0, at)
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 	is.Equal(s.calls, 0)
@@ -204,11 +208,11 @@
 	f := fleet{}
 	ask := peerFunc(func() (jobpage.Page, bool, error) { return jobpage.Page{Total: 2, Next: 1}, true, nil })
 	r := New(s, f, ask, slog.New(slog.DiscardHandler), time.Now)
-	page, err := r.Read(t.Context(), "j", 0, time.Now()) // the holder is not known to be alive
+	page, err := r.Read(t.Context(), "j", "", 0, time.Now()) // the holder is not known to be alive
 	is.NoErr(err)
 	is.Equal(len(page.Results), 2)
 	f["e2"] = true
-	page, err = r.Read(t.Context(), "j", 1, time.Now())
+	page, err = r.Read(t.Context(), "j", "", 1, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 	is.Equal(page.Total, 2)
--- a/core/jobrun/announce_test.go
+++ b/core/jobrun/announce_test.go
@@ -127,7 +127,7 @@
 		}
 		is.Equal(f.objects.Reads("jobs"), reads) // what the store has settled is not asked again
 		old.ObserveHolder("job", "newer", "newer")
-		_, held, _ := old.ReadHeldResults(t.Context(), "job", 0, time.Now())
+		_, held, _ := old.ReadHeldResults(t.Context(), "job", "", 0, time.Now())
 		is.True(!held)
 		time.Sleep(time.Second)
 		is.True(!old.holds("job"))
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -200,6 +200,9 @@
 		Host:   j.Host,
 		Header: http.Header{},
 		Body:   it.Body,
+
+		Identified: j.Workspace != "" || r.hasWorkspaces(),
+		Workspace:  j.Workspace,
 	}
 	for k, v := range it.Headers {
 		q.Header.Set(k, v)
@@ -225,6 +228,13 @@
 	}
 }
 
+// hasWorkspaces reports whether callers are told apart by keys, which are not forwarded then.
+func (r *Runner) hasWorkspaces() bool {
+	table, _ := r.routes.Current()
+
+	return table != nil && len(table.Workspaces) > 0
+}
+
 // collect appends the data of the stream's events to the item's text until the stream ends.
 func (r *Runner) collect(it *item, s backend.Server, body io.Reader, silence *time.Timer, cancel func()) error {
 	resize, end := r.budget.Open("items", cancel)
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -153,14 +153,18 @@
 
 func (i *loadInstance) Current() (*route.Table, int64) { return loadTable, 1 }
 
-func (i *loadInstance) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
+func (i *loadInstance) ReadResults(context.Context, netip.AddrPort, string, string, int, time.Time) (p jobpage.Page, held bool, err error) {
 	return p, false, nil
 }
 
-func (i *loadInstance) ReadBody(context.Context, netip.AddrPort, string, string) (body []byte, held bool, err error) {
+func (i *loadInstance) ReadBody(context.Context, netip.AddrPort, string, string, string) (body []byte, held bool, err error) {
 	return nil, false, nil
 }
 
+func (*loadInstance) CheckJob(context.Context, netip.AddrPort, string, string) (bool, error) {
+	return false, nil
+}
+
 var loadTable = &route.Table{Version: 1, Routes: []route.Route{{
 	Name: "jobs", Host: "h", Prefix: "/b/", Kind: route.KindBatch, MaxAttempts: 3, CompletionMillis: 18000,
 	Shares: []route.Share{{Service: "s", Weight: 1}},
--- a/core/jobrun/orphan_test.go
+++ b/core/jobrun/orphan_test.go
@@ -209,7 +209,7 @@
 		time.Sleep(time.Second)
 		is.True(r.holds("job"))
 		read := func() int {
-			page, held, _ := r.ReadHeldResults(t.Context(), "job", 0, time.Now())
+			page, held, _ := r.ReadHeldResults(t.Context(), "job", "", 0, time.Now())
 			is.True(held)
 
 			return len(page.Results)
@@ -296,7 +296,7 @@
 		is.NoErr(err)
 		is.Equal(record.Holder, "claimer")
 		is.NoErr(other.Submit(t.Context(), &testRoute, j, items))
-		_, found, err := other.Body(t.Context(), "job", items[0].ID)
+		_, found, err := other.Body(t.Context(), "job", "", items[0].ID)
 		is.NoErr(err)
 		is.True(found) // a job that was acknowledged is readable
 		time.Sleep(8 * time.Second)
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -6,6 +6,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/work"
 )
 
 // maxAnswerAge is how old the knowledge may be from which a read is answered that finds nothing. Callers rely on results that were returned to
@@ -15,16 +16,16 @@
 var errUnverified = fault.New(fault.CodeStoreUnavailable, "the store does not say whether there are further results")
 
 // Read returns the results of a job from a position on and waits for one until the given time. It fails with code not_found
-// if there is no such job, and with store_unavailable if that cannot be determined. What is known when the wait ends can be passed on much
+// if there is no such job or it is another workspace's, and with store_unavailable if that cannot be determined. What is known when the wait ends can be passed on much
 // later, by a process that gets no processor time or whose answer of the holder is on its way for long; others may have returned a result
 // by then, so that it is looked for again.
-func (r *Runner) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+func (r *Runner) Read(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, error) {
 	for {
 		knownAt := r.now()
 		if until.After(knownAt) {
 			knownAt = until
 		}
-		page, err := r.read(ctx, id, after, until)
+		page, err := r.read(ctx, id, workspace, after, until)
 		at := r.now()
 		nothing := err == nil && len(page.Results) == 0 && after < page.Total || fault.CodeOf(err) == fault.CodeNotFound
 		if !nothing || at.Sub(knownAt) <= maxAnswerAge {
@@ -40,19 +41,19 @@
 
 // read is Read without regard to the age of the answer. A result that this instance has returned before is read from the store if the job's
 // holder does not know it: there may be two holders that do not know of each other.
-func (r *Runner) read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
+func (r *Runner) read(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, error) {
 	returned := r.returned.Position(id)
 	exists := returned > after
 	if exists {
 		until = r.now()
 		r.doubt(id, returned)
 	}
-	page, held, err := r.ReadHeldResults(ctx, id, after, until)
+	page, held, err := r.ReadHeldResults(ctx, id, workspace, after, until)
 	if !held && ctx.Err() != nil {
 		return jobpage.Page{}, ctx.Err()
 	}
 	if !held {
-		page, err = r.reader.Read(ctx, id, after, until)
+		page, err = r.reader.Read(ctx, id, workspace, after, until)
 	}
 	if err == nil && exists && len(page.Results) == 0 {
 		page, err = r.reader.ReadStore(ctx, id, after)
@@ -86,8 +87,9 @@
 }
 
 // ReadHeldResults is Read for a job that this instance holds; it returns false if it does not, if that cannot be determined, or
-// if ctx has ended. With true and code store_unavailable, this instance holds the job but cannot tell whether it has the result.
-func (r *Runner) ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool, error) {
+// if ctx has ended. With true and code store_unavailable, this instance holds the job but cannot tell whether it has the result; with code
+// not_found, the job is another workspace's.
+func (r *Runner) ReadHeldResults(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, bool, error) {
 	for {
 		r.lock.Lock()
 		j := r.jobs[id]
@@ -96,6 +98,11 @@
 
 			return jobpage.Page{}, false, nil
 		}
+		if !work.Permits(&j.Job, workspace) {
+			r.lock.Unlock()
+
+			return jobpage.Page{}, true, work.ErrUnknown
+		}
 		total, results, changed := j.Items, j.results, j.changed
 		if at := r.now(); len(results) < min(after, total) && at.Sub(j.verifiedAt) >= verifyInterval {
 			// The caller was told that position by another holder, or made it up.
@@ -223,28 +230,56 @@
 		"unacknowledged", unacknowledged, "revision", revision, "held_at", heldAt, "verified_at", verifiedAt)
 }
 
-// Body returns the body of an item that is not listed yet; false if there is no such item.
-func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, bool, error) {
-	if body, held := r.HeldBody(id, name); held {
-		return body, true, nil
+// Body returns the body of an item that is not listed yet; false if there is no such item. It fails with code not_found if there is no such
+// job or it is another workspace's.
+func (r *Runner) Body(ctx context.Context, id, workspace, name string) ([]byte, bool, error) {
+	body, _, err := r.HeldBody(id, workspace, name)
+	if err != nil || body != nil {
+		return body, err == nil, err
 	}
 
-	return r.reader.Body(ctx, id, name)
+	return r.reader.Body(ctx, id, workspace, name)
 }
 
-// HeldBody is Body for a job that this instance holds; it returns false if it does not or if the item is listed.
-func (r *Runner) HeldBody(id, name string) ([]byte, bool) {
+// HeldBody is Body for a job that this instance holds; held is false if it does not, and the body is nil if there is no such item or it is
+// listed.
+func (r *Runner) HeldBody(id, workspace, name string) (body []byte, held bool, err error) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	j := r.jobs[id]
 	if j == nil {
-		return nil, false
+		return nil, false, nil
+	}
+	if !work.Permits(&j.Job, workspace) {
+		return nil, true, work.ErrUnknown
 	}
 	for _, it := range j.items {
 		if it.ID == name && it.Body != nil {
-			return it.Body, true
+			return it.Body, true, nil
 		}
 	}
 
-	return nil, false
+	return nil, true, nil
+}
+
+// check fails with code not_found if a job is known to be another workspace's, or, where callers need a key, if there is no such job. It
+// asks the store only if no instance says that it holds the job.
+func (r *Runner) check(ctx context.Context, id, workspace string) error {
+	if workspace == "" {
+		return nil
+	}
+	r.lock.Lock()
+	j := r.jobs[id]
+	if j == nil {
+		j = r.unresolved[id]
+	}
+	r.lock.Unlock()
+	if j == nil {
+		return r.reader.Check(ctx, id, workspace)
+	}
+	if !work.Permits(&j.Job, workspace) {
+		return work.ErrUnknown
+	}
+
+	return nil
 }
--- a/core/jobrun/read_test.go
+++ b/core/jobrun/read_test.go
@@ -46,10 +46,10 @@
 		}
 		segment, err := l.Segment(t.Context(), "j", 0)
 		is.NoErr(err)
-		before, err := other.Read(t.Context(), "j", 0, time.Now())
+		before, err := other.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(before.Results), len(segment))
-		after, err := holder.Read(t.Context(), "j", 0, time.Now())
+		after, err := holder.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(after.Results), len(segment))
 	})
@@ -66,7 +66,7 @@
 		is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e2"))
 	}
 	f.maybeReplaced = true
-	page, err := holder.Read(t.Context(), "j", 2, time.Now())
+	page, err := holder.Read(t.Context(), "j", "", 2, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 	is.Equal(page.Results[0].Item, "j-3")
@@ -81,7 +81,7 @@
 		l := logs.New(f.objects)
 		holder, stop := f.startHolder(t, 4)
 		defer stop()
-		_, err := holder.Read(t.Context(), "j", 0, time.Now())
+		_, err := holder.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		list := func(position int, item, writer string) []work.Result {
 			results := []work.Result{{Item: item, State: work.StateDead}}
@@ -102,7 +102,7 @@
 				list(after, item, "e2")
 				time.Sleep(verifyInterval)
 			}
-			page, err := holder.Read(t.Context(), "j", after, time.Now())
+			page, err := holder.Read(t.Context(), "j", "", after, time.Now())
 			is.NoErr(err)
 			is.True(len(page.Results) > 0)
 			is.Equal(page.Results[0].Item, item)
@@ -125,10 +125,10 @@
 	for position, item := range []string{"j-1", "j-2"} {
 		is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e1"))
 	}
-	page, err := other.Read(t.Context(), "j", 0, time.Now())
+	page, err := other.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(page.Next, 1)
-	page, err = other.Read(t.Context(), "j", 1, time.Now())
+	page, err = other.Read(t.Context(), "j", "", 1, time.Now())
 	is.NoErr(err)
 	is.Equal(page.Next, 2)
 	record.Holder, record.Incarnation = "e2", "e2"
@@ -137,7 +137,7 @@
 	other.lock.Lock()
 	other.hold("j", j)
 	other.lock.Unlock()
-	page, err = other.Read(t.Context(), "j", 1, time.Now().Add(testLimit))
+	page, err = other.Read(t.Context(), "j", "", 1, time.Now().Add(testLimit))
 	is.NoErr(err)
 	is.Equal(page.Next, 2)
 	is.True(!other.holds("j")) // the store names another holder
@@ -150,7 +150,7 @@
 	storeReads int
 }
 
-func (p *pages) Read(_ context.Context, _ string, after int, _ time.Time) (jobpage.Page, error) {
+func (p *pages) Read(_ context.Context, _, _ string, after int, _ time.Time) (jobpage.Page, error) {
 	page := p.answers[0]
 	p.answers = p.answers[1:]
 	page.Results = page.Results[min(after, len(page.Results)):]
@@ -184,7 +184,7 @@
 	}
 	reader.reader = p
 	for n, after := range []int{0, 2, 1, 0} {
-		page, err := reader.Read(t.Context(), "j", after, time.Now())
+		page, err := reader.Read(t.Context(), "j", "", after, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results) > 0, after < 2)
 		is.Equal(p.storeReads, n/2) // only for the result that the second holder does not know
@@ -200,8 +200,8 @@
 	reads  int
 }
 
-func (p *slowPages) Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error) {
-	page, _, err := p.holder.ReadHeldResults(ctx, id, after, until)
+func (p *slowPages) Read(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, error) {
+	page, _, err := p.holder.ReadHeldResults(ctx, id, workspace, after, until)
 	time.Sleep(p.times[min(p.reads, len(p.times)-1)])
 	p.reads++
 
@@ -247,7 +247,7 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
-				page, err := reader.Read(ctx, "j", 0, time.Now())
+				page, err := reader.Read(ctx, "j", "", 0, time.Now())
 				is.Equal(fault.CodeOf(err), c.code)
 				is.Equal(len(page.Results), c.results)
 				is.Equal(p.reads, c.reads)
@@ -274,7 +274,7 @@
 		synctest.Wait()
 		is.True(holder.holds("j"))
 		is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
-		page, err := holder.Read(t.Context(), "j", 0, time.Now())
+		page, err := holder.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results), 1)
 	})
@@ -294,18 +294,18 @@
 		holder.ObserveOrphan("job")
 		time.Sleep(time.Second)
 		is.True(holder.holds("job"))
-		_, err := holder.Read(t.Context(), "job", 0, time.Now())
+		_, err := holder.Read(t.Context(), "job", "", 0, time.Now())
 		is.NoErr(err)
 		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e1"))
 		time.Sleep(lateWriteWindow)
-		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		page, err := holder.Read(t.Context(), "job", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results), 1)
 		reads := f.objects.Reads("job-results")
 		time.Sleep(time.Minute)
-		_, err = holder.Read(t.Context(), "job", 1, time.Now())
+		_, err = holder.Read(t.Context(), "job", "", 1, time.Now())
 		is.NoErr(err)
-		_, err = holder.Read(t.Context(), "job", 1, time.Now())
+		_, err = holder.Read(t.Context(), "job", "", 1, time.Now())
 		is.NoErr(err)
 		is.True(f.objects.Reads("job-results")-reads <= 1) // then the memory is complete
 	})
@@ -343,7 +343,7 @@
 		}
 		time.Sleep(lateWriteWindow)
 		for after := range 2 {
-			page, err := holder.Read(t.Context(), "job", after, time.Now())
+			page, err := holder.Read(t.Context(), "job", "", after, time.Now())
 			is.NoErr(err)
 			is.Equal(len(page.Results), 1)
 			time.Sleep(lateWriteWindow)
@@ -388,7 +388,7 @@
 		segment, err := logs.New(f.objects).Segment(t.Context(), "j", 0)
 		is.NoErr(err)
 		is.Equal(len(segment), 3)
-		page, err := holder.Read(t.Context(), "j", 0, time.Now())
+		page, err := holder.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results), 3)
 		close(late.answered)
@@ -414,12 +414,12 @@
 		holder.ObserveOrphan("j")
 		time.Sleep(2 * lateWriteWindow)
 		is.True(holder.holds("j"))
-		_, err = holder.Read(t.Context(), "j", 0, time.Now())
+		_, err = holder.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		go holder.Stop(t.Context(), time.Now().Add(time.Second))
 		time.Sleep(10 * stepInterval)
 		is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
-		page, err := holder.Read(t.Context(), "j", 0, time.Now())
+		page, err := holder.Read(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results), 1)
 		close(late.answered)
@@ -470,12 +470,12 @@
 		holder.write(t.Context(), j, 0, []work.Result{{Item: "j-1", State: work.StateDead}})
 		holder.write(t.Context(), j, 1, []work.Result{{Item: "j-2", State: work.StateDead}})
 		for range 5 {
-			_, held, err := holder.ReadHeldResults(t.Context(), "j", 1, time.Now())
+			_, held, err := holder.ReadHeldResults(t.Context(), "j", "", 1, time.Now())
 			is.True(held)
 			is.Equal(fault.CodeOf(err), fault.CodeStoreUnavailable)
 		}
 		is.Equal(reads.Load(), int32(1))
-		page, held, err := holder.ReadHeldResults(t.Context(), "j", 0, time.Now())
+		page, held, err := holder.ReadHeldResults(t.Context(), "j", "", 0, time.Now())
 		is.NoErr(err)
 		is.True(held)
 		is.Equal(len(page.Results), 1)
@@ -494,7 +494,7 @@
 		time.Sleep(time.Minute)
 		before := f.objects.Reads("jobs") + f.objects.Reads("job-results")
 		for range 50 {
-			page, err := holder.Read(t.Context(), "j", 3, time.Now())
+			page, err := holder.Read(t.Context(), "j", "", 3, time.Now())
 			is.NoErr(err)
 			is.Equal(len(page.Results), 0)
 		}
@@ -508,7 +508,7 @@
 		for position, item := range []string{"j-1", "j-2", "j-3"} {
 			is.NoErr(l.Append(t.Context(), "j", position, []work.Result{{Item: item, State: work.StateDead}}, "e2"))
 		}
-		page, err := holder.Read(t.Context(), "j", 2, time.Now())
+		page, err := holder.Read(t.Context(), "j", "", 2, time.Now())
 		is.NoErr(err)
 		is.Equal(page.Next, 3)
 		is.True(!holder.holds("j"))
@@ -528,12 +528,12 @@
 		defer stop()
 		holder.ObserveOrphan("job")
 		time.Sleep(2 * lateWriteWindow)
-		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		page, err := holder.Read(t.Context(), "job", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results), 0)
 		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e1"))
 		time.Sleep(verifyInterval)
-		page, err = holder.Read(t.Context(), "job", 0, time.Now())
+		page, err = holder.Read(t.Context(), "job", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(len(page.Results), 1)
 		// No write of the former holder can take effect behind one of this holder.
@@ -541,7 +541,7 @@
 		reads := f.objects.Reads("job-results")
 		for range 5 {
 			time.Sleep(verifyInterval)
-			_, err = holder.Read(t.Context(), "job", 2, time.Now())
+			_, err = holder.Read(t.Context(), "job", "", 2, time.Now())
 			is.NoErr(err)
 		}
 		is.Equal(f.objects.Reads("job-results"), reads)
@@ -568,7 +568,7 @@
 		_, err = l.Update(t.Context(), *record, revision)
 		is.NoErr(err)
 		is.NoErr(l.Append(t.Context(), "job", 0, []work.Result{{Item: "job-1", State: work.StateDead}}, "e3"))
-		page, err := holder.Read(t.Context(), "job", 0, time.Now())
+		page, err := holder.Read(t.Context(), "job", "", 0, time.Now())
 		is.NoErr(err)
 		is.Equal(page.Next, 1)
 		holder.lock.Lock()
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -101,9 +101,11 @@
 type reader interface {
 	SetHolder(id, holder, incarnation string)
 	Announced(id string) bool
-	Read(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, error)
+	Read(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, error)
 	ReadStore(ctx context.Context, id string, after int) (jobpage.Page, error)
-	Body(ctx context.Context, id, item string) ([]byte, bool, error)
+	Body(ctx context.Context, id, workspace, item string) ([]byte, bool, error)
+	// Check fails with code not_found if there is no such job or it is another workspace's.
+	Check(ctx context.Context, id, workspace string) error
 }
 
 // Runner runs the jobs of one instance. It is safe for concurrent use.
@@ -261,10 +263,14 @@
 	return true
 }
 
-// End ends a job at the caller's request; it fails if the end is not recorded in the store.
-func (r *Runner) End(ctx context.Context, id string) error {
-	err := r.log.End(ctx, id, r.now())
-	r.logger.Info("job end requested", "job", id, "error", errorText(err))
+// End ends a job at the caller's request; it fails if the end is not recorded in the store, and with code not_found for a job of another
+// workspace or, if the caller has one, for one that does not exist.
+func (r *Runner) End(ctx context.Context, id, workspace string) error {
+	err := r.check(ctx, id, workspace)
+	if err == nil {
+		err = r.log.End(ctx, id, r.now())
+	}
+	r.logger.Info("job end requested", "job", id, "workspace", workspace, "error", errorText(err))
 	if err != nil {
 		return err
 	}
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -185,14 +185,18 @@
 
 func (f *fleet) BatchOn(backend.Server) func() { return func() {} }
 
-func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
+func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, string, int, time.Time) (p jobpage.Page, held bool, err error) {
 	return p, false, nil
 }
 
-func (f *fleet) ReadBody(context.Context, netip.AddrPort, string, string) (body []byte, held bool, err error) {
+func (f *fleet) ReadBody(context.Context, netip.AddrPort, string, string, string) (body []byte, held bool, err error) {
 	return nil, false, nil
 }
 
+func (*fleet) CheckJob(context.Context, netip.AddrPort, string, string) (bool, error) {
+	return false, nil
+}
+
 // Send streams the events after one, and breaks off or refuses at random.
 func (f *fleet) Send(ctx context.Context, _ backend.Server, q *call.Call, after int64) (*response.Response, error) {
 	if f.chance(f.failureRate / 2) {
@@ -408,7 +412,7 @@
 	err := first.Submit(t.Context(), &testRoute, other, items)
 	is.Equal(fault.CodeOf(err), fault.CodeOverloaded)
 	is.NoErr(first.Submit(t.Context(), &testRoute, j, items))
-	is.NoErr(first.End(t.Context(), "a"))
+	is.NoErr(first.End(t.Context(), "a", ""))
 	is.NoErr(first.Submit(t.Context(), &testRoute, other, items))
 }
 
@@ -423,7 +427,7 @@
 	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
 	is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
 	f.maybeReplaced = true
-	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	page, err := first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
@@ -444,12 +448,12 @@
 	_, err = l.Update(t.Context(), *record, revision)
 	is.NoErr(err)
 	f.maybeReplaced = true
-	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	page, err := first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 0)
 	f.maybeReplaced = false // all instances receive each other's heartbeats again
 	is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
-	page, err = first.Read(t.Context(), "j", 0, time.Now())
+	page, err = first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
@@ -470,11 +474,11 @@
 	first.lock.Lock()
 	j := first.jobs["j"]
 	first.lock.Unlock()
-	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	page, err := first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 	first.write(t.Context(), j, 0, results)
-	page, err = first.Read(t.Context(), "j", 0, time.Now())
+	page, err = first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -19,17 +19,19 @@
 
 // submission is a job whose objects are being written; its tokens count from before the writes.
 type submission struct {
-	route  string
-	tokens int
+	route     string
+	workspace string
+	tokens    int
 	// writers is the number of submissions of the job at this instance.
 	writers int
 }
 
 // completedJob is a job that this instance has completed in the store while another one is its holder in the record, or is to become that.
 type completedJob struct {
-	route  string
-	tokens int
-	until  time.Time
+	route     string
+	workspace string
+	tokens    int
+	until     time.Time
 }
 
 // completedLife is how long the tokens of a completed job count at most: its holder looks for the items every maxIncompletePause.
@@ -62,8 +64,9 @@
 	r.lock.Lock()
 	held := r.jobs[j.ID] != nil
 	_, open := r.unresolved[j.ID]
-	own, pendingKey := r.waitingTokens(j.ID), pendingKeyOf(rt.Name)
-	tokens, peers := own[rt.Name], r.cluster.Waiting(rt.Name, r.now())
+	key, pendingKey := waitingKeyOf(rt.Name, j.Workspace), pendingKeyOf(rt.Name, j.Workspace)
+	own := r.waitingTokens(j.ID)
+	tokens, peers := own[key], r.cluster.Waiting(key, r.now())
 	pending := own[pendingKey] + r.cluster.Waiting(pendingKey, r.now())
 	refused := r.exceeds(rt, tokens+peers, pending, j.Tokens) || r.stopping
 	stopping := r.stopping
@@ -75,9 +78,11 @@
 	}
 	r.lock.Unlock()
 	if held || announced {
-		r.logger.Info("job submitted again", "job", j.ID, "route", rt.Name, "held", held, "outcome", "accepted before")
+		err := r.check(ctx, j.ID, j.Workspace)
+		r.logger.Info("job submitted again", "job", j.ID, "route", rt.Name, "workspace", j.Workspace, "held", held, "outcome", "accepted before",
+			"error", errorText(err))
 
-		return nil
+		return err
 	}
 	if open {
 		return fault.New(fault.CodeOutcomeUnknown, "the outcome of an earlier submission of the job is not known yet")
@@ -90,7 +95,9 @@
 	if late != nil {
 		accepted, err := r.log.Accepted(ctx, j.ID)
 		if accepted {
-			r.findHolder(ctx, j.ID, true)
+			if err := r.findHolder(ctx, j.ID, j.Workspace, true); err != nil {
+				return err
+			}
 		}
 		if err == nil {
 			return r.refuseLate(&j, late, accepted)
@@ -102,12 +109,10 @@
 	n := newJob(j, items)
 	began := r.now()
 	err := r.accept(ctx, n, items)
-	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
+	r.logger.Info("job submitted", "job", j.ID, "route", rt.Name, "workspace", j.Workspace, "items", j.Items, "tokens", j.Tokens, "waiting_own", tokens,
 		"waiting_peers", peers, "parts", n.Parts, "accept_ms", r.now().Sub(began).Milliseconds(), "error", errorText(err))
 	if fault.CodeOf(err) == fault.CodeConflict {
-		r.findHolder(ctx, j.ID, true)
-
-		return nil
+		return r.findHolder(ctx, j.ID, j.Workspace, true)
 	}
 
 	return err
@@ -119,9 +124,10 @@
 	delete(r.completed, j.ID)
 	if rt := r.findRoute(j); rt != nil && !j.Finished && !r.counted(j.ID) {
 		r.completed[j.ID] = completedJob{
-			route:  rt.Name,
-			tokens: j.Tokens,
-			until:  r.now().Add(completedLife),
+			route:     rt.Name,
+			workspace: j.Workspace,
+			tokens:    j.Tokens,
+			until:     r.now().Add(completedLife),
 		}
 	}
 }
@@ -159,13 +165,17 @@
 }
 
 // findHolder announces a job that was submitted before if it has no holder: its record may have been written after jobs without a holder
-// were last looked for. If the job is accepted, its tokens count here until an instance holds it.
-func (r *Runner) findHolder(ctx context.Context, id string, accepted bool) {
+// were last looked for. If the job is accepted, its tokens count here until an instance holds it. It fails with code not_found if the job is
+// another workspace's.
+func (r *Runner) findHolder(ctx context.Context, id, workspace string, accepted bool) error {
 	record, revision, err := r.log.Job(ctx, id)
 	if err != nil {
 		r.logger.Warn("holder of a job that was submitted again not read", "job", id, "error", err.Error())
+		if workspace != "" {
+			return fault.Wrap(err, fault.CodeOutcomeUnknown, "the workspace of the job that was submitted before is not known")
+		}
 
-		return
+		return nil
 	}
 	if accepted {
 		r.lock.Lock()
@@ -174,6 +184,11 @@
 	}
 	orphan := r.announceIfOrphan(record)
 	r.logger.Info("holder of a job that was submitted again read", "job", id, "holder", record.Holder, "revision", revision, "orphan", orphan)
+	if !work.Permits(record, workspace) {
+		return work.ErrUnknown
+	}
+
+	return nil
 }
 
 // announceIfOrphan announces an unfinished job that has no holder and reports whether it did.
@@ -191,8 +206,9 @@
 	s := r.submitting[j.ID]
 	if s == nil {
 		s = &submission{
-			route:  rt.Name,
-			tokens: j.Tokens,
+			route:     rt.Name,
+			workspace: j.Workspace,
+			tokens:    j.Tokens,
 		}
 		r.submitting[j.ID] = s
 	}
@@ -215,9 +231,10 @@
 }
 
 // Refuse returns nil for a job that was accepted before, the reason for one that was not, and a failure if that is not known.
-func (r *Runner) Refuse(ctx context.Context, id string, reason error) error {
+// A job of another workspace is not found.
+func (r *Runner) Refuse(ctx context.Context, id, workspace string, reason error) error {
 	if r.holds(id) || r.reader.Announced(id) {
-		return nil
+		return r.check(ctx, id, workspace)
 	}
 	r.lock.Lock()
 	_, open := r.unresolved[id]
@@ -229,7 +246,9 @@
 	accepted, err := r.log.Accepted(ctx, id)
 	if accepted || fault.CodeOf(err) == fault.CodeOutcomeUnknown {
 		// If the job is half-written by a lost process, its tokens count until an instance has looked for the items.
-		r.findHolder(ctx, id, accepted)
+		if err := r.findHolder(ctx, id, workspace, accepted); err != nil {
+			return err
+		}
 	}
 	if err != nil {
 		r.logger.Warn("job neither accepted nor refused", "job", id, "reason", reason.Error(), "error", err.Error())
@@ -249,18 +268,31 @@
 	if stopping {
 		reason = fault.New(fault.CodeNotRun, "the instance is stopping")
 	}
-	err := r.Refuse(ctx, j.ID, reason)
+	err := r.Refuse(ctx, j.ID, j.Workspace, reason)
 	if fault.Caused(err, reason) {
-		r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "tokens", j.Tokens, "waiting", tokens, "pending", pending, "limit", rt.MaxTokens,
+		r.logger.Info("job refused", "job", j.ID, "route", rt.Name, "workspace", j.Workspace, "tokens", j.Tokens, "waiting", tokens, "pending", pending, "limit", rt.MaxTokens,
 			"stopping", stopping)
 	}
 
 	return err
 }
 
-// pendingKeyOf returns the key under which the waiting tokens of a route contain once more those of jobs that are being written.
-func pendingKeyOf(route string) string {
-	return route + "+"
+// workspaceMark separates the names of a route and a workspace in the keys of sums; headers cannot contain it.
+const workspaceMark = "\x1f"
+
+// waitingKeyOf returns the key of the waiting tokens of a route and a workspace, if the jobs have one.
+func waitingKeyOf(route, workspace string) string {
+	if workspace == "" {
+		return route
+	}
+
+	return route + workspaceMark + workspace
+}
+
+// pendingKeyOf returns the key under which the waiting tokens of a route and a workspace contain once more those of jobs that are being
+// written.
+func pendingKeyOf(route, workspace string) string {
+	return waitingKeyOf(route+"+", workspace)
 }
 
 // exceeds reports whether a job does not fit on a route beside the tokens that wait there, some of them in jobs that are being written.
@@ -274,21 +306,21 @@
 	return waiting-pending+tokens > rt.MaxTokens || waiting+tokens > rt.MaxTokens+room
 }
 
-// waitingTokens returns the tokens of all unfinished items by route, with those of jobs that are being written except for one that comes
+// waitingTokens returns the tokens of all unfinished items by route and workspace, with those of jobs that are being written except for one that comes
 // again. The latter stand there by pendingKeyOf as well. It needs the lock.
 func (r *Runner) waitingTokens(except string) map[string]int {
 	sum := map[string]int{}
 	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
 		for _, j := range jobs {
 			if rt := r.routeOf(j); rt != nil {
-				sum[rt.Name] += j.waitingTokens()
+				sum[waitingKeyOf(rt.Name, j.Workspace)] += j.waitingTokens()
 			}
 		}
 	}
 	for id, s := range r.submitting {
 		if id != except && !r.counted(id) {
-			sum[s.route] += s.tokens
-			sum[pendingKeyOf(s.route)] += s.tokens
+			sum[waitingKeyOf(s.route, s.workspace)] += s.tokens
+			sum[pendingKeyOf(s.route, s.workspace)] += s.tokens
 		}
 	}
 	for id, c := range r.completed {
@@ -296,7 +328,7 @@
 		case r.now().After(c.until):
 			delete(r.completed, id)
 		case id != except && !r.counted(id) && r.submitting[id] == nil:
-			sum[c.route] += c.tokens
+			sum[waitingKeyOf(c.route, c.workspace)] += c.tokens
 		}
 	}
 
--- a/core/jobrun/submit_test.go
+++ b/core/jobrun/submit_test.go
@@ -61,7 +61,7 @@
 			err := r.Submit(t.Context(), &testRoute, repeat, items)
 			is.Equal(fault.CodeOf(err), c.want)
 			if err == nil {
-				_, found, err := r.Body(t.Context(), "job", items[0].ID)
+				_, found, err := r.Body(t.Context(), "job", "", items[0].ID)
 				is.NoErr(err)
 				is.True(found)
 			}
@@ -169,7 +169,7 @@
 			r, stop := f.start("e")
 			defer stop()
 			c.known(t, f, r)
-			is.New(t).Equal(fault.CodeOf(r.Refuse(t.Context(), "job", reason)), c.want)
+			is.New(t).Equal(fault.CodeOf(r.Refuse(t.Context(), "job", "", reason)), c.want)
 		})
 	}
 }
--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -106,6 +106,10 @@
 
 	// Tokens is the sum of the items' tokens.
 	Tokens int `json:"Tokens,omitempty,omitzero"`
+
+	// Workspace is the name of the workspace that submitted the job; empty if it was
+	// submitted without a key.
+	Workspace string `json:"Workspace,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -164,6 +168,9 @@
 	if v, ok := raw["Tokens"]; !ok || v == nil {
 		plain.Tokens = 0
 	}
+	if v, ok := raw["Workspace"]; !ok || v == nil {
+		plain.Workspace = ""
+	}
 	*j = Job(plain)
 	return nil
 }
--- a/internal/virtualfleet/fleet.go
+++ b/internal/virtualfleet/fleet.go
@@ -235,7 +235,7 @@
 // Read reads results of a job at an instance, as a caller that waits until ctx ends.
 func (f *Fleet) Read(ctx context.Context, n int, id string, after int, wait time.Duration) (jobpage.Page, error) {
 	return request(ctx, f, n, func(ctx context.Context, p *process) (jobpage.Page, error) {
-		return p.runner.Read(ctx, id, after, time.Now().Add(wait))
+		return p.runner.Read(ctx, id, "", after, time.Now().Add(wait))
 	})
 }
 
--- a/internal/virtualfleet/process.go
+++ b/internal/virtualfleet/process.go
@@ -252,7 +252,7 @@
 func (p *process) Current() (*route.Table, int64) { return p.instance.fleet.table, 1 }
 
 // ReadResults reads results of a job from another instance.
-func (p *process) ReadResults(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error) {
+func (p *process) ReadResults(ctx context.Context, from netip.AddrPort, id, workspace string, after int, until time.Time) (jobpage.Page, bool, error) {
 	type outcome struct {
 		page jobpage.Page
 		held bool
@@ -279,7 +279,7 @@
 		q.pass()
 		serve, cancel := context.WithTimeout(q.ctx, wait+callTimeout)
 		defer cancel()
-		page, held, err := q.runner.ReadHeldResults(serve, id, after, time.Now().Add(wait))
+		page, held, err := q.runner.ReadHeldResults(serve, id, workspace, after, time.Now().Add(wait))
 		q.pass()
 		if err != nil {
 			err = fault.New(fault.CodeStoreUnavailable, "the holder cannot tell")
@@ -309,10 +309,15 @@
 }
 
 // ReadBody is not used.
-func (*process) ReadBody(context.Context, netip.AddrPort, string, string) (body []byte, held bool, err error) {
+func (*process) ReadBody(context.Context, netip.AddrPort, string, string, string) (body []byte, held bool, err error) {
 	return nil, false, nil
 }
 
+// CheckJob is not used.
+func (*process) CheckJob(context.Context, netip.AddrPort, string, string) (bool, error) {
+	return false, nil
+}
+
 // Reachable reports whether a process accepts connections at an address.
 func (p *process) Reachable(_ context.Context, a netip.AddrPort) bool {
 	return p.instance.fleet.connected(p.instance, a) != nil
--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -157,6 +157,7 @@
 	if q.ID != "" {
 		h.Set(c.names.RequestID, q.ID)
 	}
+	c.identify(h, q)
 	h.Set(c.names.ExpectedServer, s.ID)
 	if after > 0 {
 		h.Set(lastEventID, strconv.FormatInt(after, 10))
@@ -183,6 +184,18 @@
 	return r.WithContext(ctx)
 }
 
+// identify replaces what the caller says of its workspace by what is known of it.
+func (c *Client) identify(h http.Header, q *call.Call) {
+	if !q.Identified {
+		return
+	}
+	h.Del(c.names.APIKey)
+	h.Del(c.names.Workspace)
+	if q.Workspace != "" {
+		h.Set(c.names.Workspace, q.Workspace)
+	}
+}
+
 // check returns an error for a response that is no answer to the request. Backend servers repeat the request's ID, so bytes without it belong
 // to no request; on a new connection, a failure without it says at least that something is wrong with this request.
 func (c *Client) check(r *http.Response, q *call.Call, reused bool) error {
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -13,6 +13,7 @@
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
+	"tarragonwalk/core/work"
 	"tarragonwalk/io/rpccall"
 	"tarragonwalk/io/tcp"
 )
@@ -97,17 +98,21 @@
 }
 
 // ReadResults reads results of a job from its holder; it returns false if the other instance does not hold the job. With true and code
-// store_unavailable the holder cannot tell whether there are results.
-func (n *Node) ReadResults(ctx context.Context, from netip.AddrPort, id string, after int, until time.Time) (jobpage.Page, bool, error) {
+// store_unavailable the holder cannot tell whether there are results; with code not_found the job is another workspace's.
+func (n *Node) ReadResults(ctx context.Context, from netip.AddrPort, id, workspace string, after int, until time.Time) (jobpage.Page, bool, error) {
 	reply := ReadReply{}
 	_, err := n.call(ctx, from, "Peer.Read", &ReadRequest{
 		Job:        id,
+		Workspace:  workspace,
 		After:      after,
 		WaitMillis: max(0, int(time.Until(until).Milliseconds())),
 	}, &reply, until.Add(callTimeout))
 	if err != nil || !reply.Held {
 		return jobpage.Page{}, false, err
 	}
+	if reply.Denied {
+		return jobpage.Page{}, true, work.ErrUnknown
+	}
 	if reply.Unknown {
 		return jobpage.Page{}, true, fault.New(fault.CodeStoreUnavailable, "the holder of the job cannot tell whether there are results")
 	}
@@ -123,19 +128,37 @@
 }
 
 // ReadBody reads the body of an item from the holder of its job; it returns false if the other instance does not hold the job or
-// the item is listed.
-func (n *Node) ReadBody(ctx context.Context, from netip.AddrPort, id, item string) ([]byte, bool, error) {
+// the item is listed, and fails with code not_found if the job is another workspace's.
+func (n *Node) ReadBody(ctx context.Context, from netip.AddrPort, id, workspace, item string) ([]byte, bool, error) {
+	reply, err := n.body(ctx, from, id, workspace, item)
+
+	return reply.Body, reply.Held, err
+}
+
+// CheckJob asks the holder of a job whether a workspace may use it; it returns false if the other instance does not hold the job, and fails
+// with code not_found if the job is another workspace's.
+func (n *Node) CheckJob(ctx context.Context, from netip.AddrPort, id, workspace string) (bool, error) {
+	reply, err := n.body(ctx, from, id, workspace, "")
+
+	return reply.Permitted, err
+}
+
+func (n *Node) body(ctx context.Context, from netip.AddrPort, id, workspace, item string) (BodyReply, error) {
 	reply := BodyReply{}
 	_, err := n.call(ctx, from, "Peer.Body", &BodyRequest{
-		Job:  id,
-		Item: item,
+		Job:       id,
+		Workspace: workspace,
+		Item:      item,
 	}, &reply, time.Now().Add(callTimeout))
 	// After a failure the reply may still be written to reply.
 	if err != nil {
-		return nil, false, err
+		return BodyReply{}, err
+	}
+	if reply.Denied {
+		return BodyReply{}, work.ErrUnknown
 	}
 
-	return reply.Body, reply.Held, nil
+	return reply, nil
 }
 
 // CallStore makes a call to the store through another instance. Failures have code store_unavailable (the call had no
--- a/io/peersync/node_test.go
+++ b/io/peersync/node_test.go
@@ -10,8 +10,10 @@
 	"github.com/matryer/is"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
+	"tarragonwalk/core/work"
 )
 
 // state is a handler that returns fixed state and holds no job.
@@ -25,12 +27,19 @@
 	return s.table, s.servers, s.revision
 }
 
-func (*state) ReadHeldResults(context.Context, string, int, time.Time) (p jobpage.Page, held bool, err error) {
+func (*state) ReadHeldResults(context.Context, string, string, int, time.Time) (p jobpage.Page, held bool, err error) {
 	return p, false, nil
 }
 
-func (*state) HeldBody(id, item string) ([]byte, bool) {
-	return []byte(id + item), id == "held"
+func (*state) HeldBody(id, workspace, item string) (body []byte, held bool, err error) {
+	switch {
+	case id != "held":
+		return nil, false, nil
+	case workspace != "w":
+		return nil, true, work.ErrUnknown
+	default:
+		return []byte(id + item), true, nil
+	}
 }
 
 func (*state) CallStore(context.Context, string, string, []byte, time.Time) (status int, answer []byte, code string) {
@@ -112,7 +121,7 @@
 	is.True(len(encoded) < 100<<10)
 }
 
-// Guards against an item's body that is taken from an instance that does not hold the job.
+// Guards against an item's body that is taken from an instance that does not hold the job, or that callers of another workspace get.
 func TestReadBody(t *testing.T) {
 	is := is.New(t)
 	a, err := New(netip.MustParseAddrPort("127.0.0.1:0"))
@@ -120,11 +129,19 @@
 	defer a.Close()
 	go func() { _ = a.Serve(&state{}) }()
 	from := netip.MustParseAddrPort(a.listener.Addr().String())
-	body, held, err := a.ReadBody(t.Context(), from, "held", "x")
+	body, held, err := a.ReadBody(t.Context(), from, "held", "w", "x")
 	is.NoErr(err)
 	is.True(held)
 	is.Equal(string(body), "heldx")
-	_, held, err = a.ReadBody(t.Context(), from, "other", "x")
+	_, held, err = a.ReadBody(t.Context(), from, "other", "w", "x")
 	is.NoErr(err)
 	is.True(!held)
+	_, held, err = a.ReadBody(t.Context(), from, "held", "v", "x")
+	is.Equal(fault.CodeOf(err), fault.CodeNotFound)
+	is.True(!held)
+	for workspace, code := range map[string]fault.Code{"w": "", "v": fault.CodeNotFound} {
+		held, err = a.CheckJob(t.Context(), from, "held", workspace)
+		is.Equal(fault.CodeOf(err), code)
+		is.Equal(held, code == "")
+	}
 }
--- a/io/peersync/service.go
+++ b/io/peersync/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragonwalk/core/backend"
+	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
 	"tarragonwalk/core/route"
 	"tarragonwalk/io/messagecodec"
@@ -21,10 +22,12 @@
 type handler interface {
 	// Snapshot returns the route table, nil if none is known, and the list of backend servers with its revision.
 	Snapshot() (*route.Table, []backend.Server, int64)
-	// ReadHeldResults returns results of a job if this instance holds it, and false otherwise; with true and an error it cannot tell.
-	ReadHeldResults(ctx context.Context, id string, after int, until time.Time) (jobpage.Page, bool, error)
-	// HeldBody returns the body of an item of a job that this instance holds, false if it does not or if the item is listed.
-	HeldBody(id, item string) ([]byte, bool)
+	// ReadHeldResults returns results of a job if this instance holds it, and false otherwise; with true and an error it cannot tell, or, with
+	// code not_found, the job is another workspace's.
+	ReadHeldResults(ctx context.Context, id, workspace string, after int, until time.Time) (jobpage.Page, bool, error)
+	// HeldBody returns the body of an item of a job that this instance holds, nil if the item is listed or unknown; held is false if it does
+	// not hold the job, and an error means that the job is another workspace's.
+	HeldBody(id, workspace, item string) (body []byte, held bool, err error)
 	// CallStore makes a call to the store; code is the fault code of a failed call and empty otherwise.
 	CallStore(ctx context.Context, method, path string, body []byte, until time.Time) (status int, answer []byte, code string)
 }
@@ -76,9 +79,10 @@
 	until := time.Now().Add(time.Duration(q.WaitMillis) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(context.Background(), until.Add(callTimeout))
 	defer cancel()
-	page, held, err := s.handler.ReadHeldResults(ctx, q.Job, q.After, until)
+	page, held, err := s.handler.ReadHeldResults(ctx, q.Job, q.Workspace, q.After, until)
 	reply.Held = held
-	reply.Unknown = err != nil
+	reply.Denied = fault.CodeOf(err) == fault.CodeNotFound
+	reply.Unknown = err != nil && !reply.Denied
 	reply.Total = page.Total
 	reply.Next = page.Next
 	reply.Results, err = json.Marshal(page.Results)
@@ -88,7 +92,9 @@
 
 // Body returns the body of an item of a job that this instance holds.
 func (s *service) Body(q *BodyRequest, reply *BodyReply) error {
-	reply.Body, reply.Held = s.handler.HeldBody(q.Job, q.Item)
+	body, held, err := s.handler.HeldBody(q.Job, q.Workspace, q.Item)
+	reply.Body, reply.Held = body, body != nil
+	reply.Permitted, reply.Denied = held && err == nil, err != nil
 
 	return nil
 }
--- a/io/peersync/sync_schema.go
+++ b/io/peersync/sync_schema.go
@@ -11,8 +11,14 @@
 	// Body is the body of the item.
 	Body []byte `json:"Body"`
 
+	// Denied says that the instance holds the job and it is another workspace's.
+	Denied bool `json:"Denied,omitempty,omitzero"`
+
 	// Held says that the instance holds the job and the item is not listed yet.
 	Held bool `json:"Held,omitempty,omitzero"`
+
+	// Permitted says that the instance holds the job and the workspace may use it.
+	Permitted bool `json:"Permitted,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -29,20 +35,30 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["Denied"]; !ok || v == nil {
+		plain.Denied = false
+	}
 	if v, ok := raw["Held"]; !ok || v == nil {
 		plain.Held = false
 	}
+	if v, ok := raw["Permitted"]; !ok || v == nil {
+		plain.Permitted = false
+	}
 	*j = BodyReply(plain)
 	return nil
 }
 
 // BodyRequest asks the holder of a job for the body of an item.
 type BodyRequest struct {
-	// Item is the ID of the item.
+	// Item is the ID of the item; empty to learn only whether the workspace may use
+	// the job.
 	Item string `json:"Item"`
 
 	// Job is the ID of the job.
 	Job string `json:"Job"`
+
+	// Workspace is the one of the caller, empty if callers need none.
+	Workspace string `json:"Workspace,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -62,12 +78,18 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["Workspace"]; !ok || v == nil {
+		plain.Workspace = ""
+	}
 	*j = BodyRequest(plain)
 	return nil
 }
 
 // ReadReply holds results of a job.
 type ReadReply struct {
+	// Denied says that the job is another workspace's.
+	Denied bool `json:"Denied,omitempty,omitzero"`
+
 	// Held reports whether the instance holds the job; if not, the other fields are
 	// empty.
 	Held bool `json:"Held,omitempty,omitzero"`
@@ -99,6 +121,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["Denied"]; !ok || v == nil {
+		plain.Denied = false
+	}
 	if v, ok := raw["Held"]; !ok || v == nil {
 		plain.Held = false
 	}
@@ -125,6 +150,9 @@
 
 	// WaitMillis is how long the holder may wait for a result.
 	WaitMillis int `json:"WaitMillis,omitempty,omitzero"`
+
+	// Workspace is the one of the caller, empty if callers need none.
+	Workspace string `json:"Workspace,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -147,6 +175,9 @@
 	if v, ok := raw["WaitMillis"]; !ok || v == nil {
 		plain.WaitMillis = 0
 	}
+	if v, ok := raw["Workspace"]; !ok || v == nil {
+		plain.Workspace = ""
+	}
 	*j = ReadRequest(plain)
 	return nil
 }
