Test and describe workspaces on the platform's path

Copies of tables are compared with workspaces, public routes and priority 0. A submission whose outcome is unknown is also answered as unknown to others, and a job that does not exist has the same answer as another workspace's.

--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -135,13 +135,10 @@
 			return page, err
 		}
 	}
-	j, err := r.job(ctx, id)
+	j, err := r.permittedJob(ctx, id, workspace)
 	if err != nil {
 		return jobpage.Page{}, err
 	}
-	if err := check(j, workspace); err != nil {
-		return jobpage.Page{}, err
-	}
 	if page, ok, err := r.fromHolder(ctx, j, workspace, after, until); ok {
 		return page, err
 	}
@@ -250,13 +247,10 @@
 	if body, ok, err := r.bodyFromHolder(ctx, id, workspace, item); ok || err != nil {
 		return body, ok, err
 	}
-	j, err := r.job(ctx, id)
+	j, err := r.permittedJob(ctx, id, workspace)
 	if err != nil {
 		return nil, false, err
 	}
-	if err := check(j, workspace); err != nil {
-		return nil, false, err
-	}
 	items, err := r.log.Items(ctx, j)
 	if err != nil {
 		return nil, false, err
@@ -284,12 +278,23 @@
 			return err
 		}
 	}
+	_, err := r.permittedJob(ctx, id, workspace)
+
+	return err
+}
+
+// permittedJob returns the record of a job that callers of a workspace may use. If they need a key, the failures for a job that does not exist
+// and for another workspace's are the same.
+func (r *Reader) permittedJob(ctx context.Context, id, workspace string) (*work.Job, error) {
 	j, err := r.job(ctx, id)
-	if err != nil {
-		return err
+	switch {
+	case fault.CodeOf(err) == fault.CodeNotFound && workspace != "":
+		return nil, work.ErrUnknown
+	case err != nil:
+		return nil, err
+	default:
+		return j, check(j, workspace)
 	}
-
-	return check(j, workspace)
 }
 
 func check(j *work.Job, workspace string) error {
--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -68,6 +68,8 @@
 	keepFor time.Duration
 	// takenOver are the tokens of jobs that were taken over, by the process that held them.
 	takenOver map[string]int
+	// takenKeys are the keys of the sums to which they were added.
+	takenKeys []string
 	// restarts counts how often the backend server has started again.
 	restarts atomic.Int64
 	// waiting are the tokens that wait at instances beside those that run, by process.
@@ -148,9 +150,10 @@
 	return n
 }
 
-func (f *fleet) RecordTakeover(incarnation, _ string, tokens int, _ time.Time) {
+func (f *fleet) RecordTakeover(incarnation, key string, tokens int, _ time.Time) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
+	f.takenKeys = append(f.takenKeys, key)
 	f.takenOver[incarnation] += tokens
 }
 
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -85,6 +85,10 @@
 		return err
 	}
 	if open {
+		if err := r.check(ctx, j.ID, j.Workspace); err != nil {
+			return err
+		}
+
 		return fault.New(fault.CodeOutcomeUnknown, "the outcome of an earlier submission of the job is not known yet")
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
--- a/io/backendhttp/client_test.go
+++ b/io/backendhttp/client_test.go
@@ -29,7 +29,7 @@
 	"tarragonwalk/core/headernames"
 )
 
-var names = headernames.Names{RequestID: "X-Id", DeadlineMillis: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", ServerLeaving: "X-Leaving"}
+var names = headernames.Names{RequestID: "X-Id", DeadlineMillis: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", ServerLeaving: "X-Leaving", APIKey: "X-Key", Workspace: "X-Workspace"}
 
 func noBudget() *bytebudget.Budget { return bytebudget.New(math.MaxInt) }
 
@@ -78,6 +78,41 @@
 	is.Equal(string(text), "POST /a%2Fb/c?x=1&y h.example body r1 s1 1 true 7 []")
 }
 
+// Guards against a key that reaches a backend server, and against the name of a workspace that a caller made up.
+func TestIdentity(t *testing.T) {
+	sent := http.Header{"X-Key": {"k", "l"}, "X-Workspace": {"made-up", "b"}, "X-Other": {"1"}}
+	for _, c := range []struct {
+		name       string
+		identified bool
+		workspace  string
+		want       http.Header
+	}{
+		{"known", true, "a", http.Header{"X-Workspace": {"a"}, "X-Other": {"1"}}},
+		{"public", true, "", http.Header{"X-Other": {"1"}}},
+		{"no workspaces", false, "", sent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var received http.Header
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				received = r.Header
+				w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			}))
+			defer server.Close()
+			q := newCall()
+			q.Header, q.Identified, q.Workspace = sent.Clone(), c.identified, c.workspace
+			for range 2 { // a further attempt
+				resp, err := New(names, &departures{}, noBudget(), time.Now).Send(t.Context(), backend.Server{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}, q, 0)
+				is.NoErr(err)
+				resp.Body.Close()
+				for _, name := range []string{"X-Key", "X-Workspace", "X-Other"} {
+					is.Equal(received.Values(name), c.want.Values(name))
+				}
+			}
+		})
+	}
+}
+
 // Guards against a wrong fault code for a request that has run, has not run, or may have run.
 func TestOutcome(t *testing.T) {
 	for _, c := range []struct {
--- a/io/peersync/node_test.go
+++ b/io/peersync/node_test.go
@@ -12,6 +12,7 @@
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/keyring"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -47,13 +48,21 @@
 }
 
 func largeTable(version int) *route.Table {
+	highest := 0
 	t := &route.Table{Version: version, Services: []route.Service{{Name: "s", Slots: 7, MaxConnections: 100}}}
 	for n := range 1600 {
 		t.Routes = append(t.Routes, route.Route{
 			Name: fmt.Sprint("route-", n), Host: "host.example", Prefix: fmt.Sprintf("/prefix%d/", n), Kind: route.KindStream, Resumable: true,
-			MaxAttempts: 3, TargetMillis: 300, GapMillis: 500, TimeoutMillis: 5000, Shares: []route.Share{{Service: "s", Weight: 1}},
+			MaxAttempts: 3, TargetMillis: 300, GapMillis: 500, TimeoutMillis: 5000, Shares: []route.Share{{Service: "s", Weight: 1}}, Public: n%3 == 0,
 		})
 	}
+	t.Routes[1].Priority = &highest
+	for n := range 70 {
+		t.Workspaces = append(t.Workspaces, route.Workspace{
+			Name: fmt.Sprint("workspace-", n), KeyHashes: []string{keyring.Hash(fmt.Sprint(n)), keyring.Hash(fmt.Sprint(-n))}, RatePerSecond: 1.5, Burst: 30,
+		})
+	}
+	t.Workspaces[1].Priority = &highest
 
 	return t
 }
