--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -69,6 +69,8 @@
 	keepFor time.Duration
 	// takenOver are the tokens of jobs that were taken over, by the process that held them.
 	takenOver map[string]int
+	// takenKeys are the keys of the sums to which they were added.
+	takenKeys []string
 	// restarts counts how often the backend server has started again.
 	restarts atomic.Int64
 	// routes are further routes than testRoute.
@@ -151,9 +153,10 @@
 	return n
 }
 
-func (f *fleet) RecordTakeover(incarnation, _ string, tokens int, _ time.Time) {
+func (f *fleet) RecordTakeover(incarnation, key string, tokens int, _ time.Time) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
+	f.takenKeys = append(f.takenKeys, key)
 	f.takenOver[incarnation] += tokens
 }
 
@@ -205,14 +208,18 @@
 
 func (f *fleet) BatchOn(backend.Server) func() { return func() {} }
 
-func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, int, time.Time) (p jobpage.Page, held bool, err error) {
+func (f *fleet) ReadResults(context.Context, netip.AddrPort, string, string, int, time.Time) (p jobpage.Page, held bool, err error) {
 	return p, false, nil
 }
 
-func (f *fleet) ReadBody(context.Context, netip.AddrPort, string, string) (body []byte, held bool, err error) {
+func (f *fleet) ReadBody(context.Context, netip.AddrPort, string, string, string) (body []byte, held bool, err error) {
 	return nil, false, nil
 }
 
+func (*fleet) CheckJob(context.Context, netip.AddrPort, string, string) (bool, error) {
+	return false, nil
+}
+
 // Send streams the events after one, and breaks off or refuses at random.
 func (f *fleet) Send(ctx context.Context, _ backend.Server, q *call.Call, after int64) (*response.Response, error) {
 	if f.chance(f.failureRate / 2) {
@@ -428,7 +435,7 @@
 	err := first.Submit(t.Context(), &testRoute, other, items)
 	is.Equal(fault.CodeOf(err), fault.CodeOverloaded)
 	is.NoErr(first.Submit(t.Context(), &testRoute, j, items))
-	is.NoErr(first.End(t.Context(), "a"))
+	is.NoErr(first.End(t.Context(), "a", ""))
 	is.NoErr(first.Submit(t.Context(), &testRoute, other, items))
 }
 
@@ -443,7 +450,7 @@
 	is.NoErr(first.Submit(t.Context(), &testRoute, work.Job{ID: "j", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("j", 3)))
 	is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
 	f.maybeReplaced = true
-	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	page, err := first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
@@ -464,12 +471,12 @@
 	_, err = l.Update(t.Context(), *record, revision)
 	is.NoErr(err)
 	f.maybeReplaced = true
-	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	page, err := first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 0)
 	f.maybeReplaced = false // all instances receive each other's heartbeats again
 	is.NoErr(l.Append(t.Context(), "j", 0, []work.Result{{Item: "j-1", State: work.StateDead}}, "e2"))
-	page, err = first.Read(t.Context(), "j", 0, time.Now())
+	page, err = first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
@@ -490,11 +497,11 @@
 	first.lock.Lock()
 	j := first.jobs["j"]
 	first.lock.Unlock()
-	page, err := first.Read(t.Context(), "j", 0, time.Now())
+	page, err := first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 	first.write(t.Context(), j, 0, results)
-	page, err = first.Read(t.Context(), "j", 0, time.Now())
+	page, err = first.Read(t.Context(), "j", "", 0, time.Now())
 	is.NoErr(err)
 	is.Equal(len(page.Results), 1)
 }
