--- a/core/jobrun/workspace_test.go
+++ b/core/jobrun/workspace_test.go
@@ -92,3 +92,15 @@
 		})
 	}
 }
+
+// Guards against sums of waiting tokens of two workspaces, or of jobs that are being written and others, that are taken for one.
+func TestWaitingKeysDiffer(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]bool{}
+	for _, workspace := range []string{"", "a", "a+", "+a"} {
+		seen[waitingKeyOf("r", workspace)] = true
+		seen[pendingKeyOf("r", workspace)] = true
+	}
+	is.Equal(len(seen), 8)
+	is.True(seen["r"] && seen["r+"]) // without workspaces, heartbeats have the keys that other instances expect
+}
