Count calls to the store by purpose

Wider operations (submission, takeover, read) prefix the name of the single call.

Ruled out: a parameter on each method of the store, which would change every interface and test double; kind and method alone, which do not tell a read for a caller from a read of a takeover.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -12,6 +12,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/purpose"
 )
 
 const (
@@ -232,7 +233,7 @@
 		self:    x.cluster.Self().Name,
 	}
 	var others []string
-	err := x.store.List(ctx, x.kind, func(name string, value json.RawMessage, revision int64) {
+	err := x.store.List(purpose.With(ctx, "addresses listed"), x.kind, func(name string, value json.RawMessage, revision int64) {
 		var r record
 		if json.Unmarshal(value, &r) != nil {
 			return
@@ -256,7 +257,7 @@
 func (x *Exchanger) answer(ctx context.Context, name string, r listedRecord) error {
 	answer := r.record
 	answer.Question, answer.Renewals, answer.Doubted = "", 0, false
-	_, err := x.store.Replace(ctx, x.kind, name, answer, r.revision)
+	_, err := x.store.Replace(purpose.With(ctx, "address question answered"), x.kind, name, answer, r.revision)
 	x.log.Info("question in the store answered", "peer", name, "revision", r.revision, "doubted", r.record.Doubted, "error", fault.CodeOf(err))
 	if fault.CodeOf(err) == fault.CodeNotFound {
 		return nil
@@ -284,7 +285,7 @@
 	if err == nil {
 		defer release()
 		x.left = true
-		err = x.store.Delete(ctx, x.kind, x.cluster.Self().Name)
+		err = x.store.Delete(purpose.With(ctx, "address removed"), x.kind, x.cluster.Self().Name)
 	}
 	if err != nil {
 		x.log.Warn("address not removed from the store", "error", err.Error())
@@ -317,12 +318,12 @@
 	}
 	name, own := x.cluster.Self().Name, x.record()
 	var found record
-	revision, err = x.store.Read(ctx, x.kind, name, &found)
+	revision, err = x.store.Read(purpose.With(ctx, "address read"), x.kind, name, &found)
 	switch {
 	case err == nil && found != own:
-		revision, err = x.store.Replace(ctx, x.kind, name, own, revision)
+		revision, err = x.store.Replace(purpose.With(ctx, "address written"), x.kind, name, own, revision)
 	case err != nil:
-		revision, err = x.store.Create(ctx, x.kind, name, own)
+		revision, err = x.store.Create(purpose.With(ctx, "address written"), x.kind, name, own)
 		created = err == nil
 	}
 
@@ -354,7 +355,7 @@
 	defer release()
 	var found record
 	name := x.cluster.Self().Name
-	revision, err := x.store.Read(ctx, x.kind, name, &found)
+	revision, err := x.store.Read(purpose.With(ctx, "address read"), x.kind, name, &found)
 	switch {
 	case err != nil && fault.CodeOf(err) != fault.CodeNotFound:
 		return false, err
@@ -366,7 +367,7 @@
 		return false, nil
 	}
 	x.renewals = found.Renewals + 1
-	if _, err = x.store.Replace(ctx, x.kind, name, x.record(), revision); err == nil {
+	if _, err = x.store.Replace(purpose.With(ctx, "address written"), x.kind, name, x.record(), revision); err == nil {
 		x.renewedAt = time.Now()
 	}
 
@@ -382,7 +383,7 @@
 	}
 	defer release()
 	self, seen := x.cluster.Self().Name, ""
-	err = x.store.List(ctx, x.kind, func(name string, _ json.RawMessage, revision int64) {
+	err = x.store.List(purpose.With(ctx, "addresses listed"), x.kind, func(name string, _ json.RawMessage, revision int64) {
 		if name != self && revision > x.askedRevision {
 			seen = name
 		}
--- a/core/addresses/losses.go
+++ b/core/addresses/losses.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 )
 
 const (
@@ -146,7 +147,7 @@
 		writes.Go(func() {
 			r := l.records[name]
 			r.record.Doubted = true
-			revision, err := x.store.Replace(ctx, x.kind, name, r.record, r.revision)
+			revision, err := x.store.Replace(purpose.With(ctx, "doubt written"), x.kind, name, r.record, r.revision)
 			if err == nil {
 				revisions[n] = revision
 			}
--- a/core/joblog/log.go
+++ b/core/joblog/log.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
@@ -63,14 +64,14 @@
 			continue
 		}
 		group.Go(func() {
-			_, err := l.objects.Create(ctx, partKind, partName(j.ID, i), p)
+			_, err := l.objects.Create(purpose.With(ctx, "items written"), partKind, partName(j.ID, i), p)
 			// A part that exists is from an earlier submission of the same job, which has the same items.
 			if fault.CodeOf(err) != fault.CodeConflict {
 				failures[i] = err
 			}
 		})
 	}
-	revision, err := l.objects.Create(ctx, jobKind, j.ID, j)
+	revision, err := l.objects.Create(purpose.With(ctx, "record written"), jobKind, j.ID, j)
 	group.Wait()
 	for i, failure := range failures {
 		if failure == nil {
@@ -103,7 +104,7 @@
 // Job returns the record of a job and its revision; code not_found if no such job was accepted.
 func (l *Log) Job(ctx context.Context, id string) (*work.Job, int64, error) {
 	j := &work.Job{}
-	revision, err := l.objects.Read(ctx, jobKind, id, j)
+	revision, err := l.objects.Read(purpose.With(ctx, "record read"), jobKind, id, j)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -131,7 +132,7 @@
 
 // Jobs returns the records of all jobs with their revisions.
 func (l *Log) Jobs(ctx context.Context) (jobs []work.Job, revisions []int64, err error) {
-	err = l.objects.List(ctx, jobKind, func(_ string, value json.RawMessage, revision int64) {
+	err = l.objects.List(purpose.With(ctx, "records listed"), jobKind, func(_ string, value json.RawMessage, revision int64) {
 		j := work.Job{}
 		if json.Unmarshal(value, &j) == nil {
 			jobs = append(jobs, j)
@@ -145,7 +146,7 @@
 // Update replaces the record of a job, to change its holder or mark it as finished, and returns the new revision. It fails with
 // code conflict unless the record has the given revision.
 func (l *Log) Update(ctx context.Context, j work.Job, revision int64) (int64, error) {
-	return l.objects.Replace(ctx, jobKind, j.ID, j, revision)
+	return l.objects.Replace(purpose.With(ctx, "record changed"), jobKind, j.ID, j, revision)
 }
 
 // Items returns the items of a job in its order.
@@ -153,7 +154,7 @@
 	items := make([]work.Item, 0, j.Items)
 	for i := range j.Parts {
 		p := work.Part{}
-		if _, err := l.objects.Read(ctx, partKind, partName(j.ID, i), &p); err != nil {
+		if _, err := l.objects.Read(purpose.With(ctx, "items read"), partKind, partName(j.ID, i), &p); err != nil {
 			return nil, err
 		}
 		items = append(items, p.Items...)
@@ -165,7 +166,7 @@
 // Segment returns the results of the segment that begins at a position, nil if there is none yet.
 func (l *Log) Segment(ctx context.Context, id string, position int) ([]work.Result, error) {
 	s := work.Segment{}
-	_, err := l.objects.Read(ctx, segmentKind, segmentName(id, position), &s)
+	_, err := l.objects.Read(purpose.With(ctx, "results read"), segmentKind, segmentName(id, position), &s)
 	if fault.CodeOf(err) == fault.CodeNotFound {
 		return nil, nil
 	}
@@ -175,7 +176,7 @@
 
 // Append creates a segment of results at a position. Code conflict means that the position has a segment already.
 func (l *Log) Append(ctx context.Context, id string, position int, results []work.Result, writer string) error {
-	_, err := l.objects.Create(ctx, segmentKind, segmentName(id, position), work.Segment{
+	_, err := l.objects.Create(purpose.With(ctx, "results written"), segmentKind, segmentName(id, position), work.Segment{
 		Results: results,
 		Writer:  writer,
 	})
@@ -185,7 +186,7 @@
 
 // End records that the caller has ended a job. It succeeds also if that was recorded before.
 func (l *Log) End(ctx context.Context, id string, at time.Time) error {
-	_, err := l.objects.Create(ctx, EndKind, id, map[string]time.Time{"EndedAt": at})
+	_, err := l.objects.Create(purpose.With(ctx, "end written"), EndKind, id, map[string]time.Time{"EndedAt": at})
 	if fault.CodeOf(err) == fault.CodeConflict {
 		return nil
 	}
@@ -196,7 +197,7 @@
 // Ended reports whether the caller has ended a job.
 func (l *Log) Ended(ctx context.Context, id string) (bool, error) {
 	var record json.RawMessage
-	_, err := l.objects.Read(ctx, EndKind, id, &record)
+	_, err := l.objects.Read(purpose.With(ctx, "end read"), EndKind, id, &record)
 	if fault.CodeOf(err) == fault.CodeNotFound {
 		return false, nil
 	}
@@ -206,6 +207,7 @@
 
 // Remove deletes all objects of a job; segments are the positions at which the job's segments begin.
 func (l *Log) Remove(ctx context.Context, j *work.Job, segments []int) error {
+	ctx = purpose.With(ctx, "objects removed")
 	for _, position := range segments {
 		if err := l.objects.Delete(ctx, segmentKind, segmentName(j.ID, position)); err != nil {
 			return err
--- a/core/jobread/reader.go
+++ b/core/jobread/reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
@@ -245,7 +246,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	items, err := r.log.Items(ctx, j)
+	items, err := r.log.Items(purpose.With(ctx, "read of body"), j)
 	if err != nil {
 		return nil, false, err
 	}
@@ -284,7 +285,7 @@
 	if c != nil && !c.stale {
 		return c.job, nil
 	}
-	j, _, err := r.log.Job(ctx, id)
+	j, _, err := r.log.Job(purpose.With(ctx, "read"), id)
 	if err != nil {
 		return nil, err
 	}
@@ -325,7 +326,7 @@
 		if len(results) > after || len(results) >= j.Items {
 			return results, nil
 		}
-		segment, err := r.log.Segment(ctx, j.ID, len(results))
+		segment, err := r.log.Segment(purpose.With(ctx, "read"), j.ID, len(results))
 		if err != nil {
 			return nil, err
 		}
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -4,12 +4,13 @@
 	"context"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
 // write lists results at a position. After a conflict it takes over what another writer has listed there.
 func (r *Runner) write(ctx context.Context, j *job, position int, results []work.Result) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(purpose.With(ctx, "listing"), writeTimeout)
 	defer cancel()
 	held, err := r.stillHeld(ctx, j)
 	if err == nil && !held {
@@ -116,7 +117,7 @@
 
 // confirm asks the store who holds a job that another instance announces as its own.
 func (r *Runner) confirm(ctx context.Context, j *job) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(purpose.With(ctx, "holder check"), writeTimeout)
 	defer cancel()
 	_, err := r.checkHolder(ctx, j)
 	r.lock.Lock()
@@ -143,7 +144,7 @@
 
 // resolveSubmission repeats a submission whose response was lost; step calls it until the outcome is known.
 func (r *Runner) resolveSubmission(ctx context.Context, id string, j *job) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(purpose.With(ctx, "submission repeated"), writeTimeout)
 	defer cancel()
 	items := make([]work.Item, 0, len(j.items))
 	for _, it := range j.items {
@@ -198,7 +199,7 @@
 
 // close marks the record of a job as finished: all its items are listed.
 func (r *Runner) close(ctx context.Context, j *job) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(purpose.With(ctx, "closing"), writeTimeout)
 	defer cancel()
 	record, revision := j.Job, j.revision
 	at := r.now().UTC()
--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/rendezvous"
 	"tarragonwalk/core/work"
 )
@@ -170,6 +171,7 @@
 // takeOverOrphan takes a job over unless it has a holder or has ended. A job that its holder has released may be taken over whatever is
 // known of other instances; for others it fails with errHeld while that is not enough.
 func (r *Runner) takeOverOrphan(ctx context.Context, id string, o *orphan) error {
+	ctx = purpose.With(ctx, "takeover")
 	claim, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	record, revision, err := r.log.Job(claim, id)
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -6,6 +6,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/purpose"
 )
 
 // maxAnswerAge is how old the knowledge may be from which a read is answered that finds nothing. Callers rely on results that were returned to
@@ -158,6 +159,7 @@
 // verify reads the results behind those in memory, and before that, if another instance may have replaced this one, who holds the job.
 // After a failure it does not ask the store again for verifyInterval.
 func (r *Runner) verify(ctx context.Context, j *job, after int, maybeReplaced bool) (held bool, err error) {
+	ctx = purpose.With(ctx, "read by holder")
 	at := r.now()
 	r.lock.Lock()
 	quiet := at.Before(j.unverifiableUntil)
--- a/core/jobrun/retention.go
+++ b/core/jobrun/retention.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
@@ -27,7 +28,7 @@
 
 // removeOld deletes the objects of a job that has no holder and is no longer readable.
 func (r *Runner) removeOld(ctx context.Context, j *work.Job) {
-	segments, err := r.segments(ctx, j)
+	segments, err := r.segments(purpose.With(ctx, "removal"), j)
 	if err != nil {
 		r.logger.Warn("results of an old job not read", "job", j.ID, "error", err.Error())
 
@@ -44,7 +45,7 @@
 
 // remove deletes the objects of a job whose segments begin at the given positions.
 func (r *Runner) remove(ctx context.Context, j *work.Job, starts []int) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(purpose.With(ctx, "removal"), writeTimeout)
 	defer cancel()
 	err := r.log.Remove(ctx, j, starts)
 	r.logger.Info("old job removed", "job", j.ID, "submitted_at", j.SubmittedAt, "finished", j.Finished, "results", len(starts) > 0,
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -7,6 +7,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/histogram"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -88,7 +89,7 @@
 		return r.refuse(ctx, rt, &j, tokens+peers, pending, stopping)
 	}
 	if late != nil {
-		accepted, err := r.log.Accepted(ctx, j.ID)
+		accepted, err := r.log.Accepted(purpose.With(ctx, "refusal"), j.ID)
 		if accepted {
 			r.findHolder(ctx, j.ID, true)
 		}
@@ -130,7 +131,7 @@
 // waits until they were repeated successfully or ctx ends.
 func (r *Runner) accept(ctx context.Context, n *job, items []work.Item) error {
 	defer r.unreserve(n.ID)
-	revision, err := r.log.Accept(ctx, &n.Job, items, n.written)
+	revision, err := r.log.Accept(purpose.With(ctx, "submission"), &n.Job, items, n.written)
 	n.revision = revision
 	resolved := n.changed
 	switch fault.CodeOf(err) {
@@ -161,7 +162,7 @@
 // findHolder announces a job that was submitted before if it has no holder: its record may have been written after jobs without a holder
 // were last looked for. If the job is accepted, its tokens count here until an instance holds it.
 func (r *Runner) findHolder(ctx context.Context, id string, accepted bool) {
-	record, revision, err := r.log.Job(ctx, id)
+	record, revision, err := r.log.Job(purpose.With(ctx, "resubmission"), id)
 	if err != nil {
 		r.logger.Warn("holder of a job that was submitted again not read", "job", id, "error", err.Error())
 
@@ -226,7 +227,7 @@
 	if open || writing {
 		return fault.New(fault.CodeOutcomeUnknown, "the outcome of an earlier submission of the job is not known yet")
 	}
-	accepted, err := r.log.Accepted(ctx, id)
+	accepted, err := r.log.Accepted(purpose.With(ctx, "refusal"), id)
 	if accepted || fault.CodeOf(err) == fault.CodeOutcomeUnknown {
 		// If the job is half-written by a lost process, its tokens count until an instance has looked for the items.
 		r.findHolder(ctx, id, accepted)
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
@@ -31,7 +32,7 @@
 	if r.cluster.Isolated() {
 		return true, nil
 	}
-	jobs, _, err := r.log.Jobs(ctx)
+	jobs, _, err := r.log.Jobs(purpose.With(ctx, "search"))
 	if err != nil {
 		return true, err
 	}
@@ -219,7 +220,7 @@
 
 // release clears the holder in a job's record, so that another instance takes the job over at once.
 func (r *Runner) release(ctx context.Context, j *job) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(purpose.With(ctx, "release"), writeTimeout)
 	defer cancel()
 	finished := j.complete() || j.ended
 	record, revision, err := r.log.Job(ctx, j.ID)
--- a/core/quarantine/save.go
+++ b/core/quarantine/save.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 )
 
 // partKind is the kind of the objects that hold one quarantined part, or one combination, each.
@@ -44,7 +45,7 @@
 // rest for the next call.
 func (q *Quarantine) Save(ctx context.Context, all bool) error {
 	for part := range q.obsoleteParts() {
-		if err := q.objects.Delete(ctx, partKind, part); err != nil {
+		if err := q.objects.Delete(purpose.With(ctx, "quarantined part removed"), partKind, part); err != nil {
 			return err
 		}
 		q.lock.Lock()
@@ -52,7 +53,7 @@
 		q.lock.Unlock()
 	}
 	for part, r := range q.unsaved(all) {
-		_, err := q.objects.Create(ctx, partKind, part, r)
+		_, err := q.objects.Create(purpose.With(ctx, "quarantined part written"), partKind, part, r)
 		if err != nil && fault.CodeOf(err) != fault.CodeConflict {
 			return err
 		}
@@ -73,7 +74,7 @@
 
 // Restore reads the quarantined parts of earlier processes from the store.
 func (q *Quarantine) Restore(ctx context.Context) error {
-	return q.objects.List(ctx, partKind, func(part string, value json.RawMessage, _ int64) {
+	return q.objects.List(purpose.With(ctx, "quarantined parts listed"), partKind, func(part string, value json.RawMessage, _ int64) {
 		r := record{}
 		if json.Unmarshal(value, &r) != nil {
 			return
