--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -26,9 +26,13 @@
 	relaySilence = 600 * time.Millisecond
 	// singleSilenceLimit is how long a single silent instance is assumed to be alive and cut off from this one only.
 	singleSilenceLimit = 10 * time.Second
-	// storeWatchersPerZone is the number of instances per zone that watch the store. Each watcher costs one store call for each
-	// renewed server entry. If the only watcher fails, another instance lists and watches once silentAfter has passed.
+	// storeWatchersPerZone is the number of instances per zone that watch the configuration. If the only watcher fails, another instance
+	// lists and watches once silentAfter has passed.
 	storeWatchersPerZone = 1
+	// serverWatchersPerRegion is the number of instances per region that watch the backend servers. Their entries are renewed all the time,
+	// so that each watcher calls the store as often as its pause allows. With two, the other one still learns of a leaving server in time
+	// if one does not reach the store and has not noticed yet.
+	serverWatchersPerRegion = 2
 	// jobEndWatchersPerRegion is the number of instances per region that watch the ends of jobs.
 	jobEndWatchersPerRegion = 2
 	// orphanSearchers is the number of instances of the fleet that look for jobs without a holder.
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -595,6 +595,7 @@
 				cl.Observe(b, start)
 			}
 			is.Equal(cl.WatchesStore(c.lost, start.Add(c.at)), c.zone)
+			is.Equal(cl.WatchesServers(c.lost, start.Add(c.at)), c.ends)
 			is.Equal(cl.WatchesJobEnds(c.lost, start.Add(c.at)), c.ends)
 		})
 	}
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -130,6 +130,11 @@
 	return c.searchedAt
 }
 
+// WatchesServers reports whether this instance is one of those in its region that watch the backend servers.
+func (c *Cluster) WatchesServers(lost bool, at time.Time) bool {
+	return c.isAmongFirst(serverWatchersPerRegion, lost, at, func(m gossip.Member) bool { return m.Region == c.self.Region })
+}
+
 // WatchesJobEnds reports whether this instance is one of those in its region that watch the ends of jobs. There are as many ends as jobs, and the instance that records an end announces it in its heartbeats; the watch is
 // needed only if that instance fails right after the write.
 func (c *Cluster) WatchesJobEnds(lost bool, at time.Time) bool {
--- a/core/duties/duties.go
+++ b/core/duties/duties.go
@@ -35,6 +35,7 @@
 	Live() []string
 	Isolated() bool
 	WatchesStore(lost bool, at time.Time) bool
+	WatchesServers(lost bool, at time.Time) bool
 	WatchesJobEnds(lost bool, at time.Time) bool
 	SearchesOrphans(lost bool, at time.Time) bool
 	SearchedAt() time.Time
@@ -97,6 +98,11 @@
 	return d.FleetKnown() && d.cluster.WatchesStore(d.storeLost(), d.now())
 }
 
+// WatchingServers reports whether this instance watches the backend servers on behalf of its region.
+func (d *Duties) WatchingServers() bool {
+	return d.FleetKnown() && d.cluster.WatchesServers(d.storeLost(), d.now())
+}
+
 // WatchingJobEnds reports whether this instance watches for ended jobs on behalf of its region.
 func (d *Duties) WatchingJobEnds() bool {
 	return d.FleetKnown() && d.cluster.WatchesJobEnds(d.storeLost(), d.now())
@@ -105,7 +111,7 @@
 // Expire detects instances whose heartbeats have stopped, at each tick until ctx ends. It makes no calls, because the time between
 // two of its ticks is also used to detect that the process was paused.
 func (d *Duties) Expire(ctx context.Context, ticks <-chan time.Time) {
-	watching, watchingEnds := false, false
+	watching, watchingServers, watchingEnds := false, false, false
 	for {
 		select {
 		case <-ticks:
@@ -113,10 +119,10 @@
 			return
 		}
 		d.changes.Store(int64(d.cluster.Expire(d.now())))
-		if w, e := d.Watching(), d.WatchingJobEnds(); w != watching || e != watchingEnds {
-			watching, watchingEnds = w, e
-			d.log.Info("store watch roles changed", "state_for_zone", w, "jobs_for_region", e, "store_lost", d.storeLost(),
-				"instances", len(d.cluster.Live()))
+		if w, s, e := d.Watching(), d.WatchingServers(), d.WatchingJobEnds(); w != watching || s != watchingServers || e != watchingEnds {
+			watching, watchingServers, watchingEnds = w, s, e
+			d.log.Info("store watch roles changed", "state_for_zone", w, "servers_for_region", s, "jobs_for_region", e,
+				"store_lost", d.storeLost(), "instances", len(d.cluster.Live()))
 		}
 	}
 }
