Collect results of jobs that are not due soon for longer while they are few

Each second with a result cost a write of a job, though the job is not due for long. A job that has fewer than four results to list, and more than 4 s until its deadline, now waits for up to 3 s in place of 1 s for others. From four results on, and for late jobs, the delay is 1 s as before, and 0.3 s within 4 s of the deadline.

Weighed: a crash loses what is not listed, which runs again. Up to three items of a job that end within 3 s now, in place of 1 s; hence the limit by number. A longer delay would save little more and lose more. Results of a job are read up to 2 s later while the job is not due soon.

--- a/core/jobrun/runner_test.go
+++ b/core/jobrun/runner_test.go
@@ -491,25 +491,67 @@
 		age  time.Duration
 		host string
 		stop bool
-		want time.Duration
+		few  time.Duration
+		many time.Duration
 	}{
-		{"due later", time.Second, "h", false, longListDelay},
-		{"due soon", 15 * time.Second, "h", false, shortListDelay},
-		{"just late", 18500 * time.Millisecond, "h", false, shortListDelay},
-		{"late", 30 * time.Second, "h", false, longListDelay},
-		{"stopping", time.Second, "h", true, shortListDelay},
-		{"without a route", time.Second, "other", false, shortListDelay},
+		{"due later", time.Second, "h", false, slowListDelay, longListDelay},
+		{"due soon", 15 * time.Second, "h", false, shortListDelay, shortListDelay},
+		{"just late", 18500 * time.Millisecond, "h", false, shortListDelay, shortListDelay},
+		{"late", 30 * time.Second, "h", false, longListDelay, longListDelay},
+		{"stopping", time.Second, "h", true, shortListDelay, shortListDelay},
+		{"without a route", time.Second, "other", false, shortListDelay, shortListDelay},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r.lock.Lock()
 			defer r.lock.Unlock()
 			r.stopping = c.stop
 			j := newJob(work.Job{ID: "j", Host: c.host, Target: "/b/1", SubmittedAt: at.Add(-c.age)}, nil)
-			is.Equal(r.listDelay(j, at), c.want)
+			j.pending = make([]work.Result, batchResults-1)
+			is.Equal(r.listDelay(j, at), c.few)
+			j.pending = make([]work.Result, batchResults)
+			is.Equal(r.listDelay(j, at), c.many)
 		})
 	}
 }
 
+// Guards against a store write for each result of a job that is due much later, and against a crash that loses more results than a few
+// because they wait for others.
+func TestWritesOfResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const items, pause = 12, 700 * time.Millisecond
+		is := is.New(t)
+		f := newFleet(1, 0)
+		r, stop := f.start("e1")
+		defer stop()
+		j := newJob(work.Job{ID: "j", Host: "h", Target: "/b/1", Items: items, SubmittedAt: time.Now()}, newItems("j", items))
+		_, err := r.log.Accept(t.Context(), &j.Job, newItems("j", items), map[int]bool{})
+		is.NoErr(err)
+		r.lock.Lock()
+		for _, it := range j.items {
+			it.notBefore = time.Now().Add(time.Hour)
+		}
+		r.hold("j", j)
+		r.signal()
+		r.lock.Unlock()
+		for n := range items {
+			time.Sleep(pause)
+			r.lock.Lock()
+			is.True(len(j.pending) <= int(longListDelay/pause)+batchResults)
+			if len(j.pending) > 0 {
+				is.True(time.Since(j.pendingSince) <= slowListDelay+stepInterval)
+			}
+			j.finish(j.items[n], work.StateCompleted, time.Now())
+			r.lock.Unlock()
+		}
+		time.Sleep(time.Second)
+		r.lock.Lock()
+		is.Equal(len(j.results), items)
+		r.lock.Unlock()
+		t.Log("writes of results:", f.objects.Writes("job-results"))
+		is.True(f.objects.Writes("job-results") <= items/batchResults+1)
+	})
+}
+
 // Guards against an item that holds a slot forever because its server sends a few bytes without data now and then.
 func TestStalledItemEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -16,6 +16,10 @@
 	// again after a crash.
 	shortListDelay = 300 * time.Millisecond
 	longListDelay  = time.Second
+	// slowListDelay is the delay for a job that is not due soon and has fewer than batchResults results to list. The latter bounds how many
+	// items of a job run again after a crash because their results waited for longer than longListDelay.
+	slowListDelay = 3 * time.Second
+	batchResults  = 4
 	// dueSoon is how long before a job's deadline its results are listed after shortListDelay instead of longListDelay.
 	dueSoon = 4 * time.Second
 	// writeTimeout bounds one write of results, including the wait for other writes of this instance.
@@ -122,12 +126,14 @@
 	if rt == nil || r.stopping {
 		return shortListDelay
 	}
-	left := j.due(rt).Sub(at)
-	if left > dueSoon || left < -longListDelay {
+	switch left := j.due(rt).Sub(at); {
+	case left > dueSoon && len(j.pending) < batchResults:
+		return slowListDelay
+	case left > dueSoon, left < -longListDelay:
 		return longListDelay
+	default:
+		return shortListDelay
 	}
-
-	return shortListDelay
 }
 
 // start runs waiting items on free slots.
