Join the fleet with two calls to the store

An instance that started listed the addresses, read its own, wrote it and listed again, so that of two instances that start together at least one finds the other.

It now creates its object first and lists once. The later one of two writers lists after both writes, so the guarantee is that of the second list. If the object is there already, of an earlier process, the list shows whether it is right; only if not it is read and replaced.

Risk: a process whose write fails at its start reads the addresses only after that failure, at most 10 s later in an outage, as the read itself before.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -32,6 +32,8 @@
 	attemptTimeout = 10 * time.Second
 )
 
+var errLeft = fault.New(fault.CodeUnavailable, "this instance has left")
+
 type store interface {
 	Create(ctx context.Context, kind, name string, value any) (int64, error)
 	Read(ctx context.Context, kind, name string, value any) (int64, error)
@@ -175,20 +177,36 @@
 	return x.fleet.Watching() && !x.cluster.Isolated()
 }
 
-// join reads the addresses of the other instances from the store and writes this instance's address there. It answers no questions,
-// since all instances may start at the same time.
+// join writes this instance's address to the store and then reads those of the other instances there. In this order, the later one of
+// two instances that start at the same time finds the other one. It answers no questions, since all instances may start then.
 func (x *Exchanger) join(ctx context.Context) error {
+	failed := x.create(ctx)
 	l, err := x.list(ctx)
 	x.fleet.NoteFleetSize(len(l.records))
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case fault.CodeOf(failed) != fault.CodeConflict:
+		return failed
+	case l.records[l.self].record != record{Peer: x.cluster.Self().Peer}:
+		// An earlier process of this instance has left another object.
+		err = x.announce(ctx)
 	}
-	created, err := x.announce(ctx)
-	if err != nil || !created {
+
+	return err
+}
+
+// create writes the object of this instance, which must not exist.
+func (x *Exchanger) create(ctx context.Context) error {
+	release, err := x.acquire(ctx)
+	if err != nil {
 		return err
 	}
-	// Instances that started at the same time may have written their addresses since the first read.
-	_, err = x.list(ctx)
+	defer release()
+	if x.left {
+		return errLeft
+	}
+	_, err = x.store.Create(purpose.With(ctx, "address written"), x.kind, x.cluster.Self().Name, x.record())
 
 	return err
 }
@@ -212,11 +230,7 @@
 	for name, r := range l.records {
 		switch {
 		case name == l.self && r.record.Doubted:
-			answers.Go(func() error {
-				_, err := x.announce(ctx)
-
-				return err
-			})
+			answers.Go(func() error { return x.announce(ctx) })
 		case name == l.self || !mayAnswer || !r.record.Peer.IsValid():
 		case r.record.Question != "" || r.record.Doubted && x.cluster.Hears(name):
 			answers.Go(func() error { return x.answer(ctx, name, r) })
@@ -266,16 +280,16 @@
 	return err
 }
 
-// announce writes this instance's address to the store and reports whether the object is new.
-func (x *Exchanger) announce(ctx context.Context) (created bool, err error) {
+// announce writes this instance's address to the store unless it is there.
+func (x *Exchanger) announce(ctx context.Context) error {
 	release, err := x.acquire(ctx)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer release()
-	_, created, err = x.write(ctx)
+	_, err = x.write(ctx)
 
-	return created, err
+	return err
 }
 
 // Leave removes this instance's address from the store for good, after any change of the object that is on its way. A failure is only
@@ -311,10 +325,10 @@
 	}
 }
 
-// write writes the object of this instance unless it is in the store, and returns its revision and whether it is new.
-func (x *Exchanger) write(ctx context.Context) (revision int64, created bool, err error) {
+// write writes the object of this instance unless it is in the store, and returns its revision.
+func (x *Exchanger) write(ctx context.Context) (revision int64, err error) {
 	if x.left {
-		return 0, false, fault.New(fault.CodeUnavailable, "this instance has left")
+		return 0, errLeft
 	}
 	name, own := x.cluster.Self().Name, x.record()
 	var found record
@@ -324,10 +338,9 @@
 		revision, err = x.store.Replace(purpose.With(ctx, "address written"), x.kind, name, own, revision)
 	case err != nil:
 		revision, err = x.store.Create(purpose.With(ctx, "address written"), x.kind, name, own)
-		created = err == nil
 	}
 
-	return revision, created, err
+	return revision, err
 }
 
 // Ask asks the other instances in the store whether any of them is alive.
@@ -338,7 +351,7 @@
 	}
 	defer release()
 	x.question, x.renewals = uuid.NewString(), 0
-	if x.askedRevision, _, err = x.write(ctx); err == nil {
+	if x.askedRevision, err = x.write(ctx); err == nil {
 		x.renewedAt = time.Now()
 	}
 
