Answer first reads of a new job without asking the store for its holder

The holder asked the store for its first read of each job that it had accepted itself: who holds the job, and what is listed. It compared the time of the last look at the store, of which there was none, with the last time at which others may have counted it as gone, which is at least that of its start.

A job now keeps a time before its record was created, at which no other instance can have held it. Since then, the same rule applies as after a look at the store: if others may have counted this instance as gone, or another writer or holder is known, it asks. Jobs that were taken over, and those whose submission had an unknown outcome, are asked about as before.

Ruled out: to treat the creation as a look at the store in every respect, which left a job that another instance takes over right after its submission unread for 0.7 s (TestReadDuringWriteListsOnce failed).

--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -78,6 +78,9 @@
 	// of the previous holder may still take effect.
 	verifiedAt      time.Time
 	lateWritesUntil time.Time
+	// createdAt is a time before this instance created the job's record, so that no other one had held the job by then; zero if it did not
+	// create it or others are known to have held the job since.
+	createdAt time.Time
 	// unfenced is set from then on until this instance has listed results itself. A process that was frozen between its look at the store
 	// and its write may list results at any later time, but only at the position that this write takes.
 	unfenced bool
@@ -191,7 +194,7 @@
 // expectOthers is called when another instance is known to have listed results. It may have listed further ones, and may go on until it
 // learns that it was replaced.
 func (j *job) expectOthers(at time.Time) {
-	j.verifiedAt = time.Time{}
+	j.verifiedAt, j.createdAt = time.Time{}, time.Time{}
 	j.lateWritesUntil = at.Add(lateWriteWindow)
 	j.unfenced = true
 }
--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -131,7 +131,7 @@
 	r.lock.Lock()
 	doubted := j.doubtedBy != "" || j.releasing
 	unacknowledged := j.unacknowledged > 0
-	maybeReplaced := doubted || j.contested || r.cluster.SuspectedSince(j.verifiedAt, at)
+	maybeReplaced := doubted || j.contested || r.cluster.SuspectedSince(later(j.verifiedAt, j.createdAt), at)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
 	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
 	lateWrites := j.unfenced || j.verifiedAt.Before(j.lateWritesUntil)
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -131,12 +131,14 @@
 // waits until they were repeated successfully or ctx ends.
 func (r *Runner) accept(ctx context.Context, n *job, items []work.Item) error {
 	defer r.unreserve(n.ID)
+	began := r.now()
 	revision, err := r.log.Accept(purpose.With(ctx, "submission"), &n.Job, items, n.written)
 	n.revision = revision
 	resolved := n.changed
 	switch fault.CodeOf(err) {
 	case "":
 		r.lock.Lock()
+		n.createdAt = began
 		r.hold(n.ID, n)
 		r.signal()
 		r.lock.Unlock()
--- a/internal/virtualfleet/fleet.go
+++ b/internal/virtualfleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -207,6 +208,14 @@
 	return f.instances[n].process
 }
 
+// StoreCalls returns the number of calls to the store by purpose.
+func (f *Fleet) StoreCalls() map[string]int {
+	f.store.lock.Lock()
+	defer f.store.lock.Unlock()
+
+	return maps.Clone(f.store.calls)
+}
+
 // Submit submits a job of some items at an instance, as a caller that waits until ctx ends.
 func (f *Fleet) Submit(ctx context.Context, n int, id string, items int) error {
 	j := work.Job{
--- a/internal/virtualfleet/memory.go
+++ b/internal/virtualfleet/memory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
@@ -40,12 +41,15 @@
 	revision int64
 	// items are those that are listed.
 	items map[string]bool
+	// calls counts calls by purpose.
+	calls map[string]int
 }
 
 func newMemory() *memory {
 	return &memory{
 		objects: map[string]object{},
 		items:   map[string]bool{},
+		calls:   map[string]int{},
 		delay:   storeDelay,
 	}
 }
@@ -79,6 +83,12 @@
 	return m.revision, nil
 }
 
+func (m *memory) count(purpose string) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.calls[purpose]++
+}
+
 func (m *memory) isListed(item string) bool {
 	m.lock.Lock()
 	defer m.lock.Unlock()
@@ -140,6 +150,7 @@
 		if !p.maySend(ctx, write) {
 			return 0, unavailable
 		}
+		p.instance.fleet.store.count(purpose.Of(ctx))
 		what, delay := p.fate(write != "")
 		p.storeLost.Store(what != answered)
 		switch what {
