--- a/core/jobrun/read.go
+++ b/core/jobrun/read.go
@@ -6,6 +6,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/jobpage"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/work"
 )
 
@@ -137,7 +138,7 @@
 	r.lock.Lock()
 	doubted := j.doubtedBy != "" || j.releasing
 	unacknowledged := j.unacknowledged > 0
-	maybeReplaced := doubted || j.contested || r.cluster.SuspectedSince(j.verifiedAt, at)
+	maybeReplaced := doubted || j.contested || r.cluster.SuspectedSince(later(j.verifiedAt, j.createdAt), at)
 	// After a takeover a write of the previous holder may still take effect, but the holder need not be checked. The last read of the
 	// store has to follow the end of that time, since nothing else shows a write that took effect shortly before it.
 	lateWrites := j.unfenced || j.verifiedAt.Before(j.lateWritesUntil)
@@ -165,6 +166,7 @@
 // verify reads the results behind those in memory, and before that, if another instance may have replaced this one, who holds the job.
 // After a failure it does not ask the store again for verifyInterval.
 func (r *Runner) verify(ctx context.Context, j *job, after int, maybeReplaced bool) (held bool, err error) {
+	ctx = purpose.With(ctx, "read by holder")
 	at := r.now()
 	r.lock.Lock()
 	quiet := at.Before(j.unverifiableUntil)
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -7,6 +7,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/histogram"
+	"tarragonwalk/core/purpose"
 	"tarragonwalk/core/route"
 	"tarragonwalk/core/work"
 )
@@ -97,7 +98,7 @@
 		return r.refuse(ctx, rt, &j, tokens+peers, pending, stopping)
 	}
 	if late != nil {
-		accepted, err := r.log.Accepted(ctx, j.ID)
+		accepted, err := r.log.Accepted(purpose.With(ctx, "refusal"), j.ID)
 		if accepted {
 			if err := r.findHolder(ctx, j.ID, j.Workspace, true); err != nil {
 				return err
@@ -140,12 +141,14 @@
 // waits until they were repeated successfully or ctx ends.
 func (r *Runner) accept(ctx context.Context, n *job, items []work.Item) error {
 	defer r.unreserve(n.ID)
-	revision, err := r.log.Accept(ctx, &n.Job, items, n.written)
+	began := r.now()
+	revision, err := r.log.Accept(purpose.With(ctx, "submission"), &n.Job, items, n.written)
 	n.revision = revision
 	resolved := n.changed
 	switch fault.CodeOf(err) {
 	case "":
 		r.lock.Lock()
+		n.createdAt = began
 		r.hold(n.ID, n)
 		r.signal()
 		r.lock.Unlock()
@@ -172,7 +175,7 @@
 // were last looked for. If the job is accepted, its tokens count here until an instance holds it. It fails with code not_found if the job is
 // another workspace's.
 func (r *Runner) findHolder(ctx context.Context, id, workspace string, accepted bool) error {
-	record, revision, err := r.log.Job(ctx, id)
+	record, revision, err := r.log.Job(purpose.With(ctx, "resubmission"), id)
 	if err != nil {
 		r.logger.Warn("holder of a job that was submitted again not read", "job", id, "error", err.Error())
 		if workspace != "" {
@@ -247,7 +250,7 @@
 	if open || writing {
 		return fault.New(fault.CodeOutcomeUnknown, "the outcome of an earlier submission of the job is not known yet")
 	}
-	accepted, err := r.log.Accepted(ctx, id)
+	accepted, err := r.log.Accepted(purpose.With(ctx, "refusal"), id)
 	if accepted || fault.CodeOf(err) == fault.CodeOutcomeUnknown {
 		// If the job is half-written by a lost process, its tokens count until an instance has looked for the items.
 		if err := r.findHolder(ctx, id, workspace, accepted); err != nil {
