Eject backend servers that fail much more often than others

Cause: a server that fails at once has few requests in flight, so that instances prefer it. Own failures (500), refusals with free slots and lost connections were not recorded by the roster, and a 500 that was passed on to the caller was recorded as a success.

Change: core/outlier compares the outcomes of a service's servers in a window of 2 s, those of this instance and those that others report in heartbeats, and ejects at most a third of the servers. Requests that can be repeated probe an ejected server. Batch items avoid a server at weaker evidence.

Ruled out: health checks, which ask servers more often; own outcomes alone, of which an instance sees too few; a longer window.

--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -191,7 +191,16 @@
 		!slices.Equal(before.Released, now.Released) || !slices.EqualFunc(before.TakenOver, now.TakenOver, sameTakeover) || !slices.EqualFunc(before.Crashes, now.Crashes, sameCrash) ||
 		!slices.EqualFunc(before.SoundParts, now.SoundParts, func(a, b gossip.SoundPart) bool { return a.Part == b.Part }) ||
 		!slices.EqualFunc(before.QuarantinedParts, now.QuarantinedParts, func(a, b gossip.QuarantinedPart) bool { return a.Part == b.Part }) ||
-		!slices.Equal(before.Departures, now.Departures)
+		!slices.Equal(before.Departures, now.Departures) || newOutcomes(before.Outcomes, now.Outcomes)
+}
+
+// newOutcomes reports whether there are further failures or successful probes. Requests differ in each heartbeat while a server fails.
+func newOutcomes(before, now []gossip.Outcomes) bool {
+	return slices.ContainsFunc(now, func(o gossip.Outcomes) bool {
+		return !slices.ContainsFunc(before, func(b gossip.Outcomes) bool {
+			return b.Server == o.Server && b.StartedAt == o.StartedAt && b.Failures >= o.Failures && b.Successes >= o.Successes
+		})
+	})
 }
 
 func sameTakeover(a, b gossip.TakenOver) bool {
--- a/core/forward/forwarder.go
+++ b/core/forward/forwarder.go
@@ -51,6 +51,7 @@
 type placer interface {
 	RandomPoint() float64
 	Online(service string, excluded map[string]bool, loadLimit float64, at time.Time) (s backend.Server, release func(), ok bool)
+	Probe(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool)
 	Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool)
 	FreeOn(service, id string, at time.Time) (s backend.Server, release func(), ok bool)
 	Excess(s backend.Server, at time.Time) int
@@ -219,13 +220,23 @@
 // recordAttempt reports to the roster how an attempt ended that last made progress at progressAt. It reports no attempt that
 // ended because of the caller, and no silence of a server on which online requests queue: at peak load they queue on all
 // servers, and if each server that kept a request waiting were suspected, the load would move to fewer and fewer servers.
-func (f *Forwarder) recordAttempt(ctx context.Context, a *attempt, progressAt time.Time, err error) {
+// A request whose prompt part crashes servers says nothing about the one that it has failed on.
+func (f *Forwarder) recordAttempt(ctx context.Context, rs *requestState, a *attempt, progressAt time.Time, err error) {
 	if err != nil {
 		failures.Add(string(fault.CodeOf(err)), 1)
 	}
 	if errors.Is(err, errSink) || err != nil && ctx.Err() != nil || a.oversubscribed && fault.CodeOf(err) == fault.CodeBackendSilent {
 		return
 	}
+	if response.ConnectionLost(err) || fault.CodeOf(err) == fault.CodeBackendFailed {
+		if _, _, quarantined := f.parts.Quarantined(rs.call.Parts); quarantined {
+			return
+		}
+	}
+	// The last attempt passes a failure on to the caller.
+	if err == nil && a.response != nil && a.response.Status >= http.StatusInternalServerError {
+		err = errStatus
+	}
 	f.roster.RecordAttempt(a.server.ID, err, progressAt, f.now())
 }
 
--- a/core/forward/forwarder_test.go
+++ b/core/forward/forwarder_test.go
@@ -61,6 +61,8 @@
 }
 
 type fake struct {
+	// probes counts the requests that might have gone to an ejected server.
+	probes int
 	// lock guards servers, after, released, spans and failed.
 	lock     sync.Mutex
 	replies  []reply
@@ -172,6 +174,12 @@
 	return f.Online(service, excluded, 1, at)
 }
 
+func (f *fake) Probe(string, map[string]bool, time.Time) (backend.Server, func(), bool) {
+	f.probes++
+
+	return backend.Server{}, nil, false
+}
+
 func (f *fake) Online(_ string, excluded map[string]bool, loadLimit float64, _ time.Time) (backend.Server, func(), bool) {
 	f.loadLimits = append(f.loadLimits, loadLimit)
 	for _, id := range []string{"a", "b", "c"} {
--- a/core/forward/hedge.go
+++ b/core/forward/hedge.go
@@ -83,7 +83,7 @@
 	if ctx.Err() != nil || errors.Is(err, errAbandoned) {
 		return
 	}
-	rs.forwarder.recordAttempt(ctx, h, h.sentAt, err)
+	rs.forwarder.recordAttempt(ctx, rs, h, h.sentAt, err)
 	if !rs.wasAnswered() && response.ConnectionLost(err) {
 		rs.lost = true
 		rs.forwarder.parts.RecordLoss(h.server, rs.call.Prompt, rs.call.Parts, rs.forwarder.now())
--- a/core/forward/request_state.go
+++ b/core/forward/request_state.go
@@ -98,7 +98,7 @@
 		err := rs.perform(ctx, a)
 		// The watchdog has reported a silent server when it looked for another one.
 		if !fault.Caused(err, errSilent) {
-			rs.forwarder.recordAttempt(ctx, a, rs.progressAt, err)
+			rs.forwarder.recordAttempt(ctx, rs, a, rs.progressAt, err)
 		}
 		rs.forwarder.recordParts(ctx, rs, a, err)
 		if err == nil {
@@ -139,6 +139,11 @@
 func (rs *requestState) place(ctx context.Context) *attempt {
 	at := rs.forwarder.now()
 	rs.readmit(at)
+	if rs.mayProbe() {
+		if s, release, ok := rs.forwarder.placer.Probe(rs.service, rs.tried, at); ok {
+			return rs.newAttempt(ctx, s, release)
+		}
+	}
 	if rs.ran < max(1, rs.route.MaxAttempts) {
 		if s, release, ok := rs.forwarder.placer.Online(rs.service, rs.tried, rs.loadLimit, at); ok {
 			return rs.newAttempt(ctx, s, release)
@@ -151,6 +156,11 @@
 	return rs.repeat(ctx, at, &rs.replaced)
 }
 
+// mayProbe reports whether the request may go to an ejected server: it is new, and another server can get it if that one fails.
+func (rs *requestState) mayProbe() bool {
+	return rs.ran+rs.refused == 0 && !rs.began && rs.route.Repeatable() && rs.route.Kind != route.KindBatch && rs.route.MaxAttempts > 1
+}
+
 // awaitSlot pauses before servers that were full are asked again, and reports whether they may be. A response that has begun waits until its
 // deadline, but not for long for a server that may be gone, since its caller can resume it. Other callers have to retry later.
 func (rs *requestState) awaitSlot(ctx context.Context) bool {
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -126,7 +126,7 @@
 	rs := w.request
 	if !w.reported {
 		w.reported = true
-		rs.forwarder.recordAttempt(w.ctx, w.current, rs.progressAt, errSilent)
+		rs.forwarder.recordAttempt(w.ctx, rs, w.current, rs.progressAt, errSilent)
 	}
 	h.started = true
 	w.hedge = h
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -203,6 +203,9 @@
 	// items of such a job are in the store.
 	Held []string `json:"Held,omitempty,omitzero"`
 
+	// Outcomes are those of backend servers that have failed recently.
+	Outcomes []Outcomes `json:"Outcomes,omitempty,omitzero"`
+
 	// PassedOn are heartbeats of processes that the receiver has not heard from,
 	// without counts.
 	PassedOn []RelayedHeartbeat `json:"PassedOn,omitempty,omitzero"`
@@ -463,6 +466,63 @@
 	return nil
 }
 
+// Outcomes are those of the sender's attempts on one incarnation of a backend
+// server in the last seconds.
+type Outcomes struct {
+	// FailedMillis is the time since the last failure, at least 1; 0 if there is
+	// none.
+	FailedMillis int `json:"FailedMillis,omitempty,omitzero"`
+
+	// Failures is the number of attempts that failed through the fault of the server.
+	Failures int `json:"Failures,omitempty,omitzero"`
+
+	// Requests is the number of attempts, and Failures that of the failed ones.
+	Requests int `json:"Requests,omitempty,omitzero"`
+
+	// Server is the backend server's ID.
+	Server string `json:"Server"`
+
+	// StartedAt is its start time in Unix milliseconds.
+	StartedAt int `json:"StartedAt,omitempty,omitzero"`
+
+	// Successes is the number of successful probes in a row while the sender has
+	// ejected the server.
+	Successes int `json:"Successes,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Outcomes) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["Server"]; raw != nil && !ok {
+		return fmt.Errorf("field Server in Outcomes: required")
+	}
+	type Plain Outcomes
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["FailedMillis"]; !ok || v == nil {
+		plain.FailedMillis = 0
+	}
+	if v, ok := raw["Failures"]; !ok || v == nil {
+		plain.Failures = 0
+	}
+	if v, ok := raw["Requests"]; !ok || v == nil {
+		plain.Requests = 0
+	}
+	if v, ok := raw["StartedAt"]; !ok || v == nil {
+		plain.StartedAt = 0
+	}
+	if v, ok := raw["Successes"]; !ok || v == nil {
+		plain.Successes = 0
+	}
+	*j = Outcomes(plain)
+	return nil
+}
+
 // QuarantinedPart is a prompt part whose requests are refused.
 type QuarantinedPart struct {
 	// AgeMillis is how long ago the quarantine began.
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -89,6 +89,8 @@
 	Version() (revision int64, digest uint64)
 	Departures() []gossip.Departure
 	ObserveDepartures(list []gossip.Departure, peer string)
+	Outcomes(at time.Time) []gossip.Outcomes
+	ObserveOutcomes(list []gossip.Outcomes, peer, zone string, at time.Time)
 }
 
 type routes interface {
@@ -212,6 +214,7 @@
 	}
 	revision, digest := e.roster.Version()
 	b.Departures = e.roster.Departures()
+	b.Outcomes = e.roster.Outcomes(e.now())
 	b.ServerRevision = int(revision)
 	b.ServerDigest = int(digest) //nolint:gosec // only compared
 	b.StoreLost = e.storeLost()
@@ -360,6 +363,7 @@
 	e.cluster.Introduce(b.Addresses, at)
 	e.parts.ObserveHeartbeat(b, at)
 	e.roster.ObserveDepartures(b.Departures, b.Sender.Name)
+	e.roster.ObserveOutcomes(b.Outcomes, b.Sender.Name, b.Sender.Zone, at)
 	for _, id := range b.Ended {
 		e.jobs.ObserveEnd(id)
 	}
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -56,6 +56,9 @@
 	lock       sync.Mutex
 	departures []gossip.Departure
 	heard      map[gossip.Departure]bool
+	// outcomes are those that the instance announces, and failing are the failures of servers that it has heard of.
+	outcomes []gossip.Outcomes
+	failing  map[string]int
 }
 
 func (i *instance) Departures() []gossip.Departure {
@@ -73,6 +76,28 @@
 	}
 }
 
+func (i *instance) Outcomes(time.Time) []gossip.Outcomes {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+
+	return i.outcomes
+}
+
+func (i *instance) ObserveOutcomes(list []gossip.Outcomes, _, _ string, _ time.Time) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	for _, o := range list {
+		i.failing[o.Server] = max(i.failing[o.Server], o.Failures)
+	}
+}
+
+func (i *instance) failuresOf(server string) int {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+
+	return i.failing[server]
+}
+
 // hears reports whether the instance has heard of a departure.
 func (i *instance) hears(d gossip.Departure) bool {
 	i.lock.Lock()
@@ -164,7 +189,8 @@
 	quiet := slog.New(slog.DiscardHandler)
 	i := &instance{
 		network: n, cluster: cluster.New(self, time.Now(), quiet), loads: load.New(), parts: quarantine.New(nil, time.Now, quiet),
-		heard: map[gossip.Departure]bool{},
+		heard:   map[gossip.Departure]bool{},
+		failing: map[string]int{},
 	}
 	i.exchanger = heartbeat.New(i.cluster, i.loads, i, i.parts, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
 	n.lock.Lock()
@@ -376,7 +402,7 @@
 }
 
 // Guards against instances that each learn by a request of their own that a backend server leaves: those of a small fleet, of the zone
-// and of other zones of a large one, and one that starts later.
+// and of other zones of a large one, and one that starts later. The same for failures of a server, of which each instance sees few.
 func TestDeparturesReachAllInstances(t *testing.T) {
 	for _, c := range []struct{ count, zones int }{{6, 2}, {36, 6}, {40, 2}} {
 		t.Run(fmt.Sprint(c.count, " in ", c.zones), func(t *testing.T) {
@@ -392,10 +418,19 @@
 				d := gossip.Departure{Server: "w", StartedAt: 7}
 				list[1].lock.Lock()
 				list[1].departures = []gossip.Departure{d}
+				list[1].outcomes = []gossip.Outcomes{{Server: "w", StartedAt: 7, Requests: 3, Failures: 2}}
 				list[1].lock.Unlock()
 				time.Sleep(600 * time.Millisecond)
 				for k, i := range list {
 					is.Equal(i.hears(d), k != 1)
+					is.Equal(i.failuresOf("w") == 2, k != 1)
+				}
+				list[1].lock.Lock()
+				list[1].outcomes = []gossip.Outcomes{{Server: "w", StartedAt: 7, Requests: 4, Failures: 3}}
+				list[1].lock.Unlock()
+				time.Sleep(600 * time.Millisecond)
+				for k, i := range list {
+					is.Equal(i.failuresOf("w") == 3, k != 1) // each further failure
 				}
 				time.Sleep(5 * time.Second)
 				late := n.start("late", "z1", "1")
--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -104,7 +104,11 @@
 	first := it.last
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
-		r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
+		// A lost connection says nothing about the server if the item has a prompt part that crashes servers.
+		_, _, quarantined := r.parts.Quarantined(it.parts)
+		if !quarantined || !response.ConnectionLost(err) {
+			r.roster.RecordAttempt(s.ID, err, it.progressAt, r.now())
+		}
 		r.recordParts(it, s, err)
 	}
 	r.lock.Lock()
--- a/core/jobrun/load_test.go
+++ b/core/jobrun/load_test.go
@@ -143,6 +143,11 @@
 }
 
 func (i *loadInstance) Usable(string, time.Time) []backend.Server { return i.fleet.servers }
+func (i *loadInstance) UsableForItems(string, time.Time) []backend.Server {
+	return i.fleet.servers
+}
+func (i *loadInstance) Probes(string, time.Time) []backend.Server { return nil }
+func (i *loadInstance) BeginProbe(backend.Server, time.Time)      {}
 func (i *loadInstance) RecordAttempt(string, error, time.Time, time.Time) {
 }
 
--- a/core/jobrun/silence_test.go
+++ b/core/jobrun/silence_test.go
@@ -15,6 +15,7 @@
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/call"
+	"tarragonwalk/core/load"
 	"tarragonwalk/core/response"
 	servers "tarragonwalk/core/roster"
 	"tarragonwalk/core/work"
@@ -57,7 +58,7 @@
 				r, stop := newFleet(1, 0).start("e1")
 				stop()
 				server := backend.Server{ID: "w", Service: "s", Slots: 8}
-				list := servers.New(slog.New(slog.DiscardHandler))
+				list := servers.New("e1", "a", load.New(), slog.New(slog.DiscardHandler))
 				list.Observe([]backend.Server{server}, 1, false, time.Now())
 				r.roster, r.sender = list, c.server
 				ctx, cancel := context.WithCancel(t.Context())
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -39,6 +39,9 @@
 
 type roster interface {
 	Usable(service string, at time.Time) []backend.Server
+	UsableForItems(service string, at time.Time) []backend.Server
+	Probes(service string, at time.Time) []backend.Server
+	BeginProbe(s backend.Server, at time.Time)
 }
 
 type loads interface {
@@ -100,6 +103,16 @@
 	}, at)
 }
 
+// Probe reserves a slot for an online request, which can be repeated, on an ejected server whose recovery is to be determined.
+func (p *Placer) Probe(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool) {
+	s, release, ok = p.reserve(p.roster.Probes(service, at), excluded, []float64{1}, free, at)
+	if ok {
+		p.roster.BeginProbe(s, at)
+	}
+
+	return s, release, ok
+}
+
 // Free reserves a slot for an online request on a server where neither an online request nor a batch item uses it.
 func (p *Placer) Free(service string, excluded map[string]bool, at time.Time) (s backend.Server, release func(), ok bool) {
 	return p.reserve(p.roster.Usable(service, at), excluded, []float64{1}, free, at)
@@ -151,7 +164,7 @@
 func (p *Placer) Batch(service string, urgent, late bool, at time.Time) (s backend.Server, release func(), ok bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	usable := p.roster.Usable(service, at)
+	usable := p.roster.UsableForItems(service, at)
 	for distance := range distances {
 		s, ok := p.choose(usable, nil, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
 			slots, headroom := slotsOf(s), urgentHeadroom
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -24,6 +24,12 @@
 	return append([]backend.Server(nil), s...)
 }
 
+func (s servers) UsableForItems(service string, at time.Time) []backend.Server {
+	return s.Usable(service, at)
+}
+func (servers) Probes(string, time.Time) []backend.Server { return nil }
+func (servers) BeginProbe(backend.Server, time.Time)      {}
+
 // always allows every instance to start batch items at any time.
 type always struct{}
 
--- a/core/roster/departures_test.go
+++ b/core/roster/departures_test.go
@@ -19,7 +19,7 @@
 // read before, lapsed and came back or moved, or because its last requests succeed.
 func TestDepartureIsFinal(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	a, b := server("a", 1), server("b", 1)
 	r.Observe([]backend.Server{a, b}, 10, false, start)
 	r.RecordDeparture(a, "r1")
@@ -47,7 +47,7 @@
 // and against departures that are announced by every instance or for ever.
 func TestDeparturesOfPeers(t *testing.T) {
 	is := is.New(t)
-	one, two := New(slog.New(slog.DiscardHandler)), New(slog.New(slog.DiscardHandler))
+	one, two := New("e", "a", idle{}, slog.New(slog.DiscardHandler)), New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	one.Observe([]backend.Server{server("a", 1), server("b", 1)}, 10, false, start)
 	is.Equal(len(one.Departures()), 0)
 	one.RecordDeparture(server("b", 1), "r1")
@@ -65,7 +65,7 @@
 // Guards against the wrong server that is taken out of use when another one, which leaves, has refused a request at the address.
 func TestDepartureAtAddress(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	at := func(id, address string) backend.Server {
 		s := server(id, 1)
 		s.Address = netip.MustParseAddrPort(address)
@@ -86,7 +86,7 @@
 // Guards against a memory that grows with each server that leaves, and against listed servers that are forgotten in favour of others.
 func TestDeparturesAreBounded(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
 	r.RecordDeparture(server("a", 1), "r")
 	for n := range 3 * maxDepartures {
@@ -117,7 +117,7 @@
 	for seed := range uint64(300) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
-			rosters := []*Roster{New(slog.New(slog.DiscardHandler)), New(slog.New(slog.DiscardHandler))}
+			rosters := []*Roster{New("e", "a", idle{}, slog.New(slog.DiscardHandler)), New("e", "a", idle{}, slog.New(slog.DiscardHandler))}
 			known := []map[incarnation]bool{{}, {}}
 			lists := [][]backend.Server{nil}
 			incarnations := map[string]int{}
@@ -162,7 +162,7 @@
 					rosters[n].RecordFailure(id, "silent", at)
 				default: // a restart of the instance, which forgets everything
 					if random.IntN(10) == 0 {
-						rosters[n], known[n] = New(slog.New(slog.DiscardHandler)), map[incarnation]bool{}
+						rosters[n], known[n] = New("e", "a", idle{}, slog.New(slog.DiscardHandler)), map[incarnation]bool{}
 					}
 				}
 				for n, r := range rosters {
@@ -185,7 +185,7 @@
 // Guards against a suspicion or a replacement at the address that ends the knowledge of a departure.
 func TestDepartureOutlivesFailures(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
 	r.RecordAttempt("a", fault.New(fault.CodeBackendUnreachable, "x"), start, start)
 	r.RecordDeparture(server("a", 1), "r1")
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,6 +10,7 @@
 
 	"tarragonwalk/core/backend"
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/outlier"
 	"tarragonwalk/core/rendezvous"
 )
 
@@ -40,7 +41,10 @@
 
 // Roster holds the listed backend servers and their recent failures; it is safe for concurrent use.
 type Roster struct {
-	log *slog.Logger
+	log   *slog.Logger
+	loads loads
+	name  string
+	zone  string
 	// lock guards all fields below.
 	lock     sync.Mutex
 	entries  map[string]*entry
@@ -48,13 +52,19 @@
 	digest   uint64
 	// departures are the known departures, the oldest first. They outlive the entries, since a server may be listed again.
 	departures []departure
+	// groups hold the recent outcomes by service.
+	groups map[string]*outlier.Group
 }
 
-// New returns an empty roster.
-func New(log *slog.Logger) *Roster {
+// New returns an empty roster of the instance name in an availability zone; l counts the requests in flight on servers.
+func New(name, zone string, l loads, log *slog.Logger) *Roster {
 	return &Roster{
 		log:     log,
+		loads:   l,
+		name:    name,
+		zone:    zone,
 		entries: map[string]*entry{},
+		groups:  map[string]*outlier.Group{},
 	}
 }
 
@@ -80,7 +90,7 @@
 			e.missingUntil = at.Add(relistDelay)
 			r.log.Warn("backend server missing after store outage", "server", id, "revision", revision, "until", e.missingUntil)
 		case !at.Before(e.missingUntil):
-			delete(r.entries, id)
+			r.remove(id)
 			r.log.Info("backend server gone", "server", id, "service", e.server.Service, "revision", revision)
 		}
 	}
@@ -89,6 +99,8 @@
 func (r *Roster) add(s backend.Server, revision int64) {
 	e := r.entries[s.ID]
 	if e == nil || e.server.StartedAt != s.StartedAt || e.server.Address != s.Address {
+		r.remove(s.ID)
+		r.groupOf(s.Service).Add(s.ID)
 		departed := r.departed(incarnation{
 			id:        s.ID,
 			startedAt: s.StartedAt,
@@ -105,18 +117,35 @@
 	if s.Draining && !e.server.Draining {
 		r.log.Info("backend server draining", "server", s.ID, "service", s.Service, "revision", revision)
 	}
+	if s.Service != e.server.Service {
+		r.groupOf(e.server.Service).Remove(s.ID)
+		r.groupOf(s.Service).Add(s.ID)
+	}
 	e.server = s
 	e.missingUntil = time.Time{}
 }
 
-// Usable returns the servers of a service that may get new requests, ordered by ID.
+// Usable returns the servers of a service that may get new requests, ordered by ID. Ejected ones are left out, unless no other one is there.
 func (r *Roster) Usable(service string, at time.Time) []backend.Server {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	g := r.judge(service, at)
+	all := r.available(service, at)
+	list := slices.DeleteFunc(slices.Clone(all), func(s backend.Server) bool { return !g.MayServe(s.ID, at) })
+	if len(list) == 0 {
+		return all
+	}
+
+	return list
+}
+
+// available returns the servers of a service that may get new requests as far as is known without their outcomes, ordered by ID. The caller
+// holds the lock.
+func (r *Roster) available(service string, at time.Time) []backend.Server {
 	var list []backend.Server
 	for id, e := range r.entries {
 		if !e.missingUntil.IsZero() && !at.Before(e.missingUntil) {
-			delete(r.entries, id)
+			r.remove(id)
 			r.log.Info("backend server gone", "server", id, "service", e.server.Service, "revision", r.revision)
 
 			continue
@@ -177,6 +206,7 @@
 // RecordAttempt updates the state of a server after an attempt on it that ended with err, nil for a success, and last made progress
 // at progressAt. It must not be called for an attempt that ended because of its caller.
 func (r *Roster) RecordAttempt(id string, err error, progressAt, at time.Time) {
+	r.recordOutcome(id, err, progressAt, at)
 	switch fault.CodeOf(err) {
 	case "":
 		r.RecordSuccess(id)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"io"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -14,6 +15,11 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// idle has no requests in flight.
+type idle struct{}
+
+func (idle) InFlight(string, time.Time) (online, batch int) { return 0, 0 }
+
 func server(id string, started int) backend.Server {
 	return backend.Server{ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 8, StartedAt: started}
 }
@@ -30,7 +36,7 @@
 // Guards against a draining or removed server that still gets requests.
 func TestListDecides(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	a, b := server("a", 1), server("b", 1)
 	r.Observe([]backend.Server{a, b}, 10, false, start)
 	is.Equal(usable(r, start), []string{"a", "b"})
@@ -47,7 +53,7 @@
 // the list.
 func TestLapsedEntries(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1), server("b", 1)}, 10, false, start)
 	r.Observe(nil, 20, true, start)
 	is.Equal(usable(r, start.Add(time.Second)), []string{"a", "b"})
@@ -60,7 +66,7 @@
 // Guards against requests that queue at a server that does not answer, and against a server that never gets requests again.
 func TestSuspicion(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
 	r.RecordFailure("a", "silent", start)
 	is.Equal(usable(r, start), []string{})
@@ -82,7 +88,7 @@
 // started again.
 func TestReplacedServer(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
 	r.RecordReplaced("a")
 	r.Observe([]backend.Server{server("a", 1)}, 11, false, start)
@@ -94,7 +100,7 @@
 // Guards against two instances with the same servers but different digests, which would copy each other's list again and again.
 func TestDigest(t *testing.T) {
 	is := is.New(t)
-	one, two := New(slog.New(slog.DiscardHandler)), New(slog.New(slog.DiscardHandler))
+	one, two := New("e", "a", idle{}, slog.New(slog.DiscardHandler)), New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	one.Observe([]backend.Server{server("a", 1), server("b", 1)}, 10, false, start)
 	two.Observe([]backend.Server{server("b", 1), server("a", 1)}, 12, false, start)
 	_, x := one.Version()
@@ -108,7 +114,7 @@
 // Guards against a burst in which all busy servers are suspected, so that the load moves to fewer and fewer servers.
 func TestBusyServerIsNotSilent(t *testing.T) {
 	is := is.New(t)
-	r := New(slog.New(slog.DiscardHandler))
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 	r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
 	r.RecordProgress("a", start.Add(100*time.Millisecond))
 	r.RecordSilence("a", start, start.Add(150*time.Millisecond))
@@ -132,7 +138,7 @@
 	} {
 		t.Run(string(c.code), func(t *testing.T) {
 			is := is.New(t)
-			r := New(slog.New(slog.DiscardHandler))
+			r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
 			r.Observe([]backend.Server{server("a", 1)}, 10, false, start)
 			r.RecordAttempt("a", fault.New(c.code, "x"), start, start)
 			is.Equal(len(usable(r, start)) == 1, c.usable)
@@ -143,3 +149,68 @@
 		})
 	}
 }
+
+// busy has all slots of every server in use.
+type busy struct{}
+
+func (busy) InFlight(string, time.Time) (online, batch int) { return 6, 1 }
+
+// Guards against outcomes that say nothing about the server and eject it, and against those of a former incarnation or another one.
+func TestOutcomesThatCount(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		loads   loads
+		err     error
+		ejected bool
+	}{
+		{"own failure", idle{}, fault.New(fault.CodeBackendFailed, "x"), true},
+		{"reset", idle{}, fault.Wrap(io.ErrUnexpectedEOF, fault.CodeOutcomeUnknown, "x"), true},
+		{"refused with free slots", idle{}, fault.New(fault.CodeOverloaded, "x"), true},
+		{"refused while full", busy{}, fault.New(fault.CodeOverloaded, "x"), false},
+		{"invalid item", idle{}, fault.New(fault.CodeInvalid, "x"), false},
+		{"preempted item", idle{}, fault.New(fault.CodePreempted, "x"), false},
+		{"dropped for memory", idle{}, fault.New(fault.CodeNotRun, "x"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := New("e", "a", c.loads, slog.New(slog.DiscardHandler))
+			list := []backend.Server{server("a", 1), server("b", 1), server("c", 1)}
+			r.Observe(list, 1, false, start)
+			for range 6 {
+				r.RecordAttempt("b", nil, start, start)
+				r.RecordAttempt("c", nil, start, start)
+				r.RecordAttempt("a", c.err, start, start)
+			}
+			usable(r, start)
+			at := start.Add(200 * time.Millisecond)
+			is.Equal(len(usable(r, at)) == 2, c.ejected)
+			is.Equal(len(r.UsableForItems("s", at)) == 2, c.ejected)
+			told := r.Outcomes(at)
+			is.Equal(len(told) == 1, c.ejected)
+			list[0].StartedAt = 2
+			r.Observe(list, 2, false, at)
+			is.Equal(len(usable(r, at)), 3) // a new incarnation
+			for _, peer := range []string{"e1", "e2", "e3"} {
+				r.ObserveOutcomes(told, peer, "a", at)
+			}
+			usable(r, at.Add(200*time.Millisecond))
+			is.Equal(len(usable(r, at.Add(400*time.Millisecond))), 3) // told of the former one
+		})
+	}
+}
+
+// Guards against a service whose other servers all leave while the last one is ejected.
+func TestEjectedServerIsBetterThanNone(t *testing.T) {
+	is := is.New(t)
+	r := New("e", "a", idle{}, slog.New(slog.DiscardHandler))
+	r.Observe([]backend.Server{server("a", 1), server("b", 1)}, 1, false, start)
+	for range 6 {
+		r.RecordAttempt("a", fault.New(fault.CodeBackendFailed, "x"), start, start)
+		r.RecordAttempt("b", nil, start, start)
+	}
+	usable(r, start)
+	at := start.Add(200 * time.Millisecond)
+	is.Equal(usable(r, at), []string{"b"})
+	r.RecordDeparture(server("b", 1), "r1")
+	is.Equal(usable(r, at), []string{"a"})
+}
--- a/internal/virtualfleet/process.go
+++ b/internal/virtualfleet/process.go
@@ -109,7 +109,8 @@
 		Ready:       true,
 		Millicores:  1000,
 	}, at, log)
-	loads, servers := load.New(), roster.New(log)
+	loads := load.New()
+	servers := roster.New(i.name, i.zone, loads, log)
 	servers.Observe(f.servers, 1, false, at)
 	regions := map[string]string{}
 	for _, s := range f.servers {
