Count failed requests as in flight for half a second

Cause: until a server that fails fast is ejected, its failures look like free slots to all instances.

Change: the roster holds one online request on the server until 500 ms after the last progress of a request that has failed there. Refusals are not held, since the same counts tell whether a server had a reason to refuse.

--- a/core/load/table.go
+++ b/core/load/table.go
@@ -64,6 +64,12 @@
 	}
 }
 
+// Hold counts one more online request on a server for a time.
+func (t *Table) Hold(server string, d time.Duration) {
+	t.Add(server, 1, 0)
+	time.AfterFunc(d, func() { t.Add(server, -1, 0) })
+}
+
 // Changed returns a channel that receives after the instance's own counts have changed.
 func (t *Table) Changed() <-chan struct{} {
 	return t.changed
--- a/core/roster/outcomes.go
+++ b/core/roster/outcomes.go
@@ -14,12 +14,17 @@
 const (
 	// failedSilence is the silence that counts as a failure: sound servers are silent for about a second at times.
 	failedSilence = time.Second
+	// failedHold is the time from the last progress of a request for which it counts as in flight if it has failed: somewhat less than
+	// a request takes. Otherwise a server that fails fast would look idle, and get more requests than others until it is ejected.
+	failedHold = 500 * time.Millisecond
 	// maxOutcomes bounds the servers in a heartbeat whose outcomes it contains.
 	maxOutcomes = 16
 )
 
 type loads interface {
 	InFlight(server string, at time.Time) (online, batch int)
+	// Hold counts one more online request on a server for a time.
+	Hold(server string, d time.Duration)
 }
 
 // UsableForItems is like Usable for batch items, which are given up after some failures: servers that may be failing are left out as well.
@@ -122,6 +127,10 @@
 		}
 		failed = true
 	}
+	// Refusals are not held, since the counts tell whether a server had a reason to refuse.
+	if left := failedHold - at.Sub(progressAt); failed && left > 0 && fault.CodeOf(err) != fault.CodeOverloaded {
+		r.loads.Hold(id, left)
+	}
 	r.groupOf(e.server.Service).Record(id, failed, at)
 }
 
--- a/core/roster/outlier_load_test.go
+++ b/core/roster/outlier_load_test.go
@@ -44,6 +44,17 @@
 func (members) MayStartBatch(string, string, bool, time.Time) bool { return true }
 func (members) UsesDigests() bool                                  { return true }
 
+// held holds requests in virtual time.
+type held struct {
+	*load.Table
+	trial *trial
+}
+
+func (h held) Hold(server string, d time.Duration) {
+	h.Add(server, 1, 0)
+	h.trial.after(d, func() { h.Add(server, -1, 0) })
+}
+
 type list interface {
 	Usable(service string, at time.Time) []backend.Server
 	UsableForItems(service string, at time.Time) []backend.Server
@@ -92,7 +103,7 @@
 	}
 	for n := range 58 {
 		c := &chooser{name: fmt.Sprint("e", n), zone: zones[n%3], loads: load.New()}
-		c.roster = roster.New(c.name, c.zone, c.loads, slog.New(slog.DiscardHandler))
+		c.roster = roster.New(c.name, c.zone, held{c.loads, t}, slog.New(slog.DiscardHandler))
 		c.roster.Observe(t.servers, 1, false, begin)
 		c.list = c.roster
 		if !detect {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -18,6 +18,7 @@
 // idle has no requests in flight.
 type idle struct{}
 
+func (idle) Hold(string, time.Duration)                     {}
 func (idle) InFlight(string, time.Time) (online, batch int) { return 0, 0 }
 
 func server(id string, started int) backend.Server {
@@ -153,6 +154,7 @@
 // busy has all slots of every server in use.
 type busy struct{}
 
+func (busy) Hold(string, time.Duration)                     {}
 func (busy) InFlight(string, time.Time) (online, batch int) { return 6, 1 }
 
 // Guards against outcomes that say nothing about the server and eject it, and against those of a former incarnation or another one.
