--- a/core/fault/error.go
+++ b/core/fault/error.go
@@ -86,7 +86,7 @@
 func NotRun(err error) bool {
 	switch CodeOf(err) {
 	case CodeInvalid, CodeUnauthorized, CodeForbidden, CodeNotFound, CodeConflict, CodeStaleVersion, CodeTooLarge,
-		CodeNotRun, CodeOverloaded, CodeBackendUnreachable, CodeBackendLeaving:
+		CodeNotRun, CodeOverloaded, CodeQuotaExceeded, CodeBackendUnreachable, CodeBackendLeaving:
 		return true
 	default:
 		return false
--- a/core/fault/fault_schema.go
+++ b/core/fault/fault_schema.go
@@ -24,6 +24,7 @@
 const CodeOutcomeUnknown Code = "outcome_unknown"
 const CodeOverloaded Code = "overloaded"
 const CodePreempted Code = "preempted"
+const CodeQuotaExceeded Code = "quota_exceeded"
 const CodeStaleVersion Code = "stale_version"
 const CodeStoreUnavailable Code = "store_unavailable"
 const CodeStreamLost Code = "stream_lost"
@@ -41,6 +42,7 @@
 	"too_large",
 	"not_run",
 	"overloaded",
+	"quota_exceeded",
 	"deadline_passed",
 	"cancelled",
 	"preempted",
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -221,6 +221,9 @@
 	// time any more.
 	QueuedLate int `json:"QueuedLate,omitempty,omitzero"`
 
+	// Quotas are the sender's uses of the request quotas of workspaces.
+	Quotas []QuotaUse `json:"Quotas,omitempty,omitzero"`
+
 	// Refused lists jobs that the sender refused in the last seconds, since they
 	// could not be completed in time.
 	Refused []RefusedJob `json:"Refused,omitempty,omitzero"`
@@ -518,6 +521,56 @@
 	return nil
 }
 
+// QuotaUse is the use of the request quota of a workspace. Its names are short
+// since it is sent often and for many workspaces.
+type QuotaUse struct {
+	// Asked is the number of requests received in the last window, including rejected
+	// ones.
+	Asked int `json:"a,omitempty,omitzero"`
+
+	// Admitted is the number of requests admitted in the last window.
+	Admitted int `json:"n,omitempty,omitzero"`
+
+	// Recent is the number of requests received in the last half second.
+	Recent int `json:"r,omitempty,omitzero"`
+
+	// Workspace is a hash of the name of the workspace.
+	Workspace int `json:"w"`
+
+	// Expiring is the number of those that leave the window in the next half second.
+	Expiring int `json:"x,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *QuotaUse) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["w"]; raw != nil && !ok {
+		return fmt.Errorf("field w in QuotaUse: required")
+	}
+	type Plain QuotaUse
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["a"]; !ok || v == nil {
+		plain.Asked = 0
+	}
+	if v, ok := raw["n"]; !ok || v == nil {
+		plain.Admitted = 0
+	}
+	if v, ok := raw["r"]; !ok || v == nil {
+		plain.Recent = 0
+	}
+	if v, ok := raw["x"]; !ok || v == nil {
+		plain.Expiring = 0
+	}
+	*j = QuotaUse(plain)
+	return nil
+}
+
 // RefusedJob is a job that could not be completed in time when it was submitted,
 // and may be submitted again.
 type RefusedJob struct {
@@ -607,6 +660,9 @@
 	// Progress is the sum over the instances of the zone, by batch route.
 	Progress ReportProgress `json:"Progress,omitempty,omitzero"`
 
+	// Quotas are the uses of request quotas, summed over the instances of the zone.
+	Quotas []QuotaUse `json:"Quotas,omitempty,omitzero"`
+
 	// Waiting is the number of waiting tokens by batch route, summed over the
 	// instances of the zone.
 	Waiting ReportWaiting `json:"Waiting,omitempty,omitzero"`
--- a/io/httperror/answer.go
+++ b/io/httperror/answer.go
@@ -34,7 +34,7 @@
 	if fault.NotRun(e) {
 		a.Header["X-Tarragonwalk-Outcome"] = "not-run"
 	}
-	if e.Code == fault.CodeOverloaded || status == http.StatusServiceUnavailable && !e.RetryAt.IsZero() {
+	if e.Code == fault.CodeOverloaded || e.Code == fault.CodeQuotaExceeded || status == http.StatusServiceUnavailable && !e.RetryAt.IsZero() {
 		// Rounded up to whole seconds, and at least one, so that callers do not retry at once.
 		s := max(1, int((e.RetryAt.Sub(now)+time.Second-1)/time.Second))
 		a.Header["Retry-After"] = strconv.Itoa(s)
--- a/io/httperror/status.go
+++ b/io/httperror/status.go
@@ -20,6 +20,7 @@
 	fault.CodeTooLarge:           http.StatusRequestEntityTooLarge,
 	fault.CodeNotRun:             http.StatusServiceUnavailable,
 	fault.CodeOverloaded:         http.StatusTooManyRequests,
+	fault.CodeQuotaExceeded:      http.StatusTooManyRequests,
 	fault.CodeDeadlinePassed:     http.StatusGatewayTimeout,
 	fault.CodeCancelled:          statusClosedRequest,
 	fault.CodePreempted:          http.StatusServiceUnavailable,
