Carry the uses of request quotas in heartbeats, reports and digests

Heartbeats carry the uses of workspaces with a limit, reports and digests their sums by zone, so that all instances of 120 in six zones know them within a second.

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -86,6 +86,7 @@
 	}
 	p.heartbeat, p.checkedAt, p.updatedAt = *b, checkedAt, at
 	p.heartbeat.Counts, p.heartbeat.Addresses, p.heartbeat.Relayed, p.heartbeat.Reports, p.heartbeat.PassedOn = nil, nil, nil, nil, nil
+	p.heartbeat.Quotas = nil
 	p.markHeard(at)
 }
 
--- a/core/heartbeat/digest.go
+++ b/core/heartbeat/digest.go
@@ -48,6 +48,7 @@
 			Counts:   b.Counts,
 			Waiting:  b.Waiting,
 			Progress: b.Progress,
+			Quotas:   b.Quotas,
 		},
 	}
 	e.sentCount++
@@ -78,6 +79,7 @@
 	}
 	e.cluster.ObserveDigest(r, &own.heartbeat, madeAt)
 	e.loads.ObserveDigest(r.Counts, own.heartbeat.Counts, madeAt)
+	e.quotas.ObserveDigest(r.Quotas, own.heartbeat.Quotas, madeAt)
 }
 
 // untilDigest returns how long a change of the counts at a time has to wait so that it reaches the gateways just before they make the
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -84,6 +84,15 @@
 	ObserveHeartbeat(b *gossip.Heartbeat, at time.Time)
 }
 
+type quotas interface {
+	FillHeartbeat(b *gossip.Heartbeat, at time.Time)
+	ZoneUses(at time.Time) []gossip.QuotaUse
+	Observe(peer, zone string, uses []gossip.QuotaUse, at time.Time)
+	ObserveZone(zone string, uses []gossip.QuotaUse, at time.Time)
+	ObserveDigest(uses, own []gossip.QuotaUse, at time.Time)
+	ForgetDigest()
+}
+
 type roster interface {
 	Server(id string) (s backend.Server, ok bool)
 	Version() (revision int64, digest uint64)
@@ -109,6 +118,7 @@
 	loads     loads
 	jobs      jobs
 	parts     promptParts
+	quotas    quotas
 	roster    roster
 	routes    routes
 	placer    placer
@@ -145,7 +155,7 @@
 
 // New returns an exchanger. The function checkedAt returns when this instance last verified that its state was the store's newest,
 // and storeLost whether it cannot reach the store.
-func New(c cluster, l loads, j jobs, parts promptParts, ro roster, rt routes, p placer, t transport,
+func New(c cluster, l loads, j jobs, parts promptParts, q quotas, ro roster, rt routes, p placer, t transport,
 	checkedAt func() time.Time, storeLost func() bool, now func() time.Time,
 ) *Exchanger {
 	return &Exchanger{
@@ -153,6 +163,7 @@
 		loads:      l,
 		jobs:       j,
 		parts:      parts,
+		quotas:     q,
 		roster:     ro,
 		routes:     rt,
 		placer:     p,
@@ -225,6 +236,7 @@
 	b.Silent = e.cluster.Silent(b.Sequence, e.now())
 	e.jobs.FillHeartbeat(b)
 	e.parts.FillHeartbeat(b)
+	e.quotas.FillHeartbeat(b, e.now())
 
 	return b
 }
@@ -297,6 +309,7 @@
 			far = ""
 		}
 		e.loads.Observe(b.Sender.Name, far, b.Counts, at)
+		e.quotas.Observe(b.Sender.Name, b.Sender.Zone, b.Quotas, at)
 	}
 	for i := range b.Relayed {
 		r := &b.Relayed[i]
@@ -325,6 +338,7 @@
 		e.cluster.ObserveReport(r, madeAt)
 		if !r.Partial {
 			e.loads.ObserveZone(r.Zone, r.Counts, madeAt)
+			e.quotas.ObserveZone(r.Zone, r.Quotas, madeAt)
 		}
 	}
 	if b.Sender.Zone == zone {
--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -20,6 +21,7 @@
 	"tarragonwalk/core/heartbeat"
 	"tarragonwalk/core/load"
 	"tarragonwalk/core/quarantine"
+	"tarragonwalk/core/quota"
 	"tarragonwalk/core/route"
 	"tarragonwalk/io/messagecodec"
 )
@@ -46,6 +48,7 @@
 	cluster   *cluster.Cluster
 	loads     *load.Table
 	parts     *quarantine.Quarantine
+	quota     *quota.Quota
 	exchanger *heartbeat.Exchanger
 	stop      context.CancelFunc
 	// waiting is the number of waiting tokens of the instance's jobs.
@@ -166,7 +169,8 @@
 		network: n, cluster: cluster.New(self, time.Now(), quiet), loads: load.New(), parts: quarantine.New(nil, time.Now, quiet),
 		heard: map[gossip.Departure]bool{},
 	}
-	i.exchanger = heartbeat.New(i.cluster, i.loads, i, i.parts, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
+	i.quota = quota.New(zone, i.cluster, rand.New(rand.NewPCG(uint64(len(n.nodes)), 1)), time.Now().Add(-time.Hour), quiet)
+	i.exchanger = heartbeat.New(i.cluster, i.loads, i, i.parts, i.quota, i, i, i, i, func() time.Time { return time.Time{} }, func() bool { return false }, time.Now)
 	n.lock.Lock()
 	n.nodes[address] = i
 	n.lock.Unlock()
@@ -842,3 +846,43 @@
 		})
 	}
 }
+
+// Guards against uses of a request quota that do not reach all instances of all zones within a second, directly, by reports or by digests,
+// and against uses that are counted twice.
+func TestQuotaUsesReachAllInstances(t *testing.T) {
+	for _, count := range []int{8, 60, 120} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				n.codec = messagecodec.New(1 << 20)
+				n.delay = 2 * time.Millisecond
+				list := n.fleet(count)
+				defer stopAll(list)
+				time.Sleep(4 * time.Second)
+				const each = 4
+				limit := quota.Limit{RatePerSecond: float64(each*count) / 60, Window: time.Minute}
+				for _, i := range list {
+					for range each {
+						_, err := i.quota.Take("w", limit, time.Now())
+						is.NoErr(err)
+					}
+				}
+				time.Sleep(time.Second)
+				for _, i := range list {
+					_, err := i.quota.Take("w", limit, time.Now())
+					is.True(err != nil)
+				}
+				limit.Burst = 2 // the recent demand has passed by then
+				time.Sleep(time.Second)
+				for k, i := range list {
+					ticket, err := i.quota.Take("w", limit, time.Now())
+					if err != nil {
+						t.Fatalf("e%02d: %v", k, err)
+					}
+					ticket.Refund()
+				}
+			})
+		})
+	}
+}
--- a/core/heartbeat/relay.go
+++ b/core/heartbeat/relay.go
@@ -60,6 +60,7 @@
 		e.gatewayAt = at
 		e.cluster.ForgetDigest()
 		e.loads.ForgetDigest()
+		e.quotas.ForgetDigest()
 	}
 	lost := e.cluster.ObserveDigests(sendsDigests, at)
 	if lost && !e.digestsLost {
@@ -72,6 +73,7 @@
 		report, relayed := e.cluster.Report(b, at)
 		counts, members := e.loads.ZoneCounts(at)
 		report.Counts = counts
+		report.Quotas = e.quotas.ZoneUses(at)
 		report.Partial = e.partial(members, at)
 		b.Relayed = relayed
 		e.reportCount++
--- a/internal/virtualfleet/process.go
+++ b/internal/virtualfleet/process.go
@@ -30,6 +30,7 @@
 	"tarragonwalk/core/load"
 	"tarragonwalk/core/placement"
 	"tarragonwalk/core/quarantine"
+	"tarragonwalk/core/quota"
 	"tarragonwalk/core/response"
 	"tarragonwalk/core/roster"
 	"tarragonwalk/core/route"
@@ -122,7 +123,8 @@
 		func(map[string]string) []string { return nil }, bytebudget.New(math.MaxInt), i.name, incarnation, keepFor, 0, time.Now, log)
 	p.duties = duties.New(p.cluster, p.runner, p.storeLost.Load, time.Now, log)
 	p.addresses = addresses.New(p, "entry-instances", p.cluster, p, log)
-	p.heartbeats = heartbeat.New(p.cluster, loads, p.runner, parts, servers, p, placer, p,
+	quotas := quota.New(i.zone, p.cluster, random, at, log)
+	p.heartbeats = heartbeat.New(p.cluster, loads, p.runner, parts, quotas, servers, p, placer, p,
 		func() time.Time { return time.Time{} }, p.storeLost.Load, time.Now)
 	p.isolation = isolation.New(p.cluster, p, p.addresses, time.Now, log)
 
