--- a/core/roster/outlier_load_test.go
+++ b/core/roster/outlier_load_test.go
@@ -36,7 +36,7 @@
 func (b blind) UsableForItems(service string, at time.Time) []backend.Server {
 	return b.Usable(service, at)
 }
-func (blind) Probes(string, time.Time) []backend.Server         { return nil }
+func (blind) Probes(string, time.Time) []backend.Server                 { return nil }
 func (blind) RecordAttempt(backend.Server, error, time.Time, time.Time) {}
 
 type members struct{}
