Aim request quotas above the limit by a part of the tolerance

Cause: the estimate of what others have admitted since their reports is centred on the limit, so that about half of its error refuses what still fits. Change: the aim is the limit plus 0.4 of the tolerance while reports are fresh; the surge bound of 0.7 stays, and silent sources or a fleet of one get none of it.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -151,7 +151,11 @@
 			return alone
 		}
 	}
-	free := total - float64(u.slots.admittedSum) - v.phantom - v.others
+	aim := aimTolerance * u.limit.tolerance()
+	if v.stale || v.expected == 0 {
+		aim = 0
+	}
+	free := total + aim - float64(u.slots.admittedSum) - v.phantom - v.others
 	if v.stale && v.expected == 0 {
 		return free+v.rounding >= 1 // with all others silent, own use is bounded by the last share alone
 	}
@@ -164,7 +168,7 @@
 	if expected := v.expected*v.surge(asked) + asked; expected > room {
 		chance = room / expected
 	}
-	bound := room + surgeTolerance*u.limit.tolerance()
+	bound := room - aim + surgeTolerance*u.limit.tolerance()
 	if bound < v.worst {
 		switch share := v.share * bound; {
 		case share < 1:
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -25,8 +25,10 @@
 	// idleRequests is the number of requests that each instance counts as asked for in addition, so that shares of workspaces with few
 	// requests do not depend on chance.
 	idleRequests = 0.5
-	// surgeTolerance is the part of the tolerance that a surge may use up.
+	// surgeTolerance is the part of the tolerance that a surge may use up, and aimTolerance the part that is aimed at: what is refused below
+	// the limit is lost for callers, so the error of the estimates is centred above it.
 	surgeTolerance = 0.7
+	aimTolerance   = 0.4
 	// maxSurge is the largest expected demand of a workspace, as a multiple of its limit's rate.
 	maxSurge = 8
 	// priorRequests is the number of expected requests to which the own demand is compared with as many more, so that a few requests by
