--- a/core/heartbeat/exchanger_test.go
+++ b/core/heartbeat/exchanger_test.go
@@ -23,6 +23,7 @@
 	"tarragonwalk/core/load"
 	"tarragonwalk/core/quarantine"
 	"tarragonwalk/core/quota"
+	"tarragonwalk/core/ratelimit"
 	"tarragonwalk/core/route"
 	"tarragonwalk/io/messagecodec"
 )
@@ -906,7 +907,7 @@
 				defer stopAll(list)
 				time.Sleep(4 * time.Second)
 				const each = 4
-				limit := quota.Limit{RatePerSecond: float64(each*count) / 60, Window: time.Minute}
+				limit := ratelimit.Limit{RatePerSecond: float64(each*count) / 60, Window: time.Minute}
 				for _, i := range list {
 					for range each {
 						_, err := i.quota.Take("w", limit, time.Now())
@@ -921,11 +922,11 @@
 				limit.Burst = 2 // the recent demand has passed by then
 				time.Sleep(time.Second)
 				for k, i := range list {
-					ticket, err := i.quota.Take("w", limit, time.Now())
+					refund, err := i.quota.Take("w", limit, time.Now())
 					if err != nil {
 						t.Fatalf("e%02d: %v", k, err)
 					}
-					ticket.Refund()
+					refund()
 				}
 			})
 		})
--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/ratelimit"
 )
 
 // BenchmarkTake measures the cost of a request beside the reports of five zones and eight instances.
@@ -18,7 +19,7 @@
 		q.ObserveZone(name, uses, at)
 		q.Observe("e"+name, "z", uses, at)
 	}
-	l := Limit{RatePerSecond: 1e6, Window: 10 * time.Second, Overage: 0.1, Slack: 20}
+	l := ratelimit.Limit{RatePerSecond: 1e6, Window: 10 * time.Second, Overage: 0.1, Slack: 20}
 	for b.Loop() {
 		at = at.Add(time.Microsecond)
 		if _, err := q.Take("w", l, at); err != nil && at.Sub(testEpoch) < time.Second {
--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		u.slots.advance(at)
-		admitted, part := float64(u.slots.admittedSum)+q.phantom(u.limit, at), float64(u.slots.askedSum)/u.limit.requests()
+		admitted, part := float64(u.slots.admittedSum)+q.phantom(u.limit, at), float64(u.slots.askedSum)/u.limit.Requests()
 		if part*members < announcedPart {
 			continue
 		}
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/ratelimit"
 )
 
 const (
@@ -63,7 +64,7 @@
 // testLoad is the demand of one workspace and what became of it.
 type testLoad struct {
 	name  string
-	limit Limit
+	limit ratelimit.Limit
 	rate  func(at time.Duration) float64
 	// pending are the asked requests; admitted those that ran.
 	admitted []time.Time
@@ -231,7 +232,7 @@
 	for l.firstIdeal < len(l.ideal) && f.at.Sub(l.ideal[l.firstIdeal]) >= l.limit.Window {
 		l.firstIdeal++
 	}
-	if float64(len(l.ideal)-l.firstIdeal+1) <= l.limit.requests() {
+	if float64(len(l.ideal)-l.firstIdeal+1) <= l.limit.Requests() {
 		l.ideal = append(l.ideal, f.at)
 	}
 	_, err := m.quota.Take(l.name, l.limit, f.at)
@@ -244,7 +245,7 @@
 		panic(err)
 	}
 	l.refused++
-	if float64(len(l.admitted)-l.first) < l.limit.requests() {
+	if float64(len(l.admitted)-l.first) < l.limit.Requests() {
 		l.wrong++
 	}
 }
@@ -265,12 +266,12 @@
 // check reports the figures and fails if the bound was exceeded.
 func (l *testLoad) check(t *testing.T, from time.Time) {
 	t.Helper()
-	total := l.limit.requests()
+	total := l.limit.Requests()
 	most := l.most(from)
 	t.Logf("%s: limit %.0f, bound %.0f, most in a window %d (%.2f of the limit), asked %d, refused %d, below the limit %d (%.2f %%), short of an exact limiter %.2f %%",
-		l.name, total, total+l.limit.tolerance(), most, float64(most)/total, l.asked, l.refused, l.wrong, 100*float64(l.wrong)/float64(max(1, l.asked)), 100-100*float64(len(l.admitted))/float64(len(l.ideal)))
-	if float64(most) > total+l.limit.tolerance() {
-		t.Errorf("%s: %d requests in a window, more than %.0f", l.name, most, total+l.limit.tolerance())
+		l.name, total, total+l.limit.Tolerance(), most, float64(most)/total, l.asked, l.refused, l.wrong, 100*float64(l.wrong)/float64(max(1, l.asked)), 100-100*float64(len(l.admitted))/float64(len(l.ideal)))
+	if float64(most) > total+l.limit.Tolerance() {
+		t.Errorf("%s: %d requests in a window, more than %.0f", l.name, most, total+l.limit.Tolerance())
 	}
 }
 
@@ -302,7 +303,7 @@
 		demand := waves(rate/1.6, 2400*time.Millisecond+time.Duration(n)*300*time.Millisecond)
 		list = append(list, &testLoad{
 			name:  fmt.Sprint("limit ", rate),
-			limit: Limit{RatePerSecond: rate, Burst: int(rate / 2), Window: window, Overage: 0.1, Slack: 20},
+			limit: ratelimit.Limit{RatePerSecond: rate, Burst: int(rate / 2), Window: window, Overage: 0.1, Slack: 20},
 			rate:  change(demand),
 		})
 	}
@@ -412,7 +413,7 @@
 				} else {
 					l.check(t, testEpoch)
 				}
-				used := float64(l.most(failedAt.Add(2*window))) / l.limit.requests()
+				used := float64(l.most(failedAt.Add(2*window))) / l.limit.Requests()
 				t.Logf("%s: used %.2f of the limit after the failure", l.name, used)
 				if used < c.after {
 					t.Errorf("%s: only %.2f of the limit is used after the failure", l.name, used)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/core/ratelimit"
 )
 
 type fleet interface {
@@ -45,7 +46,7 @@
 type use struct {
 	name  string
 	hash  int
-	limit Limit
+	limit ratelimit.Limit
 	slots *slots
 	// usedAt is the time of the last request.
 	usedAt time.Time
@@ -86,11 +87,11 @@
 	return int(h.Sum64() >> 12) //nolint:gosec // 52 bits
 }
 
-// Take admits a request of a workspace at a time, or returns an error with the time at which a retry may succeed. Without a limit it
-// counts nothing and returns no ticket.
-func (q *Quota) Take(workspace string, limit Limit, at time.Time) (*Ticket, error) {
-	if !limit.set() {
-		return nil, nil //nolint:nilnil // a nil ticket is one that counts nothing
+// Take admits a request of a workspace at a time, or returns an error with the time at which a retry may succeed. The function refund credits
+// it back if it has not run; further calls do nothing. Without a limit nothing is counted.
+func (q *Quota) Take(workspace string, limit ratelimit.Limit, at time.Time) (refund func(), err error) {
+	if !limit.IsSet() {
+		return func() {}, nil
 	}
 	q.lock.Lock()
 	defer q.lock.Unlock()
@@ -105,16 +106,18 @@
 	u.view.own++
 	counters.Add("Admitted", 1)
 
-	return &Ticket{
+	t := &ticket{
 		quota: q,
 		use:   u,
 		slot:  u.slots.newest,
 		slots: u.slots,
-	}, nil
+	}
+
+	return t.refund, nil
 }
 
 // use returns the use of a workspace's quota, up to date at a time. The caller holds the lock.
-func (q *Quota) use(workspace string, limit Limit, at time.Time) *use {
+func (q *Quota) use(workspace string, limit ratelimit.Limit, at time.Time) *use {
 	u := q.uses[workspace]
 	if u == nil {
 		u = &use{
@@ -145,13 +148,13 @@
 // than its share of the room and of most of the tolerance, or, where shares are below one request, admits no more than the probability that
 // holds under the largest expected surge.
 func (q *Quota) admits(u *use, at time.Time) bool {
-	v, total := &u.view, u.limit.requests()
+	v, total := &u.view, u.limit.Requests()
 	if at.Sub(q.startedAt) < settleTime && q.fleet.Members() != 1 {
 		if alone := q.admitsAlone(u, at); !alone || !q.heard {
 			return alone
 		}
 	}
-	aim := aimTolerance * u.limit.tolerance()
+	aim := aimTolerance * u.limit.Tolerance()
 	if v.stale || v.expected == 0 {
 		aim = 0
 	}
@@ -168,7 +171,7 @@
 	if expected := v.expected*v.surge(asked) + asked; expected > room {
 		chance = room / expected
 	}
-	bound := room - aim + surgeTolerance*u.limit.tolerance()
+	bound := room - aim + surgeTolerance*u.limit.Tolerance()
 	if bound < v.worst {
 		switch share := v.share * bound; {
 		case share < 1:
@@ -184,8 +187,8 @@
 // admitsAlone decides while few others may have been heard from after a start: former processes may have used the limit up until then, so that all
 // instances together use half of the tolerance, and what has left the window since.
 func (q *Quota) admitsAlone(u *use, at time.Time) bool {
-	total, up := u.limit.requests(), at.Sub(q.startedAt).Seconds()
-	budget := u.limit.tolerance()/2 + total*min(1, up/u.limit.Window.Seconds())
+	total, up := u.limit.Requests(), at.Sub(q.startedAt).Seconds()
+	budget := u.limit.Tolerance()/2 + total*min(1, up/u.limit.Window.Seconds())
 	share := budget / float64(q.members())
 	own := float64(u.slots.admittedSum)
 	if own+1 <= share {
@@ -206,7 +209,7 @@
 
 // refuse returns the failure of a request that is not admitted and logs it at intervals. The caller holds the lock.
 func (q *Quota) refuse(u *use, at time.Time) error {
-	v, total := &u.view, u.limit.requests()
+	v, total := &u.view, u.limit.Requests()
 	retryAt := q.retryAt(u, at)
 	counters.Add("Refused", 1)
 	u.refused++
@@ -224,7 +227,7 @@
 
 // retryAt returns when this instance's share has room for a request if the demand stays as it is, at most a window from now.
 func (q *Quota) retryAt(u *use, at time.Time) time.Time {
-	v, total := &u.view, u.limit.requests()
+	v, total := &u.view, u.limit.Requests()
 	used := float64(u.slots.admittedSum) + v.phantom + v.others
 	missing := max(1, used+1-total)
 	last := at.Add(u.limit.Window)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -11,6 +11,7 @@
 
 	"tarragonwalk/core/fault"
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/ratelimit"
 )
 
 // single is a fleet of one instance.
@@ -24,11 +25,11 @@
 func TestTakeAlone(t *testing.T) {
 	is := is.New(t)
 	q := New("z", single{}, rand.New(rand.NewPCG(1, 1)), testEpoch.Add(-time.Hour), slog.New(slog.DiscardHandler))
-	l := Limit{RatePerSecond: 5, Burst: 5, Window: time.Second, Slack: 20}
-	free, err := q.Take("free", Limit{Window: time.Second}, testEpoch)
+	l := ratelimit.Limit{RatePerSecond: 5, Burst: 5, Window: time.Second, Slack: 20}
+	free, err := q.Take("free", ratelimit.Limit{Window: time.Second}, testEpoch)
 	is.NoErr(err)
-	free.Refund()
-	var last *Ticket
+	free()
+	var last func()
 	for n := range 10 {
 		last, err = q.Take("w", l, testEpoch.Add(time.Duration(n)*10*time.Millisecond))
 		is.NoErr(err)
@@ -42,8 +43,8 @@
 	retryAt := failure.RetryAt
 	is.True(retryAt.After(at.Add(800 * time.Millisecond)))
 	is.True(!retryAt.After(testEpoch.Add(l.Window + 20*time.Millisecond)))
-	last.Refund()
-	last.Refund()
+	last()
+	last()
 	_, err = q.Take("w", l, at)
 	is.NoErr(err)
 	_, err = q.Take("w", l, at)
--- a/core/quota/ticket.go
+++ b/core/quota/ticket.go
@@ -1,7 +1,7 @@
 package quota
 
-// Ticket is an admitted request.
-type Ticket struct {
+// ticket is an admitted request.
+type ticket struct {
 	quota    *Quota
 	use      *use
 	slots    *slots
@@ -9,11 +9,8 @@
 	refunded bool
 }
 
-// Refund credits a request back that has not run. Further calls, and those of a nil ticket, do nothing.
-func (t *Ticket) Refund() {
-	if t == nil {
-		return
-	}
+// refund credits a request back that has not run. Further calls do nothing.
+func (t *ticket) refund() {
 	q := t.quota
 	q.lock.Lock()
 	defer q.lock.Unlock()
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonwalk/core/gossip"
+	"tarragonwalk/core/ratelimit"
 )
 
 const (
@@ -81,13 +82,13 @@
 		return before
 	}
 
-	return max(before, u.shares[key]*u.limit.requests())
+	return max(before, u.shares[key]*u.limit.Requests())
 }
 
 // viewOf sums up the reports for a workspace at a time. The caller holds the lock.
 func (q *Quota) viewOf(u *use, at time.Time) view {
 	var v view
-	total, members := u.limit.requests(), float64(q.members())
+	total, members := u.limit.Requests(), float64(q.members())
 	var rate, ages, asked, oldest float64
 	fresh := 0
 	shares := map[string]float64{}
@@ -159,11 +160,11 @@
 // phantom returns what a former process of this instance may have admitted in the window: its part of the limit, less half of the
 // tolerance, evenly spread. It is reported to the others like own requests, so that a fleet that starts as a whole does not exceed the
 // limit.
-func (q *Quota) phantom(l Limit, at time.Time) float64 {
+func (q *Quota) phantom(l ratelimit.Limit, at time.Time) float64 {
 	up := at.Sub(q.startedAt)
 	if up >= l.Window {
 		return 0
 	}
 
-	return max(0, l.requests()-l.tolerance()/2) / float64(q.members()) * (1 - up.Seconds()/l.Window.Seconds())
+	return max(0, l.Requests()-l.Tolerance()/2) / float64(q.members()) * (1 - up.Seconds()/l.Window.Seconds())
 }
--- a/core/quota/limit.go
+++ b/core/ratelimit/limit.go
@@ -1,4 +1,4 @@
-package quota
+package ratelimit
 
 import "time"
 
@@ -12,17 +12,17 @@
 	Slack         int
 }
 
-// requests returns the number of requests that may run in a window.
-func (l Limit) requests() float64 {
+// Requests returns the number of requests that may run in a window.
+func (l Limit) Requests() float64 {
 	return l.RatePerSecond*l.Window.Seconds() + float64(l.Burst)
 }
 
-// tolerance returns by how many requests the limit may be exceeded.
-func (l Limit) tolerance() float64 {
-	return l.requests()*l.Overage + float64(l.Slack)
+// Tolerance returns by how many requests the limit may be exceeded.
+func (l Limit) Tolerance() float64 {
+	return l.Requests()*l.Overage + float64(l.Slack)
 }
 
-// set reports whether there is a limit.
-func (l Limit) set() bool {
-	return l.Window > 0 && l.requests() > 0
+// IsSet reports whether there is a limit.
+func (l Limit) IsSet() bool {
+	return l.Window > 0 && l.Requests() > 0
 }
