--- a/core/load/table.go
+++ b/core/load/table.go
@@ -217,34 +217,6 @@
 	return own.Online + reported.Online, own.Batch + reported.Batch
 }
 
-// Split returns the requests in flight on a server by this instance and the reported sums of its peers.
-func (t *Table) Split(server string, at time.Time) (own, others gossip.Count) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	t.expire(at)
-
-	return t.own[server], t.reported[server]
-}
-
-// ReportAge returns the mean age of the reports of other instances that contain counts, zero if there are none.
-func (t *Table) ReportAge(at time.Time) time.Duration {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	t.expire(at)
-	var sum time.Duration
-	n := 0
-	for _, reports := range []map[string]report{t.peers, t.zones} {
-		for _, r := range reports {
-			if len(r.counts) > 0 {
-				sum += max(0, at.Sub(r.madeAt))
-				n++
-			}
-		}
-	}
-
-	return sum / time.Duration(max(1, n))
-}
-
 // OldestReport returns when the oldest of the counts of other instances was taken, zero if there are none.
 func (t *Table) OldestReport(at time.Time) time.Time {
 	t.lock.Lock()
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"tarragonwalk/core/backend"
-	"tarragonwalk/core/gossip"
 	"tarragonwalk/core/rendezvous"
 )
 
@@ -48,11 +47,7 @@
 type loads interface {
 	Add(server string, online, batch int)
 	InFlight(server string, at time.Time) (online, batch int)
-	// Split returns the counts of this instance and the reported sums of the others.
-	Split(server string, at time.Time) (own, others gossip.Count)
 	OwnBatch(server string) int
-	// ReportAge returns the mean age of the reports of other instances that contain counts, zero if there are none.
-	ReportAge(at time.Time) time.Duration
 	// OldestReport returns when the oldest counts of other instances were taken, zero if there are none.
 	OldestReport(at time.Time) time.Time
 }
@@ -150,12 +145,10 @@
 	defer p.lock.Unlock()
 	for _, limit := range limits {
 		for distance := range distances {
-			s, ok := p.choose(usable, excluded, distance, at, rule{
-				onlineWeight: onlineWeight,
-				estimated:    true,
-				allowed: func(s backend.Server, online, batch int) bool {
-					return allowed(slotsOf(s), online, batch, limit)
-				},
+			s, ok := p.choose(usable, excluded, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
+				slots := slotsOf(s)
+
+				return float64(onlineWeight*online+batch) / float64(slots), allowed(slots, online, batch, limit)
 			})
 			if ok {
 				p.loads.Add(s.ID, 1, 0)
@@ -175,13 +168,12 @@
 	defer p.lock.Unlock()
 	usable := p.roster.UsableForItems(service, at)
 	for distance := range distances {
-		s, ok := p.choose(usable, nil, distance, at, rule{
-			onlineWeight: 1,
-			allowed: func(s backend.Server, online, batch int) bool {
-				free, yields := batchRules(s, online, batch, urgent, late)
-				// The schedule is checked last, only for servers with a free slot, since most servers are full while items wait.
-				return free && p.members.MayStartBatch(s.ID, s.Zone, yields, at)
-			},
+		s, ok := p.choose(usable, nil, distance, at, func(s backend.Server, online, batch int) (float64, bool) {
+			free, yields := batchRules(s, online, batch, urgent, late)
+			// The schedule is checked last, only for servers with a free slot, since most servers are full while items wait.
+			allowed := free && p.members.MayStartBatch(s.ID, s.Zone, yields, at)
+
+			return float64(online+batch) / float64(slotsOf(s)), allowed
 		})
 		if ok {
 			p.loads.Add(s.ID, 0, 1)
@@ -239,66 +231,61 @@
 	return online > slotsOf(s)
 }
 
-// rule says which servers are allowed and how requests in flight count.
-type rule struct {
-	// onlineWeight is what an online request counts for, a batch item counts 1.
-	onlineWeight float64
-	// estimated is true if servers are compared by what is likely in flight now, not by the counts as they were reported.
-	estimated bool
-	// allowed reports whether a server with the given requests may be chosen.
-	allowed func(s backend.Server, online, batch int) bool
-}
-
-// choose returns an allowed server at a distance with few requests per slot. By a rule with estimates, a server is allowed if the counts
-// as reported or as estimated allow it, so that old reports alone neither exclude a server nor send a request to another zone.
-func (p *Placer) choose(usable []backend.Server, excluded map[string]bool, distance int, at time.Time, r rule) (backend.Server, bool) {
-	var near []view
+// choose returns the allowed server with the lowest score at a distance, a random one of equals. While the counts of other instances
+// are a little old, all instances would choose the same server then; it returns one whose score is at most one preference above
+// the lowest, preferred ones before others.
+func (p *Placer) choose(
+	usable []backend.Server, excluded map[string]bool, distance int, at time.Time,
+	score func(s backend.Server, online, batch int) (float64, bool),
+) (backend.Server, bool) {
+	near := 0
 	for _, s := range usable {
 		if p.distance(s.Zone) == distance {
-			own, others := p.loads.Split(s.ID, at)
-			near = append(near, view{
-				server: s,
-				own:    own,
-				others: others,
-				online: float64(own.Online + others.Online),
-			})
+			near++
 		}
 	}
-	var age time.Duration
-	if r.estimated {
-		age = p.loads.ReportAge(at)
-		estimate(near, age)
+	band, preferredShare := 0.0, 1.0
+	if p.members.UsesDigests() {
+		band, preferredShare = preference*onlineWeight, preferredServers/float64(max(1, near))
+	}
+	type candidate struct {
+		server    backend.Server
+		value     float64
+		preferred bool
 	}
 	var list []candidate
-	for _, v := range near {
-		if excluded[v.server.ID] {
+	least := math.Inf(1)
+	for _, s := range usable {
+		if excluded[s.ID] || p.distance(s.Zone) != distance {
 			continue
 		}
-		online, batch := v.own.Online+v.others.Online, v.own.Batch+v.others.Batch
-		likely := int(math.Round(v.online))
-		if !r.allowed(v.server, online, batch) && (likely == online || !r.allowed(v.server, likely, batch)) {
-			continue
+		online, batch := p.loads.InFlight(s.ID, at)
+		if value, allowed := score(s, online, batch); allowed {
+			list = append(list, candidate{
+				server:    s,
+				value:     value,
+				preferred: p.weight(s.ID) < preferredShare,
+			})
+			least = min(least, value)
 		}
-		list = append(list, candidate{
-			server: v.server,
-			value:  (r.onlineWeight*v.online + float64(batch)) / float64(slotsOf(v.server)),
-			weight: p.weight(v.server.ID),
-		})
 	}
-	if len(list) == 0 {
-		return backend.Server{}, false
-	}
-	chosen := 0
-	switch {
-	case p.members.UsesDigests():
-		chosen = leastLoaded(list, preference*onlineWeight, preferredServers/float64(len(near)), p.random)
-	case herds(near, age):
-		chosen = lowerOfTwo(list, p.random)
-	default:
-		chosen = leastLoaded(list, 0, 1, p.random)
+	var best backend.Server
+	equal, preferred := 0, false
+	for _, c := range list {
+		switch {
+		case c.value > least+band/float64(slotsOf(c.server)) || preferred && !c.preferred:
+			continue
+		case c.preferred && !preferred:
+			best, equal, preferred = c.server, 1, true
+		default:
+			equal++
+			if p.random.IntN(equal) == 0 {
+				best = c.server
+			}
+		}
 	}
 
-	return list[chosen].server, true
+	return best, equal > 0
 }
 
 // weight returns this instance's weight for a server; it needs the lock.
