Look for room where batch items are placed

Batch chooses among the servers that are usable for items since failing servers are ejected; the lines about waiting items still looked at those for online requests, so they could report free slots on a server that items avoid. Only log lines and metrics are affected.

--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -10,7 +10,7 @@
 func (p *Placer) BatchRoom(service string, urgent, late bool, at time.Time) batchroom.Room {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	usable := p.roster.Usable(service, at)
+	usable := p.roster.UsableForItems(service, at)
 	room := batchroom.Room{
 		Usable:   len(usable),
 		CountsAt: p.loads.OldestReport(at),
