Ask for the quarantine of an item only after a lost connection

Each run that ended asked, also those whose answer decided nothing, and the timer of silence was reset in two branches.

--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -104,9 +104,7 @@
 	first := it.last
 	err := r.attempt(ctx, j, it, s)
 	if err == nil || ctx.Err() == nil {
-		// A lost connection says nothing about the server if the item has a prompt part that crashes servers.
-		_, _, quarantined := r.parts.Quarantined(it.parts)
-		if !quarantined || !response.ConnectionLost(err) {
+		if !response.ConnectionLost(err) || !r.crashesServers(it) {
 			r.roster.RecordAttempt(s, err, it.progressAt, r.now())
 		}
 		r.recordParts(it, s, err)
@@ -167,6 +165,22 @@
 	}
 }
 
+// crashesServers reports whether an item has a prompt part that crashes servers, so that a lost connection says nothing about its server.
+func (r *Runner) crashesServers(it *item) bool {
+	_, _, quarantined := r.parts.Quarantined(it.parts)
+
+	return quarantined
+}
+
+// recordEvents reports to the quarantine that events have come, the first ones of a run or further ones.
+func (r *Runner) recordEvents(it *item, s backend.Server, first bool) {
+	if first {
+		r.parts.RecordAnswer(s, it.parts, it.startedAt, r.now())
+	} else {
+		r.parts.RecordProgress(s, it.startedAt, r.now())
+	}
+}
+
 // recordParts reports to the quarantine how an attempt ended.
 func (r *Runner) recordParts(it *item, s backend.Server, err error) {
 	switch at := r.now(); {
@@ -258,14 +272,10 @@
 			if err != nil {
 				return err
 			}
-			switch {
-			case appended && !answered:
-				answered = true
-				r.parts.RecordAnswer(s, it.parts, it.startedAt, r.now())
-				silence.Reset(eventTimeout)
-			case appended:
-				r.parts.RecordProgress(s, it.startedAt, r.now())
+			if appended {
 				silence.Reset(eventTimeout)
+				r.recordEvents(it, s, !answered)
+				answered = true
 			}
 		}
 		if errors.Is(err, io.EOF) {
