--- /dev/null
+++ b/review/lab2/main.go
@@ -0,0 +1,40 @@
+//go:build review2
+
+// Command lab2 plays the scripts of the second review against the entry program, with stand-ins on loopback.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Results of a script.
+const (
+	held   = 0
+	broken = 1
+	notRun = 2
+)
+
+var cases = map[string]func(s *site, trouble bool) (result int, err error){
+	"catch-all": catchAll,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: lab2 CASE RECORD")
+		os.Exit(notRun)
+	}
+	s, err := newSite(os.Args[2])
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(notRun)
+	}
+	result, err := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		s.log("the case could not run: %s", err)
+		result = notRun
+	}
+	s.log("result %d", result)
+	s.close()
+	os.Exit(result)
+}
