--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -17,6 +17,9 @@
 
 var cases = map[string]func(s *site, trouble bool) (result int, err error){
 	"catch-all": catchAll,
+	"few-back":  fewBack,
+	"last-one":  lastOne,
+	"lost-end":  lostEnd,
 }
 
 func main() {
--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -78,12 +78,16 @@
 			name: fmt.Sprintf("edge-%s-%d", s.zones[n%len(s.zones)], n/len(s.zones)+1), zone: s.zones[n%len(s.zones)],
 			ip: fmt.Sprintf("127.%d.%d.%d", net2, net3, n+1), ports: map[string]int{},
 		}
+		var taken []net.Listener // closed together, so that no port is given twice
 		for _, p := range []string{"frontend", "ready", "control_plane", "directory", "internal"} {
 			l, err := net.Listen("tcp4", i.ip+":0")
 			if err != nil {
 				return err
 			}
 			i.ports[p] = l.Addr().(*net.TCPAddr).Port
+			taken = append(taken, l)
+		}
+		for _, l := range taken {
 			_ = l.Close()
 		}
 		s.instances = append(s.instances, i)
