--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -43,7 +43,10 @@
 			body[k] = byte(rand.Uint32())
 		}
 		l.items = append(l.items, lotItem{
-			ID: id, Path: prefix + "3/" + id[:4], Body: base64.StdEncoding.EncodeToString(body), Tokens: 563,
+			ID:     id,
+			Path:   prefix + "3/" + id[:4],
+			Body:   base64.StdEncoding.EncodeToString(body),
+			Tokens: 563,
 			Headers: map[string]string{
 				"X-Tarragonwalk-Model": "m", "X-Tarragonwalk-Token-Usage": "350,213",
 				"X-Tarragonwalk-Prefix-Hash": shared + ":100," + id[:8] + ":250",
@@ -65,7 +68,10 @@
 
 // call makes one call on a new connection; status 0 means that there was no answer.
 func (s *site) call(i *instance, method, path string, body []byte, header map[string]string, timeout time.Duration) (int, http.Header, []byte) {
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	t := &http.Transport{
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
 	defer t.CloseIdleConnections()
 	r, err := http.NewRequest(method, "http://"+i.address("frontend")+path, bytes.NewReader(body))
 	if err != nil {
@@ -75,7 +81,10 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	c := http.Client{Transport: t, Timeout: timeout}
+	c := http.Client{
+		Transport: t,
+		Timeout:   timeout,
+	}
 	p, err := c.Do(r)
 	if err != nil {
 		s.log("%s %s at %s: %s", method, path, i.name, err)
@@ -104,7 +113,10 @@
 	if err != nil {
 		panic(err)
 	}
-	status, _, _ := s.call(i, http.MethodPost, l.path, body, map[string]string{idHeader: l.id, "Content-Type": "application/json"}, 6*time.Second)
+	status, _, _ := s.call(i, http.MethodPost, l.path, body, map[string]string{
+		idHeader:       l.id,
+		"Content-Type": "application/json",
+	}, 6*time.Second)
 
 	return status
 }
--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -55,11 +55,18 @@
 		return nil, err
 	}
 	s := &site{
-		dir: dir, store: st, record: f, began: time.Now(), memoryMB: 284,
-		zones:   []string{"taff-a", "menai-a", "taff-b"},
-		regions: map[string]string{"taff-a": "cymru-south", "menai-a": "cymru-north", "taff-b": "cymru-south"},
+		dir:      dir,
+		store:    st,
+		record:   f,
+		began:    time.Now(),
+		memoryMB: 284,
+		zones:    []string{"taff-a", "menai-a", "taff-b"},
+		regions:  map[string]string{"taff-a": "cymru-south", "menai-a": "cymru-north", "taff-b": "cymru-south"},
+	}
+	s.runs = &runs{
+		open: map[string]int{},
+		log:  s.log,
 	}
-	s.runs = &runs{open: map[string]int{}, log: s.log}
 
 	return s, nil
 }
@@ -75,8 +82,10 @@
 	net2, net3 := 16+rand.IntN(200), rand.IntN(250)
 	for n := range count {
 		i := &instance{
-			name: fmt.Sprintf("edge-%s-%d", s.zones[n%len(s.zones)], n/len(s.zones)+1), zone: s.zones[n%len(s.zones)],
-			ip: fmt.Sprintf("127.%d.%d.%d", net2, net3, n+1), ports: map[string]int{},
+			name:  fmt.Sprintf("edge-%s-%d", s.zones[n%len(s.zones)], n/len(s.zones)+1),
+			zone:  s.zones[n%len(s.zones)],
+			ip:    fmt.Sprintf("127.%d.%d.%d", net2, net3, n+1),
+			ports: map[string]int{},
 		}
 		var taken []net.Listener // closed together, so that no port is given twice
 		for _, p := range []string{"frontend", "ready", "control_plane", "directory", "internal"} {
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -71,7 +71,11 @@
 		silent:   map[string]bool{},
 		open:     map[string]bool{},
 	}
-	go func() { _ = (&http.Server{Handler: s, ConnState: s.observe}).Serve(l) }()
+	server := &http.Server{
+		Handler:   s,
+		ConnState: s.observe,
+	}
+	go func() { _ = server.Serve(l) }()
 
 	return s, nil
 }
@@ -160,7 +164,12 @@
 }
 
 func (s *store) note(kind string, o object, deleted bool) {
-	s.history = append(s.history, change{Object: o, Deleted: deleted, kind: kind, at: s.revision})
+	s.history = append(s.history, change{
+		Object:  o,
+		Deleted: deleted,
+		kind:    kind,
+		at:      s.revision,
+	})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -294,7 +303,10 @@
 	case method == http.MethodPost && exists:
 		return http.StatusConflict, found
 	case method == http.MethodPost:
-		o.Metadata = metadata{Name: name, Finalizers: o.Metadata.Finalizers}
+		o.Metadata = metadata{
+			Name:       name,
+			Finalizers: o.Metadata.Finalizers,
+		}
 
 		return http.StatusOK, s.write(kind, o)
 	case !exists:
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -87,8 +87,20 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, service: service, zone: zone, slots: slots, events: events, pause: pause, listener: l, runs: r}
-	go func() { _ = (&http.Server{Handler: w}).Serve(l) }()
+	w := &worker{
+		id:       id,
+		service:  service,
+		zone:     zone,
+		slots:    slots,
+		events:   events,
+		pause:    pause,
+		listener: l,
+		runs:     r,
+	}
+	server := &http.Server{
+		Handler: w,
+	}
+	go func() { _ = server.Serve(l) }()
 
 	return w, nil
 }
@@ -138,8 +150,10 @@
 		w.lock.Unlock()
 	}()
 	w.runs.begin(run{
-		worker: w.id, id: id, at: time.Now(),
-		line: fmt.Sprintf("%s %s, %d bytes, after event %q", r.Method, r.RequestURI, len(body), r.Header.Get("Last-Event-Id")),
+		worker: w.id,
+		id:     id,
+		at:     time.Now(),
+		line:   fmt.Sprintf("%s %s, %d bytes, after event %q", r.Method, r.RequestURI, len(body), r.Header.Get("Last-Event-Id")),
 	})
 	defer w.runs.end(id)
 	rw.Header().Set(stampHeader, w.id+"."+id)
