--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Results of a script.
@@ -32,6 +34,13 @@
 		fmt.Println(err)
 		os.Exit(notRun)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		s.log("the script is ended: %s", <-stopped)
+		s.close()
+		os.Exit(notRun)
+	}()
 	result, err := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		s.log("the case could not run: %s", err)
