--- a/review/lab2/catchall.go
+++ b/review/lab2/catchall.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -34,48 +35,59 @@
 	}
 }
 
-// workers starts workers of both services and registers them.
-func (s *site) workers(models, slots, events int, pause time.Duration) ([]*worker, error) {
-	var list []*worker
+const (
+	// models and modelSlots are the model workers of the sheet, itemEvents and eventPause an item of ordinary length there.
+	models     = 12
+	modelSlots = 8
+	itemEvents = 196
+	eventPause = 25 * time.Millisecond
+)
+
+// startWorkers starts the workers of both services and registers them.
+func (s *site) startWorkers() error {
 	for n := range models + len(s.zones) {
 		zone := s.zones[n%len(s.zones)]
 		var w *worker
 		var err error
 		if n < models {
-			w, err = newWorker(fmt.Sprintf("i-m%02d", n), "huvo11a", zone, slots, events, pause, s.runs)
+			w, err = newWorker(fmt.Sprintf("i-m%02d", n), "huvo11a", zone, modelSlots, itemEvents, eventPause, s.runs)
 		} else {
 			w, err = newWorker(fmt.Sprintf("i-p%02d", n), "wuno96b", zone, 6, 0, 15*time.Millisecond, s.runs)
 		}
 		if err != nil {
-			return nil, err
+			return err
 		}
 		s.store.put("servers", w.id, w.entry())
-		list = append(list, w)
 	}
 
-	return list, nil
+	return nil
 }
 
 // catchAll: a new version of the configuration adds a route whose prefix is a single slash on the host of the batch route.
 func catchAll(s *site, trouble bool) (int, error) {
-	if err := s.addInstances(3); err != nil {
+	if err := s.addInstances(7); err != nil {
 		return notRun, err
 	}
-	const events = 100
-	if _, err := s.workers(3, 4, events, 20*time.Millisecond); err != nil {
+	if err := s.startWorkers(); err != nil {
 		return notRun, err
 	}
 	s.store.put("config", "main", configuration(7, batchRoute(), safeRoute("r-plain", "/puxa403/")))
 	if err := s.startAll(); err != nil {
 		return notRun, err
 	}
-	done, ended := newLot("/pule252/", 4, 2000), newLot("/pule252/", 150, 2000)
-	for n, l := range []*lot{done, ended} {
+	// The items of three lots of the largest size take some 30 s.
+	done := newLot("/pule252/", 4, 2000)
+	var ended []*lot
+	late := map[string]bool{}
+	for range 3 {
+		ended = append(ended, newLot("/pule252/", 200, 2000))
+	}
+	for n, l := range append([]*lot{done}, ended...) {
 		if status := s.submit(s.instances[n], l); status != http.StatusAccepted {
 			return notRun, fmt.Errorf("a lot was answered with %d", status)
 		}
 	}
-	before := s.readAll(s.instances, done, time.Now().Add(10*time.Second))
+	before := s.readAll(s.instances, done, time.Now().Add(12*time.Second))
 	if len(before) != len(done.items) {
 		return notRun, fmt.Errorf("%d results of the first lot", len(before))
 	}
@@ -87,26 +99,33 @@
 	s.store.put("config", "main", configuration(9, batchRoute(), safeRoute("r-plain", "/puxa403/"), safeRoute("r-added", added)))
 	time.Sleep(3500 * time.Millisecond)
 
-	// The end counts as acknowledged after ack_ms in any case.
-	asked := time.Now()
-	acknowledged := time.Time{}
-	for n := 0; time.Since(asked) < 5*time.Second && acknowledged.IsZero(); n++ {
-		status, _, _ := s.call(s.instances[n%3], http.MethodDelete, "/v1/lots/"+ended.id, nil, nil, 2500*time.Millisecond)
-		if status == http.StatusOK {
-			acknowledged = time.Now()
-		} else {
-			time.Sleep(300 * time.Millisecond)
-		}
+	last := time.Time{}
+	ends := map[*lot]time.Time{}
+	var group sync.WaitGroup
+	var lock sync.Mutex
+	for _, l := range ended {
+		group.Go(func() {
+			at := s.end(l)
+			lock.Lock()
+			defer lock.Unlock()
+			ends[l] = at
+		})
 	}
-	if acknowledged.IsZero() {
-		acknowledged = asked.Add(5 * time.Second)
-		s.log("the end of lot %s got no acknowledgement in 5 s", ended.id)
+	group.Wait()
+	for _, at := range ends {
+		if at.After(last) {
+			last = at
+		}
 	}
 	again := s.readAll(s.instances, done, time.Now().Add(10*time.Second))
-	time.Sleep(max(0, time.Until(acknowledged.Add(8*time.Second))))
-	late := s.runs.after(ended.ids(), acknowledged.Add(3*time.Second))
+	time.Sleep(max(0, time.Until(last.Add(8*time.Second))))
+	for l, at := range ends {
+		for _, x := range s.runs.after(l.ids(), at.Add(3*time.Second)) {
+			late[x.id] = true
+		}
+	}
 	s.log("lot %s: %d results read before, %d now", done.id, len(before), len(again))
-	s.log("lot %s: %d runs of its items reached workers later than 3 s after its end", ended.id, len(late))
+	s.log("%d items of the ended lots reached workers later than 3 s after their ends", len(late))
 	if len(again) < len(before) || len(late) > 0 {
 		return broken, nil
 	}
@@ -120,3 +139,18 @@
 
 	return held, nil
 }
+
+// end ends a lot and returns when that was acknowledged, or counts as acknowledged: ack_ms after it was first asked.
+func (s *site) end(l *lot) time.Time {
+	asked := time.Now()
+	for n := 0; time.Since(asked) < 5*time.Second; n++ {
+		status, _, _ := s.call(s.instances[n%len(s.instances)], http.MethodDelete, "/v1/lots/"+l.id, nil, nil, 2500*time.Millisecond)
+		if status == http.StatusOK {
+			return time.Now()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	s.log("the end of lot %s got no acknowledgement in 5 s", l.id)
+
+	return asked.Add(5 * time.Second)
+}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -21,7 +21,6 @@
 	"catch-all": catchAll,
 	"few-back":  fewBack,
 	"last-one":  lastOne,
-	"lost-end":  lostEnd,
 }
 
 func main() {
--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -19,6 +19,7 @@
 type instance struct {
 	name     string
 	zone     string
+	role     string
 	ip       string
 	ports    map[string]int
 	settings string
@@ -35,10 +36,12 @@
 	store     *store
 	runs      *runs
 	instances []*instance
-	record    *os.File
-	lock      sync.Mutex
-	began     time.Time
-	memoryMB  int
+	// storages are the machines with disks, one in each zone.
+	storages []*instance
+	record   *os.File
+	lock     sync.Mutex
+	began    time.Time
+	memoryMB int
 }
 
 func newSite(record string) (*site, error) {
@@ -64,8 +67,9 @@
 		regions:  map[string]string{"taff-a": "cymru-south", "menai-a": "cymru-north", "taff-b": "cymru-south"},
 	}
 	s.runs = &runs{
-		open: map[string]int{},
-		log:  s.log,
+		open:    map[string]int{},
+		endedAt: map[string]time.Time{},
+		log:     s.log,
 	}
 
 	return s, nil
@@ -80,10 +84,19 @@
 // addInstances makes machines in the zones in turn, each with an address of its own.
 func (s *site) addInstances(count int) error {
 	net2, net3 := 16+rand.IntN(200), rand.IntN(250)
-	for n := range count {
+	for n := range count + len(s.zones) {
+		role, class := "entry", "edge"
+		if n >= count {
+			role, class = "storage", "storage"
+		}
+		k := n % count
+		if n >= count {
+			k = n - count
+		}
 		i := &instance{
-			name:  fmt.Sprintf("edge-%s-%d", s.zones[n%len(s.zones)], n/len(s.zones)+1),
-			zone:  s.zones[n%len(s.zones)],
+			name:  fmt.Sprintf("%s-%s-%d", class, s.zones[k%len(s.zones)], k/len(s.zones)+1),
+			zone:  s.zones[k%len(s.zones)],
+			role:  role,
 			ip:    fmt.Sprintf("127.%d.%d.%d", net2, net3, n+1),
 			ports: map[string]int{},
 		}
@@ -99,9 +112,13 @@
 		for _, l := range taken {
 			_ = l.Close()
 		}
-		s.instances = append(s.instances, i)
+		if role == "entry" {
+			s.instances = append(s.instances, i)
+		} else {
+			s.storages = append(s.storages, i)
+		}
 	}
-	for _, i := range s.instances {
+	for _, i := range append(s.storages, s.instances...) {
 		i.settings = filepath.Join(s.dir, i.name+".toml")
 		if err := os.WriteFile(i.settings, []byte(s.settingsOf(i)), 0o600); err != nil {
 			return err
@@ -120,17 +137,23 @@
 		zones = append(zones, fmt.Sprintf("%s = %q", z, s.regions[z]))
 	}
 
+	class, serves, counted, listen := "edge", `["edge","control","registry"]`, false, fmt.Sprintf("frontend = %q\nready = %q\ncontrol_plane = %q\ndirectory = %q",
+		i.address("frontend"), i.address("ready"), i.address("control_plane"), i.address("directory"))
+	if i.role == "storage" {
+		class, serves, counted, listen = "storage", `["storage"]`, true, ""
+	}
+
 	return fmt.Sprintf(`node_name = %q
-role = "entry"
-machine_class = "edge"
-serves = ["edge","control","registry"]
+role = %q
+machine_class = %q
+serves = %s
 ip = %q
 zone = %q
 region = %q
 internal_ports = [%d,%d]
 seeds = [%s]
 bootstrap = true
-fault_counted = false
+fault_counted = %t
 discovery = "platform"
 entry = "registry"
 heartbeat_ms = 1200
@@ -138,10 +161,7 @@
 [zones]
 %s
 [listen]
-frontend = %q
-ready = %q
-control_plane = %q
-directory = %q
+%s
 [limits]
 cpu_quota = 0.4
 cores = 1
@@ -182,8 +202,8 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, i.name, i.ip, i.zone, s.regions[i.zone], i.ports["internal"], i.ports["internal"], strings.Join(seeds, ","), strings.Join(zones, "\n"),
-		i.address("frontend"), i.address("ready"), i.address("control_plane"), i.address("directory"), s.memoryMB, s.store.listener.Addr())
+`, i.name, i.role, class, serves, i.ip, i.zone, s.regions[i.zone], i.ports["internal"], i.ports["internal"], strings.Join(seeds, ","), counted,
+		strings.Join(zones, "\n"), listen, s.memoryMB, s.store.listener.Addr())
 }
 
 func (i *instance) address(port string) string { return fmt.Sprintf("%s:%d", i.ip, i.ports[port]) }
@@ -194,7 +214,7 @@
 	if err != nil {
 		return err
 	}
-	c := exec.Command("target/tarragonwalk", "entry")
+	c := exec.Command("target/tarragonwalk", i.role)
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "TARRAGONWALK_SETTINGS=" + i.settings}
 	c.Stdout, c.Stderr = out, out
 	if err := c.Start(); err != nil {
@@ -242,7 +262,7 @@
 
 // startAll starts all instances and waits until they are ready.
 func (s *site) startAll() error {
-	for _, i := range s.instances {
+	for _, i := range append(s.storages, s.instances...) {
 		if err := s.start(i); err != nil {
 			return err
 		}
@@ -263,7 +283,7 @@
 
 // close ends all processes that were started.
 func (s *site) close() {
-	for _, i := range s.instances {
+	for _, i := range append(s.storages, s.instances...) {
 		i.lock.Lock()
 		started := i.process != nil
 		i.lock.Unlock()
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -53,9 +53,6 @@
 	revision int64
 	history  []change
 	changed  chan struct{}
-	// silent are the open connections that have gone silent for good: calls on them are read and never answered.
-	silent map[string]bool
-	open   map[string]bool
 }
 
 func newStore() (*store, error) {
@@ -68,55 +65,15 @@
 		kinds:    map[string]map[string]object{},
 		revision: 100,
 		changed:  make(chan struct{}),
-		silent:   map[string]bool{},
-		open:     map[string]bool{},
 	}
 	server := &http.Server{
-		Handler:   s,
-		ConnState: s.observe,
+		Handler: s,
 	}
 	go func() { _ = server.Serve(l) }()
 
 	return s, nil
 }
 
-func (s *store) observe(c net.Conn, state http.ConnState) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	switch state {
-	case http.StateNew:
-		s.open[c.RemoteAddr().String()] = true
-	case http.StateClosed:
-		delete(s.open, c.RemoteAddr().String())
-		delete(s.silent, c.RemoteAddr().String())
-	}
-}
-
-// silence makes all open connections go silent, and returns how many there are. New ones work.
-func (s *store) silence() int {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	for a := range s.open {
-		s.silent[a] = true
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-
-	return len(s.open)
-}
-
-// stopIfSilent waits for the end of a call whose connection is silent.
-func (s *store) stopIfSilent(r *http.Request) bool {
-	s.lock.Lock()
-	silent := s.silent[r.RemoteAddr]
-	s.lock.Unlock()
-	if silent {
-		<-r.Context().Done()
-	}
-
-	return silent
-}
-
 // put writes an object as the operator or a worker would.
 func (s *store) put(kind, name string, spec any) {
 	text, err := json.Marshal(spec)
@@ -175,9 +132,6 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.stopIfSilent(r) {
-		panic(http.ErrAbortHandler)
-	}
 	rest, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -239,9 +193,6 @@
 	millis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	limit := time.After(time.Duration(millis) * time.Millisecond)
 	for {
-		if s.stopIfSilent(r) {
-			panic(http.ErrAbortHandler)
-		}
 		s.lock.Lock()
 		events := []change{}
 		for _, e := range s.history {
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -34,7 +34,9 @@
 	lock sync.Mutex
 	list []run
 	open map[string]int
-	log  func(format string, args ...any)
+	// endedAt is when the last run of each request ended.
+	endedAt map[string]time.Time
+	log     func(format string, args ...any)
 }
 
 func (r *runs) begin(x run) {
@@ -49,6 +51,32 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.open[id]--
+	r.endedAt[id] = time.Now()
+}
+
+// busy returns how many runs are under way.
+func (r *runs) busy() int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	n := 0
+	for _, open := range r.open {
+		n += open
+	}
+
+	return n
+}
+
+// had reports whether a worker had one of some requests within a time before now.
+func (r *runs) had(ids map[string]bool, within time.Duration) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for id := range ids {
+		if r.open[id] > 0 || time.Since(r.endedAt[id]) <= within {
+			return true
+		}
+	}
+
+	return false
 }
 
 // after returns the runs of some ids that began after a time.
@@ -78,10 +106,14 @@
 	runs     *runs
 	// status returns the status with which a request with an id is answered at once, 0 to run it.
 	status func(id string) int
-	lock   sync.Mutex
-	busy   int
+	// places holds a value for each request that the worker has, turns one for each that it works on.
+	places chan struct{}
+	turns  chan struct{}
 }
 
+// queue is the number of requests that a worker queues beside those that it works on, as on the sheet.
+const queue = 24
+
 func newWorker(id, service, zone string, slots, events int, pause time.Duration, r *runs) (*worker, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -96,6 +128,8 @@
 		pause:    pause,
 		listener: l,
 		runs:     r,
+		places:   make(chan struct{}, slots+queue),
+		turns:    make(chan struct{}, slots),
 	}
 	server := &http.Server{
 		Handler: w,
@@ -132,23 +166,21 @@
 	if err != nil {
 		return
 	}
-	w.lock.Lock()
-	full := w.busy >= w.slots
-	if !full {
-		w.busy++
-	}
-	w.lock.Unlock()
-	if full {
+	select {
+	case w.places <- struct{}{}:
+		defer func() { <-w.places }()
+	default:
 		rw.Header().Set(notRunHeader, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 
 		return
 	}
-	defer func() {
-		w.lock.Lock()
-		w.busy--
-		w.lock.Unlock()
-	}()
+	select {
+	case w.turns <- struct{}{}:
+		defer func() { <-w.turns }()
+	case <-r.Context().Done():
+		return
+	}
 	w.runs.begin(run{
 		worker: w.id,
 		id:     id,
