Confirm the loss of instances whose machines refuse connections within 9 s

Cause: a process that has heard from less than half of the listed instances takes no job of the others over until a doubt about them has stood in the store for 60 s, the time in which watchers that look every 30 s would remove it. It never asked the machines themselves.

Change: while the machine of a missing instance refuses connections, the watchers of all groups look for doubts and questions every 2.5 s, and a doubt counts after 9 s. A process that finds itself doubted, or that was never listed, keeps the long time, since nobody may be looking for it. An instance vouches only for what it heard in the last 1.5 s: a doubt about one that had been lost for 3 s was removed otherwise. An instance that does not reach the store expects a takeover while any other one is silent.

Why this works: a live group behind a firewall that refuses connections sees refusals as well, and removes the doubt at its next look. If it does not reach the store it asks there before it answers from memory.

Ruled out: a shorter time for every doubt (TestLostInstances, TestForgottenGroup and TestHoldersWithoutStoreKeepTheirJobs forbid it); leases in the store (calls grow with the fleet).

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,6 +51,8 @@
 	Hears(name string) bool
 	Unconfirmed() map[string]time.Time
 	ConfirmLost(name string, forgottenAt time.Time)
+	Missing() map[string]netip.AddrPort
+	MetMost() bool
 }
 
 // fleet is what the other tasks of the instance know and do.
@@ -60,6 +63,8 @@
 	NoteFleetSize(listed int)
 	// IntroduceSeeds passes the seed addresses to the cluster.
 	IntroduceSeeds()
+	// Refused reports whether the machine at an address refuses connections, because no process listens there.
+	Refused(ctx context.Context, a netip.AddrPort) bool
 }
 
 type record struct {
@@ -102,20 +107,29 @@
 	askedRevision int64
 	// left is set once the instance has left the fleet.
 	left bool
-	// losses is used by Run only.
-	losses *losses
+	// known is set if the store listed an earlier process of this instance, so that others that are alive miss it.
+	known atomic.Bool
+	// ambiguous is set if an attempt to create the object got no answer; it is used by Run only.
+	ambiguous bool
+	// doubted is set while others may have settled that this instance is lost, and look for its questions no more.
+	doubted atomic.Bool
+	// losses, refusals and listed, which holds the addresses that the store listed last, are used by Run only.
+	losses   *losses
+	refusals *refusals
+	listed   map[string]netip.AddrPort
 }
 
 // New returns an exchanger whose objects are of a kind of their own; Run starts it.
 func New(s store, kind string, c cluster, f fleet, log *slog.Logger) *Exchanger {
 	return &Exchanger{
-		store:   s,
-		kind:    kind,
-		cluster: c,
-		fleet:   f,
-		log:     log,
-		own:     make(chan struct{}, 1),
-		losses:  newLosses(),
+		store:    s,
+		kind:     kind,
+		cluster:  c,
+		fleet:    f,
+		log:      log,
+		own:      make(chan struct{}, 1),
+		losses:   newLosses(),
+		refusals: newRefusals(),
 	}
 }
 
@@ -142,6 +156,7 @@
 			}
 		}
 		if announced {
+			x.observeRefusals(ctx)
 			x.confirmLosses(ctx)
 		}
 		select {
@@ -183,6 +198,7 @@
 	failed := x.create(ctx)
 	l, err := x.list(ctx)
 	x.fleet.NoteFleetSize(len(l.records))
+	x.noteFormer(fault.CodeOf(failed), l.records[l.self])
 	switch {
 	case err != nil:
 		return err
@@ -196,6 +212,27 @@
 	return err
 }
 
+// noteFormer records, from the outcome of creating the object of this instance, whether an earlier process has left it.
+func (x *Exchanger) noteFormer(created fault.Code, found listedRecord) {
+	switch created {
+	case "":
+	case fault.CodeConflict:
+		x.known.Store(!x.ambiguous && found.record.Peer.IsValid())
+		if found.record.Doubted {
+			x.doubted.Store(true)
+		}
+	default:
+		// The object may have been created all the same.
+		x.ambiguous = true
+	}
+}
+
+// Expected reports whether others that are alive would miss this instance, so that they look for its questions at short intervals if
+// connections to it are refused: the fleet knew it, and has not settled that it is lost.
+func (x *Exchanger) Expected() bool {
+	return !x.doubted.Load() && (x.known.Load() || x.cluster.MetMost())
+}
+
 // create writes the object of this instance, which must not exist.
 func (x *Exchanger) create(ctx context.Context) error {
 	release, err := x.acquire(ctx)
@@ -247,6 +284,7 @@
 		self:    x.cluster.Self().Name,
 	}
 	var others []string
+	listed := map[string]netip.AddrPort{}
 	err := x.store.List(purpose.With(ctx, "addresses listed"), x.kind, func(name string, value json.RawMessage, revision int64) {
 		var r record
 		if json.Unmarshal(value, &r) != nil {
@@ -259,9 +297,14 @@
 		}
 		if name != l.self && r.Peer.IsValid() {
 			others = append(others, name)
+			listed[name] = r.Peer
 		}
 	})
 	x.cluster.Expect(others)
+	if err == nil {
+		x.listed = listed
+		x.losses.review(l)
+	}
 
 	return l, err
 }
@@ -333,6 +376,9 @@
 	name, own := x.cluster.Self().Name, x.record()
 	var found record
 	revision, err = x.store.Read(purpose.With(ctx, "address read"), x.kind, name, &found)
+	if err == nil && found.Doubted {
+		x.doubted.Store(true)
+	}
 	switch {
 	case err == nil && found != own:
 		revision, err = x.store.Replace(purpose.With(ctx, "address written"), x.kind, name, own, revision)
@@ -358,8 +404,8 @@
 	return err
 }
 
-// Answered reports whether another instance has removed the question from the store, and renews the question if not. A question that
-// was lost with its object counts as answered, so that it is asked again.
+// Answered reports whether another instance has removed the question from the store or doubts this one, and renews the question if not. A
+// question that was lost with its object counts as answered, so that it is asked again.
 func (x *Exchanger) Answered(ctx context.Context) (bool, error) {
 	release, err := x.acquire(ctx)
 	if err != nil {
@@ -372,7 +418,8 @@
 	switch {
 	case err != nil && fault.CodeOf(err) != fault.CodeNotFound:
 		return false, err
-	case err != nil || x.question == "" || found.Question != x.question:
+	case err != nil || x.question == "" || found.Question != x.question || found.Doubted:
+		x.doubted.Store(x.doubted.Load() || found.Doubted)
 		x.question, x.renewals = "", 0
 
 		return true, nil
--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -199,6 +199,9 @@
 func (*node) IntroduceSeeds()                                {}
 func (*node) PeerAddresses() []netip.AddrPort                { return nil }
 func (*node) Reachable(context.Context, netip.AddrPort) bool { return false }
+func (*node) Refused(context.Context, netip.AddrPort) bool   { return false }
+func (*node) Missing() map[string]netip.AddrPort             { return nil }
+func (*node) MetMost() bool                                  { return true }
 func (n *node) ForgetPeers(time.Time)                        { n.set(func() { n.forgotten = true }) }
 
 func (n *node) Watching() (watching bool) { n.set(func() { watching = n.watching }); return }
--- a/core/addresses/losses.go
+++ b/core/addresses/losses.go
@@ -16,6 +16,13 @@
 	// doubtTime is how long a doubt about an instance has to stand before its loss is confirmed. It is longer than rejoinPause and
 	// attemptTimeout together, within which a watcher that hears the instance removes it.
 	doubtTime = time.Minute
+	// refusedDoubtTime is the same for an instance whose machine refuses connections. It is longer than several times refusedLookPause.
+	refusedDoubtTime = 9 * time.Second
+	// refusedLookPause is the time between two looks of the watchers while the machine of a missing instance refuses connections. If that
+	// instance is alive, it may take itself for the last one, or this one for lost, after refusedDoubtTime.
+	refusedLookPause = 2500 * time.Millisecond
+	// firstLookPause is how long others than the watchers, which write the doubts, wait with their first look at such an instance.
+	firstLookPause = time.Second
 	// doubtPause is the time between two looks while a doubt has not been written; another instance may be about to do it.
 	doubtPause = 10 * time.Second
 	// aliveTime is how long an instance that has shown a sign of life is not doubted again.
@@ -38,16 +45,21 @@
 type losses struct {
 	known  map[string]loss
 	lookAt time.Time
+	// lookedAt is when the last look ended.
+	lookedAt time.Time
+	// settled are the instances that were doubted in vain for refusedDoubtTime and are not counted as unconfirmed.
+	settled map[string]bool
 }
 
 func newLosses() *losses {
 	return &losses{
-		known: map[string]loss{},
+		known:   map[string]loss{},
+		settled: map[string]bool{},
 	}
 }
 
-// due reports whether the store has to be looked at, given the forgotten instances.
-func (l *losses) due(forgotten map[string]time.Time, watching bool, at time.Time) bool {
+// due reports whether the store has to be looked at, given the forgotten instances and since when the machines of some refuse connections.
+func (l *losses) due(forgotten, refused map[string]time.Time, watching bool, at time.Time) bool {
 	maps.DeleteFunc(l.known, func(name string, k loss) bool { return !forgotten[name].Equal(k.forgottenAt) })
 	if len(forgotten) == 0 {
 		l.lookAt = time.Time{}
@@ -55,28 +67,73 @@
 		return false
 	}
 	first := at
-	if !watching {
-		first = at.Add(doubtPause) // the watchers write the doubts
+	switch {
+	case watching: // the watchers write the doubts
+	case len(refused) > 0:
+		first = at.Add(firstLookPause)
+	default:
+		first = at.Add(doubtPause)
 	}
 	if l.lookAt.IsZero() || len(l.known) < len(forgotten) && first.Before(l.lookAt) {
 		l.lookAt = first
 	}
+	for name, since := range refused {
+		if _, ok := forgotten[name]; !ok {
+			continue
+		}
+		if soon := l.refusedLookAt(name, since, watching); soon.Before(l.lookAt) {
+			l.lookAt = soon
+		}
+	}
 
 	return !at.Before(l.lookAt)
 }
 
+// refusedLookAt returns when the next look is due because the machine of a forgotten instance has refused connections since a time. The
+// watchers look all the time, for questions and doubts of that instance's group; others only want to know that it is lost.
+func (l *losses) refusedLookAt(name string, since time.Time, watching bool) time.Time {
+	k, seen := l.known[name]
+	soon := l.lookedAt.Add(refusedLookPause)
+	switch {
+	case !seen:
+		return l.lookAt
+	case watching:
+	case !k.doubtedAt.IsZero():
+		soon = later(soon, later(k.doubtedAt, since).Add(refusedDoubtTime))
+	default:
+		soon = later(soon, k.aliveUntil)
+	}
+
+	return soon
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
 // observe applies a list that was asked for at a time and read by another one. It returns the instances whose loss is confirmed and those
-// that have to be doubted.
-func (l *losses) observe(list listing, forgotten map[string]time.Time, askedAt, readAt time.Time) (lost, undoubted []string) {
-	l.lookAt = readAt.Add(aliveTime)
+// that have to be doubted. Refused says since when the machines of some refuse connections; that shortens the time of a doubt if others that
+// are alive expect this instance, since they look for doubts more often then.
+func (l *losses) observe(
+	list listing, forgotten, refused map[string]time.Time, expected bool, askedAt, readAt time.Time,
+) (lost, undoubted []string) {
+	l.lookedAt, l.lookAt = readAt, readAt.Add(aliveTime)
 	for name, forgottenAt := range forgotten {
 		found, listed := list.records[name]
 		k, seen := l.known[name]
 		stands := !listed || found.record.Doubted
+		needed := doubtTime
+		if since, ok := refused[name]; ok && expected && askedAt.Sub(since) >= refusedDoubtTime {
+			needed = refusedDoubtTime
+		}
 		switch {
 		case seen && !k.doubtedAt.IsZero() && k.revision != found.revision:
 			k.doubtedAt, k.aliveUntil = time.Time{}, readAt.Add(aliveTime)
-		case stands && !k.doubtedAt.IsZero() && askedAt.Sub(k.doubtedAt) >= doubtTime:
+		case stands && !k.doubtedAt.IsZero() && askedAt.Sub(k.doubtedAt) >= needed:
 			lost = append(lost, name)
 		case stands && k.doubtedAt.IsZero():
 			k.doubtedAt = readAt
@@ -102,6 +159,15 @@
 	return lost, undoubted
 }
 
+// review applies a list to the settled instances: one that has removed a doubt about itself is alive.
+func (l *losses) review(list listing) {
+	maps.DeleteFunc(l.settled, func(name string, _ bool) bool {
+		found, listed := list.records[name]
+
+		return listed && !found.record.Doubted
+	})
+}
+
 // doubted records that this instance has written a doubt.
 func (l *losses) doubted(name string, revision int64, at time.Time) {
 	k := l.known[name]
@@ -114,7 +180,8 @@
 func (x *Exchanger) confirmLosses(ctx context.Context) {
 	forgotten := x.cluster.Unconfirmed()
 	askedAt := time.Now()
-	if !x.losses.due(forgotten, x.mayAnswer(), askedAt) || x.cluster.Isolated() {
+	suspects, refused := x.suspects(forgotten), x.refusals.since
+	if !x.losses.due(suspects, refused, x.mayAnswer(), askedAt) || x.cluster.Isolated() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
@@ -125,19 +192,58 @@
 	}
 	if err != nil {
 		x.losses.lookAt = time.Now().Add(retryPause)
-		x.log.Warn("forgotten instances not looked for in the store", "forgotten", len(forgotten), "error", err.Error())
+		x.log.Warn("missing instances not looked for in the store", "missing", len(suspects), "error", err.Error())
 
 		return
 	}
-	lost, undoubted := x.losses.observe(l, forgotten, askedAt, time.Now())
+	lost, undoubted := x.losses.observe(l, suspects, refused, x.Expected(), askedAt, time.Now())
 	for _, name := range lost {
-		x.cluster.ConfirmLost(name, forgotten[name])
+		if forgottenAt, ok := forgotten[name]; ok {
+			x.cluster.ConfirmLost(name, forgottenAt)
+		} else {
+			x.losses.settled[name] = true
+		}
 	}
 	if x.mayAnswer() {
 		x.doubt(ctx, l, undoubted)
 	}
 }
 
+// suspects returns the forgotten instances and, if this instance watches the store, those that are only missing and whose machines refuse
+// connections: they may be alive behind a firewall, and ask or doubt in the store.
+func (x *Exchanger) suspects(forgotten map[string]time.Time) map[string]time.Time {
+	if !x.mayAnswer() {
+		return forgotten
+	}
+	list := map[string]time.Time{}
+	for name, since := range x.refusals.since {
+		if !x.losses.settled[name] {
+			list[name] = since
+		}
+	}
+	maps.Copy(list, forgotten)
+
+	return list
+}
+
+// observeRefusals looks at whether the machines of missing instances refuse connections.
+func (x *Exchanger) observeRefusals(ctx context.Context) {
+	if x.cluster.Isolated() {
+		return
+	}
+	missing := x.cluster.Missing()
+	for name, a := range missing {
+		if !a.IsValid() {
+			missing[name] = x.listed[name]
+		}
+	}
+	maps.DeleteFunc(x.losses.settled, func(name string, _ bool) bool { _, ok := missing[name]; return !ok })
+	if len(missing) == 0 && x.cluster.MetMost() {
+		x.doubted.Store(false)
+	}
+	x.refusals.observe(ctx, missing, x.fleet.Refused)
+}
+
 // doubt writes doubts about instances to the store. A conflict is a sign of life, or the doubt of another watcher, and is seen at the next
 // look.
 func (x *Exchanger) doubt(ctx context.Context, l listing, names []string) {
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -127,10 +127,12 @@
 	return p.heardRecently(at) && !p.heartbeat.Sender.Leaving
 }
 
-// forgotten is an instance that was forgotten at a time, with its last process, which is empty if none was ever heard from.
+// forgotten is an instance that was forgotten at a time, with its last process and that one's address, which are empty if none was ever
+// heard from.
 type forgotten struct {
 	at          time.Time
 	incarnation string
+	address     netip.AddrPort
 }
 
 // target is an address to which heartbeats are sent.
@@ -187,6 +189,8 @@
 	searchedAt time.Time
 	// checkedAt is when the store was last checked, as far as any other instance knows, zero if none does. It only schedules checks.
 	checkedAt time.Time
+	// storeLostAt is the last time at which this instance did not reach the store.
+	storeLostAt time.Time
 	// selfSuspectedAt is the last time at which another instance may have counted this one as gone.
 	selfSuspectedAt time.Time
 	// unconfirmed holds the instances that were forgotten although they may be alive in a group that is cut off from this one.
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -728,3 +728,75 @@
 	is.Equal(len(c.Unconfirmed()), 0)
 	is.True(!suspects(c, at.Add(100*time.Millisecond)))
 }
+
+// Guards against an instance that answers from memory although a single silent one may have taken over its jobs as the last one: its question
+// in the store cannot be answered by those that do not reach the store.
+func TestSuspectedWhileStoreIsLost(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	c.Expire(start)
+	for n := 1; n <= 4; n++ {
+		c.Observe(&gossip.Heartbeat{Sender: member(n, "1"), Sequence: 1}, start)
+	}
+	const lostUntil = 20 * time.Second
+	for after := pauseLimit / 2; after < forgetAfter+singleSilenceLimit; after += pauseLimit / 2 {
+		at := start.Add(after)
+		for n := 2; n <= 4; n++ {
+			c.Observe(&gossip.Heartbeat{Sender: member(n, "1"), Sequence: int(after)}, at)
+		}
+		if after <= lostUntil {
+			c.ObserveStoreLost(at)
+		}
+		c.Expire(at)
+		is.Equal(c.SuspectedSince(at.Add(-1), at), after > selfSuspectAfter && after <= lostUntil+singleSilenceLimit)
+	}
+}
+
+// Guards against instances that are looked for although they have left or are heard, and against ones that are not because they were
+// forgotten or never heard from.
+func TestMissing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	c.Expire(start)
+	c.Expect(names(5))
+	for n := 1; n <= 4; n++ {
+		m := member(n, "1")
+		m.Leaving = n == 4
+		c.Observe(&gossip.Heartbeat{Sender: m, Sequence: 1}, start)
+	}
+	at := start
+	pass := func(d time.Duration) {
+		for end := at.Add(d); at.Before(end); {
+			at = at.Add(200 * time.Millisecond)
+			c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: int(at.Sub(start))}, at)
+			c.Expire(at)
+		}
+	}
+	pass(goneAfter)
+	is.Equal(len(c.Missing()), 0)
+	pass(time.Second)
+	want := map[string]netip.AddrPort{
+		"e2": member(2, "1").Peer,
+		"e3": member(3, "1").Peer,
+		"e5": {},
+	}
+	is.Equal(c.Missing(), want)
+	pass(forgetAfter)
+	is.Equal(c.Missing(), want)
+	c.ConfirmLost("e2", c.Unconfirmed()["e2"])
+	c.Observe(&gossip.Heartbeat{Sender: member(3, "1"), Sequence: 2}, at)
+	is.Equal(c.Missing(), map[string]netip.AddrPort{"e5": {}})
+}
+
+// Guards against an instance that vouches for another one from which nothing came for long: a doubt about that one would be removed though it
+// is lost.
+func TestHearsOnlyWhatIsHeardLately(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	c.Expire(start)
+	c.Observe(&gossip.Heartbeat{Sender: member(1, "1"), Sequence: 1}, start)
+	for after := time.Duration(0); after < goneAfter; after += 200 * time.Millisecond {
+		c.Expire(start.Add(after))
+		is.Equal(c.Hears("e1"), after <= goneAfter/2)
+	}
+}
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -32,9 +32,11 @@
 	silent += len(c.unconfirmed)
 	// One that hears others gets this instance's heartbeats from them, or learns from them that it is not heard itself. So a single peer that
 	// has been silent for longer than singleSilenceLimit is isolated and cannot have taken over this instance's jobs, unless it is the only
-	// one. Two or more silent peers may still reach each other and take them over. An instance that hears from one other one is heard by it,
-	// even if the store lists more.
-	if recent || silent > 1 || alone || c.hasStrangers() || len(c.peers) == 0 && c.unmet() > 1 {
+	// one. Two or more silent peers may still reach each other and take them over, and so may a single one that takes itself for the last
+	// one, if its question in the store could not be answered. An instance that hears from one other one is heard by it, even if the store
+	// lists more.
+	unanswering := silent > 0 && at.Sub(c.storeLostAt) <= singleSilenceLimit
+	if recent || silent > 1 || unanswering || alone || c.hasStrangers() || len(c.peers) == 0 && c.unmet() > 1 {
 		c.selfSuspectedAt = at
 	}
 	unheardBy := c.unheardBy()
@@ -92,6 +94,7 @@
 		c.unconfirmed[name] = forgotten{
 			at:          at,
 			incarnation: s.Incarnation,
+			address:     s.Peer,
 		}
 	}
 	delete(c.peers, name)
@@ -129,13 +132,13 @@
 	}
 }
 
-// Hears reports whether an instance is known and does not count as gone.
+// Hears reports whether an instance was heard from lately. One that has been silent for half of goneAfter may be lost already.
 func (c *Cluster) Hears(name string) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	p := c.peers[name]
 
-	return p != nil && !p.gone
+	return p != nil && !p.gone && c.expiredAt.Sub(p.heardAt) <= goneAfter/2
 }
 
 // forgetTargets drops the addresses that have not answered for long. The caller holds the lock.
--- a/core/duties/duties.go
+++ b/core/duties/duties.go
@@ -32,6 +32,7 @@
 
 type cluster interface {
 	Expire(at time.Time) int
+	ObserveStoreLost(at time.Time)
 	Live() []string
 	Isolated() bool
 	WatchesStore(lost bool, at time.Time) bool
@@ -118,7 +119,11 @@
 		case <-ctx.Done():
 			return
 		}
-		d.changes.Store(int64(d.cluster.Expire(d.now())))
+		at := d.now()
+		if d.storeLost() {
+			d.cluster.ObserveStoreLost(at)
+		}
+		d.changes.Store(int64(d.cluster.Expire(at)))
 		if w, s, e := d.Watching(), d.WatchingServers(), d.WatchingJobEnds(); w != watching || s != watchingServers || e != watchingEnds {
 			watching, watchingServers, watchingEnds = w, s, e
 			d.log.Info("store watch roles changed", "state_for_zone", w, "servers_for_region", s, "jobs_for_region", e,
--- a/internal/virtualfleet/fleet_test.go
+++ b/internal/virtualfleet/fleet_test.go
@@ -1,7 +1,6 @@
 package virtualfleet
 
 import (
-	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -9,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,7 +21,7 @@
 var (
 	seedCount = flag.Int("fleet.seeds", 6, "number of random fleets")
 	firstSeed = flag.Uint64("fleet.first", 1, "first seed")
-	faultMix  = flag.String("fleet.faults", "", "play only this kind of fault")
+	faultMix  = flag.String("fleet.faults", "", "play only these kinds of faults, separated by commas")
 	logFile   = flag.String("fleet.log", "", "write the logs of the instances to this file")
 )
 
@@ -246,6 +246,53 @@
 			return p.cut(func(n int) bool { return group[n] }, true)
 		})
 	},
+	"reject": func(p *play) {
+		group := make([]bool, p.size)
+		for n := range group {
+			group[n] = p.intN(3) == 0
+		}
+		p.during(5*time.Second, time.Minute, fmt.Sprint("firewall that rejects connections around group ", group), func() func() {
+			var restore []func()
+			for a := range p.size {
+				for b := range p.size {
+					if group[a] && !group[b] {
+						restore = append(restore, p.Reject(a, b))
+					}
+				}
+			}
+
+			return func() {
+				for _, f := range restore {
+					f()
+				}
+			}
+		})
+	},
+	"mass": func(p *play) {
+		var killed []int
+		for n := range p.size {
+			if p.intN(4) > 0 {
+				killed = append(killed, n)
+			}
+		}
+		p.during(10*time.Second, time.Minute, fmt.Sprint("kill of ", killed), func() func() {
+			for _, n := range killed {
+				p.Kill(n)
+			}
+			if p.intN(2) == 0 {
+				time.Sleep(p.between(0, 3*time.Second))
+				for _, n := range killed[:len(killed)/2] {
+					p.Start(n)
+				}
+			}
+
+			return func() {
+				for _, n := range killed {
+					p.Start(n)
+				}
+			}
+		})
+	},
 	"zone": func(p *play) {
 		z := p.intN(p.zones)
 		p.during(5*time.Second, time.Minute, fmt.Sprint("cut of zone ", z), func() func() {
@@ -332,7 +379,7 @@
 	},
 }
 
-// kindNames are the faults in a fixed order, so that a seed means the same in each run.
+// kindNames are the faults of a mix in a fixed order, so that a seed means the same in each run.
 var kindNames = []string{
 	"pair", "oneway", "deaf", "group", "zone", "behind", "loss", "freeze", "freezeatwrite", "kill", "stop", "outage", "store",
 }
@@ -361,8 +408,12 @@
 		})
 	}
 	var mix []string
+	names := kindNames
+	if *faultMix != "" {
+		names = strings.Split(*faultMix, ",")
+	}
 	for range 1 + p.intN(4) {
-		mix = append(mix, cmp.Or(*faultMix, kindNames[p.intN(len(kindNames))]))
+		mix = append(mix, names[p.intN(len(names))])
 	}
 	p.note("kinds %v, %d instances in %d zones", mix, p.size, p.zones)
 	for time.Since(p.began) < playTime {
