Let the last instance take jobs over soon if all others refuse connections

Cause: an isolated instance waits 40 s for an answer in the store, as long as watchers take that look every 30 s, asks up to 5 s after it is isolated, and counts unknown holders as alive for 3 s more. That the machines of all others refuse connections was not used.

Change: while they do, at each look, 9 s without an answer are enough, since watchers that are alive look every 2.5 s then. The question is asked within a second. A holder that is not known counts as alive for 0.8 s after the instance was found to be the last one.

Why this works: a live group reads the question three times in that time; one that does not reach the store asks there before it answers from memory. With the 2 s until isolation the wait is longer than the 10 s for which a single silent instance is assumed to have taken nothing over.

Ruled out: a shorter wait for silent machines (TestHoldersWithoutStoreKeepTheirJobs).

--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -14,6 +14,8 @@
 	silentAfter = 800 * time.Millisecond
 	// goneAfter is the time since its last heartbeat after which an instance counts as gone and its jobs may be taken over.
 	goneAfter = 3 * time.Second
+	// newProcessGrace is the same for a process that was never heard from, once it is known that none of the former ones is alive.
+	newProcessGrace = 800 * time.Millisecond
 	// selfSuspectAfter is the silence of another instance after which that instance may in turn count this one as gone. It is
 	// shorter than goneAfter, so that this instance expects it before the other one acts.
 	selfSuspectAfter = 2 * time.Second
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -263,7 +263,8 @@
 	c.met, c.metMost, c.strangersNoted = true, true, true
 	c.checkedAt = time.Time{}
 	c.isolatedSince = time.Time{}
-	c.listeningSince = at
+	// Only a process that has just started may be alive, and sends heartbeats before it holds jobs.
+	c.listeningSince = at.Add(newProcessGrace - goneAfter)
 	c.changes++
 }
 
--- a/core/isolation/checker.go
+++ b/core/isolation/checker.go
@@ -16,8 +16,13 @@
 	// answerTime is how long the others have to answer a question in the store. They look for questions at longer intervals, whose
 	// length and duration it covers.
 	answerTime = 40 * time.Second
-	// interval is the time between two looks.
-	interval = 5 * time.Second
+	// refusedAnswerTime is how long the others have to answer while the machines of all of them refuse connections. Others that are alive
+	// behind a firewall that refuses connections look for questions at shorter intervals then. Together with the time until an instance is
+	// isolated it is longer than a single silent instance is assumed to be alive, so that those who hear this one again expect a takeover.
+	refusedAnswerTime = 9 * time.Second
+	// interval is the time between two looks, refusedInterval the same while all others refuse connections.
+	interval        = 5 * time.Second
+	refusedInterval = time.Second
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 3 * time.Second
 	// maxCalls bounds the concurrent calls of a look.
@@ -30,9 +35,11 @@
 	ForgetPeers(at time.Time)
 }
 
-// peers reports whether a process accepts calls at an address.
 type peers interface {
+	// Reachable reports whether a process accepts calls at an address.
 	Reachable(ctx context.Context, a netip.AddrPort) bool
+	// Refused reports whether the machine at an address refuses connections, because no process listens there.
+	Refused(ctx context.Context, a netip.AddrPort) bool
 }
 
 // questions are asked in the store, where all instances that reach it look for them.
@@ -42,6 +49,9 @@
 	Answered(ctx context.Context) (bool, error)
 	// OthersSeen reports whether another instance has written to the store since Ask; a failure says nothing.
 	OthersSeen(ctx context.Context) (bool, error)
+	// Expected reports whether others that are alive would miss this instance, and look for its questions at short intervals if connections
+	// to it are refused.
+	Expected() bool
 }
 
 // Checker ends the isolation of an instance that is the only one left. As long as any other one accepts connections or answers in the
@@ -56,6 +66,10 @@
 	since time.Time
 	// askedAt is when the open question was put into the store, zero if there is none.
 	askedAt time.Time
+	// refusedSince is since when all others have refused connections at each look, zero if one of them did not.
+	refusedSince time.Time
+	// lookAt is when the next look is due.
+	lookAt time.Time
 }
 
 // New returns a checker; Run starts it.
@@ -71,7 +85,7 @@
 
 // Run checks at intervals until ctx ends.
 func (c *Checker) Run(ctx context.Context) {
-	t := time.NewTicker(interval)
+	t := time.NewTicker(refusedInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -86,18 +100,20 @@
 func (c *Checker) check(ctx context.Context) {
 	since, isolated := c.cluster.IsolatedSince()
 	if !isolated || !since.Equal(c.since) {
-		c.askedAt = time.Time{}
+		c.askedAt, c.refusedSince, c.lookAt = time.Time{}, time.Time{}, time.Time{}
 	}
 	c.since = since
-	if !isolated {
+	if !isolated || c.now().Before(c.lookAt) {
 		return
 	}
-	if !c.unanswered(ctx) || c.now().Sub(since) < checkAfter {
+	addresses := c.cluster.PeerAddresses()
+	c.observeRefusals(ctx, addresses)
+	if !c.unanswered(ctx) || !c.waited() {
 		return
 	}
-	addresses := c.cluster.PeerAddresses()
 	reached := c.reached(ctx, addresses)
-	c.log.Warn("other instances looked for", "isolated_since", since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached)
+	c.log.Warn("other instances looked for", "isolated_since", since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached,
+		"refused_since", c.refusedSince)
 	// The calls may have taken many seconds.
 	if reached || !c.unanswered(ctx) || !c.unseen(ctx) {
 		return
@@ -107,7 +123,34 @@
 	}
 }
 
-// unanswered reports whether the question in the store has had no answer for answerTime. Without an open question it asks one.
+// observeRefusals notes whether all others refuse connections, and when the next look is due.
+func (c *Checker) observeRefusals(ctx context.Context, addresses []netip.AddrPort) {
+	if !c.allRefuse(ctx, addresses) {
+		c.refusedSince, c.lookAt = time.Time{}, c.now().Add(interval)
+
+		return
+	}
+	if c.refusedSince.IsZero() {
+		c.refusedSince = c.now()
+		c.log.Info("all other instances refuse connections", "isolated_since", c.since, "addresses", len(addresses))
+	}
+	c.lookAt = time.Time{}
+}
+
+// waited reports whether the others have had the time to answer the open question.
+func (c *Checker) waited() bool {
+	at := c.now()
+	if c.askedAt.IsZero() {
+		return false
+	}
+	if !c.refusedSince.IsZero() && c.questions.Expected() && at.Sub(c.askedAt) >= refusedAnswerTime && at.Sub(c.refusedSince) >= refusedAnswerTime {
+		return true
+	}
+
+	return at.Sub(c.askedAt) >= answerTime && at.Sub(c.since) >= checkAfter
+}
+
+// unanswered reports whether the question in the store has had no answer yet. Without an open question it asks one.
 func (c *Checker) unanswered(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -126,7 +169,7 @@
 		c.askedAt = time.Time{}
 	}
 
-	return err == nil && !answered && c.now().Sub(c.askedAt) >= answerTime
+	return err == nil && !answered
 }
 
 // unseen reports whether there is no sign of life of another instance in the store since the question. An instance that is isolated itself
@@ -144,11 +187,21 @@
 
 // reached reports whether any of the addresses accepts a connection.
 func (c *Checker) reached(ctx context.Context, addresses []netip.AddrPort) bool {
+	return anyOf(addresses, func(a netip.AddrPort) bool { return c.peers.Reachable(ctx, a) })
+}
+
+// allRefuse reports whether each of the addresses refuses connections, and there is one.
+func (c *Checker) allRefuse(ctx context.Context, addresses []netip.AddrPort) bool {
+	return len(addresses) > 0 && !anyOf(addresses, func(a netip.AddrPort) bool { return !c.peers.Refused(ctx, a) })
+}
+
+// anyOf reports whether a condition holds for an address; it makes no further calls once it does.
+func anyOf(addresses []netip.AddrPort, holds func(a netip.AddrPort) bool) bool {
 	var found atomic.Bool
 	p := pool.New().WithMaxGoroutines(maxCalls)
 	for _, a := range addresses {
 		p.Go(func() {
-			if !found.Load() && c.peers.Reachable(ctx, a) {
+			if !found.Load() && holds(a) {
 				found.Store(true)
 			}
 		})
--- a/core/isolation/checker_test.go
+++ b/core/isolation/checker_test.go
@@ -21,6 +21,9 @@
 	calls         atomic.Int32
 	forgotten     bool
 	dialTime      time.Duration
+	// refusing is set if all addresses that accept no connections refuse them, unexpected if nobody would miss this instance.
+	refusing   bool
+	unexpected bool
 	// answer returns what the store says.
 	answer func() (bool, error)
 	// others returns whether another instance was seen there, nil for never.
@@ -49,13 +52,19 @@
 	return list
 }
 
+func (f *fleet) Expected() bool { return !f.unexpected }
+
+func (f *fleet) Refused(_ context.Context, a netip.AddrPort) bool { return f.refusing && !f.accepts(a) }
+
 func (f *fleet) Reachable(_ context.Context, a netip.AddrPort) bool {
 	f.calls.Add(1)
 	time.Sleep(f.dialTime)
 
-	return int(a.Addr().As4()[3]) >= 20-f.reachable
+	return f.accepts(a)
 }
 
+func (f *fleet) accepts(a netip.AddrPort) bool { return int(a.Addr().As4()[3]) >= 20-f.reachable }
+
 // Guards against an instance that takes the jobs of others over because it receives no heartbeats or is cut off from all others but not
 // from the store, and against one that never takes over those of lost instances since it is the only one left.
 func TestIsolationEndsWhenAlone(t *testing.T) {
@@ -134,3 +143,57 @@
 		cancel()
 	})
 }
+
+// Guards against an instance that waits for most of a minute though the machines of all others say that no process runs there, and against one
+// that trusts a firewall which refuses connections in their name.
+func TestRefusedConnectionsShortenTheWait(t *testing.T) {
+	none := func() (bool, error) { return false, nil }
+	for _, c := range []struct {
+		name   string
+		fleet  *fleet
+		answer func() (bool, error)
+		// after is when the instance counts as the last one, zero for never.
+		after time.Duration
+	}{
+		{"all refuse", &fleet{refusing: true}, none, refusedAnswerTime},
+		{"all are silent", &fleet{}, none, answerTime},
+		{"one accepts connections", &fleet{refusing: true, reachable: 1}, none, 0},
+		{"nobody would miss it", &fleet{refusing: true, unexpected: true}, none, answerTime},
+		{"one answers in the store", &fleet{refusing: true}, func() (bool, error) { return true, nil }, 0},
+		{"the store does not answer", &fleet{refusing: true}, func() (bool, error) { return false, errors.New("no response") }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := c.fleet
+				f.isolatedSince, f.isolated, f.answer = time.Now(), true, c.answer
+				go New(f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context())
+				time.Sleep(c.after)
+				synctest.Wait()
+				is.True(!f.forgotten)
+				time.Sleep(2*interval + time.Second)
+				synctest.Wait()
+				is.Equal(f.forgotten, c.after > 0)
+				time.Sleep(2 * time.Minute)
+				synctest.Wait()
+				is.Equal(f.forgotten, c.after > 0)
+			})
+		})
+	}
+}
+
+// Guards against an instance that counts as the last one though the machine of another one refuses connections only from time to time.
+func TestRefusalsHaveToLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fleet{isolatedSince: time.Now(), isolated: true, refusing: true}
+		f.answer = func() (bool, error) { return false, nil }
+		go New(f, f, f, time.Now, slog.New(slog.DiscardHandler)).Run(t.Context())
+		for range 4 {
+			time.Sleep(refusedAnswerTime - 2*time.Second)
+			synctest.Wait()
+			f.reachable = 1 - f.reachable
+			is.True(!f.forgotten)
+		}
+	})
+}
--- a/internal/virtualfleet/refused_test.go
+++ b/internal/virtualfleet/refused_test.go
@@ -47,6 +47,9 @@
 		// killed is how many of the last instances are killed and do not come back, back how many of the first are killed and come back.
 		killed, back int
 	}{
+		{"one of three is left", 3, 2, 0},
+		{"one of seven is left", 7, 6, 0},
+		{"one of seven comes back", 7, 6, 1},
 		{"three of seven come back", 7, 4, 3},
 		{"two of nine come back and one is left", 9, 6, 2},
 		{"four of eighteen come back", 18, 14, 4},
@@ -91,6 +94,8 @@
 		restart, late bool
 	}{
 		{"one", 3, 1, false, false},
+		{"one that starts again", 3, 1, true, false},
+		{"one that comes back late", 5, 1, true, true},
 		{"three of seven that start again", 7, 3, true, false},
 		{"three of seven that come back late", 7, 3, true, true},
 	} {
