Tell the end of an answer without a length from a reset

Cause: the system tells of a reset once. The write of the upload, which waits for room, is told mostly; the read of the body then finds nothing but the end, which is the end of a body without a length.

Change: io/http1 is the connection on which answers are read, of calls, streams and items, the store, engines, services and the command line. When a read finds the end and the connection is closed in both directions, the answer was cut, unless a write was told EPIPE: then the server had ended the connection in order before.

Why this works: an end in order leaves the connection open in one direction, whoever is told what.

Ruled out: waiting for the failure of the write alone. It may return after the read, and it fails as well when a server has ended its answer in order and leaves the rest of the request unread.

--- a/io/apiclient/client.go
+++ b/io/apiclient/client.go
@@ -6,13 +6,16 @@
 	"crypto/x509"
 	"encoding/json"
 	"mime/multipart"
+	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/io/http1"
 	"tarragonwalk/io/openai"
 )
 
@@ -32,7 +35,7 @@
 
 // New returns a client for a base URL such as https://127.0.0.1:8080.
 func New(base, key string) *Client {
-	return &Client{
+	c := &Client{
 		base: base,
 		key:  key,
 		http: &fasthttp.Client{
@@ -48,6 +51,21 @@
 			StreamResponseBody: true,
 		},
 	}
+	if strings.HasPrefix(base, "http://") {
+		c.http.Dial, c.streams.Dial = dial, dial
+	}
+
+	return c
+}
+
+// dial opens a connection on which only answers are read.
+func dial(address string) (net.Conn, error) {
+	c, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // it stands in for the library's function
+	}
+
+	return http1.New(c), nil
 }
 
 // TrustRoots makes the client verify server certificates against roots instead of the system's roots. It must be called before
--- a/io/backendhttp/connection.go
+++ b/io/backendhttp/connection.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/io/http1"
 	"tarragonwalk/io/tcp"
 )
 
@@ -19,7 +20,7 @@
 // connection is a pooled connection. It is spent after a refusal and after a response to another request: a faulty server may write
 // that response once more, and if it then came in place of the next one, a request that runs would count as refused.
 type connection struct {
-	net.Conn
+	*http1.Conn
 	// lock guards the fields below.
 	lock  sync.Mutex
 	spent bool
@@ -39,7 +40,7 @@
 		}
 
 		return &connection{
-			Conn: c,
+			Conn: http1.New(c),
 		}, nil
 	}
 }
--- a/io/objectstore/client.go
+++ b/io/objectstore/client.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/io/http1"
 )
 
 const (
@@ -77,7 +78,7 @@
 		return nil, errors.Join(errDial, err)
 	}
 
-	return c, nil
+	return http1.New(c), nil
 }
 
 // Close closes idle connections; later calls fail with code store_unavailable and are not sent.
--- a/io/transport/connection.go
+++ b/io/transport/connection.go
@@ -2,14 +2,15 @@
 
 import (
 	"bufio"
-	"net"
 	"syscall"
 	"time"
+
+	"tarragonwalk/io/http1"
 )
 
 // connection is a TCP connection that sets its progress deadline on every read and write.
 type connection struct {
-	net.Conn
+	*http1.Conn
 	reader      *bufio.Reader
 	opened      time.Time
 	idleSince   time.Time
@@ -38,11 +39,10 @@
 
 // reusable reports whether an idle connection is open and has no unread input.
 func (c *connection) reusable() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+	if c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	r, err := s.SyscallConn()
+	r, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/transport/transport.go
+++ b/io/transport/transport.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tarragonwalk/core/fault"
+	"tarragonwalk/io/http1"
 )
 
 const (
@@ -162,7 +163,7 @@
 		return nil, fault.Wrap(err, fault.CodeBackendUnreachable, "cannot connect")
 	}
 	c := &connection{
-		Conn:   n,
+		Conn:   http1.New(n),
 		opened: time.Now(),
 	}
 	c.reader = bufio.NewReader(c)
