Accept answers by the grammar of HTTP/1 only

Callers got bytes as an answer that are none (MIXED): with a blank in the name of a field, the line was passed on; with one after Content-Length or Transfer-Encoding, the body was another one than the worker's. A refusal with such a line was taken for "not run".

Cause: the libraries accept more than the grammar has, and find the end of a body by it. What is checked afterwards is a head that was read already.

Change: io/http1 follows the bytes of a connection and fails at the first one that belongs to no answer, in status lines, fields, framing, chunks, trailers and interim answers.

Why this works: no byte reaches a library that could read it in another way, and a failed read is a lost answer, whose outcome is unknown.

Ruled out: checks of the parsed head, which has lost its raw names, values and framing; a client of our own in place of the libraries.

--- a/io/backendhttp/client.go
+++ b/io/backendhttp/client.go
@@ -118,8 +118,9 @@
 func (c *Client) roundTrip(ctx context.Context, s backend.Server, q *call.Call, after int64) (*http.Response, *attempt, error) {
 	for {
 		a := &attempt{
-			done: make(chan struct{}),
-			long: len(q.Body) > longBodyBytes,
+			method: q.Method,
+			done:   make(chan struct{}),
+			long:   len(q.Body) > longBodyBytes,
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
 		a.resizeHead, a.endHead = c.budget.Open("heads", func() { cancel(bytebudget.ErrDropped) })
--- a/io/backendhttp/connection.go
+++ b/io/backendhttp/connection.go
@@ -123,6 +123,7 @@
 // attempt is one request on one connection.
 type attempt struct {
 	connection *connection
+	method     string
 	// long is set if the request has a long body.
 	long bool
 	// reused is set if an earlier request was sent on the connection.
@@ -181,6 +182,7 @@
 				return
 			}
 			a.connection, a.reused = c, info.Reused
+			c.Begin(a.method)
 			a.unsent = !c.take(a)
 			if !a.unsent {
 				c.allowUnread(a.long)
--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -1,3 +1,3 @@
-// Package http1 is a connection to an HTTP/1 server on which answers are read whole or not at all: a body without a length ends with the
-// connection, so that its end has to be told from a reset.
+// Package http1 checks that what a server sends on a connection is answers by the grammar of HTTP/1 (RFC 9110 and 9112). Libraries accept
+// more than that, and read the framing of such answers in different ways.
 package http1
--- a/io/transport/transport.go
+++ b/io/transport/transport.go
@@ -67,6 +67,7 @@
 	p.StreamBody = maxBody == 0
 	p.SkipBody = q.Header.IsHead()
 	q.SetHost(a.String())
+	c.Begin(string(q.Header.Method()))
 	reusable, err := exchange(c, q, p, maxBody, use)
 	sent = c.mayHaveSent // read before the connection goes back to the pool, since the next request resets it
 	if !stop() {
