Leave interim answers out where answers are read

By reading, and shown by tests: behind io/transport and io/objectstore an interim answer such as 103 counted as the final one, and the final one as the answer to the next request on the connection.

Cause: fasthttp leaves out 100 only.

Change: the connections of io/http1 leave interim answers out, up to 64 KiB before a final one.

Ruled out: reading again in io/transport; io/objectstore uses the pool of the library, which keeps the connection.

Figures: TestInterimAnswers and TestInterimAnswer failed before (status 103, and the body of another request); they pass now.

--- a/io/http1/answer.go
+++ b/io/http1/answer.go
@@ -11,6 +11,8 @@
 const (
 	// maxChunkLine bounds the line before a chunk.
 	maxChunkLine = 4 << 10
+	// maxInterimBytes bounds the interim answers before a final one.
+	maxInterimBytes = 64 << 10
 	// maxFramingValue bounds the value of a field that says where the body ends, maxFramingName the names of these fields.
 	maxFramingValue = 32
 	maxFramingName  = len(transferEncoding)
@@ -19,6 +21,8 @@
 	transferEncoding = "transfer-encoding"
 	chunked          = "chunked"
 	versionPrefix    = "HTTP/1."
+	// statusEnd is the number of bytes of a status line up to the status.
+	statusEnd = len("HTTP/1.1 200")
 )
 
 // phase is the part of an answer to which the next byte belongs.
@@ -59,8 +63,9 @@
 type answer struct {
 	method string
 	phase  phase
-	// position is the number of bytes of the status line so far.
+	// position is the number of bytes of the status line so far, and start what came of it while it may be that of an interim answer.
 	position int
+	start    [statusEnd]byte
 	status   int
 	// oldVersion is set for HTTP/1.0.
 	oldVersion bool
@@ -74,6 +79,8 @@
 	line []byte
 	// left is how many bytes of the body or chunk are left.
 	left int64
+	// interimBytes is the size of the interim answers so far, without the starts of their status lines.
+	interimBytes int
 }
 
 func invalid(message string) error {
@@ -97,21 +104,49 @@
 	}
 }
 
-// feed follows further bytes and returns how many of them come before the first one that belongs to no answer.
-func (a *answer) feed(p []byte) (valid int, failure error) {
-	for n := 0; n < len(p); {
-		if skipped := a.skip(len(p) - n); skipped > 0 {
+// held returns how many bytes are held back until it is known whether they belong to an interim answer.
+func (a *answer) held() int {
+	if a.phase == phaseStatusLine && a.position < statusEnd {
+		return a.position
+	}
+
+	return 0
+}
+
+// filter follows the bytes of p between two positions, before the first of which there is room for those that are held. It moves to the start
+// of p what a reader gets, without interim answers, up to the first byte that belongs to no answer, and returns the number of these bytes.
+func (a *answer) filter(p []byte, from, to int) (kept int, failure error) {
+	for n := from; n < to; {
+		if skipped := a.skip(to - n); skipped > 0 {
+			kept += copy(p[kept:], p[n:n+skipped])
 			n += skipped
 
 			continue
 		}
-		if err := a.next(p[n]); err != nil {
-			return n, err
+		b, interim := p[n], a.interim()
+		if err := a.next(b); err != nil {
+			return kept, err
 		}
 		n++
+		if a.phase == phaseStatusLine && 0 < a.position && a.position <= statusEnd {
+			a.start[a.position-1] = b
+			if a.position == statusEnd && !a.interim() {
+				kept += copy(p[kept:], a.start[:])
+			}
+		} else if !interim {
+			p[kept] = b
+			kept++
+		} else if a.interimBytes++; a.interimBytes > maxInterimBytes {
+			return kept, invalid("interim answers without end")
+		}
 	}
 
-	return len(p), nil
+	return kept, nil
+}
+
+// interim reports whether the head of an interim answer is under way.
+func (a *answer) interim() bool {
+	return a.status/100 == 1 && a.status != http.StatusSwitchingProtocols && (a.phase != phaseStatusLine || a.position >= statusEnd)
 }
 
 // skip follows bytes of a body that may have any value, at most n of them, and returns their number.
@@ -297,7 +332,7 @@
 		return invalid("a transfer coding beside a length or in HTTP/1.0")
 	case a.status == http.StatusSwitchingProtocols:
 		a.phase = phaseOther
-	case a.status/100 == 1:
+	case a.interim():
 		a.restart()
 	case a.method == http.MethodHead || a.status == http.StatusNoContent || a.status == http.StatusNotModified:
 		a.complete()
@@ -317,7 +352,7 @@
 // complete is called after a whole answer.
 func (a *answer) complete() {
 	a.restart()
-	a.method = ""
+	a.method, a.interimBytes = "", 0
 }
 
 // restart prepares for the next head.
@@ -327,6 +362,8 @@
 		name:   a.name[:0],
 		value:  a.value[:0],
 		line:   a.line[:0],
+
+		interimBytes: a.interimBytes,
 	}
 }
 
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -15,15 +15,19 @@
 // writeGrace is how long the end of a connection waits for a write that is under way, which may be told of a reset in place of the read.
 const writeGrace = 100 * time.Millisecond
 
-// Conn is a connection to a server. Its reads fail at the first byte that belongs to no answer, and at an end of the connection that ends no
-// answer. Reads and writes may be concurrent, but not two reads.
+// minReadBytes is the least size of a buffer for reads from the connection, which has to hold the beginning of a status line.
+const minReadBytes = 64
+
+// Conn is a connection to a server. Its reads leave out interim answers, such as 103 Early Hints, and fail at the first byte that belongs to no
+// answer, and at an end of the connection that ends no answer. Reads and writes may be concurrent, but not two reads.
 type Conn struct {
 	net.Conn
 	// lock guards answer; it is not held during calls.
 	lock   sync.Mutex
 	answer answer
-	// failure is used by reads only.
+	// failure and unread, which holds what did not fit into the buffer of a read, are used by reads only.
 	failure error
+	unread  []byte
 	// writeLock guards the fields below; it is not held during calls.
 	writeLock sync.Mutex
 	// written is closed when the write that is under way ends, nil if there is none.
@@ -48,30 +52,57 @@
 
 // Read returns bytes of answers; after a failure it returns no further ones.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.failure != nil {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	for len(c.unread) == 0 && c.failure == nil {
+		if len(p) >= minReadBytes {
+			n, err := c.read(p)
+			if n > 0 || err != nil {
+				return n, err
+			}
+
+			continue
+		}
+		buffer := make([]byte, minReadBytes)
+		n, err := c.read(buffer)
+		c.unread, c.failure = buffer[:n], err
+	}
+	if len(c.unread) == 0 {
 		return 0, c.failure
 	}
-	n, err := c.Conn.Read(p)
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
+
+	return n, nil
+}
+
+// read is Read for a buffer that is long enough. It returns no byte and no failure if there was only an interim answer.
+func (c *Conn) read(p []byte) (int, error) {
+	c.lock.Lock()
+	held := c.answer.held()
+	c.lock.Unlock()
+	n, err := c.Conn.Read(p[held:])
 	c.lock.Lock()
-	valid, failure := c.answer.feed(p[:n])
+	kept, failure := c.answer.filter(p, held, held+n)
 	end := c.answer.end()
 	c.lock.Unlock()
 	switch {
 	case failure != nil:
 		c.failure = failure
-		if valid > 0 {
-			return valid, nil
+		if kept > 0 {
+			return kept, nil
 		}
 
 		return 0, failure
 	case !errors.Is(err, io.EOF):
-		return n, err
+		return kept, err
 	case end == endOfConnection && c.reset():
-		return n, fault.Wrap(syscall.ECONNRESET, fault.CodeOutcomeUnknown, "the answer was cut")
+		return kept, fault.Wrap(syscall.ECONNRESET, fault.CodeOutcomeUnknown, "the answer was cut")
 	case end == endMissing:
-		return n, io.ErrUnexpectedEOF
+		return kept, io.ErrUnexpectedEOF
 	default:
-		return n, err
+		return kept, err
 	}
 }
 
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -72,13 +72,25 @@
 	}
 }
 
+// Guards against an interim answer that is taken for the final one, so that the final one is taken for that to the next request.
+func TestInterimAnswersAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	got, err := readAll(t, "GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+final+"HTTP/1.1 102 \r\n\r\n"+final)
+	is.NoErr(err)
+	is.Equal(got, final+final)
+	got, err = readAll(t, "GET", final+strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 6000)+final)
+	is.True(err != nil)
+	is.Equal(got, final)
+}
+
 // Guards against bytes that are no answer by the grammar, which libraries take for one, or for one with another body.
 func TestInvalidBytesEndTheConnection(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	const chunks = ok + "Transfer-Encoding: chunked\r\n\r\n"
 	for _, c := range []struct {
 		name, text string
-		// passed is how many bytes are read at least before the failure.
+		// passed is how many bytes are read before the failure.
 		passed int
 	}{
 		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", 0},
@@ -132,7 +144,7 @@
 			is := is.New(t)
 			got, err := readAll(t, "GET", c.text)
 			is.True(err != nil)
-			is.True(strings.HasPrefix(c.text, got) && len(got) >= c.passed)
+			is.Equal(got, c.text[:c.passed])
 		})
 	}
 }
--- a/io/objectstore/invalid_test.go
+++ b/io/objectstore/invalid_test.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"tarragonwalk/io/objectstore"
 )
 
@@ -54,3 +56,17 @@
 		})
 	}
 }
+
+// Guards against an interim answer that is taken for the final one.
+func TestInterimAnswer(t *testing.T) {
+	is := is.New(t)
+	a := answerOnce(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 2\r\n\r\nok")
+	})
+	c := objectstore.New(a, 1000, 1000)
+	defer c.Close()
+	value, version, err := c.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(string(value), "ok")
+	is.Equal(version, int64(7))
+}
--- a/io/transport/transport_test.go
+++ b/io/transport/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 )
 
@@ -58,6 +60,24 @@
 	return status, body, err
 }
 
+// Guards against an interim answer that is taken for the final one, and a final one that is taken for the answer to the next request.
+func TestInterimAnswers(t *testing.T) {
+	is := is.New(t)
+	a := serve(t, func(c net.Conn, path string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+	})
+	tr := New()
+	defer tr.Close()
+	for _, path := range []string{"/a", "/bc", "/def"} {
+		status, body, err := get(t, tr, a, path)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, path)
+	}
+}
+
 // Guards against bytes that are no answer by the grammar of HTTP and are taken for one.
 func TestInvalidAnswers(t *testing.T) {
 	for _, answer := range []string{
