Look for refused connections only where it is needed

By reading, after the loss of many instances: each of the others tried the addresses of all lost ones every 2 s, and the watchers wrote a doubt about each of them after 3 s, also if its process was about to start again; in a fleet of 295 that had lost 177 this is some 10,000 connections a second and a thousand writes.

Now only watchers, and instances that wait for a loss to be confirmed, look; a doubt about an instance that is merely missing is written after 9 s of refusals. A process that has created its object itself, and has got no list after that, no longer takes that object for one of an earlier process.

Ruled out: fewer looks of the watchers, on which the short wait of others rests.

The figures of a large fleet are worked out, not measured.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -109,8 +109,8 @@
 	left bool
 	// known is set if the store listed an earlier process of this instance, so that others that are alive miss it.
 	known atomic.Bool
-	// ambiguous is set if an attempt to create the object got no answer; it is used by Run only.
-	ambiguous bool
+	// created is set if this process may have created the object itself; it is used by Run only.
+	created bool
 	// doubted is set while others may have settled that this instance is lost, and look for its questions no more.
 	doubted atomic.Bool
 	// losses, refusals and listed, which holds the addresses that the store listed last, are used by Run only.
@@ -212,18 +212,17 @@
 	return err
 }
 
-// noteFormer records, from the outcome of creating the object of this instance, whether an earlier process has left it.
+// noteFormer records, from the outcome of creating the object of this instance, whether an earlier process has left it. A creation without an
+// answer may have taken effect.
 func (x *Exchanger) noteFormer(created fault.Code, found listedRecord) {
-	switch created {
-	case "":
-	case fault.CodeConflict:
-		x.known.Store(!x.ambiguous && found.record.Peer.IsValid())
-		if found.record.Doubted {
-			x.doubted.Store(true)
-		}
-	default:
-		// The object may have been created all the same.
-		x.ambiguous = true
+	if created != fault.CodeConflict {
+		x.created = true
+
+		return
+	}
+	x.known.Store(!x.created && found.record.Peer.IsValid())
+	if found.record.Doubted {
+		x.doubted.Store(true)
 	}
 }
 
@@ -419,7 +418,9 @@
 	case err != nil && fault.CodeOf(err) != fault.CodeNotFound:
 		return false, err
 	case err != nil || x.question == "" || found.Question != x.question || found.Doubted:
-		x.doubted.Store(x.doubted.Load() || found.Doubted)
+		if found.Doubted {
+			x.doubted.Store(true)
+		}
 		x.question, x.renewals = "", 0
 
 		return true, nil
--- a/core/addresses/losses.go
+++ b/core/addresses/losses.go
@@ -204,9 +204,16 @@
 			x.losses.settled[name] = true
 		}
 	}
-	if x.mayAnswer() {
-		x.doubt(ctx, l, undoubted)
+	if !x.mayAnswer() {
+		return
 	}
+	undoubted = slices.DeleteFunc(undoubted, func(name string) bool {
+		_, ok := forgotten[name]
+
+		// A process that only starts again needs no doubt.
+		return !ok && askedAt.Sub(refused[name]) < refusedDoubtTime
+	})
+	x.doubt(ctx, l, undoubted)
 }
 
 // suspects returns the forgotten instances and, if this instance watches the store, those that are only missing and whose machines refuse
@@ -226,7 +233,8 @@
 	return list
 }
 
-// observeRefusals looks at whether the machines of missing instances refuse connections.
+// observeRefusals looks at whether the machines of missing instances refuse connections, if this instance watches the store or waits for the
+// loss of others to be confirmed.
 func (x *Exchanger) observeRefusals(ctx context.Context) {
 	if x.cluster.Isolated() {
 		return
@@ -241,6 +249,9 @@
 	if len(missing) == 0 && x.cluster.MetMost() {
 		x.doubted.Store(false)
 	}
+	if !x.mayAnswer() && len(x.cluster.Unconfirmed()) == 0 {
+		missing = nil
+	}
 	x.refusals.observe(ctx, missing, x.fleet.Refused)
 }
 
--- a/core/addresses/refusals.go
+++ b/core/addresses/refusals.go
@@ -15,7 +15,7 @@
 	// refusalTimeout bounds such a look.
 	refusalTimeout = 600 * time.Millisecond
 	// maxRefusalCalls bounds its concurrent calls.
-	maxRefusalCalls = 16
+	maxRefusalCalls = 64
 )
 
 // refusals knows which missing instances run no process, as far as their machines answer. A firewall may refuse connections in the name of
--- a/core/cluster/missing.go
+++ b/core/cluster/missing.go
@@ -10,6 +10,9 @@
 func (c *Cluster) Missing() map[string]netip.AddrPort {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if len(c.unconfirmed) == 0 && len(c.silent) == 0 {
+		return nil
+	}
 	list := map[string]netip.AddrPort{}
 	for name, f := range c.unconfirmed {
 		list[name] = f.address
