Count only listed instances when a process decides whether it met most

Cause: those that a process hears were counted whether they are listed or not. Now only listed ones are.

Ruled out: waiting for a list that has all instances that are heard; it is read again every 30 s only.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -800,3 +800,22 @@
 		is.Equal(c.Hears("e1"), after <= goneAfter/2)
 	}
 }
+
+// Guards against processes that are added behind the same partition, hear each other, and take that for half of the fleet, whose list was read
+// before they were in it: they would take over the jobs of live instances.
+func TestAddedBehindPartition(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(0)
+	at := start
+	c.Expire(at)
+	c.Expect(names(4))
+	for at.Before(start.Add(time.Minute)) {
+		at = at.Add(200 * time.Millisecond)
+		for n := 7; n <= 8; n++ {
+			c.Observe(&gossip.Heartbeat{Sender: member(n, "1"), Sequence: int(at.Sub(start))}, at)
+		}
+		c.Expire(at)
+		is.True(c.Alive("e2", "1", at))
+		is.True(!c.MetMost())
+	}
+}
--- a/core/cluster/stranger.go
+++ b/core/cluster/stranger.go
@@ -19,7 +19,7 @@
 	if c.strangersNoted || len(c.listed) == 0 {
 		return
 	}
-	if !c.metMost && 2*len(c.peers) >= len(c.listed) {
+	if !c.metMost && 2*c.metListed() >= len(c.listed) {
 		c.metMost = true
 		for name, stranger := range c.strangers {
 			if stranger {
@@ -47,6 +47,19 @@
 	}
 }
 
+// metListed returns how many of the listed instances this one has heard from. Others that it hears may have started behind the same partition
+// after the list was read. The caller holds the lock.
+func (c *Cluster) metListed() int {
+	n := 0
+	for _, name := range c.listed {
+		if c.peers[name] != nil {
+			n++
+		}
+	}
+
+	return n
+}
+
 // hasStrangers reports whether there are listed instances that this one has never heard from and whose loss is not confirmed. The caller
 // holds the lock.
 func (c *Cluster) hasStrangers() bool {
--- a/internal/virtualfleet/refused_test.go
+++ b/internal/virtualfleet/refused_test.go
@@ -24,13 +24,13 @@
 	return n >= 0 && f.Running(n)
 }
 
-// bubbleOf runs a test with a fleet of some instances in three zones that know each other.
-func bubbleOf(t *testing.T, size int, do func(t *testing.T, is *is.I, f *Fleet)) {
+// bubbleOf runs a test with a fleet of some instances in three zones that know each other, but for the first ones, which are not started yet.
+func bubbleOf(t *testing.T, size, first int, do func(t *testing.T, is *is.I, f *Fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := New(size, 3, rand.New(rand.NewPCG(1, 2)), slog.New(slog.DiscardHandler))
 		defer f.Close()
-		for n := range size {
+		for n := first; n < size; n++ {
 			f.Start(n)
 		}
 		time.Sleep(10 * time.Second)
@@ -55,7 +55,7 @@
 		{"four of eighteen come back", 18, 14, 4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			bubbleOf(t, c.size, func(t *testing.T, is *is.I, f *Fleet) {
+			bubbleOf(t, c.size, 0, func(t *testing.T, is *is.I, f *Fleet) {
 				for n := range c.size {
 					is.NoErr(f.Submit(t.Context(), n, fmt.Sprint("job", n), lastItems))
 				}
@@ -90,17 +90,23 @@
 		size int
 		// group is how many instances are behind the firewall.
 		group int
-		// restart is set if these start again there, late if they do so long after they were killed.
-		restart, late bool
+		// restart is set if these start again there, late if they do so long after they were killed, added if they were never there before.
+		restart, late, added bool
 	}{
-		{"one", 3, 1, false, false},
-		{"one that starts again", 3, 1, true, false},
-		{"one that comes back late", 5, 1, true, true},
-		{"three of seven that start again", 7, 3, true, false},
-		{"three of seven that come back late", 7, 3, true, true},
+		{"one", 3, 1, false, false, false},
+		{"one that starts again", 3, 1, true, false, false},
+		{"one that comes back late", 5, 1, true, true, false},
+		{"one that is added", 5, 1, true, false, true},
+		{"three of seven that start again", 7, 3, true, false, false},
+		{"three of seven that come back late", 7, 3, true, true, false},
+		{"three of seven that are added", 7, 3, true, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			bubbleOf(t, c.size, func(t *testing.T, is *is.I, f *Fleet) {
+			first := 0
+			if c.added {
+				first = c.group
+			}
+			bubbleOf(t, c.size, first, func(t *testing.T, is *is.I, f *Fleet) {
 				behind := map[string]bool{}
 				for a := range c.group {
 					behind[f.instances[a].name] = true
