Look again for instances that come back behind a firewall after their loss was confirmed

Cause: what was confirmed as lost was forgotten, and only single instances were looked for again. Now all that were settled are kept until they are heard or have left, and a removed doubt starts the short looks again.

Ruled out: a time in the record since when it is not doubted (clocks). What remains: a second start within 30 s, before the next regular look.

TestCallsForMissingInstances guards the store against looks without end and doubts about processes that only start again.

--- a/core/addresses/losses.go
+++ b/core/addresses/losses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -47,7 +48,7 @@
 	lookAt time.Time
 	// lookedAt is when the last look ended.
 	lookedAt time.Time
-	// settled are the instances that were doubted in vain for refusedDoubtTime and are not counted as unconfirmed.
+	// settled are the instances whose loss is confirmed, and whether the store has shown a sign of life of one since.
 	settled map[string]bool
 }
 
@@ -159,13 +160,16 @@
 	return lost, undoubted
 }
 
-// review applies a list to the settled instances: one that has removed a doubt about itself is alive.
+// review applies a list to the settled instances: one that has removed the doubt about itself is alive. One that is not listed has left.
 func (l *losses) review(list listing) {
-	maps.DeleteFunc(l.settled, func(name string, _ bool) bool {
+	for name := range l.settled {
 		found, listed := list.records[name]
-
-		return listed && !found.record.Doubted
-	})
+		if !listed {
+			delete(l.settled, name)
+		} else if !found.record.Doubted {
+			l.settled[name] = true
+		}
+	}
 }
 
 // doubted records that this instance has written a doubt.
@@ -198,10 +202,9 @@
 	}
 	lost, undoubted := x.losses.observe(l, suspects, refused, x.Expected(), askedAt, time.Now())
 	for _, name := range lost {
+		x.losses.settled[name] = false
 		if forgottenAt, ok := forgotten[name]; ok {
 			x.cluster.ConfirmLost(name, forgottenAt)
-		} else {
-			x.losses.settled[name] = true
 		}
 	}
 	if !x.mayAnswer() {
@@ -224,7 +227,7 @@
 	}
 	list := map[string]time.Time{}
 	for name, since := range x.refusals.since {
-		if !x.losses.settled[name] {
+		if alive, settled := x.losses.settled[name]; alive || !settled {
 			list[name] = since
 		}
 	}
@@ -239,13 +242,7 @@
 	if x.cluster.Isolated() {
 		return
 	}
-	missing := x.cluster.Missing()
-	for name, a := range missing {
-		if !a.IsValid() {
-			missing[name] = x.listed[name]
-		}
-	}
-	maps.DeleteFunc(x.losses.settled, func(name string, _ bool) bool { _, ok := missing[name]; return !ok })
+	missing := x.missing()
 	if len(missing) == 0 && x.cluster.MetMost() {
 		x.doubted.Store(false)
 	}
@@ -255,6 +252,26 @@
 	x.refusals.observe(ctx, missing, x.fleet.Refused)
 }
 
+// missing returns the addresses of the instances that this one does not hear though they may be alive.
+func (x *Exchanger) missing() map[string]netip.AddrPort {
+	missing := map[string]netip.AddrPort{}
+	maps.Copy(missing, x.cluster.Missing())
+	for name, alive := range x.losses.settled {
+		if x.cluster.Hears(name) {
+			delete(x.losses.settled, name)
+		} else if alive {
+			missing[name] = x.listed[name]
+		}
+	}
+	for name, a := range missing {
+		if !a.IsValid() {
+			missing[name] = x.listed[name]
+		}
+	}
+
+	return missing
+}
+
 // doubt writes doubts about instances to the store. A conflict is a sign of life, or the doubt of another watcher, and is seen at the next
 // look.
 func (x *Exchanger) doubt(ctx context.Context, l listing, names []string) {
--- a/internal/virtualfleet/refused_test.go
+++ b/internal/virtualfleet/refused_test.go
@@ -17,6 +17,9 @@
 // to be finished.
 const takeoverTime = 17 * time.Second
 
+// rejoinPause is the time between two reads of the addresses by the watcher of a zone.
+const rejoinPause = 30 * time.Second
+
 // hasProcess reports whether a process of an instance runs.
 func (f *Fleet) hasProcess(name string) bool {
 	n := slices.IndexFunc(f.instances, func(i *instance) bool { return i.name == name })
@@ -92,14 +95,18 @@
 		group int
 		// restart is set if these start again there, late if they do so long after they were killed, added if they were never there before.
 		restart, late, added bool
+		// againAfter is when they start once more, zero for never.
+		againAfter time.Duration
 	}{
-		{"one", 3, 1, false, false, false},
-		{"one that starts again", 3, 1, true, false, false},
-		{"one that comes back late", 5, 1, true, true, false},
-		{"one that is added", 5, 1, true, false, true},
-		{"three of seven that start again", 7, 3, true, false, false},
-		{"three of seven that come back late", 7, 3, true, true, false},
-		{"three of seven that are added", 7, 3, true, false, true},
+		{"one", 3, 1, false, false, false, 0},
+		{"one that starts again", 3, 1, true, false, false, 0},
+		{"one that comes back late", 5, 1, true, true, false, 0},
+		{"one that comes back late and starts again", 5, 1, true, true, false, 40 * time.Second},
+		{"one that is added", 5, 1, true, false, true, 0},
+		{"three of seven that start again", 7, 3, true, false, false, 0},
+		{"three of seven that come back late", 7, 3, true, true, false, 0},
+		{"three of seven that come back late and start again", 7, 3, true, true, false, 40 * time.Second},
+		{"three of seven that are added", 7, 3, true, false, true, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			first := 0
@@ -128,7 +135,15 @@
 						f.Start(a)
 					}
 				}
-				for end, k := time.Now().Add(silenceTime), 0; time.Now().Before(end); k++ {
+				again := c.againAfter > 0
+				for began, k := time.Now(), 0; time.Since(began) < silenceTime; k++ {
+					if again && time.Since(began) > c.againAfter {
+						again = false
+						for a := range c.group {
+							f.Kill(a)
+							f.Start(a)
+						}
+					}
 					id := fmt.Sprint("job", k)
 					ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 					is.NoErr(f.Submit(ctx, c.group+k%(c.size-c.group), id, lastItems))
@@ -142,3 +157,24 @@
 		})
 	}
 }
+
+// Guards against watchers that look in the store for an instance for good after it was lost, and against doubts about one whose process only
+// starts again.
+func TestCallsForMissingInstances(t *testing.T) {
+	bubbleOf(t, 5, 0, func(t *testing.T, is *is.I, f *Fleet) {
+		calls := func(purpose string, during time.Duration) int {
+			before := f.StoreCalls()[purpose]
+			time.Sleep(during)
+
+			return f.StoreCalls()[purpose] - before
+		}
+		f.Kill(4)
+		is.Equal(calls("doubt written", 6*time.Second), 0)
+		f.Start(4)
+		is.Equal(calls("doubt written", 20*time.Second), 0)
+		f.Kill(3)
+		lists, doubts := 3*int(time.Minute/rejoinPause), 3
+		is.True(calls("doubt written", 40*time.Second) <= doubts)
+		is.True(calls("addresses listed", time.Minute) <= lists)
+	})
+}
