--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -489,3 +489,28 @@
 		}
 	})
 }
+
+// Guards against an isolated instance that takes itself for the last one though another one has doubted it in the store, and against one that
+// expects to be looked for after that.
+func TestDoubtAnswersQuestion(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, m *memory) {
+		n := launch(t, m, "a", true)
+		time.Sleep(time.Second)
+		is.True(n.Expected())
+		is.NoErr(n.Ask(t.Context()))
+		answered, err := n.Answered(t.Context())
+		is.NoErr(err)
+		is.True(!answered)
+		var found record
+		revision, err := m.Read(t.Context(), "kind", "a", &found)
+		is.NoErr(err)
+		found.Doubted = true
+		_, err = m.Replace(t.Context(), "kind", "a", found, revision)
+		is.NoErr(err)
+		answered, err = n.Answered(t.Context())
+		is.NoErr(err)
+		is.True(answered)
+		is.True(!n.Expected())
+		n.stop()
+	})
+}
