Pause between looks for missing instances that fail

By reading: while the machine of a missing instance refused connections, a look at the store that failed was repeated at the next tick, since the next one was counted from the last that succeeded. The store's client bounds that by its own pauses. It counts from the failed one now.

TestLooksPauseAfterFailure failed before.

--- a/core/addresses/exchanger_test.go
+++ b/core/addresses/exchanger_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,8 @@
 
 // memory is a store with one revision counter; before is called before each change.
 type memory struct {
+	// failing is set if lists fail.
+	failing  atomic.Bool
 	lock     sync.Mutex
 	objects  map[string]object
 	revision int64
@@ -139,6 +142,9 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.lists++
+	if m.failing.Load() {
+		return fault.New(fault.CodeStoreUnavailable, "no list")
+	}
 	for name, o := range m.objects {
 		each(name, o.value, o.revision)
 	}
@@ -158,6 +164,9 @@
 	// heard are the nodes that this one hears, unconfirmed those that it has forgotten.
 	heard       []string
 	unconfirmed map[string]time.Time
+	// missing are those that are not heard, refusing whether their machines refuse connections. They are set before the node starts.
+	missing  map[string]netip.AddrPort
+	refusing bool
 }
 
 func (n *node) Hears(name string) (heard bool) {
@@ -199,8 +208,8 @@
 func (*node) IntroduceSeeds()                                {}
 func (*node) PeerAddresses() []netip.AddrPort                { return nil }
 func (*node) Reachable(context.Context, netip.AddrPort) bool { return false }
-func (*node) Refused(context.Context, netip.AddrPort) bool   { return false }
-func (*node) Missing() map[string]netip.AddrPort             { return nil }
+func (n *node) Refused(context.Context, netip.AddrPort) bool { return n.refusing }
+func (n *node) Missing() map[string]netip.AddrPort           { return n.missing }
 func (*node) MetMost() bool                                  { return true }
 func (n *node) ForgetPeers(time.Time)                        { n.set(func() { n.forgotten = true }) }
 
@@ -230,7 +239,10 @@
 func (n *node) watch(watching bool) { n.set(func() { n.watching = watching }) }
 
 func launch(t *testing.T, m *memory, name string, watching bool) *node {
-	n := &node{name: name, watching: watching}
+	return launchNode(t, m, &node{name: name, watching: watching})
+}
+
+func launchNode(t *testing.T, m *memory, n *node) *node {
 	log := slog.New(slog.DiscardHandler)
 	n.Exchanger = New(m, "kind", n, n, log)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -514,3 +526,23 @@
 		n.stop()
 	})
 }
+
+// Guards against a watcher that lists the addresses without a pause while the store fails and a missing instance's machine refuses connections.
+func TestLooksPauseAfterFailure(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, m *memory) {
+		b := netip.MustParseAddrPort("10.0.0.2:9")
+		_, err := m.Create(t.Context(), "kind", "b", record{Peer: b})
+		is.NoErr(err)
+		n := launchNode(t, m, &node{name: "a", watching: true, refusing: true, missing: map[string]netip.AddrPort{"b": b}})
+		time.Sleep(time.Second)
+		before := m.listed()
+		time.Sleep(2 * refusedLookPause)
+		is.Equal(m.listed()-before, 2)
+		m.failing.Store(true)
+		before = m.listed()
+		const during = 10 * time.Second
+		time.Sleep(during)
+		is.True(m.listed()-before <= int(during/retryPause)+1)
+		n.stop()
+	})
+}
--- a/core/addresses/losses.go
+++ b/core/addresses/losses.go
@@ -195,7 +195,8 @@
 		err = x.answerAll(ctx, l)
 	}
 	if err != nil {
-		x.losses.lookAt = time.Now().Add(retryPause)
+		x.losses.lookedAt = time.Now()
+		x.losses.lookAt = x.losses.lookedAt.Add(retryPause)
 		x.log.Warn("missing instances not looked for in the store", "missing", len(suspects), "error", err.Error())
 
 		return
