Read the state of a connection in one place

Found while the change was read once more: the access to a connection's socket stood three times in io/tcp, and the start of a fleet of three twice in the tests of internal/virtualfleet. No behaviour and no assertion changes.

--- a/internal/virtualfleet/last_test.go
+++ b/internal/virtualfleet/last_test.go
@@ -4,10 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
-	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -39,15 +36,7 @@
 // bubbleOfThree runs a test with a fleet of three instances that know each other.
 func bubbleOfThree(t *testing.T, do func(t *testing.T, is *is.I, f *Fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		f := New(3, 3, rand.New(rand.NewPCG(1, 2)), slog.New(slog.DiscardHandler))
-		defer f.Close()
-		for n := range 3 {
-			f.Start(n)
-		}
-		time.Sleep(10 * time.Second)
-		do(t, is.New(t), f)
-	})
+	bubbleOf(t, 3, 0, do)
 }
 
 // Guards against an instance that takes over the jobs of live holders, which reach the store, because it has not heard them for long.
--- a/io/tcp/ended.go
+++ b/io/tcp/ended.go
@@ -11,15 +11,22 @@
 // Closed reports whether a connection is closed in both directions, as after a reset; known is false for one that hides its socket or its
 // state.
 func Closed(c net.Conn) (closed, known bool) {
-	var info *unix.TCPInfo
-	var failure error
-	if !control(c, func(fd int) { info, failure = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) }) || failure != nil {
+	info, known := infoOf(c)
+	if !known {
 		return false, false
 	}
 
 	return info.State == closedState, info.State != 0
 }
 
+// infoOf returns what the system knows of a connection, false for one that hides its socket.
+func infoOf(c net.Conn) (info *unix.TCPInfo, known bool) {
+	var failure error
+	known = control(c, func(fd int) { info, failure = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
+
+	return info, known && failure == nil
+}
+
 // EndedByReset reports whether the end of a connection that a read has found is a reset by its peer. The system tells a reset once, to the
 // read or to a write; writeErr is the first failure of a write, nil if there is none. After a write to a peer that has ended the connection in
 // order before, EPIPE is told.
@@ -37,7 +44,7 @@
 	return !ok || syscall.Errno(pending) != syscall.EPIPE //nolint:gosec // a small number
 }
 
-// control calls f with the socket of a connection, and reports whether it did.
+// control calls f with the socket of a connection, and reports whether it did. Unlike a read, it does not wait for one that is in progress.
 func control(c net.Conn, f func(fd int)) bool {
 	s, ok := c.(syscall.Conn)
 	if !ok {
--- a/io/tcp/unread.go
+++ b/io/tcp/unread.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -10,21 +9,12 @@
 // HasUnread reports whether the kernel holds bytes that have arrived on a connection and that the process has not read. It is false for a
 // connection that hides its socket.
 func HasUnread(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	waiting := 0
-	// Control, unlike Read, does not wait for a Read of the connection that is in progress.
-	err = raw.Control(func(fd uintptr) {
-		if n, e := unix.IoctlGetInt(int(fd), unix.TIOCINQ); e == nil {
+	known := control(c, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
 			waiting = n
 		}
 	})
 
-	return err == nil && waiting > 0
+	return known && waiting > 0
 }
