Count refused responses until their memory is free

Cause: the budget of all responses gave the bytes of a refused response back when its receiver was told, before the receiver had given its buffers back. Others grew in its place at once, and buffers went through the pool faster than the collector takes away what the pool keeps. At the peak, 24 to 26 MiB of buffers of responses were in use or kept under a budget of 13.4 MiB and half as much for dropped ones; no more than 15 MiB were with a receiver.

Change: a large response that is refused counts until its receiver sets its size to less or ends it, and reading a whole response does so once the pieces are back in the pool.

TestLargestMessageIsDropped asked that the bytes of a refused message be free before its receiver had given them back, which is the fault; it asks now that they count until then. TestRefusedMessagesCountUntilTheyEnd failed before: 0 bytes counted in place of 1,048,576.

--- a/core/bytebudget/budget.go
+++ b/core/bytebudget/budget.go
@@ -10,7 +10,8 @@
 const (
 	// freeBytes of each message are not counted, so that ordinary messages take no lock.
 	freeBytes = 8 << 10
-	// patientBytes is the size up to which a message is not dropped only because dropped ones still hold their memory.
+	// patientBytes is the size up to which a message is not dropped only because dropped ones still hold their memory. Dropped ones of up to
+	// this size do not count once their receivers are told.
 	patientBytes = 64 << 10
 )
 
@@ -20,8 +21,8 @@
 var dropped = expvar.NewMap("MessagesDropped")
 
 // Budget is the number of bytes that messages may take together. When they take more, the largest one is dropped, since a sender that
-// does not stop sends it rather than the others. Dropped messages may take half as much again until their receivers notice: on a busy
-// machine that takes long, while others grow in their place. It is safe for concurrent use.
+// does not stop sends it rather than the others. Large messages that were dropped count until they end, and may take half as much again: on a
+// busy machine their receivers give the memory back late, while others grow in their place. It is safe for concurrent use.
 type Budget struct {
 	limit int
 	// lock guards all fields below, and those of the messages.
@@ -42,7 +43,7 @@
 
 // Open begins a message of some kind. The first function sets its size in bytes; it fails with ErrDropped if the message was dropped, or has
 // to be. The second one ends the message and has to be called. When the message is dropped on behalf of another one, drop is called, which
-// has to end the goroutine that receives the message.
+// has to end the goroutine that receives the message. A dropped message counts until its size is set to less or it ends.
 func (b *Budget) Open(kind string, drop func()) (resize func(size int) error, end func()) {
 	m := &message{
 		budget: b,
@@ -65,7 +66,7 @@
 	return found
 }
 
-// dropMessage drops a message on behalf of another one. It holds its memory until its receiver notices; it needs the lock.
+// dropMessage drops a message, which still holds its memory; it needs the lock.
 func (b *Budget) dropMessage(m *message) {
 	m.dropped = true
 	dropped.Add(m.kind, 1)
--- a/core/bytebudget/budget_test.go
+++ b/core/bytebudget/budget_test.go
@@ -28,6 +28,8 @@
 	is.NoErr(growing(80 << 10))
 	is.True(errors.Is(growing(81<<10), ErrDropped)) // it is the largest itself
 	is.Equal(ended, []string{"large"})
+	is.Equal(b.ending, 80<<10) // its receiver has the bytes until it gives them back
+	is.True(errors.Is(growing(0), ErrDropped))
 	is.NoErr(small(100 << 10))
 	is.NoErr(small(0))
 	endSmall()
@@ -80,3 +82,32 @@
 	defer end()
 	is.NoErr(resize(limit))
 }
+
+// Guards against a message that is refused more memory, whose receiver has no processor time to give back what it has, and others that grow
+// in its place beyond the memory.
+func TestRefusedMessagesCountUntilTheyEnd(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	b := New(limit)
+	var ends []func()
+	for range 2 {
+		resize, end := b.Open("test", func() {})
+		ends = append(ends, end)
+		is.NoErr(resize(limit / 2))
+		is.True(errors.Is(resize(limit+1), ErrDropped))
+		is.True(errors.Is(resize(limit/2), ErrDropped)) // what it has is not given back by asking again
+	}
+	is.Equal(b.used, 0)
+	is.Equal(b.ending, limit)
+	resize, end := b.Open("test", func() {})
+	is.NoErr(resize(patientBytes))
+	is.True(errors.Is(resize(limit/2), ErrDropped))
+	end()
+	for _, end := range ends {
+		end()
+	}
+	is.Equal(b.ending, 0)
+	resize, end = b.Open("test", func() {})
+	defer end()
+	is.NoErr(resize(limit))
+}
--- a/core/bytebudget/message.go
+++ b/core/bytebudget/message.go
@@ -32,14 +32,14 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if m.dropped {
-		b.release(m)
+		m.shrink(size)
 
 		return nil, ErrDropped
 	}
 	m.counted = true
 	b.messages[m] = struct{}{}
-	grows := size > m.held
-	b.used += size - m.held
+	before := m.held
+	b.used += size - before
 	m.held = size
 	for b.used > b.limit {
 		v := b.largest(m)
@@ -47,27 +47,40 @@
 			break
 		}
 		if v == m {
-			return victims, m.refuse()
+			return victims, m.refuse(before)
 		}
 		b.dropMessage(v)
 		victims = append(victims, v)
 	}
-	if grows && size > patientBytes && b.ending > b.limit/2 {
-		return victims, m.refuse()
+	if size > before && size > patientBytes && b.ending > b.limit/2 {
+		return victims, m.refuse(before)
 	}
 
 	return victims, nil
 }
 
-// refuse drops a message that has asked for more than there is; it needs the budget's lock.
-func (m *message) refuse() error {
-	m.budget.release(m)
-	m.dropped = true
-	dropped.Add(m.kind, 1)
+// refuse drops a message that holds a number of bytes and has asked for more than there is; it needs the budget's lock.
+func (m *message) refuse(held int) error {
+	m.budget.used -= m.held - held
+	m.held = held
+	m.budget.dropMessage(m)
+	m.shrink(held)
 
 	return ErrDropped
 }
 
+// shrink sets the bytes that a dropped message still holds when its receiver is told. A large one counts until it gives its memory back: its
+// receiver may have to wait for processor time before it does. It needs the budget's lock.
+func (m *message) shrink(size int) {
+	if m.held <= patientBytes {
+		size = 0
+	}
+	if size < m.held {
+		m.budget.ending -= m.held - size
+		m.held = size
+	}
+}
+
 func (m *message) end() {
 	if !m.counted {
 		return
--- a/core/forward/read.go
+++ b/core/forward/read.go
@@ -26,6 +26,7 @@
 	defer func() {
 		if err != nil {
 			putPieces(append(full, piece))
+			_ = resize(0) // fails if the response was dropped
 		}
 	}()
 	size, held := 0, cap(piece)
