--- /dev/null
+++ b/review/lab3/main.go
@@ -0,0 +1,32 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	cases := map[string]func(*site) (int, error){
+		"weights":  weightsCase,
+		"path":     pathCase,
+		"grey":     greyCase,
+		"large":    largeCase,
+		"catchall": catchallCase,
+	}
+	play := cases[os.Args[1]]
+	s, err := newSite()
+	if play == nil || err != nil {
+		fmt.Println("the case cannot run:", err)
+		os.Exit(failed)
+	}
+	code, err := play(s)
+	if err != nil {
+		s.note("the case could not run: %v", err)
+		code = failed
+	}
+	s.note("exit %d", code)
+	s.close()
+	os.Exit(code)
+}
