--- a/review/lab3/grey.go
+++ b/review/lab3/grey.go
@@ -18,7 +18,7 @@
 	if err := s.startPlain(workers); err != nil {
 		return failed, err
 	}
-	if err := s.startEdges(2); err != nil {
+	if err := s.startEdges(edgeCount); err != nil {
 		return failed, err
 	}
 	var grey atomic.Bool
--- a/review/lab3/path.go
+++ b/review/lab3/path.go
@@ -11,15 +11,15 @@
 // pathCase: a new version of the configuration adds a batch route whose prefix has an escaped letter.
 func pathCase(s *site) (int, error) {
 	s.configure()
-	if err := s.startPlain(1); err != nil {
+	if err := s.startPlain(deskCount); err != nil {
 		return failed, err
 	}
-	for n := range 2 {
+	for n := range engineCount {
 		if _, err := s.startWorker(fmt.Sprintf("i-llm-%d", n+1), service, 1, 8); err != nil {
 			return failed, err
 		}
 	}
-	if err := s.startEdges(2); err != nil {
+	if err := s.startEdges(edgeCount); err != nil {
 		return failed, err
 	}
 	prefix := "/sheets/"
--- a/review/lab3/silent.go
+++ b/review/lab3/silent.go
@@ -18,12 +18,12 @@
 
 // silentCase: all machines lose power at once, some come back at once, and the others don't answer any more.
 func silentCase(s *site) (int, error) {
-	const machines, back = 7, 3
+	const back = 3
 	s.configure()
-	if err := s.startPlain(3); err != nil {
+	if err := s.startPlain(deskCount); err != nil {
 		return failed, err
 	}
-	for n := range 12 {
+	for n := range engineCount {
 		w, err := s.startWorker(fmt.Sprintf("i-llm-%d", n+1), service, 1, 8)
 		if err != nil {
 			return failed, err
@@ -31,12 +31,12 @@
 		w.gap = eventGap
 		w.events = longSheet(sheetEvents)
 	}
-	if err := s.startEdges(machines); err != nil {
+	if err := s.startEdges(edgeCount); err != nil {
 		return failed, err
 	}
 	time.Sleep(2 * time.Second)
 	sent := map[string][]item{}
-	for n := range machines {
+	for n := range edgeCount {
 		job := fmt.Sprintf("7c41e09b%04x52d6", n)
 		items := sheets(job, 10)
 		if err := s.submit(job, n, items); err != nil {
--- a/review/lab3/site.go
+++ b/review/lab3/site.go
@@ -31,6 +31,8 @@
 	valueBytes = 1 << 20
 	// finish is the bound finish_s: how long jobs have after the traffic has ended.
 	finish = 18 * time.Second
+	// edgeCount, engineCount and deskCount are the machines and workers of the sheet.
+	edgeCount, engineCount, deskCount = 7, 12, 3
 	// calm is how long no worker may have had an item, and none may have been finished, for an item that is not listed to count as lost.
 	calm = 5 * time.Second
 )
--- a/review/lab3/split.go
+++ b/review/lab3/split.go
@@ -11,25 +11,26 @@
 func splitCase(s *site) (int, error) {
 	const preview = "/sheets/gallery-7/"
 	s.configure()
-	if err := s.startPlain(1); err != nil {
+	if err := s.startPlain(deskCount); err != nil {
 		return failed, err
 	}
-	for n := range 2 {
+	for n := range engineCount {
 		w, err := s.startWorker(fmt.Sprintf("i-llm-%d", n+1), service, 1, 8)
 		if err != nil {
 			return failed, err
 		}
-		w.gap = 100 * time.Millisecond // about 3 s for each sheet
+		w.gap = eventGap
+		w.events = longSheet(sheetEvents)
 	}
-	if err := s.startEdges(2); err != nil {
+	if err := s.startEdges(edgeCount); err != nil {
 		return failed, err
 	}
 	const job = "7c41e09b52d6a3f8"
-	items := sheets(job, 40)
+	items := sheets(job, 200)
 	if err := s.submitAt(preview+job, job, 0, items); err != nil {
 		return failed, err
 	}
-	if err := s.await(10*time.Second, "items run", func() bool { return s.activeItems() > 8 }); err != nil {
+	if err := s.await(10*time.Second, "items run", func() bool { return s.activeItems() > engineCount }); err != nil {
 		return failed, err
 	}
 	if s.trouble {
--- a/review/lab3/weights.go
+++ b/review/lab3/weights.go
@@ -12,10 +12,10 @@
 // weightsCase: two releases replace half of the workers each, one after the other, by some with newer weights. Sessions of clients stay with
 // the weights that have answered them first.
 func weightsCase(s *site) (int, error) {
-	const workers, sessions = 6, 6
-	const length = 22 * time.Second
+	const workers, sessions = engineCount, 12
+	const length = 30 * time.Second
 	s.configure()
-	if err := s.startPlain(1); err != nil {
+	if err := s.startPlain(deskCount); err != nil {
 		return failed, err
 	}
 	var old []*worker
@@ -26,7 +26,7 @@
 		}
 		old = append(old, w)
 	}
-	if err := s.startEdges(2); err != nil {
+	if err := s.startEdges(edgeCount); err != nil {
 		return failed, err
 	}
 	var group sync.WaitGroup
@@ -55,7 +55,7 @@
 		return failed, err
 	}
 	served := map[int]int{}
-	for n := range 12 {
+	for n := range 21 {
 		e := s.edges[n%len(s.edges)]
 		id := fmt.Sprintf("c%015x", n)
 		a, err := s.call(e, http.MethodPost, "/notes/1", id, noteHeaders(n, 0), "prompt", 5*time.Second)
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// queueLength is how many requests a worker queues beyond its slots.
+const queueLength = 24
+
 // worker is a sound worker, unless its behaviour is changed.
 type worker struct {
 	site    *site
@@ -29,6 +32,10 @@
 	// plain answers a request of a plain service.
 	plain func(w http.ResponseWriter, r *http.Request, body []byte)
 
+	// places are the slots, and queue the further requests that may wait for one.
+	places chan struct{}
+	queue  chan struct{}
+
 	lock    sync.Mutex
 	running int
 	runs    map[string]int
@@ -54,6 +61,8 @@
 		address: l.Addr().String(),
 		born:    time.Now().UnixMilli(),
 		gap:     20 * time.Millisecond,
+		places:  make(chan struct{}, slots),
+		queue:   make(chan struct{}, slots+queueLength),
 		runs:    map[string]int{},
 		state:   "ready",
 		stopped: make(chan struct{}),
@@ -168,19 +177,25 @@
 
 		return
 	}
-	w.lock.Lock()
-	full := w.running >= w.slots
-	if !full {
-		w.running++
-		w.runs[id]++
-	}
-	run := w.runs[id]
-	w.lock.Unlock()
-	if full {
+	select {
+	case w.queue <- struct{}{}:
+		defer func() { <-w.queue }()
+	default:
 		refuse(http.StatusServiceUnavailable, "full")
 
 		return
 	}
+	select {
+	case w.places <- struct{}{}:
+		defer func() { <-w.places }()
+	case <-r.Context().Done():
+		return
+	}
+	w.lock.Lock()
+	w.running++
+	w.runs[id]++
+	run := w.runs[id]
+	w.lock.Unlock()
 	defer func() {
 		w.lock.Lock()
 		defer w.lock.Unlock()
