--- a/review/lab3/weights.go
+++ b/review/lab3/weights.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// weightsCase: two releases replace half of the workers each, one after the other, by some with newer weights. Sessions of clients stay with
+// weightsCase: three releases replace a third of the workers each, one after the other, by some with newer weights. Sessions of clients stay with
 // the weights that have answered them first.
 func weightsCase(s *site) (int, error) {
-	const workers, sessions = engineCount, 12
-	const length = 30 * time.Second
+	const workers, releases, sessions = engineCount, 3, 12
+	const length = 34 * time.Second
 	s.configure()
 	if err := s.startPlain(deskCount); err != nil {
 		return failed, err
@@ -36,8 +36,8 @@
 	if s.trouble {
 		time.Sleep(3 * time.Second)
 		for n := range workers {
-			if n == workers/2 {
-				s.note("the second release begins")
+			if n > 0 && n%(workers/releases) == 0 {
+				s.note("a further release begins")
 				time.Sleep(3 * time.Second)
 			}
 			if _, err := s.startWorker(fmt.Sprintf("i-new-%d", n+1), service, 2, 8); err != nil {
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -125,6 +125,14 @@
 	w.site.note("worker %s has ended", w.id)
 }
 
+// leaves reports whether the worker is draining or has left.
+func (w *worker) leaves() bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	return w.state != "ready"
+}
+
 func (w *worker) active() int {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -142,12 +150,7 @@
 // ServeHTTP answers one request.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	h := rw.Header()
-	switch {
-	case r.Method == http.MethodGet && r.URL.Path == "/healthz":
-		h.Set("X-Tarragonwalk-Instance-Id", w.id)
-
-		return
-	case r.Method == http.MethodGet && r.URL.Path == "/v1/report":
+	if r.Method == http.MethodGet && r.URL.Path == "/v1/report" {
 		h.Set("Content-Type", "application/json")
 		_ = json.NewEncoder(rw).Encode(map[string]any{
 			"stage": "hybrid", "models": []map[string]any{{"name": "m", "version": w.weights, "adapters": []string{}}}, "busy": false, "seq": 0,
@@ -156,17 +159,28 @@
 
 		return
 	}
+	health := r.Method == http.MethodGet && r.URL.Path == "/healthz"
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	id := r.Header.Get("X-Tarragonwalk-Request-Id")
-	h.Set("X-Tarragonwalk-Request-Id", id)
+	if w.leaves() {
+		h.Set("Connection", "close")
+	}
+	if id != "" {
+		h.Set("X-Tarragonwalk-Request-Id", id)
+	}
 	refuse := func(status int, why string) {
 		w.site.note("worker %s refuses %s with %d, not run: %s", w.id, id, status, why)
 		h.Set("X-Tarragonwalk-Not-Executed", "1")
 		rw.WriteHeader(status)
 	}
+	if id == "" && !health {
+		refuse(http.StatusBadRequest, "it has no id")
+
+		return
+	}
 	if expected := r.Header.Get("X-Tarragonwalk-Expect-Instance"); expected != "" && expected != w.id {
 		refuse(http.StatusMisdirectedRequest, "it is for "+expected)
 
@@ -191,6 +205,14 @@
 	case <-r.Context().Done():
 		return
 	}
+	if health {
+		h.Set("X-Tarragonwalk-Instance-Id", w.id)
+		if w.leaves() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+
+		return
+	}
 	w.lock.Lock()
 	w.running++
 	w.runs[id]++
