Take over jobs of silent machines within the time that callers wait

Cause: a doubt about an instance had to stand in the store for a minute, and the question of the last one for 40 s, since watchers looked there every 30 s. They looked every 2.5 s only if the machine of a missing instance refused connections, which a machine without power does not. Refusals were never evidence: a firewall refuses in the name of a live instance. What made 9 s safe was that both sides looked more often, and both sides of a silent partition can do so as well.

Change: watchers look every 2.5 s while any instance is missing, or while one that they hear hears few others (new field Asking of heartbeats) or does not hear them. Doubts and questions have 9 s wherever the others expect the process that asks. The look at refused connections is removed.

Ruled out: that the takeover itself or the search for orphans waits. In the rows with refusing machines only the time of the doubt differs, and they passed before.

Tests: nine rows of TestJobsOfLostInstancesAreTakenOver with silent machines (one, two and three of seven back, one of three and of seven left, 18 and 60 instances) failed before and pass now. TestPartitionedGroups and TestHoldersWithoutStore read at all instances while groups are cut off, deaf or started again, with and without the store; with the suspicions of core/cluster taken out as a trial, they fail. The tests on refusals went with the code.

--- a/core/addresses/exchanger.go
+++ b/core/addresses/exchanger.go
@@ -51,7 +51,9 @@
 	Hears(name string) bool
 	Unconfirmed() map[string]time.Time
 	ConfirmLost(name string, forgottenAt time.Time)
-	Missing() map[string]netip.AddrPort
+	Missing() []string
+	Sought() bool
+	Unheard() bool
 	MetMost() bool
 }
 
@@ -63,8 +65,6 @@
 	NoteFleetSize(listed int)
 	// IntroduceSeeds passes the seed addresses to the cluster.
 	IntroduceSeeds()
-	// Refused reports whether the machine at an address refuses connections, because no process listens there.
-	Refused(ctx context.Context, a netip.AddrPort) bool
 }
 
 type record struct {
@@ -113,10 +113,10 @@
 	created bool
 	// doubted is set while others may have settled that this instance is lost, and look for its questions no more.
 	doubted atomic.Bool
-	// losses, refusals and listed, which holds the addresses that the store listed last, are used by Run only.
-	losses   *losses
-	refusals *refusals
-	listed   map[string]netip.AddrPort
+	// losses, absences and ownLookAt, when the next look for a doubt about this instance is due, are used by Run only.
+	losses    *losses
+	absences  *absences
+	ownLookAt time.Time
 }
 
 // New returns an exchanger whose objects are of a kind of their own; Run starts it.
@@ -129,7 +129,7 @@
 		log:      log,
 		own:      make(chan struct{}, 1),
 		losses:   newLosses(),
-		refusals: newRefusals(),
+		absences: newAbsences(),
 	}
 }
 
@@ -156,8 +156,9 @@
 			}
 		}
 		if announced {
-			x.observeRefusals(ctx)
+			x.observeAbsences(time.Now())
 			x.confirmLosses(ctx)
+			x.answerDoubt(ctx)
 		}
 		select {
 		case <-ticks:
@@ -226,8 +227,8 @@
 	}
 }
 
-// Expected reports whether others that are alive would miss this instance, so that they look for its questions at short intervals if
-// connections to it are refused: the fleet knew it, and has not settled that it is lost.
+// Expected reports whether others that are alive would miss this instance, so that they look for its questions at short intervals: the fleet
+// knew it, and has not settled that it is lost.
 func (x *Exchanger) Expected() bool {
 	return !x.doubted.Load() && (x.known.Load() || x.cluster.MetMost())
 }
@@ -283,7 +284,6 @@
 		self:    x.cluster.Self().Name,
 	}
 	var others []string
-	listed := map[string]netip.AddrPort{}
 	err := x.store.List(purpose.With(ctx, "addresses listed"), x.kind, func(name string, value json.RawMessage, revision int64) {
 		var r record
 		if json.Unmarshal(value, &r) != nil {
@@ -296,12 +296,10 @@
 		}
 		if name != l.self && r.Peer.IsValid() {
 			others = append(others, name)
-			listed[name] = r.Peer
 		}
 	})
 	x.cluster.Expect(others)
 	if err == nil {
-		x.listed = listed
 		x.losses.review(l)
 	}
 
--- a/core/addresses/losses.go
+++ b/core/addresses/losses.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -14,15 +13,18 @@
 )
 
 const (
-	// doubtTime is how long a doubt about an instance has to stand before its loss is confirmed. It is longer than rejoinPause and
-	// attemptTimeout together, within which a watcher that hears the instance removes it.
+	// doubtTime is how long a doubt about an instance has to stand before its loss is confirmed if the instances of its group do not expect
+	// this one. It is longer than rejoinPause and attemptTimeout together, within which a watcher that hears the instance removes it.
 	doubtTime = time.Minute
-	// refusedDoubtTime is the same for an instance whose machine refuses connections. It is longer than several times refusedLookPause.
-	refusedDoubtTime = 9 * time.Second
-	// refusedLookPause is the time between two looks of the watchers while the machine of a missing instance refuses connections. If that
-	// instance is alive, it may take itself for the last one, or this one for lost, after refusedDoubtTime.
-	refusedLookPause = 2500 * time.Millisecond
-	// firstLookPause is how long others than the watchers, which write the doubts, wait with their first look at such an instance.
+	// answerTime is the same if they expect this one. It is longer than lookPause, two looks and retryPause together, so that a look of
+	// theirs may fail.
+	answerTime = 9 * time.Second
+	// lookPause is the time between two looks of the watchers while an instance is missing. If it is alive, it may take itself for the last
+	// one, or this one for lost, after answerTime.
+	lookPause = 2500 * time.Millisecond
+	// lookTimeout bounds a look.
+	lookTimeout = 2500 * time.Millisecond
+	// firstLookPause is how long others than the watchers, which write the doubts, wait with their first look at a missing instance.
 	firstLookPause = time.Second
 	// doubtPause is the time between two looks while a doubt has not been written; another instance may be about to do it.
 	doubtPause = 10 * time.Second
@@ -59,30 +61,27 @@
 	}
 }
 
-// due reports whether the store has to be looked at, given the forgotten instances and since when the machines of some refuse connections.
-func (l *losses) due(forgotten, refused map[string]time.Time, watching bool, at time.Time) bool {
-	maps.DeleteFunc(l.known, func(name string, k loss) bool { return !forgotten[name].Equal(k.forgottenAt) })
-	if len(forgotten) == 0 {
+// due reports whether the store has to be looked at, given the suspects. Sought says that an instance whose heartbeats still arrive may
+// ask or doubt there.
+func (l *losses) due(suspects map[string]time.Time, sought, watching bool, at time.Time) bool {
+	maps.DeleteFunc(l.known, func(name string, k loss) bool { return !suspects[name].Equal(k.forgottenAt) })
+	if watching && sought && !at.Before(l.lookedAt.Add(lookPause)) {
+		return true
+	}
+	if len(suspects) == 0 {
 		l.lookAt = time.Time{}
 
 		return false
 	}
 	first := at
-	switch {
-	case watching: // the watchers write the doubts
-	case len(refused) > 0:
+	if !watching { // the watchers write the doubts
 		first = at.Add(firstLookPause)
-	default:
-		first = at.Add(doubtPause)
 	}
-	if l.lookAt.IsZero() || len(l.known) < len(forgotten) && first.Before(l.lookAt) {
+	if l.lookAt.IsZero() || len(l.known) < len(suspects) && first.Before(l.lookAt) {
 		l.lookAt = first
 	}
-	for name, since := range refused {
-		if _, ok := forgotten[name]; !ok {
-			continue
-		}
-		if soon := l.refusedLookAt(name, since, watching); soon.Before(l.lookAt) {
+	for name := range suspects {
+		if soon := l.nextLookAt(name, watching); soon.Before(l.lookAt) {
 			l.lookAt = soon
 		}
 	}
@@ -90,17 +89,17 @@
 	return !at.Before(l.lookAt)
 }
 
-// refusedLookAt returns when the next look is due because the machine of a forgotten instance has refused connections since a time. The
-// watchers look all the time, for questions and doubts of that instance's group; others only want to know that it is lost.
-func (l *losses) refusedLookAt(name string, since time.Time, watching bool) time.Time {
+// nextLookAt returns when the next look for a suspect is due. The watchers look all the time, for questions and doubts of its group; others
+// only want to know that it is lost.
+func (l *losses) nextLookAt(name string, watching bool) time.Time {
 	k, seen := l.known[name]
-	soon := l.lookedAt.Add(refusedLookPause)
+	soon := l.lookedAt.Add(lookPause)
 	switch {
 	case !seen:
 		return l.lookAt
 	case watching:
 	case !k.doubtedAt.IsZero():
-		soon = later(soon, later(k.doubtedAt, since).Add(refusedDoubtTime))
+		soon = later(soon, k.doubtedAt.Add(answerTime))
 	default:
 		soon = later(soon, k.aliveUntil)
 	}
@@ -117,19 +116,19 @@
 }
 
 // observe applies a list that was asked for at a time and read by another one. It returns the instances whose loss is confirmed and those
-// that have to be doubted. Refused says since when the machines of some refuse connections; that shortens the time of a doubt if others that
-// are alive expect this instance, since they look for doubts more often then.
+// that have to be doubted. Absent says since when they have been missing; the time of a doubt is shorter if others that are alive expect this
+// instance, since their watchers look at short intervals while it is missing there, or does not hear them.
 func (l *losses) observe(
-	list listing, forgotten, refused map[string]time.Time, expected bool, askedAt, readAt time.Time,
+	list listing, suspects, absent map[string]time.Time, expected bool, askedAt, readAt time.Time,
 ) (lost, undoubted []string) {
 	l.lookedAt, l.lookAt = readAt, readAt.Add(aliveTime)
-	for name, forgottenAt := range forgotten {
+	for name, forgottenAt := range suspects {
 		found, listed := list.records[name]
 		k, seen := l.known[name]
 		stands := !listed || found.record.Doubted
 		needed := doubtTime
-		if since, ok := refused[name]; ok && expected && askedAt.Sub(since) >= refusedDoubtTime {
-			needed = refusedDoubtTime
+		if since, ok := absent[name]; ok && expected && askedAt.Sub(since) >= answerTime {
+			needed = answerTime
 		}
 		switch {
 		case seen && !k.doubtedAt.IsZero() && k.revision != found.revision:
@@ -184,11 +183,11 @@
 func (x *Exchanger) confirmLosses(ctx context.Context) {
 	forgotten := x.cluster.Unconfirmed()
 	askedAt := time.Now()
-	suspects, refused := x.suspects(forgotten), x.refusals.since
-	if !x.losses.due(suspects, refused, x.mayAnswer(), askedAt) || x.cluster.Isolated() {
+	suspects, absent := x.suspects(forgotten), x.absences.since
+	if !x.losses.due(suspects, x.cluster.Sought(), x.mayAnswer(), askedAt) || x.cluster.Isolated() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	l, err := x.list(ctx)
 	if err == nil {
@@ -201,7 +200,7 @@
 
 		return
 	}
-	lost, undoubted := x.losses.observe(l, suspects, refused, x.Expected(), askedAt, time.Now())
+	lost, undoubted := x.losses.observe(l, suspects, absent, x.Expected(), askedAt, time.Now())
 	for _, name := range lost {
 		x.losses.settled[name] = false
 		if forgottenAt, ok := forgotten[name]; ok {
@@ -215,19 +214,19 @@
 		_, ok := forgotten[name]
 
 		// A process that only starts again needs no doubt.
-		return !ok && askedAt.Sub(refused[name]) < refusedDoubtTime
+		return !ok && askedAt.Sub(absent[name]) < answerTime
 	})
 	x.doubt(ctx, l, undoubted)
 }
 
-// suspects returns the forgotten instances and, if this instance watches the store, those that are only missing and whose machines refuse
-// connections: they may be alive behind a firewall, and ask or doubt in the store.
+// suspects returns the forgotten instances and, if this instance watches the store, those that are only missing: they may be alive behind a
+// partition, and ask or doubt in the store.
 func (x *Exchanger) suspects(forgotten map[string]time.Time) map[string]time.Time {
 	if !x.mayAnswer() {
 		return forgotten
 	}
 	list := map[string]time.Time{}
-	for name, since := range x.refusals.since {
+	for name, since := range x.absences.since {
 		if alive, settled := x.losses.settled[name]; alive || !settled {
 			list[name] = since
 		}
@@ -237,9 +236,8 @@
 	return list
 }
 
-// observeRefusals looks at whether the machines of missing instances refuse connections, if this instance watches the store or waits for the
-// loss of others to be confirmed.
-func (x *Exchanger) observeRefusals(ctx context.Context) {
+// observeAbsences records which instances are missing.
+func (x *Exchanger) observeAbsences(at time.Time) {
 	if x.cluster.Isolated() {
 		return
 	}
@@ -247,32 +245,37 @@
 	if len(missing) == 0 && x.cluster.MetMost() {
 		x.doubted.Store(false)
 	}
-	if !x.mayAnswer() && len(x.cluster.Unconfirmed()) == 0 {
-		missing = nil
-	}
-	x.refusals.observe(ctx, missing, x.fleet.Refused)
+	x.absences.observe(missing, at)
 }
 
-// missing returns the addresses of the instances that this one does not hear though they may be alive.
-func (x *Exchanger) missing() map[string]netip.AddrPort {
-	missing := map[string]netip.AddrPort{}
-	maps.Copy(missing, x.cluster.Missing())
+// missing returns the instances that this one does not hear though they may be alive.
+func (x *Exchanger) missing() []string {
+	missing := x.cluster.Missing()
 	for name, alive := range x.losses.settled {
 		if x.cluster.Hears(name) {
 			delete(x.losses.settled, name)
-		} else if alive {
-			missing[name] = x.listed[name]
-		}
-	}
-	for name, a := range missing {
-		if !a.IsValid() {
-			missing[name] = x.listed[name]
+		} else if alive && !slices.Contains(missing, name) {
+			missing = append(missing, name)
 		}
 	}
 
 	return missing
 }
 
+// answerDoubt removes a doubt about this instance if an instance that it hears does not hear it. All others that hear it may be unheard as
+// well, without a watcher among them, and watchers find it in the list.
+func (x *Exchanger) answerDoubt(ctx context.Context) {
+	if x.mayAnswer() || !x.cluster.Unheard() || time.Now().Before(x.ownLookAt) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	if err := x.announce(ctx); err != nil {
+		x.log.Warn("no look in the store for a doubt about this instance", "error", err.Error())
+	}
+	x.ownLookAt = time.Now().Add(lookPause)
+}
+
 // doubt writes doubts about instances to the store. A conflict is a sign of life, or the doubt of another watcher, and is seen at the next
 // look.
 func (x *Exchanger) doubt(ctx context.Context, l listing, names []string) {
--- a/core/cluster/cluster.go
+++ b/core/cluster/cluster.go
@@ -56,6 +56,9 @@
 	pauseLimit = time.Second
 	// forgetAfter is how long heartbeats are sent to an address that does not answer.
 	forgetAfter = 30 * time.Second
+	// reintroducedLife is how long they are sent to it after it was named once more. It is longer than the time between two looks for missing
+	// instances in the store, so that one that hears this one, but is not heard, has no gap in which it could take itself for isolated.
+	reintroducedLife = 5 * time.Second
 )
 
 // peer is another instance as last heard from.
@@ -129,12 +132,10 @@
 	return p.heardRecently(at) && !p.heartbeat.Sender.Leaving
 }
 
-// forgotten is an instance that was forgotten at a time, with its last process and that one's address, which are empty if none was ever
-// heard from.
+// forgotten is an instance that was forgotten at a time, with its last process, which is empty if none was ever heard from.
 type forgotten struct {
 	at          time.Time
 	incarnation string
-	address     netip.AddrPort
 }
 
 // target is an address to which heartbeats are sent.
@@ -241,18 +242,21 @@
 	c.self.Leaving = leaving
 }
 
-// Introduce adds addresses that may belong to other instances.
+// Introduce adds addresses that may belong to other instances. Known ones are kept for reintroducedLife at least.
 func (c *Cluster) Introduce(addresses []netip.AddrPort, at time.Time) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	for _, a := range addresses {
-		if a != c.self.Peer && a.IsValid() {
-			if _, ok := c.targets[a]; !ok {
-				c.targets[a] = target{
-					forgetAt: at.Add(forgetAfter),
-				}
-			}
+		if a == c.self.Peer || !a.IsValid() {
+			continue
 		}
+		t, ok := c.targets[a]
+		life := reintroducedLife
+		if !ok {
+			life = forgetAfter
+		}
+		t.forgetAt = later(t.forgetAt, at.Add(life))
+		c.targets[a] = t
 	}
 }
 
--- a/core/cluster/gateway.go
+++ b/core/cluster/gateway.go
@@ -185,7 +185,7 @@
 // tokens and queued items are left out, since reports contain them.
 func relevantChange(before, now *gossip.Heartbeat) bool {
 	return before.Sender != now.Sender || before.RouteVersion != now.RouteVersion || before.ServerDigest != now.ServerDigest ||
-		before.StoreLost != now.StoreLost || !slices.Equal(before.Held, now.Held) || !slices.Equal(before.Claimed, now.Claimed) || !slices.Equal(before.Ended, now.Ended) ||
+		before.StoreLost != now.StoreLost || before.Asking != now.Asking || !slices.Equal(before.Held, now.Held) || !slices.Equal(before.Claimed, now.Claimed) || !slices.Equal(before.Ended, now.Ended) ||
 		!slices.Equal(before.Released, now.Released) || !slices.EqualFunc(before.TakenOver, now.TakenOver, sameTakeover) || !slices.EqualFunc(before.Crashes, now.Crashes, sameCrash) ||
 		!slices.EqualFunc(before.SoundParts, now.SoundParts, func(a, b gossip.SoundPart) bool { return a.Part == b.Part }) ||
 		!slices.EqualFunc(before.QuarantinedParts, now.QuarantinedParts, func(a, b gossip.QuarantinedPart) bool { return a.Part == b.Part }) ||
--- a/core/cluster/liveness.go
+++ b/core/cluster/liveness.go
@@ -94,7 +94,6 @@
 		c.unconfirmed[name] = forgotten{
 			at:          at,
 			incarnation: s.Incarnation,
-			address:     s.Peer,
 		}
 	}
 	delete(c.peers, name)
--- a/core/cluster/silence.go
+++ b/core/cluster/silence.go
@@ -177,7 +177,7 @@
 // unheardBy returns the name of a live instance that has not heard from this one, empty if there is none. The caller holds the lock.
 func (c *Cluster) unheardBy() string {
 	for name, p := range c.peers {
-		if !p.gone && !p.countsSelfAt.IsZero() && c.expiredAt.Sub(p.countsSelfAt) <= unheardLife {
+		if !p.gone && c.countsSelf(p) {
 			return name
 		}
 	}
@@ -185,6 +185,11 @@
 	return ""
 }
 
+// countsSelf reports whether another instance counts this one as gone, or is about to. The caller holds the lock.
+func (c *Cluster) countsSelf(p *peer) bool {
+	return !p.countsSelfAt.IsZero() && c.expiredAt.Sub(p.countsSelfAt) <= unheardLife
+}
+
 // names reports whether the instance names another one as silent for at least a time. After unheardAfter it counts that one as gone, or is
 // about to.
 func (p *peer) names(m gossip.Member, silence time.Duration) bool {
--- a/core/cluster/state.go
+++ b/core/cluster/state.go
@@ -159,9 +159,13 @@
 }
 
 // precedes reports whether another instance is live and precedes this one as a watcher of the store: those that reach the store
-// precede those that do not, then lower names come first. The caller holds the lock.
+// precede those that do not, then those that do not ask for others there precede those that do, whom they may have to answer, then lower
+// names come first. The caller holds the lock.
 func (c *Cluster) precedes(p *peer, lost bool, at time.Time) bool {
 	before := p.heartbeat.Sender.Name < c.self.Name
+	if asking := c.asking(); p.heartbeat.Asking != asking {
+		before = asking
+	}
 	if p.heartbeat.StoreLost != lost {
 		before = lost
 	}
--- a/core/gossip/gossip_schema.go
+++ b/core/gossip/gossip_schema.go
@@ -175,6 +175,10 @@
 	// Addresses are those of further instances, which the receiver may not know.
 	Addresses []netip.AddrPort `json:"Addresses,omitempty,omitzero"`
 
+	// Asking says that the sender hears from no other instance, or has heard from few
+	// since its start, and asks in the store which are alive.
+	Asking bool `json:"Asking,omitempty,omitzero"`
+
 	// CheckedMillis is how long ago the store had no newer route table than the
 	// sender, by the latest check of any instance; -1 if unknown.
 	CheckedMillis int `json:"CheckedMillis,omitempty,omitzero"`
@@ -312,6 +316,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["Asking"]; !ok || v == nil {
+		plain.Asking = false
+	}
 	if v, ok := raw["CheckedMillis"]; !ok || v == nil {
 		plain.CheckedMillis = 0
 	}
--- a/core/heartbeat/exchanger.go
+++ b/core/heartbeat/exchanger.go
@@ -39,6 +39,7 @@
 	Self() gossip.Member
 	Observe(b *gossip.Heartbeat, at time.Time) bool
 	ObservePassedOn(b *gossip.Heartbeat, at time.Time) bool
+	Asking() bool
 	Silent(round int, at time.Time) []gossip.SilentProcess
 	Answers(b *gossip.Heartbeat, at time.Time) (passedOn []gossip.RelayedHeartbeat, own bool)
 	ZoneAddresses(at time.Time) (each, regular, joined []netip.AddrPort)
@@ -229,6 +230,7 @@
 	b.ServerRevision = int(revision)
 	b.ServerDigest = int(digest) //nolint:gosec // only compared
 	b.StoreLost = e.storeLost()
+	b.Asking = e.cluster.Asking()
 	if at := e.cluster.SearchedAt(); !at.IsZero() {
 		b.SearchedMillis = max(1, gossip.Age(at, e.now()))
 	}
--- a/core/isolation/checker.go
+++ b/core/isolation/checker.go
@@ -11,22 +11,22 @@
 )
 
 const (
-	// checkAfter is how long an instance is isolated before it may conclude that it is the only one left.
+	// checkAfter is how long an instance that the others do not expect is isolated before it may conclude that it is the only one left.
 	checkAfter = 30 * time.Second
-	// answerTime is how long the others have to answer a question in the store. They look for questions at longer intervals, whose
-	// length and duration it covers.
-	answerTime = 40 * time.Second
-	// refusedAnswerTime is how long the others have to answer while the machines of all of them refuse connections. Others that are alive
-	// behind a firewall that refuses connections look for questions at shorter intervals then. Together with the time until an instance is
-	// isolated it is longer than a single silent instance is assumed to be alive, so that those who hear this one again expect a takeover.
-	refusedAnswerTime = 9 * time.Second
-	// interval is the time between two looks, refusedInterval the same while all others refuse connections.
-	interval        = 5 * time.Second
-	refusedInterval = time.Second
+	// unexpectedAnswerTime is how long the others have to answer a question in the store if they do not expect this instance. They look for
+	// questions at intervals whose length and duration it covers.
+	unexpectedAnswerTime = 40 * time.Second
+	// answerTime is the same if they expect this instance, so that they miss it and look for questions at shorter intervals. Together with
+	// the time until an instance is isolated it is longer than a single silent instance is assumed to be alive, so that those who hear this
+	// one again expect a takeover.
+	answerTime = 9 * time.Second
+	// interval is the time between two looks, firstInterval the same while a question is younger than answerTime.
+	interval      = 5 * time.Second
+	firstInterval = time.Second
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 3 * time.Second
 	// maxCalls bounds the concurrent calls of a look.
-	maxCalls = 8
+	maxCalls = 64
 )
 
 type cluster interface {
@@ -38,8 +38,6 @@
 type peers interface {
 	// Reachable reports whether a process accepts calls at an address.
 	Reachable(ctx context.Context, a netip.AddrPort) bool
-	// Refused reports whether the machine at an address refuses connections, because no process listens there.
-	Refused(ctx context.Context, a netip.AddrPort) bool
 }
 
 // questions are asked in the store, where all instances that reach it look for them.
@@ -49,8 +47,7 @@
 	Answered(ctx context.Context) (bool, error)
 	// OthersSeen reports whether another instance has written to the store since Ask; a failure says nothing.
 	OthersSeen(ctx context.Context) (bool, error)
-	// Expected reports whether others that are alive would miss this instance, and look for its questions at short intervals if connections
-	// to it are refused.
+	// Expected reports whether others that are alive would miss this instance, and look for its questions at short intervals.
 	Expected() bool
 }
 
@@ -66,8 +63,6 @@
 	since time.Time
 	// askedAt is when the open question was put into the store, zero if there is none.
 	askedAt time.Time
-	// refusedSince is since when all others have refused connections at each look, zero if one of them did not.
-	refusedSince time.Time
 	// lookAt is when the next look is due.
 	lookAt time.Time
 }
@@ -85,7 +80,7 @@
 
 // Run checks at intervals until ctx ends.
 func (c *Checker) Run(ctx context.Context) {
-	t := time.NewTicker(refusedInterval)
+	t := time.NewTicker(firstInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -100,54 +95,55 @@
 func (c *Checker) check(ctx context.Context) {
 	since, isolated := c.cluster.IsolatedSince()
 	if !isolated || !since.Equal(c.since) {
-		c.askedAt, c.refusedSince, c.lookAt = time.Time{}, time.Time{}, time.Time{}
+		c.askedAt, c.lookAt = time.Time{}, time.Time{}
 	}
 	c.since = since
 	if !isolated || c.now().Before(c.lookAt) {
 		return
 	}
-	addresses := c.cluster.PeerAddresses()
-	c.observeRefusals(ctx, addresses)
+	c.look(ctx)
+	c.lookAt = c.nextLook()
+}
+
+// look asks the others, and ends the isolation once it is known that there are none.
+func (c *Checker) look(ctx context.Context) {
 	if !c.unanswered(ctx) || !c.waited() {
 		return
 	}
+	addresses := c.cluster.PeerAddresses()
 	reached := c.reached(ctx, addresses)
-	c.log.Warn("other instances looked for", "isolated_since", since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached,
-		"refused_since", c.refusedSince)
+	c.log.Warn("other instances looked for", "isolated_since", c.since, "asked_at", c.askedAt, "addresses", len(addresses), "reached", reached,
+		"expected", c.questions.Expected())
 	// The calls may have taken many seconds.
 	if reached || !c.unanswered(ctx) || !c.unseen(ctx) {
 		return
 	}
-	if now, isolated := c.cluster.IsolatedSince(); isolated && now.Equal(since) && ctx.Err() == nil {
+	if now, isolated := c.cluster.IsolatedSince(); isolated && now.Equal(c.since) && ctx.Err() == nil {
 		c.cluster.ForgetPeers(c.now())
 	}
 }
 
-// observeRefusals notes whether all others refuse connections, and when the next look is due.
-func (c *Checker) observeRefusals(ctx context.Context, addresses []netip.AddrPort) {
-	if !c.allRefuse(ctx, addresses) {
-		c.refusedSince, c.lookAt = time.Time{}, c.now().Add(interval)
-
-		return
-	}
-	if c.refusedSince.IsZero() {
-		c.refusedSince = c.now()
-		c.log.Info("all other instances refuse connections", "isolated_since", c.since, "addresses", len(addresses))
+// nextLook returns when the next look is due. Without an open question it was answered, or could not be asked.
+func (c *Checker) nextLook() time.Time {
+	at := c.now()
+	if !c.askedAt.IsZero() && at.Sub(c.askedAt) <= answerTime {
+		return time.Time{}
 	}
-	c.lookAt = time.Time{}
+
+	return at.Add(interval)
 }
 
 // waited reports whether the others have had the time to answer the open question.
 func (c *Checker) waited() bool {
-	at := c.now()
 	if c.askedAt.IsZero() {
 		return false
 	}
-	if !c.refusedSince.IsZero() && c.questions.Expected() && at.Sub(c.askedAt) >= refusedAnswerTime && at.Sub(c.refusedSince) >= refusedAnswerTime {
-		return true
+	at := c.now()
+	if c.questions.Expected() {
+		return at.Sub(c.askedAt) >= answerTime
 	}
 
-	return at.Sub(c.askedAt) >= answerTime && at.Sub(c.since) >= checkAfter
+	return at.Sub(c.askedAt) >= unexpectedAnswerTime && at.Sub(c.since) >= checkAfter
 }
 
 // unanswered reports whether the question in the store has had no answer yet. Without an open question it asks one.
@@ -185,23 +181,13 @@
 	return err == nil && !seen
 }
 
-// reached reports whether any of the addresses accepts a connection.
+// reached reports whether any of the addresses accepts a connection; it makes no further calls once one does.
 func (c *Checker) reached(ctx context.Context, addresses []netip.AddrPort) bool {
-	return anyOf(addresses, func(a netip.AddrPort) bool { return c.peers.Reachable(ctx, a) })
-}
-
-// allRefuse reports whether each of the addresses refuses connections, and there is one.
-func (c *Checker) allRefuse(ctx context.Context, addresses []netip.AddrPort) bool {
-	return len(addresses) > 0 && !anyOf(addresses, func(a netip.AddrPort) bool { return !c.peers.Refused(ctx, a) })
-}
-
-// anyOf reports whether a condition holds for an address; it makes no further calls once it does.
-func anyOf(addresses []netip.AddrPort, holds func(a netip.AddrPort) bool) bool {
 	var found atomic.Bool
 	p := pool.New().WithMaxGoroutines(maxCalls)
 	for _, a := range addresses {
 		p.Go(func() {
-			if !found.Load() && holds(a) {
+			if !found.Load() && c.peers.Reachable(ctx, a) {
 				found.Store(true)
 			}
 		})
--- a/internal/virtualfleet/fleet.go
+++ b/internal/virtualfleet/fleet.go
@@ -45,10 +45,8 @@
 	instances []*instance
 	// processes counts the processes that were started.
 	processes int
-	// cuts counts the faults that cut a link, by sender and receiver; lossShare is the share of messages lost on all others. Rejects counts
-	// those whose firewall refuses connections.
+	// cuts counts the faults that cut a link, by sender and receiver; lossShare is the share of messages lost on all others.
 	cuts      map[[2]int]int
-	rejects   map[[2]int]int
 	lossShare float64
 	// heartbeatBytes is the number of encoded bytes of all heartbeats that were sent.
 	heartbeatBytes int
@@ -59,12 +57,11 @@
 // New returns a fleet of instances in a number of zones, none of which is started, with one backend server a zone.
 func New(size, zones int, random *rand.Rand, log *slog.Logger) *Fleet {
 	f := &Fleet{
-		log:     log,
-		codec:   messagecodec.New(maxMessageBytes),
-		random:  random,
-		cuts:    map[[2]int]int{},
-		rejects: map[[2]int]int{},
-		store:   newMemory(),
+		log:    log,
+		codec:  messagecodec.New(maxMessageBytes),
+		random: random,
+		cuts:   map[[2]int]int{},
+		store:  newMemory(),
 		table: &route.Table{
 			Version: 1,
 			Routes: []route.Route{{
@@ -175,21 +172,6 @@
 	return func() { add(-1) }
 }
 
-// Reject cuts the links between two instances, by a firewall that refuses connections, until the returned function is called.
-func (f *Fleet) Reject(a, b int) (restore func()) {
-	add := func(n int) {
-		f.lock.Lock()
-		defer f.lock.Unlock()
-		for _, link := range [][2]int{{a, b}, {b, a}} {
-			f.cuts[link] += n
-			f.rejects[link] += n
-		}
-	}
-	add(1)
-
-	return func() { add(-1) }
-}
-
 // SetLoss sets the share of messages between instances that are lost.
 func (f *Fleet) SetLoss(share float64) {
 	f.lock.Lock()
@@ -370,25 +352,6 @@
 	return f.instances[n].process
 }
 
-// refuses reports whether a connection to an address is refused: a firewall does it, or there is a machine without a process.
-func (f *Fleet) refuses(from *instance, to netip.AddrPort) bool {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	if !to.IsValid() {
-		return false
-	}
-	n := int(to.Addr().As4()[3]) - 1
-	if n < 0 || n >= len(f.instances) {
-		return false
-	}
-	there, back := [2]int{from.index, n}, [2]int{n, from.index}
-	if f.cuts[there] > 0 || f.cuts[back] > 0 {
-		return f.rejects[there] > 0
-	}
-
-	return f.at(to) == nil
-}
-
 // connected returns the process at an address if calls from an instance reach it and answers come back.
 func (f *Fleet) connected(from *instance, to netip.AddrPort) *process {
 	f.lock.Lock()
--- a/internal/virtualfleet/process.go
+++ b/internal/virtualfleet/process.go
@@ -326,11 +326,6 @@
 	return p.instance.fleet.connected(p.instance, a) != nil
 }
 
-// Refused reports whether the machine at an address refuses connections.
-func (p *process) Refused(_ context.Context, a netip.AddrPort) bool {
-	return p.instance.fleet.refuses(p.instance, a)
-}
-
 // Send runs an item on a backend server.
 func (s sender) Send(ctx context.Context, _ backend.Server, q *call.Call, after int64) (*response.Response, error) {
 	f := s.process.instance.fleet
--- a/io/peersync/node.go
+++ b/io/peersync/node.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
 	"sync"
-	"syscall"
 	"time"
 
 	"tarragonwalk/core/backend"
@@ -196,16 +194,6 @@
 	return true
 }
 
-// Refused reports whether the machine at an address refuses connections, because no process listens there.
-func (n *Node) Refused(ctx context.Context, a netip.AddrPort) bool {
-	c, err := n.dialer.DialContext(ctx, "tcp4", a.String())
-	if err == nil {
-		c.Close()
-	}
-
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // call fails with code unavailable; sent reports whether the other instance may have received the request.
 func (n *Node) call(ctx context.Context, a netip.AddrPort, method string, request, reply any, until time.Time) (sent bool, err error) {
 	ctx, cancel := context.WithDeadline(ctx, until)
