Keep accepted jobs with the route that accepted them

Cause: the holder looked the route of a job up again by host and path in each newer table, as for a new request, and took a route of another kind for the end of the job's route.

Change: the record of a job names its route and its prefix. The route is found by name, then by host and prefix, then by path; only if none is a batch route has it ended. In a table older than the acceptance only the name counts, and the waiting tokens go on counting for the route.

Ruled out: a loss of the job or its items.

--- a/core/jobrun/orphan.go
+++ b/core/jobrun/orphan.go
@@ -245,8 +245,8 @@
 	if o.lost == "" {
 		return
 	}
-	if rt := r.findRoute(record); rt != nil {
-		r.cluster.RecordTakeover(o.lost, waitingKeyOf(rt.Name, record.Workspace), record.Tokens, r.now())
+	if key, ok := r.tokensKey(record, r.findRoute(record)); ok {
+		r.cluster.RecordTakeover(o.lost, key, record.Tokens, r.now())
 		r.logger.Info("job of a lost process found without its items", "job", record.ID, "incarnation", o.lost, "tokens", record.Tokens)
 	}
 	// The takeover, if the job is completed, must not subtract them again.
--- a/core/jobrun/runner.go
+++ b/core/jobrun/runner.go
@@ -343,33 +343,6 @@
 	}
 }
 
-// routeOf returns the batch route of a job, nil if the configuration has none; it needs the lock.
-func (r *Runner) routeOf(j *job) *route.Route {
-	table, _ := r.routes.Current()
-	if table == nil {
-		return nil
-	}
-	if j.table != table {
-		j.table, j.route = table, r.findRoute(&j.Job)
-	}
-
-	return j.route
-}
-
-// findRoute returns the batch route of a job that this instance does not hold, nil if the configuration has none.
-func (r *Runner) findRoute(j *work.Job) *route.Route {
-	table, _ := r.routes.Current()
-	if table == nil {
-		return nil
-	}
-	rt := table.Find(j.Host, j.Target)
-	if rt == nil || rt.Kind != route.KindBatch {
-		return nil
-	}
-
-	return rt
-}
-
 func (r *Runner) signal() {
 	select {
 	case r.wake <- struct{}{}:
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -221,7 +221,7 @@
 		for _, it := range j.items {
 			switch {
 			case it.state != waiting || at.Before(it.notBefore):
-			case rt == nil && table.Version < j.RouteVersion:
+			case rt == nil && olderThanJob(table, &j.Job):
 				// This instance does not know the job's route yet.
 			case rt == nil:
 				r.logger.Info("item given up", "job", j.ID, "item", it.ID, "cause", "the route was removed", "version", table.Version)
--- a/core/jobrun/submit.go
+++ b/core/jobrun/submit.go
@@ -58,6 +58,7 @@
 	j.Holder = r.name
 	j.Incarnation = r.incarnation
 	j.Items = len(items)
+	j.Route, j.Prefix = rt.Name, rt.Prefix
 	if _, version := r.routes.Current(); version > 0 {
 		j.RouteVersion = int(version)
 	}
@@ -319,8 +320,8 @@
 	sum := map[string]int{}
 	for _, jobs := range []map[string]*job{r.jobs, r.unresolved} {
 		for _, j := range jobs {
-			if rt := r.routeOf(j); rt != nil {
-				sum[waitingKeyOf(rt.Name, j.Workspace)] += j.waitingTokens()
+			if key, ok := r.tokensKey(&j.Job, r.routeOf(j)); ok {
+				sum[key] += j.waitingTokens()
 			}
 		}
 	}
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -131,9 +131,9 @@
 		return nil
 	}
 	r.hold(record.ID, j)
-	if rt := r.routeOf(j); rt != nil && lost != "" {
+	if key, ok := r.tokensKey(&j.Job, r.routeOf(j)); ok && lost != "" {
 		// The lost process may not have learned of the job's end.
-		r.cluster.RecordTakeover(lost, waitingKeyOf(rt.Name, j.Workspace), j.unfinishedTokens(), r.now())
+		r.cluster.RecordTakeover(lost, key, j.unfinishedTokens(), r.now())
 	}
 	r.logger.Info("job taken over", "job", record.ID, "from", previous.Holder, "listed", len(j.results), "items", record.Items,
 		"ended", j.ended, "revision", revision)
--- a/core/route/find.go
+++ b/core/route/find.go
@@ -7,13 +7,10 @@
 
 // Find returns the route for the host whose prefix is the longest one that the path starts with, or nil.
 func (j *Table) Find(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
 	var best *Route
 	for i := range j.Routes {
 		r := &j.Routes[i]
-		if !strings.EqualFold(r.Host, host) || !strings.HasPrefix(path, r.Prefix) {
+		if !r.hasHost(host) || !strings.HasPrefix(path, r.Prefix) {
 			continue
 		}
 		if best == nil || len(r.Prefix) > len(best.Prefix) {
@@ -24,6 +21,35 @@
 	return best
 }
 
+// Named returns the route of a name, or nil; no route has an empty name.
+func (j *Table) Named(name string) *Route {
+	return j.first(func(r *Route) bool { return name != "" && r.Name == name })
+}
+
+// At returns the route for the host with exactly this prefix, or nil; no route has an empty prefix.
+func (j *Table) At(host, prefix string) *Route {
+	return j.first(func(r *Route) bool { return prefix != "" && r.Prefix == prefix && r.hasHost(host) })
+}
+
+func (j *Table) first(matches func(r *Route) bool) *Route {
+	for i := range j.Routes {
+		if r := &j.Routes[i]; matches(r) {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// hasHost reports whether the route is for a host, which may be followed by a port.
+func (j *Route) hasHost(host string) bool {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+
+	return strings.EqualFold(j.Host, host)
+}
+
 // Service returns the service for a point from 0 up to but not including 1. Services divide that range by the weights of their
 // shares, so that random points divide the requests by weight.
 func (j *Route) Service(point float64) string {
--- a/core/route/find_test.go
+++ b/core/route/find_test.go
@@ -60,3 +60,15 @@
 		is.New(t).Equal(c.route.Repeatable(), c.want)
 	}
 }
+
+// Guards against a route that is taken for another one with a similar name, host or prefix, or for one that has none.
+func TestNamedAndAt(t *testing.T) {
+	table := &Table{Routes: []Route{{Name: "a", Host: "a.example", Prefix: "/x/"}, {Name: "b", Host: "b.example", Prefix: "/x/y/"}}}
+	is := is.New(t)
+	is.Equal(table.Named("b").Prefix, "/x/y/")
+	is.Equal(table.Named(""), nil)
+	is.Equal(table.Named("c"), nil)
+	is.Equal(table.At("B.example:80", "/x/y/").Name, "b")
+	is.Equal(table.At("b.example", "/x/"), nil)
+	is.Equal(table.At("a.example", ""), nil)
+}
--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -93,6 +93,13 @@
 	// Parts is how many objects hold the items.
 	Parts int `json:"Parts"`
 
+	// Prefix is the path prefix of that route.
+	Prefix string `json:"Prefix,omitempty,omitzero"`
+
+	// Route is the name of the route that accepted the job; empty in records of older
+	// programs.
+	Route string `json:"Route,omitempty,omitzero"`
+
 	// RouteVersion is the version of the configuration with which the job was
 	// accepted; older ones may not have its route.
 	RouteVersion int `json:"RouteVersion,omitempty,omitzero"`
@@ -159,6 +166,12 @@
 	if 1 > plain.Parts {
 		return fmt.Errorf("field %s: must be >= %v", "Parts", 1)
 	}
+	if v, ok := raw["Prefix"]; !ok || v == nil {
+		plain.Prefix = ""
+	}
+	if v, ok := raw["Route"]; !ok || v == nil {
+		plain.Route = ""
+	}
 	if v, ok := raw["RouteVersion"]; !ok || v == nil {
 		plain.RouteVersion = 0
 	}
