Let what an item has cost outlive its holder

Cause: failures stood in the memory of the holder until the result was listed, up to 3 s later; a holder that is cut off or lost does not list it, and the next one began each item anew.

From the first takeover on, a failure is written before the item runs again, and what is given up is listed at once. From the second one on, items start only while the store has confirmed the holder within 2 s.

Ruled out: more attempts of one holder (TestFirstHolderKeepsFailuresInMemory counts them), and that shorter delays of listing alone are enough: they do not help a holder that does not reach the store.

Tests: TestFailuresOutliveHolders failed in three of four rows with the counts taken out as a trial, TestFirstHolderKeepsFailuresInMemory as well.

--- a/core/jobrun/item.go
+++ b/core/jobrun/item.go
@@ -140,6 +140,7 @@
 	case errors.Is(err, errFailed):
 		it.failures++
 		it.notBefore = at.Add(failedPause)
+		it.unrecorded = j.Takeovers > 0
 		if it.failures >= max(1, rt.MaxAttempts) {
 			givenUp.Add("failed", 1)
 			j.finish(it, work.StateDead, at)
--- a/core/jobrun/job.go
+++ b/core/jobrun/job.go
@@ -26,6 +26,8 @@
 	events bool
 	// failures counts the attempts that the backend server answered with a failure; a lost stream or a preemption does not count.
 	failures int
+	// unrecorded is set while the last failure is to be written to the job's record before the item runs again.
+	unrecorded bool
 	// losses counts the runs in a row that have lost their connection without an event.
 	losses    int
 	notBefore time.Time
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -124,7 +124,11 @@
 	defer r.lock.Unlock()
 	j.flushing = false
 	if err != nil {
-		j.retryAt = r.now().Add(retryPause)
+		pause := retryPause
+		if j.doubtedBy == "" {
+			pause = checkPause
+		}
+		j.retryAt = r.now().Add(pause)
 	}
 }
 
@@ -207,7 +211,7 @@
 	defer cancel()
 	record, revision := j.Job, j.revision
 	at := r.now().UTC()
-	record.Finished, record.FinishedAt = true, &at
+	record.Finished, record.FinishedAt, record.Failures = true, &at, nil
 	var err error
 	if revision == 0 {
 		_, revision, err = r.log.Job(ctx, j.ID)
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -84,7 +84,7 @@
 	for id, j := range r.jobs {
 		switch {
 		case j.flushing || at.Before(j.retryAt):
-		case j.doubtedBy != "":
+		case j.doubtedBy != "" || j.checkDue(at):
 			j.flushing = true
 			r.tasks.Go(func() { r.confirm(ctx, j) })
 		case len(j.pending) > 0 && (at.Sub(j.pendingSince) >= r.listDelay(j, at) || len(j.pending)+len(j.results) >= j.Items):
@@ -92,6 +92,9 @@
 			pending := firstSegment(j.pending)
 			position := len(j.results)
 			r.tasks.Go(func() { r.write(ctx, j, position, pending) })
+		case !r.stopping && j.hasUnrecorded():
+			j.flushing = true
+			r.tasks.Go(func() { r.recordFailures(ctx, j) })
 		case j.complete() && !j.Finished:
 			j.flushing = true
 			r.tasks.Go(func() { r.close(ctx, j) })
@@ -127,6 +130,9 @@
 // listDelay returns how long pending results of a job wait for others to be listed in the same write; it needs the lock.
 func (r *Runner) listDelay(j *job, at time.Time) time.Duration {
 	rt := r.routeOf(j)
+	if j.Takeovers > 0 && j.givesUp() {
+		return 0
+	}
 	if rt == nil || r.stopping {
 		return shortListDelay
 	}
@@ -214,13 +220,13 @@
 	var list []candidate
 	held := map[string]int{}
 	for _, j := range r.jobs {
-		if j.ended || j.released {
+		if j.ended || j.released || j.mustCheck(at) {
 			continue
 		}
 		rt := r.routeOf(j)
 		for _, it := range j.items {
 			switch {
-			case it.state != waiting || at.Before(it.notBefore):
+			case it.state != waiting || at.Before(it.notBefore) || it.unrecorded:
 			case rt == nil && olderThanJob(table, &j.Job):
 				// This instance does not know the job's route yet.
 			case rt == nil:
--- a/core/jobrun/takeover.go
+++ b/core/jobrun/takeover.go
@@ -86,6 +86,9 @@
 	if r.mine(record) {
 		return revision, true, nil
 	}
+	if record.Holder != "" {
+		record.Takeovers++
+	}
 	record.Holder, record.Incarnation = r.name, r.incarnation
 	revision, err = r.log.Update(ctx, *record, revision)
 	if fault.CodeOf(err) == fault.CodeConflict {
@@ -167,6 +170,9 @@
 	for _, s := range segments {
 		j.list(len(j.results), s)
 	}
+	for _, it := range j.items {
+		it.failures = record.Failures[it.ID]
+	}
 	j.ended = ended
 
 	return j, nil
@@ -231,6 +237,7 @@
 		record.Holder, record.Incarnation = "", ""
 		r.lock.Lock()
 		j.releasing = true
+		record.Failures = j.failures()
 		r.lock.Unlock()
 		_, err = r.log.Update(ctx, *record, revision)
 	}
--- a/core/jobrun/wait.go
+++ b/core/jobrun/wait.go
@@ -30,6 +30,7 @@
 	waitStop          waitCause = "instance_stopping"
 	waitPause         waitCause = "pause"
 	waitRoute         waitCause = "route_unknown"
+	waitStore         waitCause = "store"
 	waitQuarantine    waitCause = "quarantine"
 	waitServer        waitCause = "no_usable_server"
 	waitSlot          waitCause = "servers_full"
@@ -42,7 +43,7 @@
 
 // waitCauses are all causes, for metrics.
 var waitCauses = []waitCause{
-	waitConfiguration, waitStop, waitPause, waitRoute, waitQuarantine, waitServer, waitSlot, waitLate, waitOrder, waitTurn,
+	waitConfiguration, waitStop, waitPause, waitRoute, waitStore, waitQuarantine, waitServer, waitSlot, waitLate, waitOrder, waitTurn,
 	waitProgress, waitListing,
 }
 
@@ -53,10 +54,12 @@
 	progressAt time.Time
 	notBefore  time.Time
 	// pending is set while the item's result is not listed, held while a prompt part of it is quarantined.
-	pending    bool
-	held       bool
-	stopping   bool
-	configured bool
+	pending bool
+	held    bool
+	// unconfirmed is set while the store has to confirm the holder, or to keep the item's last failure, before it runs.
+	unconfirmed bool
+	stopping    bool
+	configured  bool
 	// route is nil if the configuration has none for the job.
 	route *route.Route
 	late  bool
@@ -70,6 +73,7 @@
 // observe sets what concerns the item itself. The items of an ended job wait for nothing.
 func (v *waitView) observe(j *job, it *item) {
 	v.state, v.startedAt, v.progressAt, v.notBefore, v.held = it.state, it.startedAt, it.progressAt, it.notBefore, it.held
+	v.unconfirmed = v.unconfirmed || it.unrecorded
 	if j.ended {
 		v.state = done
 	}
@@ -92,6 +96,8 @@
 		return waitPause
 	case v.route == nil:
 		return waitRoute
+	case v.unconfirmed:
+		return waitStore
 	case v.held:
 		return waitQuarantine
 	case v.room.Usable == 0:
--- a/core/jobrun/waitlog.go
+++ b/core/jobrun/waitlog.go
@@ -63,11 +63,12 @@
 		rt := r.routeOf(j)
 		pending := j.pendingStates()
 		base := waitView{
-			stopping:   r.stopping,
-			configured: table != nil,
-			route:      rt,
-			contenders: contenders,
-			grantedAt:  r.grantedAt(rt),
+			unconfirmed: j.mustCheck(at),
+			stopping:    r.stopping,
+			configured:  table != nil,
+			route:       rt,
+			contenders:  contenders,
+			grantedAt:   r.grantedAt(rt),
 		}
 		for _, it := range j.items {
 			v := base
--- a/core/work/work_schema.go
+++ b/core/work/work_schema.go
@@ -69,6 +69,10 @@
 // parts exist. Holder and Incarnation change when another instance takes the job
 // over.
 type Job struct {
+	// Failures counts the failed attempts of items that are not listed yet, by the
+	// item's ID.
+	Failures JobFailures `json:"Failures,omitempty,omitzero"`
+
 	// Finished is set once all items are listed, so that the job needs no takeover.
 	Finished bool `json:"Finished,omitempty,omitzero"`
 
@@ -108,6 +112,10 @@
 	// clock.
 	SubmittedAt time.Time `json:"SubmittedAt"`
 
+	// Takeovers counts the holders that were replaced without having released the
+	// job; what they did last is in no record.
+	Takeovers int `json:"Takeovers,omitempty,omitzero"`
+
 	// Target is the path of the submission and selects the route.
 	Target string `json:"Target"`
 
@@ -119,6 +127,10 @@
 	Workspace string `json:"Workspace,omitempty,omitzero"`
 }
 
+// Failures counts the failed attempts of items that are not listed yet, by the
+// item's ID.
+type JobFailures map[string]int
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Job) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
@@ -178,6 +190,12 @@
 	if 0 > plain.RouteVersion {
 		return fmt.Errorf("field %s: must be >= %v", "RouteVersion", 0)
 	}
+	if v, ok := raw["Takeovers"]; !ok || v == nil {
+		plain.Takeovers = 0
+	}
+	if 0 > plain.Takeovers {
+		return fmt.Errorf("field %s: must be >= %v", "Takeovers", 0)
+	}
 	if v, ok := raw["Tokens"]; !ok || v == nil {
 		plain.Tokens = 0
 	}
--- a/internal/fakeobjects/store.go
+++ b/internal/fakeobjects/store.go
@@ -23,6 +23,7 @@
 	revision     int64
 	nextFailures map[string]fault.Code
 	choose       func(kind string) fault.Code
+	unreadable   bool
 	reads        map[string]int
 	writes       map[string]int
 }
@@ -67,6 +68,13 @@
 	s.choose = choose
 }
 
+// SetUnreadable makes all reads of single objects fail.
+func (s *Store) SetUnreadable(unreadable bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.unreadable = unreadable
+}
+
 // Len returns the number of objects.
 func (s *Store) Len() int {
 	s.lock.Lock()
@@ -140,6 +148,9 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.reads[kind]++
+	if s.unreadable {
+		return 0, fault.New(fault.CodeUnavailable, "no answer")
+	}
 	o, ok := s.objects[kind+"/"+name]
 	if !ok {
 		return 0, fault.New(fault.CodeNotFound, "no such object")
