Start items of a job that lost its holders right after a confirmation

Cause: a confirmation counted for 2 s, and the second holder went on while it was isolated.

Change: a confirmation counts for 0.25 s, as long as an item that cannot be done needs to fail; it is asked for as often as before, once a second while items wait. From the first takeover on, an isolated holder starts nothing, which costs no call.

Ruled out: that results wait for company; the line "results not listed" names the store that is not reached.

--- a/core/jobrun/failures.go
+++ b/core/jobrun/failures.go
@@ -12,22 +12,23 @@
 
 // What an item has cost has to outlive its holder: otherwise each further holder would give an item that cannot be done all its attempts
 // again. The first holder keeps failures in memory and lists results together, so that it costs no writes. Once a holder was lost, the next ones
-// write each failure to the record before the item runs again, and list items that are given up at once. After checkedTakeovers, a holder also
-// starts items only while the store confirms that it holds the job: one that does not reach the store could not list what it finds out.
+// write each failure to the record before the item runs again, list items that are given up at once, and start no items while they are isolated.
+// After checkedTakeovers, a holder also starts items only right after the store has confirmed that it holds the job: one that does not reach the
+// store could not list what it finds out.
 const (
 	// checkedTakeovers is the number of takeovers from which the holder of a job has to be confirmed.
 	checkedTakeovers = 2
-	// checkPause is the time after which the holder of such a job is confirmed again, checkLife how long a confirmation is enough to start
-	// items.
+	// checkPause is the time after which the holder of such a job is confirmed again while items wait, checkLife how long a confirmation is
+	// enough to start items. An item that cannot be done fails within a tenth of a second.
 	checkPause = time.Second
-	checkLife  = 2 * time.Second
+	checkLife  = 250 * time.Millisecond
 	// maxRecordedFailures bounds the items in a record that have failed and are not listed; further ones wait until some of these are.
 	maxRecordedFailures = 1024
 )
 
-// mustCheck reports whether no item of the job may start until the store has confirmed its holder.
-func (j *job) mustCheck(at time.Time) bool {
-	return j.Takeovers >= checkedTakeovers && at.Sub(j.heldAt) > checkLife
+// mustCheck reports whether no item of the job may start until the store has confirmed its holder, given whether that is isolated.
+func (j *job) mustCheck(isolated bool, at time.Time) bool {
+	return j.Takeovers > 0 && isolated || j.Takeovers >= checkedTakeovers && at.Sub(j.heldAt) > checkLife
 }
 
 // checkDue reports whether the holder of the job has to be confirmed so that its waiting items may start.
--- a/core/jobrun/failures_test.go
+++ b/core/jobrun/failures_test.go
@@ -98,7 +98,7 @@
 				is.NoErr(r.Submit(t.Context(), &testRoute, work.Job{ID: "job", Host: "h", Target: "/b/1", SubmittedAt: time.Now()}, newItems("job", items)))
 				for n := range holders {
 					before := f.runs.most()
-					for end := time.Now().Add(2 * checkLife); f.runs.most() == before && time.Now().Before(end); {
+					for end := time.Now().Add(4 * checkPause); f.runs.most() == before && time.Now().Before(end); {
 						time.Sleep(time.Millisecond)
 					}
 					time.Sleep(c.life)
@@ -153,6 +153,18 @@
 	})
 }
 
+// Guards against a holder that goes on with a job that it has taken over while it is cut off, and can list nothing.
+func TestIsolatedHolderStartsNothing(t *testing.T) {
+	for _, takeovers := range []int{0, 1} {
+		t.Run(fmt.Sprint(takeovers, " takeovers"), func(t *testing.T) {
+			is := is.New(t)
+			j := &job{Job: work.Job{Takeovers: takeovers}}
+			is.True(!j.mustCheck(false, time.Now()))
+			is.Equal(j.mustCheck(true, time.Now()), takeovers > 0)
+		})
+	}
+}
+
 // Guards against a holder that starts items of a job whose holders were lost again and again though it does not reach the store, where it could
 // not list what it finds out, and against one that starts none after that.
 func TestUnconfirmedHolderStartsNothing(t *testing.T) {
@@ -180,7 +192,7 @@
 				time.Sleep(checkPause)
 				is.True(r.holds("job"))
 				f.objects.SetUnreadable(true)
-				time.Sleep(2 * checkLife)
+				time.Sleep(2 * checkPause)
 				setSlots(0)
 				time.Sleep(testLimit)
 				is.Equal(f.runs.most() > 0, c.starts)
--- a/core/jobrun/list.go
+++ b/core/jobrun/list.go
@@ -122,6 +122,7 @@
 	_, err := r.checkHolder(ctx, j)
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	defer r.signal()
 	j.flushing = false
 	if err != nil {
 		pause := retryPause
--- a/core/jobrun/step.go
+++ b/core/jobrun/step.go
@@ -219,8 +219,9 @@
 	}
 	var list []candidate
 	held := map[string]int{}
+	isolated := r.cluster.Isolated()
 	for _, j := range r.jobs {
-		if j.ended || j.released || j.mustCheck(at) {
+		if j.ended || j.released || j.mustCheck(isolated, at) {
 			continue
 		}
 		rt := r.routeOf(j)
--- a/core/jobrun/waitlog.go
+++ b/core/jobrun/waitlog.go
@@ -63,7 +63,7 @@
 		rt := r.routeOf(j)
 		pending := j.pendingStates()
 		base := waitView{
-			unconfirmed: j.mustCheck(at),
+			unconfirmed: j.mustCheck(r.cluster.Isolated(), at),
 			stopping:    r.stopping,
 			configured:  table != nil,
 			route:       rt,
